--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Every target makes what it needs: `make test` on a fresh machine is enough.
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+PACKAGES := $(wildcard packages/*)
+TOOLS := pytest hypothesis ruff
+
+.PHONY: install test lint format demo clean bench-path bench-idle
+
+install: $(VENV)/installed
+
+$(VENV)/installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --constraint constraints.txt flit_core $(TOOLS)
+	$(PYTHON) -m pip install --quiet --constraint constraints.txt \
+		--no-build-isolation $(foreach package,$(PACKAGES),--editable $(package))
+	touch $@
+
+lint: install
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: install
+	$(VENV)/bin/ruff check --fix .
+	$(VENV)/bin/ruff format .
+
+test: lint
+	$(PYTHON) -m pytest
+
+demo: install
+	$(PYTHON) -m benchmarks.demo
+
+bench-path: install
+	$(PYTHON) -m benchmarks.path
+
+bench-idle: install
+	$(PYTHON) -m benchmarks.idle
+
+clean:
+	rm -rf $(VENV) build .pytest_cache .ruff_cache
--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,171 @@
+"""Starts and stops daemons and stand-ins as processes, for demo and benchmarks."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from pepperstair_core.config import parse_address
+from pepperstair_http import ConnectionLostError, Fetcher
+
+ROOT = Path(__file__).resolve().parent.parent
+SCRIPTS = Path(sys.executable).parent
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+@dataclass(frozen=True)
+class DaemonProcess:
+    """One started daemon and its addresses."""
+
+    vm: str
+    callers: str
+    operators: str
+    peers: str
+    settings: Path
+    process: subprocess.Popen[bytes]
+
+
+@dataclass
+class Fleet:
+    """The processes of one run, all stopped by `stop`."""
+
+    folder: Path
+    platform: str = ""
+    daemons: list[DaemonProcess] = field(default_factory=list)
+    processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
+
+    def start_platform(self, *arguments: str) -> None:
+        """Start the platform stand-in."""
+        port = free_port()
+        self.platform = f"127.0.0.1:{port}"
+        self._start_module("stand_ins.platform", "--port", str(port), *arguments)
+        wait_until(lambda: _is_listening(self.platform), "the platform stand-in")
+
+    def start_daemon(
+        self, vm: str, availability_zone: str, labels: str, more: str = ""
+    ) -> DaemonProcess:
+        """Start a daemon that joins through the first one."""
+        addresses = [f"127.0.0.1:{free_port()}" for _ in range(3)]
+        seeds = [self.daemons[0].peers] if self.daemons else []
+        settings = self.folder / f"{vm}.toml"
+        settings.write_text(
+            f'[vm]\nname = "{vm}"\navailability_zone = "{availability_zone}"\n'
+            f"labels = {labels}\n"
+            f'[callers]\naddress = "{addresses[0]}"\n'
+            f'[operators]\naddress = "{addresses[1]}"\n'
+            f'[peers]\naddress = "{addresses[2]}"\nseed_addresses = {seeds}\n'
+            f'[platform]\naddress = "{self.platform}"\n{more}'
+        )
+        daemon = DaemonProcess(vm, *addresses, settings, self.spawn_daemon(settings))
+        self.daemons.append(daemon)
+        return daemon
+
+    def spawn_daemon(self, settings: Path) -> subprocess.Popen[bytes]:
+        """Start a daemon process on settings; its log goes beside them."""
+        with settings.with_suffix(".log").open("ab") as log:
+            process = subprocess.Popen(
+                [SCRIPTS / "pepperstaird", "--settings", settings], stderr=log
+            )
+        self.processes.append(process)
+        return process
+
+    def start_target(self, daemon: DaemonProcess, service: str, *more: str) -> str:
+        """Start a target beside a daemon and return its address."""
+        port = str(free_port())
+        arguments = ("--port", port, "--daemon", daemon.operators, "--service", service)
+        self._start_module("stand_ins.target", *arguments, *more)
+        address = f"127.0.0.1:{port}"
+        wait_until(lambda: _is_listening(address), f"target {service}")
+        return address
+
+    def stop(self) -> None:
+        """Stop every process, by force where it does not end by itself."""
+        for process in self.processes:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self.processes:
+            try:
+                process.wait(timeout=5)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def _start_module(self, module: str, *arguments: str) -> None:
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+        )
+        self.processes.append(process)
+
+
+@contextlib.contextmanager
+def running_fleet() -> Iterator[Fleet]:
+    """Yield an empty fleet and stop all that was started in it."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(Path(folder))
+        try:
+            yield fleet
+        finally:
+            fleet.stop()
+
+
+def wait_until(
+    condition: Callable[[], bool], what: str, timeout_s: float = 20.0
+) -> None:
+    """Wait for a condition, or raise TimeoutError that names it."""
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise TimeoutError(f"not seen within {timeout_s} s: {what}")
+
+
+def fetch(
+    address: str, method: str, path: str, body: bytes = b"", headers: Any = ()
+) -> tuple[int, bytes]:
+    """Send one request and return status and body; status 0 without an answer."""
+
+    async def send() -> tuple[int, bytes]:
+        fetcher = Fetcher(*parse_address(address), 5000)
+        try:
+            response = await fetcher.fetch(method, path, body, headers)
+        except (OSError, TimeoutError, ConnectionLostError):
+            return 0, b""
+        finally:
+            fetcher.close()
+        return response.status, response.body
+
+    return asyncio.run(send())
+
+
+def status_of(daemon: DaemonProcess) -> dict[str, Any]:
+    """Return a daemon's status, empty while it does not answer."""
+    code, body = fetch(daemon.operators, "GET", "/v1/status")
+    return json.loads(body) if code == 200 else {}
+
+
+def _is_listening(address: str) -> bool:
+    with socket.socket() as probe:
+        return probe.connect_ex(parse_address(address)) == 0
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/calls/outcome.py
@@ -0,0 +1,28 @@
+"""How a call ended, as the burn report and the metrics count it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..errors import ErrorKind, Run
+
+
+@dataclass(frozen=True, slots=True)
+class CallOutcome:
+    """One caller's request from its head to the end of its answer.
+
+    `error` is None where the target's whole answer was passed on; `n_retries`
+    counts the attempts after the first.
+    """
+
+    customer: str
+    route: str
+    priority: str
+    status: int
+    error: ErrorKind | None
+    run: Run
+    duration_ms: float
+    n_retries: int
+
+
+__all__ = ["CallOutcome"]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/config/__init__.py
@@ -0,0 +1,31 @@
+"""The settings of a daemon: one schema, read from TOML."""
+
+from __future__ import annotations
+
+from .settings import (
+    CallersSettings,
+    CallsSettings,
+    MembersSettings,
+    MetricsSettings,
+    OperatorsSettings,
+    PeersSettings,
+    PlatformSettings,
+    Settings,
+    VmSettings,
+    parse_address,
+    parse_settings_toml,
+)
+
+__all__ = [
+    "CallersSettings",
+    "CallsSettings",
+    "MembersSettings",
+    "MetricsSettings",
+    "OperatorsSettings",
+    "PeersSettings",
+    "PlatformSettings",
+    "Settings",
+    "VmSettings",
+    "parse_address",
+    "parse_settings_toml",
+]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/distribution/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions about configuration: acceptance, spreading and applying."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/errors.py
@@ -0,0 +1,149 @@
+"""The closed list of error kinds and the one table from kind to answer.
+
+Callers, operators and other daemons all learn of an error through these kinds,
+so that the same fault reads the same everywhere:
+
+>>> ANSWERS[ErrorKind.NO_ROUTE].status
+404
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+
+class Run(StrEnum):
+    """Whether the target ran a request, as far as the answering daemon knows."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(StrEnum):
+    """Every way in which a request to a daemon can fail."""
+
+    BAD_REQUEST = "bad_request"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    NO_ROUTE = "no_route"
+    NOT_READY = "not_ready"
+    NO_TARGET = "no_target"
+    TARGET_UNREACHABLE = "target_unreachable"
+    DRAINING = "draining"
+    OVERLOADED = "overloaded"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    PEER_UNREACHABLE = "peer_unreachable"
+    DEADLINE_BEFORE_RUN = "deadline_before_run"
+    TIMEOUT = "timeout"
+    TARGET_FAILED = "target_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    CANCELLED = "cancelled"
+    INVALID_INTENT = "invalid_intent"
+    CONFLICT = "conflict"
+    UNAUTHORIZED = "unauthorized"
+    NOT_FOUND = "not_found"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    CHANGE_OUTCOME_UNKNOWN = "change_outcome_unknown"
+    BUSY = "busy"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller or an operator is told of one error kind.
+
+    `run` is the default that a failure may sharpen; `is_retryable` says that
+    the same request may be sent again without running twice.
+    """
+
+    status: int
+    run: Run
+    is_retryable: bool
+    text: str
+
+
+_NO = Run.NO
+_UNKNOWN = Run.UNKNOWN
+
+ANSWERS: Final[dict[ErrorKind, Answer]] = {
+    ErrorKind.BAD_REQUEST: Answer(400, _NO, False, "the request is malformed"),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(431, _NO, False, "the headers are too large"),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, _NO, False, "the body is too large"),
+    ErrorKind.NO_ROUTE: Answer(404, _NO, False, "no route matches the request"),
+    ErrorKind.NOT_READY: Answer(503, _NO, True, "the daemon is not ready yet"),
+    ErrorKind.NO_TARGET: Answer(503, _NO, True, "the service has no usable target"),
+    ErrorKind.TARGET_UNREACHABLE: Answer(503, _NO, True, "the target is unreachable"),
+    ErrorKind.DRAINING: Answer(503, _NO, True, "the target or daemon is leaving"),
+    ErrorKind.OVERLOADED: Answer(503, _NO, True, "no slot in time for the request"),
+    ErrorKind.TOO_MANY_CONNECTIONS: Answer(503, _NO, True, "too many connections"),
+    ErrorKind.PEER_UNREACHABLE: Answer(503, _NO, True, "the daemon is unreachable"),
+    ErrorKind.DEADLINE_BEFORE_RUN: Answer(504, _NO, False, "too late to start it"),
+    ErrorKind.TIMEOUT: Answer(504, _UNKNOWN, False, "no answer before the timeout"),
+    ErrorKind.TARGET_FAILED: Answer(502, _UNKNOWN, False, "the target cut its answer"),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(502, _UNKNOWN, False, "the answer was lost"),
+    ErrorKind.CANCELLED: Answer(499, _UNKNOWN, False, "the caller left"),
+    ErrorKind.INVALID_INTENT: Answer(422, _NO, False, "the intent is not valid"),
+    ErrorKind.CONFLICT: Answer(409, _NO, False, "the configuration has moved on"),
+    ErrorKind.UNAUTHORIZED: Answer(401, _NO, False, "a bearer token is required"),
+    ErrorKind.NOT_FOUND: Answer(404, _NO, False, "there is no such thing"),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(
+        503, _NO, True, "the platform is unavailable, nothing was accepted"
+    ),
+    ErrorKind.CHANGE_OUTCOME_UNKNOWN: Answer(
+        504, _UNKNOWN, True, "outcome unknown, ask again with this change id"
+    ),
+    ErrorKind.BUSY: Answer(429, _NO, True, "too much is asked at once"),
+    ErrorKind.INTERNAL: Answer(500, _UNKNOWN, False, "an unexpected error"),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """One error: its kind, what it was about and when to come back.
+
+    `run` overrides the table's default where the daemon knows better; None
+    takes the default. `retry_after_ms` is 0 where there is nothing to wait for.
+    """
+
+    kind: ErrorKind
+    detail: str = ""
+    retry_after_ms: int = 0
+    run: Run | None = None
+
+    @property
+    def answer(self) -> Answer:
+        """Return the table's answer to this kind."""
+        return ANSWERS[self.kind]
+
+    @property
+    def has_run(self) -> Run:
+        """Return whether the request ran, sharpened where it is known."""
+        return self.answer.run if self.run is None else self.run
+
+    @property
+    def text(self) -> str:
+        """Return one line for people: the table's text and the detail."""
+        if not self.detail:
+            return self.answer.text
+        return f"{self.answer.text}: {self.detail}"
+
+
+class PepperstairError(Exception):
+    """A failure raised where a result cannot be returned, as in a protocol."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.text)
+        self.failure = failure
+
+
+__all__ = [
+    "ANSWERS",
+    "Answer",
+    "ErrorKind",
+    "Failure",
+    "PepperstairError",
+    "Run",
+]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/events.py
@@ -0,0 +1,40 @@
+"""The closed list of log event names.
+
+Log lines carry one of these names, so that alerts written against them keep
+working; the operations page says what each means and what to do.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Event(StrEnum):
+    """Every event that a daemon logs."""
+
+    STARTED = "started"
+    READY = "ready"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    CHANGE_ACCEPTED = "change_accepted"
+    CHANGE_REFUSED = "change_refused"
+    CHANGE_OUTCOME_UNKNOWN = "change_outcome_unknown"
+    CHANGE_CONVERGED = "change_converged"
+    VERSION_IN_FORCE = "version_in_force"
+    VERSION_REJECTED = "version_rejected"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    PLATFORM_RECOVERED = "platform_recovered"
+    PEER_CONNECTED = "peer_connected"
+    PEER_LOST = "peer_lost"
+    FRAME_REJECTED = "frame_rejected"
+    MEMBER_CHANGED = "member_changed"
+    PAUSE_DETECTED = "pause_detected"
+    TARGET_ANNOUNCED = "target_announced"
+    TARGET_CHANGED = "target_changed"
+    TARGET_LEASE_LAPSED = "target_lease_lapsed"
+    TARGET_EJECTED = "target_ejected"
+    REQUEST_MALFORMED = "request_malformed"
+    INTERNAL_ERROR = "internal_error"
+
+
+__all__ = ["Event"]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/labels.py
@@ -0,0 +1,111 @@
+"""Labels and the selectors over them, as Kubernetes label selectors read.
+
+>>> selector = parse_selector("app=ledger, tier in (a, b), !canary").ok()
+>>> selector.matches({"app": "ledger", "tier": "a"})
+True
+"""
+
+from __future__ import annotations
+
+import functools
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+
+from result import Err, Ok, Result
+
+Labels = Mapping[str, str]
+
+_NAME = r"[A-Za-z0-9]([A-Za-z0-9_./-]{0,61}[A-Za-z0-9])?"
+_NAME_PATTERN = re.compile(_NAME)
+_SET_PATTERN = re.compile(rf"({_NAME})\s+(in|notin)\s*\(([^()]*)\)")
+_EQUAL_PATTERN = re.compile(rf"({_NAME})\s*(!=|==|=)\s*({_NAME})?")
+_EXISTS_PATTERN = re.compile(rf"(!?)\s*({_NAME})")
+_SPLIT_PATTERN = re.compile(r",(?![^()]*\))")
+
+
+class Operator(StrEnum):
+    """How one requirement compares a label with its values."""
+
+    IN = "in"
+    NOT_IN = "notin"
+    EXISTS = "exists"
+    NOT_EXISTS = "!"
+
+
+@dataclass(frozen=True, slots=True)
+class Requirement:
+    """One comma-separated part of a selector."""
+
+    key: str
+    operator: Operator
+    values: frozenset[str] = frozenset()
+
+    def matches(self, labels: Labels) -> bool:
+        """Return whether the labels meet this requirement."""
+        if self.operator is Operator.EXISTS:
+            return self.key in labels
+        if self.operator is Operator.NOT_EXISTS:
+            return self.key not in labels
+        if self.operator is Operator.IN:
+            return labels.get(self.key) in self.values
+        return labels.get(self.key) not in self.values
+
+
+@dataclass(frozen=True, slots=True)
+class Selector:
+    """A conjunction of requirements; without any, it matches everything."""
+
+    requirements: tuple[Requirement, ...] = ()
+
+    def matches(self, labels: Labels) -> bool:
+        """Return whether the labels meet every requirement."""
+        return all(requirement.matches(labels) for requirement in self.requirements)
+
+
+@functools.lru_cache(maxsize=4096)
+def parse_selector(text: str) -> Result[Selector, str]:
+    """Parse a selector, or say in one phrase what is wrong with it."""
+    if not text.strip():
+        return Ok(Selector())
+    requirements = []
+    for part in _SPLIT_PATTERN.split(text):
+        parsed = _parse_requirement(part.strip())
+        if parsed is None:
+            return Err(
+                f"a selector such as 'a=b' or 'a in (b, c)', not {part.strip()!r}"
+            )
+        requirements.append(parsed)
+    return Ok(Selector(tuple(requirements)))
+
+
+def is_label_name(text: str) -> bool:
+    """Return whether a text may stand as a label's key or value."""
+    return _NAME_PATTERN.fullmatch(text) is not None
+
+
+def _parse_requirement(text: str) -> Requirement | None:
+    if match := _SET_PATTERN.fullmatch(text):
+        values = frozenset(value.strip() for value in match[4].split(","))
+        if not all(is_label_name(value) for value in values):
+            return None
+        operator = Operator.IN if match[3] == "in" else Operator.NOT_IN
+        return Requirement(match[1], operator, values)
+    if match := _EQUAL_PATTERN.fullmatch(text):
+        operator = Operator.NOT_IN if match[3] == "!=" else Operator.IN
+        return Requirement(match[1], operator, frozenset([match[4] or ""]))
+    if match := _EXISTS_PATTERN.fullmatch(text):
+        operator = Operator.NOT_EXISTS if match[1] else Operator.EXISTS
+        return Requirement(match[2], operator)
+    return None
+
+
+__all__ = [
+    "Labels",
+    "Operator",
+    "Requirement",
+    "Selector",
+    "is_label_name",
+    "parse_selector",
+]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/rendezvous.py
@@ -0,0 +1,25 @@
+"""Rendezvous hashing: every daemon picks the same few members, without asking.
+
+>>> len(highest("bell", ["a", "b", "c"], 2))
+2
+"""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+from collections.abc import Iterable
+
+
+def weight(key: str, name: str) -> int:
+    """Return the weight of a name for a key: the same on every daemon."""
+    digest = hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def highest(key: str, names: Iterable[str], n_names: int) -> list[str]:
+    """Return the names with the highest weights for a key, highest first."""
+    return heapq.nlargest(n_names, names, key=lambda name: weight(key, name))
+
+
+__all__ = ["highest", "weight"]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/schema.py
@@ -0,0 +1,201 @@
+"""Typed documents: options declared on frozen data classes, read with faults.
+
+Settings and intent documents are data classes whose fields carry a sentence of
+explanation and a range. `read_record` turns a parsed TOML or JSON table into
+such a class, or lists every fault in it at once:
+
+>>> @dataclass(frozen=True)
+... class Door:
+...     width_mm: int = option("Clear width.", default=900, minimum=1)
+>>> read_record(Door, {"width_mm": 0}, "door")
+Err([Fault(where='door.width_mm', expected='an integer of at least 1, not 0')])
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import types
+import typing
+from collections.abc import Iterator, Mapping
+from dataclasses import MISSING, dataclass, field
+from typing import Any, TypeVar
+
+from result import Err, Ok, Result
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing wrong in a document: where, and what was expected there."""
+
+    where: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.where}: expected {self.expected}"
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """The declaration behind one field of a document."""
+
+    doc: str
+    minimum: int | float | None = None
+    maximum: int | float | None = None
+    choices: tuple[str, ...] = ()
+
+
+def option(
+    doc: str,
+    *,
+    default: Any = MISSING,
+    minimum: int | float | None = None,
+    maximum: int | float | None = None,
+    choices: tuple[str, ...] = (),
+) -> Any:
+    """Declare one option of a document: its sentence, default and range.
+
+    A mapping or data class default is shared between instances, which is safe
+    as documents are never changed after reading.
+    """
+    declared = Option(doc, minimum, maximum, choices)
+    metadata = {"option": declared}
+    if isinstance(default, dict):
+        return field(default_factory=dict, metadata=metadata)
+    return field(default=default, metadata=metadata)
+
+
+@functools.cache
+def type_hints(cls: type) -> dict[str, Any]:
+    """Return the resolved annotations of a data class."""
+    return typing.get_type_hints(cls)
+
+
+def read_record(cls: type[T], table: object, where: str) -> Result[T, list[Fault]]:
+    """Read a table into a data class, or return every fault found in it."""
+    faults: list[Fault] = []
+    value = _read_table(cls, table, where, faults)
+    if faults:
+        return Err(faults)
+    return Ok(value)
+
+
+def iter_options(cls: type, where: str = "") -> Iterator[tuple[str, Any, Option]]:
+    """Yield each option below a data class as (dotted name, default, declaration)."""
+    hints = type_hints(cls)
+    for item in dataclasses.fields(cls):
+        name = f"{where}.{item.name}" if where else item.name
+        if dataclasses.is_dataclass(hints[item.name]):
+            yield from iter_options(hints[item.name], name)
+            continue
+        default = item.default
+        if item.default_factory is not MISSING:
+            default = item.default_factory()
+        yield name, default, item.metadata["option"]
+
+
+def _read_table(cls: Any, table: object, where: str, faults: list[Fault]) -> Any:
+    if not isinstance(table, Mapping):
+        faults.append(Fault(where, f"a table, not {_shown(table)}"))
+        return None
+    fields = {item.name: item for item in dataclasses.fields(cls)}
+    for key in table:
+        if key not in fields:
+            known = ", ".join(sorted(fields))
+            faults.append(Fault(_join(where, str(key)), f"one of the keys {known}"))
+    values = {}
+    for name, item in fields.items():
+        if name in table:
+            expected = type_hints(cls)[name]
+            declared = item.metadata.get("option", Option(""))
+            values[name] = _read_value(
+                expected, table[name], _join(where, name), declared, faults
+            )
+        elif item.default is MISSING and item.default_factory is MISSING:
+            faults.append(Fault(_join(where, name), "a value, this key is required"))
+    if faults:
+        return None
+    return cls(**values)
+
+
+def _read_value(
+    expected: Any, value: Any, where: str, declared: Option, faults: list[Fault]
+) -> Any:
+    if dataclasses.is_dataclass(expected):
+        return _read_table(expected, value, where, faults)
+    origin = typing.get_origin(expected)
+    if origin is tuple:
+        return _read_list(expected, value, where, declared, faults)
+    if origin in (types.UnionType, typing.Union):
+        inner = next(a for a in typing.get_args(expected) if a is not type(None))
+        return _read_value(inner, value, where, declared, faults)
+    if origin is dict:
+        return _read_strings(value, where, faults)
+    return _read_scalar(expected, value, where, declared, faults)
+
+
+def _read_list(
+    expected: Any, value: Any, where: str, declared: Option, faults: list[Fault]
+) -> tuple[Any, ...]:
+    if not isinstance(value, (list, tuple)):
+        faults.append(Fault(where, f"a list, not {_shown(value)}"))
+        return ()
+    inner = typing.get_args(expected)[0]
+    return tuple(
+        _read_value(inner, item, f"{where}[{index}]", declared, faults)
+        for index, item in enumerate(value)
+    )
+
+
+def _read_strings(value: Any, where: str, faults: list[Fault]) -> dict[str, str]:
+    if not isinstance(value, Mapping):
+        faults.append(Fault(where, f"a table of strings, not {_shown(value)}"))
+        return {}
+    for key, item in value.items():
+        if not isinstance(item, str):
+            faults.append(
+                Fault(_join(where, str(key)), f"a string, not {_shown(item)}")
+            )
+    return dict(value)
+
+
+def _read_scalar(
+    expected: Any, value: Any, where: str, declared: Option, faults: list[Fault]
+) -> Any:
+    if expected is float and type(value) is int:
+        value = float(value)
+    if type(value) is not expected:
+        faults.append(Fault(where, f"{_NAMES[expected]}, not {_shown(value)}"))
+        return value
+    if declared.choices and value not in declared.choices:
+        wanted = " or ".join(declared.choices)
+        faults.append(Fault(where, f"{wanted}, not {_shown(value)}"))
+    if declared.minimum is not None and value < declared.minimum:
+        limit = f"at least {declared.minimum}"
+        faults.append(Fault(where, f"{_NAMES[expected]} of {limit}, not {value}"))
+    if declared.maximum is not None and value > declared.maximum:
+        limit = f"at most {declared.maximum}"
+        faults.append(Fault(where, f"{_NAMES[expected]} of {limit}, not {value}"))
+    return value
+
+
+_NAMES = {
+    str: "a string",
+    int: "an integer",
+    float: "a number",
+    bool: "true or false",
+}
+
+
+def _join(where: str, name: str) -> str:
+    return f"{where}.{name}" if where else name
+
+
+def _shown(value: object) -> str:
+    text = repr(value)
+    return text if len(text) <= 40 else f"{text[:37]}..."
+
+
+__all__ = ["Fault", "Option", "iter_options", "option", "read_record", "type_hints"]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/versions.py
@@ -0,0 +1,172 @@
+"""Versions of a customer's configuration: snapshots, heads and deltas.
+
+A snapshot is the canonical msgpack form of an intent. Its digest names it in
+the object store and proves, after a delta was applied, that the result is the
+one that was accepted.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from typing import Any, Final
+
+import msgpack
+from result import Err, Ok, Result
+
+from .intent import Intent, intent_to_table, read_intent
+from .schema import Fault
+
+DIGEST_BYTES: Final = 16
+_LIST_KEYS: Final = {
+    "services": "name",
+    "routes": "name",
+    "policies": "name",
+    "label_overrides": "workload",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The newest accepted version of one customer.
+
+    `accepted_at_ms` is the accepting daemon's wall clock, for convergence
+    times only: no decision depends on it.
+    """
+
+    customer: str
+    version: int
+    digest: str
+    accepted_at_ms: int
+    accepted_by: str
+    change_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """One whole version of a customer's configuration; never changed."""
+
+    head: Head
+    body: bytes
+    intent: Intent
+
+
+@dataclass(frozen=True, slots=True)
+class Delta:
+    """The difference between two versions of one customer.
+
+    It applies only to exactly `base_version`; `head.digest` is the digest of
+    the result.
+    """
+
+    base_version: int
+    head: Head
+    patch: bytes
+
+
+def encode_intent(intent: Intent) -> bytes:
+    """Return the canonical bytes of an intent: equal intents, equal bytes."""
+    return msgpack.packb(_sorted(intent_to_table(intent)), use_bin_type=True)
+
+
+def digest_of(body: bytes) -> str:
+    """Return the digest that names a snapshot's body."""
+    return hashlib.blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def make_snapshot(head: Head, body: bytes) -> Result[Snapshot, list[Fault]]:
+    """Check a body against its head and read it, whole or not at all."""
+    if digest_of(body) != head.digest:
+        return Err([Fault(head.customer, f"a body with digest {head.digest}")])
+    try:
+        table = msgpack.unpackb(body, raw=False)
+    except (ValueError, msgpack.UnpackException) as error:
+        return Err([Fault(head.customer, f"a msgpack body ({error})")])
+    read = read_intent(table)
+    if read.is_err():
+        return Err(read.unwrap_err())
+    return Ok(Snapshot(head, body, read.unwrap()))
+
+
+def make_delta(base: Snapshot, target: Snapshot) -> Delta:
+    """Return what changed from one version to a later one."""
+    old = intent_to_table(base.intent)
+    new = intent_to_table(target.intent)
+    patch: dict[str, Any] = {}
+    for key, value in new.items():
+        if key not in _LIST_KEYS:
+            if old.get(key) != value:
+                patch[key] = value
+            continue
+        changed = _list_patch(old[key], value, _LIST_KEYS[key])
+        if changed:
+            patch[key] = changed
+    packed = msgpack.packb(patch, use_bin_type=True)
+    return Delta(base.head.version, target.head, packed)
+
+
+def apply_delta(base: Snapshot, delta: Delta) -> Result[Snapshot, list[Fault]]:
+    """Build the next snapshot, or say why the delta does not lead to it."""
+    customer = delta.head.customer
+    if base.head.version != delta.base_version:
+        wanted = f"base version {delta.base_version}, not {base.head.version}"
+        return Err([Fault(customer, wanted)])
+    table = intent_to_table(base.intent)
+    try:
+        patch = msgpack.unpackb(delta.patch, raw=False)
+        for key, value in patch.items():
+            if key in _LIST_KEYS:
+                table[key] = _patched_list(table[key], value, _LIST_KEYS[key])
+            else:
+                table[key] = value
+        body = msgpack.packb(_sorted(table), use_bin_type=True)
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        return Err([Fault(customer, f"a well-formed delta ({error!r})")])
+    return make_snapshot(delta.head, body)
+
+
+def _list_patch(old: list, new: list, key: str) -> dict[str, Any]:
+    """Return the items to set, and the order of names where it changed."""
+    if old == new:
+        return {}
+    before = {item[key]: item for item in old}
+    patch: dict[str, Any] = {
+        "set": [item for item in new if before.get(item[key]) != item]
+    }
+    gone = sorted(before.keys() - {item[key] for item in new})
+    if gone:
+        patch["gone"] = gone
+    order = [item[key] for item in new]
+    if order != [item[key] for item in _patched_list(old, patch, key)]:
+        patch["order"] = order
+    return patch
+
+
+def _patched_list(old: list, patch: dict[str, Any], key: str) -> list:
+    items = {item[key]: item for item in old}
+    for name in patch.get("gone", ()):
+        items.pop(name, None)
+    for item in patch["set"]:
+        items[item[key]] = item
+    order = patch.get("order", items)
+    return [items[name] for name in order]
+
+
+def _sorted(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {key: _sorted(value[key]) for key in sorted(value)}
+    if isinstance(value, list):
+        return [_sorted(item) for item in value]
+    return value
+
+
+__all__ = [
+    "Delta",
+    "Head",
+    "Snapshot",
+    "apply_delta",
+    "digest_of",
+    "encode_intent",
+    "make_delta",
+    "make_snapshot",
+]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -0,0 +1,197 @@
+"""Frames of control streams: configuration, members and heartbeats.
+
+Kind numbers 1 to 39. Every stream, control or data, opens with `Hello`, which
+the listening side answers with `Welcome`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from ..members import Member
+from ..versions import Delta, Head
+from .codec import frame
+
+PROTOCOL_VERSION: Final = 1
+
+
+class StreamKind(StrEnum):
+    """What a stream carries."""
+
+    CONTROL = "control"
+    DATA = "data"
+
+
+@frame(1)
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """Opens a stream: who connects, and what the stream is for.
+
+    `start_id` names the process, whatever its incarnation becomes: a call may
+    be asked for again only from the process that took it.
+    """
+
+    protocol_version: int
+    stream_kind: StreamKind
+    vm: str
+    start_id: int
+    peer_address: str
+
+
+@frame(2)
+@dataclass(frozen=True, slots=True)
+class Welcome:
+    """Answers a Hello with the identity of the listening daemon."""
+
+    vm: str
+    start_id: int
+
+
+@frame(3)
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Says that the sender's loop still runs; sent on every stream.
+
+    `loads` gives, on data streams, each local target with the requests it has
+    in flight and waiting.
+    """
+
+    incarnation: int
+    loads: tuple[tuple[str, int, int], ...] = ()
+
+
+@frame(10)
+@dataclass(frozen=True, slots=True)
+class Have:
+    """Says which version of a customer the sender holds, in force or not."""
+
+    head: Head
+
+
+@frame(11)
+@dataclass(frozen=True, slots=True)
+class DeltaPush:
+    """Carries a new version to a neighbour as a difference."""
+
+    delta: Delta
+
+
+@frame(12)
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """Asks for a customer's version; `held_version` is 0 for nothing held."""
+
+    customer: str
+    held_version: int
+
+
+@frame(13)
+@dataclass(frozen=True, slots=True)
+class SnapshotPart:
+    """Carries a piece of a full snapshot, so that none blocks the stream."""
+
+    head: Head
+    index: int
+    n_parts: int
+    data: bytes
+
+
+@frame(14)
+@dataclass(frozen=True, slots=True)
+class Prune:
+    """Asks the neighbour to announce this customer instead of pushing it."""
+
+    customer: str
+
+
+@frame(15)
+@dataclass(frozen=True, slots=True)
+class Busy:
+    """Declines a Pull for now and names other daemons to ask."""
+
+    customer: str
+    retry_after_ms: int
+    other_addresses: tuple[str, ...]
+
+
+@frame(16)
+@dataclass(frozen=True, slots=True)
+class Acknowledge:
+    """Tells, towards the accepting daemon, on which VMs a version is in force."""
+
+    customer: str
+    version: int
+    vms: tuple[str, ...]
+
+
+@frame(17)
+@dataclass(frozen=True, slots=True)
+class HeadsDigest:
+    """Compares the versions that both sides hold, for repair of what was missed.
+
+    Without `heads` it only carries the digest; where the digests differ, the
+    receiver answers with its heads, and each side then pulls what it lacks.
+    """
+
+    digest: bytes
+    heads: tuple[Head, ...] = ()
+
+
+@frame(20)
+@dataclass(frozen=True, slots=True)
+class MemberUpdate:
+    """Carries member records that are new to the sender."""
+
+    members: tuple[Member, ...]
+
+
+@frame(21)
+@dataclass(frozen=True, slots=True)
+class MembersDigest:
+    """Compares the member records of both sides, for repair of what was missed.
+
+    Without `ranks` it only carries the digest; where the digests differ, the
+    receiver answers with the rank of each of its records, and each side then
+    sends the records that the other lacks.
+    """
+
+    digest: bytes
+    ranks: tuple[tuple[str, int, int, int], ...] = ()
+
+
+ControlFrame = (
+    Hello
+    | Welcome
+    | Heartbeat
+    | Have
+    | DeltaPush
+    | Pull
+    | SnapshotPart
+    | Prune
+    | Busy
+    | Acknowledge
+    | MemberUpdate
+    | MembersDigest
+    | HeadsDigest
+)
+
+__all__ = [
+    "PROTOCOL_VERSION",
+    "Acknowledge",
+    "Busy",
+    "ControlFrame",
+    "DeltaPush",
+    "Have",
+    "Heartbeat",
+    "HeadsDigest",
+    "Hello",
+    "MemberUpdate",
+    "MembersDigest",
+    "Prune",
+    "Pull",
+    "SnapshotPart",
+    "StreamKind",
+    "Welcome",
+]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/wire/data.py
@@ -0,0 +1,140 @@
+"""Frames of data streams: calls and their answers.
+
+Kind numbers 40 to 59. A call's id is chosen by the daemon that sends it and is
+unique within that daemon's process; answers are matched by it, whatever order
+they come in.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from ..errors import ErrorKind, Run
+from .codec import frame
+from .control import Heartbeat, Hello, Welcome
+
+BODY_PART_MAX_BYTES: Final = 65_536
+INITIAL_CREDIT_BYTES: Final = 262_144
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@frame(40)
+@dataclass(frozen=True, slots=True)
+class CallHead:
+    """Opens a call: the request's head and how to treat it.
+
+    `time_left_ms` is relative, as clocks of two VMs differ. `has_body` says
+    that body parts and an end follow.
+    """
+
+    call_id: int
+    request_id: str
+    customer: str
+    target: str
+    method: str
+    path: str
+    headers: Headers
+    priority: str
+    is_idempotent: bool
+    time_left_ms: int
+    has_body: bool
+
+
+@frame(41)
+@dataclass(frozen=True, slots=True)
+class BodyPart:
+    """A piece of a request's or an answer's body, at most 64 KB."""
+
+    call_id: int
+    data: bytes
+
+
+@frame(42)
+@dataclass(frozen=True, slots=True)
+class BodyEnd:
+    """Marks a body as whole; a body without it was cut."""
+
+    call_id: int
+
+
+@frame(43)
+@dataclass(frozen=True, slots=True)
+class Credit:
+    """Permits the other side to send more bytes of a call's body."""
+
+    call_id: int
+    n_bytes: int
+
+
+@frame(44)
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Opens the target's answer to a call."""
+
+    call_id: int
+    status: int
+    headers: Headers
+
+
+@frame(45)
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """Ends a call without the target's answer, or cuts one that had begun."""
+
+    call_id: int
+    kind: ErrorKind
+    run: Run
+    detail: str
+    retry_after_ms: int
+
+
+@frame(46)
+@dataclass(frozen=True, slots=True)
+class Reset:
+    """Says that the sender no longer wants the call."""
+
+    call_id: int
+
+
+@frame(47)
+@dataclass(frozen=True, slots=True)
+class CallQuery:
+    """Asks what became of a call whose stream was lost.
+
+    The receiver sends the kept answer, or keeps the asker waiting for the run
+    in progress, or fails the call as not run where it never saw it.
+    """
+
+    call_id: int
+
+
+DataFrame = (
+    Hello
+    | Welcome
+    | Heartbeat
+    | CallHead
+    | BodyPart
+    | BodyEnd
+    | Credit
+    | AnswerHead
+    | CallFailed
+    | Reset
+    | CallQuery
+)
+
+__all__ = [
+    "BODY_PART_MAX_BYTES",
+    "INITIAL_CREDIT_BYTES",
+    "AnswerHead",
+    "BodyEnd",
+    "BodyPart",
+    "CallFailed",
+    "CallHead",
+    "CallQuery",
+    "Credit",
+    "DataFrame",
+    "Headers",
+    "Reset",
+]
--- /dev/null
+++ b/packages/pepperstair-http/pepperstair_http/__init__.py
@@ -0,0 +1,36 @@
+"""The HTTP/1.1 server and client that pepperstair's peers share, on h11."""
+
+from __future__ import annotations
+
+from .body import BodyBuffer, ConnectionLostError, StreamedResponse
+from .client import ClientConnection, connect
+from .fetch import Fetcher
+from .messages import (
+    Headers,
+    Request,
+    Response,
+    ResponseHead,
+    end_to_end_headers,
+    header_value,
+)
+from .server import Exchange, HttpServer, ServerLimits
+from .writing import WriteGate
+
+__all__ = [
+    "BodyBuffer",
+    "ClientConnection",
+    "ConnectionLostError",
+    "Exchange",
+    "Fetcher",
+    "Headers",
+    "HttpServer",
+    "Request",
+    "Response",
+    "ResponseHead",
+    "ServerLimits",
+    "StreamedResponse",
+    "WriteGate",
+    "connect",
+    "end_to_end_headers",
+    "header_value",
+]
--- /dev/null
+++ b/packages/pepperstair-operators/pepperstair_operators/client.py
@@ -0,0 +1,53 @@
+"""The client of the operators' interface, for the command line."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any, Final
+
+import structlog
+from result import Err, Ok, Result
+
+from pepperstair_core.config import parse_address
+from pepperstair_core.errors import ErrorKind, Failure
+from pepperstair_http import ConnectionLostError, Fetcher
+
+log = structlog.get_logger(__name__)
+
+_TIMEOUT_MS: Final = 15_000
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A daemon's answer."""
+
+    status: int
+    content: Any
+
+
+class OperatorClient:
+    """Sends requests to one daemon's operators' interface."""
+
+    def __init__(self, address: str, token: str = "") -> None:
+        host, port = parse_address(address)
+        self._fetcher = Fetcher(host, port, _TIMEOUT_MS)
+        self._token = token
+
+    async def send(
+        self, method: str, path: str, body: bytes = b""
+    ) -> Result[Reply, Failure]:
+        """Send one request; an unreachable daemon is a failure as a value."""
+        headers = ()
+        if self._token:
+            headers = ((b"authorization", f"Bearer {self._token}".encode()),)
+        try:
+            response = await self._fetcher.fetch(method, path, body, headers)
+        except (TimeoutError, ConnectionLostError) as error:
+            return Err(Failure(ErrorKind.CHANGE_OUTCOME_UNKNOWN, str(error)))
+        except OSError as error:
+            return Err(Failure(ErrorKind.PEER_UNREACHABLE, str(error)))
+        return Ok(Reply(response.status, json.loads(response.body)))
+
+
+__all__ = ["OperatorClient", "Reply"]
--- /dev/null
+++ b/packages/pepperstair-peers/pepperstair_peers/identity.py
@@ -0,0 +1,30 @@
+"""Who this daemon is towards other daemons."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pepperstair_core.wire import Hello, StreamKind, Welcome
+from pepperstair_core.wire.control import PROTOCOL_VERSION
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """The name and address of a daemon and the id of its process."""
+
+    vm: str
+    start_id: int
+    peer_address: str
+
+    def hello(self, stream_kind: StreamKind) -> Hello:
+        """Return the frame that opens a stream from this daemon."""
+        return Hello(
+            PROTOCOL_VERSION, stream_kind, self.vm, self.start_id, self.peer_address
+        )
+
+    def welcome(self) -> Welcome:
+        """Return the frame that answers a stream opened to this daemon."""
+        return Welcome(self.vm, self.start_id)
+
+
+__all__ = ["Identity"]
--- /dev/null
+++ b/packages/pepperstair-peers/pepperstair_peers/listener.py
@@ -0,0 +1,92 @@
+"""The listening side: takes streams and hands each to what it is for."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Any, Final
+
+import structlog
+
+from pepperstair_core.events import Event
+from pepperstair_core.wire import Hello, StreamKind
+from pepperstair_core.wire.control import PROTOCOL_VERSION
+
+from .identity import Identity
+from .stream import FrameStream
+
+log = structlog.get_logger(__name__)
+
+_HELLO_TIMEOUT_S: Final = 5.0
+
+StreamHandler = Callable[[FrameStream, Hello], None]
+
+
+class PeerListener:
+    """Listens for other daemons; each stream has to open with a Hello."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        frame_max_bytes: int,
+        handlers: Mapping[StreamKind, StreamHandler],
+    ) -> None:
+        self._identity = identity
+        self._frame_max_bytes = frame_max_bytes
+        self._handlers = handlers
+        self._server: asyncio.Server | None = None
+        self._streams: set[FrameStream] = set()
+        self.n_rejected = 0
+
+    async def listen(self, host: str, port: int) -> int:
+        """Start listening and return the port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: FrameStream(self._frame_max_bytes, self._on_opened),
+            host,
+            port,
+            backlog=1024,
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Stop listening and break every stream that was taken."""
+        if self._server is not None:
+            self._server.close()
+        for stream in list(self._streams):
+            stream.close()
+
+    def _on_opened(self, stream: FrameStream) -> None:
+        self._streams.add(stream)
+        # A client that connects and says nothing would hold its socket for
+        # ever, until the process has no file descriptor left for real peers.
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(_HELLO_TIMEOUT_S, stream.close)
+
+        def on_first_frame(frame: Any) -> None:
+            timer.cancel()
+            if not self._is_welcome(frame):
+                self._reject(stream, f"not a Hello: {type(frame).__name__}")
+                return
+            stream.send(self._identity.welcome())
+            self._handlers[frame.stream_kind](stream, frame)
+
+        def on_closed(reason: str) -> None:
+            timer.cancel()
+            self._streams.discard(stream)
+            if reason:
+                self._reject(stream, reason)
+
+        stream.on_frame = on_first_frame
+        stream.closed_callbacks.append(on_closed)
+
+    def _is_welcome(self, frame: Any) -> bool:
+        return isinstance(frame, Hello) and frame.protocol_version == PROTOCOL_VERSION
+
+    def _reject(self, stream: FrameStream, reason: str) -> None:
+        self.n_rejected += 1
+        log.warning(Event.FRAME_REJECTED, reason=reason)
+        stream.close()
+
+
+__all__ = ["PeerListener", "StreamHandler"]
--- /dev/null
+++ b/packages/pepperstair-peers/pepperstair_peers/stream.py
@@ -0,0 +1,98 @@
+"""A msgpack stream of frames over one TCP connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from pepperstair_core.wire import FrameDecoder, FrameError, encode_frame
+from pepperstair_http import WriteGate
+
+log = structlog.get_logger(__name__)
+
+
+class FrameStream(asyncio.Protocol):
+    """Sends and receives frames; the owner sets the two callbacks.
+
+    `on_frame` is called for each frame. Every function in `closed_callbacks` is
+    called once, with the reason where the stream was closed for undecodable or
+    oversized frames.
+    """
+
+    def __init__(
+        self, frame_max_bytes: int, on_opened: Callable[[FrameStream], None]
+    ) -> None:
+        self._decoder = FrameDecoder(frame_max_bytes)
+        self._on_opened = on_opened
+        self._transport: asyncio.Transport | None = None
+        self._reason = ""
+        self.gate = WriteGate()
+        self.on_frame: Callable[[Any], None] = lambda frame: None
+        self.closed_callbacks: list[Callable[[str], None]] = []
+        self.n_sent_bytes = 0
+        self.n_received_bytes = 0
+        self.last_heard_ms = 0
+
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the stream is closing or closed."""
+        return self._transport is None or self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        self._on_opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.n_received_bytes += len(data)
+        try:
+            for frame in self._decoder.feed(data):
+                self.on_frame(frame)
+                if self.is_closed:
+                    return
+        except FrameError as error:
+            # A peer of another version, or not a peer at all: closing this
+            # stream alone keeps the others, and the log names the sender.
+            self._reason = str(error)
+            self.close()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.gate.lose()
+        for callback in self.closed_callbacks:
+            callback(self._reason)
+
+    def pause_writing(self) -> None:
+        self.gate.close()
+
+    def resume_writing(self) -> None:
+        self.gate.open()
+
+    def send(self, *frames: Any) -> None:
+        """Write frames in one piece; they are lost where the stream is closed."""
+        if self.is_closed:
+            return
+        data = b"".join([encode_frame(frame) for frame in frames])
+        self.n_sent_bytes += len(data)
+        self._transport.write(data)
+
+    def close(self) -> None:
+        """Break the stream."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+async def open_stream(host: str, port: int, frame_max_bytes: int) -> FrameStream:
+    """Connect to another daemon, or raise OSError."""
+    loop = asyncio.get_running_loop()
+    _, stream = await loop.create_connection(
+        lambda: FrameStream(frame_max_bytes, lambda opened: None), host, port
+    )
+    return stream
+
+
+__all__ = ["FrameStream", "open_stream"]
--- /dev/null
+++ b/packages/pepperstair-platform/pepperstair_platform/platform.py
@@ -0,0 +1,140 @@
+"""The platform's protocol: JSON over HTTP/1.1, confined to this module.
+
+Another platform is another module with the same five methods.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass
+from typing import Any
+
+import structlog
+from result import Err, Ok, Result
+
+from pepperstair_core.config import PlatformSettings, parse_address
+from pepperstair_core.errors import ErrorKind, Failure
+from pepperstair_http import ConnectionLostError, Fetcher, Response
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One row of the table service."""
+
+    key: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class Compare:
+    """What a row must hold for a transaction to take place; None for no row."""
+
+    key: str
+    value: str | None
+
+
+@dataclass(slots=True)
+class PlatformCounters:
+    """Requests made to the platform, for metrics."""
+
+    n_reads: int = 0
+    n_writes: int = 0
+    n_failures: int = 0
+
+
+class Platform:
+    """Reads and writes of the table service and the object store.
+
+    Every method returns a failure as a value. `platform_unavailable` says that
+    nothing was written; `change_outcome_unknown` that a write may have taken
+    effect although its answer was lost.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        host, port = parse_address(settings.address)
+        self._fetcher = Fetcher(host, port, settings.timeout_ms)
+        self.counters = PlatformCounters()
+
+    def close(self) -> None:
+        """Close the connections to the platform."""
+        self._fetcher.close()
+
+    async def read_rows(self, prefix: str) -> Result[tuple[Row, ...], Failure]:
+        """Return all rows whose key starts with a prefix, by key."""
+        read = await self._read(f"/v1/rows?prefix={prefix}")
+        return read.map(lambda response: _rows(response.body))
+
+    async def commit(
+        self, compare: tuple[Compare, ...], put: tuple[Row, ...]
+    ) -> Result[bool, Failure]:
+        """Write rows if every comparison holds; False where one does not."""
+        self.counters.n_writes += 1
+        body = json.dumps(
+            {
+                "compare": [asdict(item) for item in compare],
+                "put": [asdict(row) for row in put],
+            }
+        )
+        sent = await self._send("POST", "/v1/transaction", body.encode())
+        return sent.map(lambda response: response.status == 200)
+
+    async def delete_row(self, key: str) -> Result[bool, Failure]:
+        """Delete one row, whether or not it is there."""
+        self.counters.n_writes += 1
+        sent = await self._send("DELETE", f"/v1/rows/{key}", b"")
+        return sent.map(lambda response: True)
+
+    async def get_object(self, digest: str) -> Result[bytes | None, Failure]:
+        """Return an object, or None where there is none."""
+        read = await self._read(f"/v1/objects/{digest}")
+        return read.map(lambda r: r.body if r.status == 200 else None)
+
+    async def put_object(self, digest: str, data: bytes) -> Result[bool, Failure]:
+        """Store an object under its digest; storing it again changes nothing."""
+        self.counters.n_writes += 1
+        sent = await self._send("PUT", f"/v1/objects/{digest}", data)
+        return sent.map(lambda response: True)
+
+    async def _read(self, path: str) -> Result[Response, Failure]:
+        self.counters.n_reads += 1
+        sent = await self._send("GET", path, b"")
+        return sent.map_err(_nothing_written)
+
+    async def _send(
+        self, method: str, path: str, body: bytes
+    ) -> Result[Response, Failure]:
+        """Send one request and tell a certain failure from an uncertain one.
+
+        A refused connection or a 503 of the platform proves that nothing was
+        written. A timeout or a lost connection does not: the platform may have
+        committed before its answer was lost.
+        """
+        try:
+            response = await self._fetcher.fetch(method, path, body)
+        except (TimeoutError, ConnectionLostError) as error:
+            detail = str(error) or "no answer in time"
+            return self._failed(ErrorKind.CHANGE_OUTCOME_UNKNOWN, detail)
+        except OSError as error:
+            return self._failed(ErrorKind.PLATFORM_UNAVAILABLE, str(error))
+        if response.status in (200, 404, 409):
+            return Ok(response)
+        detail = f"status {response.status}"
+        return self._failed(ErrorKind.PLATFORM_UNAVAILABLE, detail)
+
+    def _failed(self, kind: ErrorKind, detail: str) -> Err[Failure]:
+        self.counters.n_failures += 1
+        return Err(Failure(kind, detail))
+
+
+def _nothing_written(failure: Failure) -> Failure:
+    return Failure(ErrorKind.PLATFORM_UNAVAILABLE, failure.detail)
+
+
+def _rows(body: bytes) -> tuple[Row, ...]:
+    table: dict[str, Any] = json.loads(body)
+    return tuple(Row(item["key"], item["value"]) for item in table["rows"])
+
+
+__all__ = ["Compare", "Platform", "PlatformCounters", "Row"]
--- /dev/null
+++ b/packages/pepperstair-platform/pepperstair_platform/rows.py
@@ -0,0 +1,76 @@
+"""The rows of the table service that pepperstair keeps.
+
+`head/<bucket>/<customer>` holds the newest version of a customer,
+`change/<change id>` what a change became, `bell/<bucket>` a token that changes
+with any head of the bucket, and `member/<vm>` how to reach a daemon.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict
+from typing import Final
+
+from pepperstair_core.rendezvous import weight
+from pepperstair_core.versions import Head
+
+from .platform import Row
+
+N_BUCKETS: Final = 16
+
+
+def bucket_of(customer: str) -> int:
+    """Return the bucket that a customer's head is kept in."""
+    return weight("bucket", customer) % N_BUCKETS
+
+
+def head_prefix(bucket: int) -> str:
+    """Return the prefix of all heads of a bucket."""
+    return f"head/{bucket:02d}/"
+
+
+def head_key(customer: str) -> str:
+    """Return the key of a customer's head."""
+    return f"{head_prefix(bucket_of(customer))}{customer}"
+
+
+def bell_key(customer: str) -> str:
+    """Return the key of the bell that a customer's changes touch."""
+    return f"bell/{bucket_of(customer):02d}"
+
+
+def change_key(change_id: str) -> str:
+    """Return the key of the row that says what a change became."""
+    return f"change/{change_id}"
+
+
+def head_row(head: Head) -> Row:
+    """Return the row that makes a head the newest one."""
+    return Row(head_key(head.customer), _head_text(head))
+
+
+def change_row(head: Head) -> Row:
+    """Return the row that remembers what a change became."""
+    return Row(change_key(head.change_id), _head_text(head))
+
+
+def head_from_row(row: Row) -> Head:
+    """Read a head from its row or from a change's row."""
+    return Head(**json.loads(row.value))
+
+
+def _head_text(head: Head) -> str:
+    return json.dumps(asdict(head), sort_keys=True)
+
+
+__all__ = [
+    "N_BUCKETS",
+    "bell_key",
+    "bucket_of",
+    "change_key",
+    "change_row",
+    "head_from_row",
+    "head_key",
+    "head_prefix",
+    "head_row",
+]
--- /dev/null
+++ b/packages/pepperstair-targets/pepperstair_targets/registry.py
@@ -0,0 +1,77 @@
+"""The targets that announced themselves to this daemon, and their leases."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import structlog
+
+from pepperstair_core.events import Event
+from pepperstair_core.members import Target
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class _Lease:
+    """A target and the time until which its announcement holds."""
+
+    target: Target
+    expires_ms: int
+
+
+class TargetRegistry:
+    """Holds the targets of this VM; `on_changed` is called after each change."""
+
+    def __init__(self, lease_ms: int) -> None:
+        self.lease_ms = lease_ms
+        self.on_changed: Callable[[], None] = lambda: None
+        self._leases: dict[str, _Lease] = {}
+
+    def targets(self) -> tuple[Target, ...]:
+        """Return the announced targets."""
+        return tuple(lease.target for lease in self._leases.values())
+
+    def get(self, name: str) -> Target | None:
+        """Return the target with a name, if it is announced."""
+        lease = self._leases.get(name)
+        return None if lease is None else lease.target
+
+    def announce(self, target: Target, now_ms: int) -> None:
+        """Take an announcement or renew its lease."""
+        known = self.get(target.name)
+        self._leases[target.name] = _Lease(target, now_ms + self.lease_ms)
+        if known == target:
+            return
+        event = Event.TARGET_ANNOUNCED if known is None else Event.TARGET_CHANGED
+        log.info(event, target=target.name, state=target.state.value)
+        self.on_changed()
+
+    def leave(self, name: str) -> bool:
+        """Remove a target, and say whether it was there."""
+        if self._leases.pop(name, None) is None:
+            return False
+        self.on_changed()
+        return True
+
+    def expire(self, now_ms: int) -> None:
+        """Remove the targets whose lease has lapsed.
+
+        A target that crashed never says that it leaves; callers would see its
+        refused connections for as long as its announcement stood.
+        """
+        lapsed = list(self._iter_lapsed(now_ms))
+        for name in lapsed:
+            log.warning(Event.TARGET_LEASE_LAPSED, target=name)
+            del self._leases[name]
+        if lapsed:
+            self.on_changed()
+
+    def _iter_lapsed(self, now_ms: int) -> Iterator[str]:
+        for name, lease in self._leases.items():
+            if lease.expires_ms <= now_ms:
+                yield name
+
+
+__all__ = ["TargetRegistry"]
--- /dev/null
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -0,0 +1,206 @@
+"""Puts the parts of the daemon on one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections.abc import Iterable
+from dataclasses import replace
+
+import structlog
+
+from pepperstair_callers import Proxy, ProxyContext
+from pepperstair_core.config import Settings, parse_address
+from pepperstair_core.decisions import DecisionLog
+from pepperstair_core.events import Event
+from pepperstair_core.members import Member, MemberState, label_items
+from pepperstair_core.membership import MemberDirectory
+from pepperstair_core.routing import CompiledRoute, Endpoint, iter_endpoints
+from pepperstair_core.wire import CallHead, StreamKind
+from pepperstair_http import BodyBuffer, HttpServer, ServerLimits, StreamedResponse
+from pepperstair_operators import OperatorServer
+from pepperstair_peers import (
+    CallClient,
+    CallServer,
+    ControlPlane,
+    Identity,
+    PeerListener,
+)
+from pepperstair_platform import Platform
+from pepperstair_targets import TargetRegistry, TargetRunner
+
+from .clock import monotonic_ms, wall_ms
+from .configuration import ConfigurationAgent
+from .operations import add_operations
+
+log = structlog.get_logger(__name__)
+
+_LEASE_CHECK_S = 0.25
+
+
+class Daemon:
+    """One daemon: all its parts, and the functions that join them."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.rng = random.Random()
+        self.decisions = DecisionLog()
+        start_id = wall_ms()
+        peer_address = settings.peers.advertised_address or settings.peers.address
+        self.identity = Identity(settings.vm.name, start_id, peer_address)
+        self.directory = MemberDirectory(
+            Member(
+                settings.vm.name,
+                start_id,
+                0,
+                MemberState.ALIVE,
+                settings.vm.availability_zone,
+                peer_address,
+                label_items(settings.vm.labels),
+            )
+        )
+        self.platform = Platform(settings.platform)
+        self.configuration = ConfigurationAgent(
+            self.platform, settings.platform, settings.vm.labels
+        )
+        self.registry = TargetRegistry(settings.members.target_lease_ms)
+        self.runner = TargetRunner(self.registry)
+        self.call_client = CallClient(self.identity, settings.peers.frame_max_bytes)
+        self.call_server = CallServer(self.runner.run)
+        self.control = ControlPlane(
+            self.identity,
+            self.directory,
+            settings.members,
+            settings.peers.frame_max_bytes,
+            self.rng,
+        )
+        self.listener = PeerListener(
+            self.identity,
+            settings.peers.frame_max_bytes,
+            {
+                StreamKind.CONTROL: self.control.take_stream,
+                StreamKind.DATA: self.call_server.take_stream,
+            },
+        )
+        self.proxy = Proxy(self._proxy_context())
+        self.callers = HttpServer(
+            self.proxy.handle,
+            ServerLimits(
+                settings.callers.n_connections_max,
+                settings.callers.header_max_bytes,
+                settings.callers.idle_timeout_ms,
+            ),
+        )
+        operators = OperatorServer(settings.operators)
+        add_operations(operators, self)
+        self.operators = HttpServer(operators.handle, ServerLimits())
+        self.registry.on_changed = self._publish_targets
+        self._lease_task: asyncio.Task[None] | None = None
+
+    @property
+    def ready_by(self) -> str:
+        """Return how the daemon became ready, or an empty string."""
+        return "platform" if self.is_ready() else ""
+
+    def is_ready(self) -> bool:
+        """Return whether the daemon may carry calls."""
+        return self.configuration.is_floor_known
+
+    def counters(self) -> dict[str, int]:
+        """Return the counts that `status` and the metrics show."""
+        return {
+            "n_calls": self.proxy.n_calls,
+            "n_calls_failed": self.proxy.n_failed,
+            "n_calls_taken": self.call_server.n_calls,
+            "n_requests_malformed": self.callers.counters.n_malformed,
+            "n_streams_rejected": self.listener.n_rejected,
+            "n_platform_reads": self.platform.counters.n_reads,
+            "n_platform_writes": self.platform.counters.n_writes,
+        }
+
+    async def start(self) -> None:
+        """Listen on every address and begin to join the fleet."""
+        settings = self.settings
+        await self.operators.listen(*parse_address(settings.operators.address))
+        await self.listener.listen(*parse_address(settings.peers.address))
+        await self.callers.listen(*parse_address(settings.callers.address))
+        self.control.start(settings.peers.seed_addresses)
+        self.configuration.start()
+        self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
+        log.info(Event.STARTED, peer_address=self.identity.peer_address)
+
+    async def stop(self) -> None:
+        """Finish what is in flight, refuse the rest as not run, then close."""
+        log.info(Event.STOPPING)
+        self.runner.is_draining = True
+        self.callers.stop_listening()
+        deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
+        while self.runner.n_in_flight and monotonic_ms() < deadline_ms:
+            await asyncio.sleep(0.02)
+        self._lease_task.cancel()
+        self.configuration.close()
+        self.control.close()
+        self.call_client.close()
+        self.listener.close()
+        self.runner.close()
+        self.callers.close()
+        self.operators.close()
+        self.platform.close()
+        log.info(Event.STOPPED)
+
+    def _proxy_context(self) -> ProxyContext:
+        return ProxyContext(
+            vm=self.settings.vm.name,
+            route_table=lambda: self.configuration.route_table,
+            endpoints=self._endpoints,
+            choose=self._choose,
+            carry=self._carry,
+            is_ready=self.is_ready,
+            on_outcome=lambda outcome: None,
+            body_max_bytes=self.settings.callers.body_max_bytes,
+        )
+
+    def _endpoints(self, compiled: CompiledRoute) -> Iterable[Endpoint]:
+        return iter_endpoints(
+            self.directory.members(),
+            compiled.target_selector,
+            self.configuration.overrides,
+        )
+
+    def _choose(self, endpoints: list[Endpoint]) -> Endpoint | None:
+        return self.rng.choice(endpoints) if endpoints else None
+
+    async def _carry(
+        self, endpoint: Endpoint, head: CallHead, body: BodyBuffer
+    ) -> StreamedResponse:
+        if endpoint.vm == self.settings.vm.name:
+            return await self.runner.run(head, body)
+        return await self.call_client.run(endpoint.peer_address, head, body)
+
+    def _publish_targets(self) -> None:
+        own = self.directory.own()
+        self.control.publish(
+            replace(own, sequence=own.sequence + 1, targets=self.registry.targets())
+        )
+
+    async def _check_leases(self) -> None:
+        while True:
+            await asyncio.sleep(_LEASE_CHECK_S)
+            self.registry.expire(monotonic_ms())
+
+
+async def run_daemon(settings: Settings) -> int:
+    """Run a daemon until SIGTERM or SIGINT and return its exit code."""
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    daemon = Daemon(settings)
+    await daemon.start()
+    await stopping.wait()
+    await daemon.stop()
+    return 0
+
+
+__all__ = ["Daemon", "run_daemon"]
--- /dev/null
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -0,0 +1,154 @@
+"""What the operators' interface answers, from the parts of the daemon."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from pepperstair_core.errors import ErrorKind, Failure
+from pepperstair_core.events import Event
+from pepperstair_core.intent import intent_to_table, parse_intent_toml
+from pepperstair_core.schema import Fault
+from pepperstair_operators import (
+    OperatorReply,
+    OperatorRequest,
+    OperatorServer,
+    failure_reply,
+    json_reply,
+)
+from pepperstair_platform import ChangeRequest, accept_change
+from pepperstair_targets import handle_announcement
+
+from .clock import monotonic_ms, wall_ms
+
+if TYPE_CHECKING:
+    from .daemon import Daemon
+
+log = structlog.get_logger(__name__)
+
+
+def add_operations(server: OperatorServer, daemon: Daemon) -> None:
+    """Serve every operation of a daemon."""
+
+    async def status(request: OperatorRequest) -> OperatorReply:
+        return json_reply(status_content(daemon))
+
+    async def ready(request: OperatorRequest) -> OperatorReply:
+        is_ready = daemon.is_ready()
+        content = {"ready": is_ready, "reached_by": daemon.ready_by}
+        return json_reply(content, 200 if is_ready else 503)
+
+    async def get_intent(request: OperatorRequest) -> OperatorReply:
+        snapshot = daemon.configuration.get(request.name)
+        if snapshot is None:
+            return failure_reply(Failure(ErrorKind.NOT_FOUND, request.name))
+        intent = intent_to_table(snapshot.intent)
+        return json_reply({"version": snapshot.head.version, "intent": intent})
+
+    async def put_intent(request: OperatorRequest) -> OperatorReply:
+        return await _put_intent(daemon, request)
+
+    async def put_target(request: OperatorRequest) -> OperatorReply:
+        taken = handle_announcement(
+            daemon.registry,
+            daemon.settings.vm.labels,
+            request.name,
+            request.body,
+            monotonic_ms(),
+        )
+        if taken.is_err():
+            return _faults_reply(ErrorKind.BAD_REQUEST, taken.unwrap_err())
+        return json_reply({"lease_ms": taken.unwrap()})
+
+    async def delete_target(request: OperatorRequest) -> OperatorReply:
+        if not daemon.registry.leave(request.name):
+            return failure_reply(Failure(ErrorKind.NOT_FOUND, request.name))
+        return json_reply({})
+
+    server.add("GET", "/v1/status", status)
+    server.add("GET", "/v1/ready", ready)
+    server.add("GET", "/v1/intent/", get_intent)
+    server.add("PUT", "/v1/intent/", put_intent)
+    server.add("PUT", "/v1/targets/", put_target)
+    server.add("DELETE", "/v1/targets/", delete_target)
+
+
+def status_content(daemon: Daemon) -> dict[str, Any]:
+    """Return what `GET /v1/status` tells."""
+    return {
+        "vm": daemon.settings.vm.name,
+        "availability_zone": daemon.settings.vm.availability_zone,
+        "ready": daemon.is_ready(),
+        "reached_by": daemon.ready_by,
+        "versions": daemon.configuration.versions(),
+        "members": [
+            {
+                "vm": member.vm,
+                "state": member.state.name.lower(),
+                "incarnation": member.incarnation,
+                "availability_zone": member.availability_zone,
+                "targets": [
+                    {"name": target.name, "state": target.state.value}
+                    for target in member.targets
+                ],
+            }
+            for member in daemon.directory.members()
+        ],
+        "counters": daemon.counters(),
+    }
+
+
+async def _put_intent(daemon: Daemon, request: OperatorRequest) -> OperatorReply:
+    """Accept a change, or refuse the whole of it."""
+    parsed = parse_intent_toml(request.body.decode("utf-8", "replace"))
+    if parsed.is_err():
+        return _faults_reply(ErrorKind.INVALID_INTENT, parsed.unwrap_err())
+    intent = parsed.unwrap()
+    if intent.customer != request.name:
+        fault = Fault("customer", f"{request.name!r}, not {intent.customer!r}")
+        return _faults_reply(ErrorKind.INVALID_INTENT, [fault])
+    from_version = request.query.get("from_version", "")
+    change_id = request.query.get("change_id") or uuid.uuid4().hex
+    change = ChangeRequest(
+        intent,
+        change_id,
+        int(from_version) if from_version.isdecimal() else None,
+        daemon.settings.vm.name,
+        wall_ms(),
+    )
+    accepted = await accept_change(daemon.platform, change)
+    if accepted.is_err():
+        failure = accepted.unwrap_err()
+        log.warning(
+            Event.CHANGE_REFUSED,
+            customer=intent.customer,
+            change_id=change_id,
+            kind=failure.kind.value,
+        )
+        return failure_reply(failure, change_id=change_id)
+    snapshot = accepted.unwrap().snapshot
+    log.info(
+        Event.CHANGE_ACCEPTED,
+        customer=intent.customer,
+        version=snapshot.head.version,
+        change_id=change_id,
+    )
+    daemon.configuration.apply(snapshot)
+    return json_reply(
+        {
+            "customer": intent.customer,
+            "version": snapshot.head.version,
+            "change_id": change_id,
+            "is_repeat": accepted.unwrap().is_repeat,
+        }
+    )
+
+
+def _faults_reply(kind: ErrorKind, faults: list[Fault]) -> OperatorReply:
+    shown = [{"where": fault.where, "expected": fault.expected} for fault in faults]
+    return failure_reply(Failure(kind, "; ".join(map(str, faults))), faults=shown)
+
+
+__all__ = ["add_operations", "status_content"]
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of pepperstair."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/naive/__init__.py
@@ -0,0 +1,3 @@
+"""Naive versions that the tests compare decisions with."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,43 @@
+"""The decisions stay free of I/O, clocks and hidden randomness."""
+
+from __future__ import annotations
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
+import pepperstair_core
+
+CORE = Path(pepperstair_core.__file__).parent
+FORBIDDEN = {"asyncio", "socket", "time", "random", "threading", "select", "os"}
+PERMITTED_FROM = {("random", "Random")}
+
+
+def iter_imports(path: Path) -> Iterator[tuple[str, str]]:
+    """Yield each absolute import of a module as (module, name)."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from ((alias.name, "") for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.level == 0:
+            yield from ((node.module or "", alias.name) for alias in node.names)
+
+
+def test_core_imports_no_io():
+    offenders = [
+        f"{path.relative_to(CORE)}: {module} {name}"
+        for path in sorted(CORE.rglob("*.py"))
+        for module, name in iter_imports(path)
+        if module.split(".")[0] in FORBIDDEN and (module, name) not in PERMITTED_FROM
+    ]
+    assert offenders == []
+
+
+def test_core_imports_no_other_package_of_the_workspace():
+    offenders = [
+        f"{path.relative_to(CORE)}: {module}"
+        for path in sorted(CORE.rglob("*.py"))
+        for module, _ in iter_imports(path)
+        if module.startswith("pepperstair")
+        and module.split(".")[0] != "pepperstair_core"
+    ]
+    assert offenders == []
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,67 @@
+"""Frames between daemons."""
+
+from __future__ import annotations
+
+import msgpack
+import pytest
+
+from pepperstair_core.errors import ErrorKind, Run
+from pepperstair_core.members import Member, MemberState, Target, TargetState
+from pepperstair_core.wire import (
+    BodyPart,
+    CallFailed,
+    FrameDecoder,
+    FrameError,
+    Heartbeat,
+    MemberUpdate,
+    encode_frame,
+)
+
+TARGET = Target(
+    "ledger-1", "127.0.0.1:1", (("app", "ledger"),), 12, 130, TargetState.SERVING
+)
+FRAMES = [
+    Heartbeat(7, (("ledger-1", 3, 4),)),
+    CallFailed(1, ErrorKind.OVERLOADED, Run.NO, "full", 250),
+    BodyPart(9, b"loot"),
+    MemberUpdate(
+        (Member("a", 1, 2, MemberState.ALIVE, "z", "127.0.0.1:2", (), (TARGET,)),)
+    ),
+]
+
+
+def test_frames_survive_any_split():
+    data = b"".join(encode_frame(frame) for frame in FRAMES)
+    for size in (1, 7, len(data)):
+        decoder = FrameDecoder(4096)
+        chunks = [data[start : start + size] for start in range(0, len(data), size)]
+        assert [frame for chunk in chunks for frame in decoder.feed(chunk)] == FRAMES
+
+
+@pytest.mark.parametrize(
+    "array",
+    [7, [], ["x"], [999, 1], [3], [3, "one", []], [3, 1, [["a", 1]]], [46, True]],
+)
+def test_malformed_frame_is_refused(array):
+    with pytest.raises(FrameError):
+        list(FrameDecoder(4096).feed(msgpack.packb(array)))
+
+
+def test_frame_of_exactly_the_cap_is_taken():
+    frame = BodyPart(1, bytes(4090))
+    assert len(encode_frame(frame)) == 4096
+    assert list(FrameDecoder(4096).feed(encode_frame(frame))) == [frame]
+
+
+@pytest.mark.parametrize("n_bytes", [4091, 100_000])
+def test_frame_over_the_cap_is_refused(n_bytes):
+    """A peer of another version, or a stranger, sends one huge frame.
+
+    Taking it would let the daemon's memory grow without bound; the cap ends the
+    stream after at most one frame's worth of bytes.
+    """
+    data = encode_frame(BodyPart(1, bytes(n_bytes)))
+    decoder = FrameDecoder(4096)
+    with pytest.raises(FrameError):
+        for start in range(0, len(data), 1000):
+            list(decoder.feed(data[start : start + 1000]))
