--- a/packages/pepperstaird/pepperstaird/__main__.py
+++ b/packages/pepperstaird/pepperstaird/__main__.py
@@ -13,6 +13,7 @@
 from pepperstair_core.config import Settings, parse_settings_toml
 from pepperstair_core.schema import Fault
 
+from . import without_rich as without_rich
 from .logs import configure_logs
 
 EXIT_OK: Final = 0
