--- a/packages/pepperstaird/pepperstaird/__main__.py
+++ b/packages/pepperstaird/pepperstaird/__main__.py
@@ -2,51 +2,61 @@
 
 from __future__ import annotations
 
-import argparse
-import asyncio
 import sys
 from pathlib import Path
 from typing import Final
 
+import cyclopts
 from result import Err, Result
 
 from pepperstair_core.config import Settings, parse_settings_toml
 from pepperstair_core.schema import Fault
 
-from . import without_rich as without_rich
-from .logs import configure_logs
+from . import light_imports
 
 EXIT_OK: Final = 0
-EXIT_BAD_SETTINGS: Final = 2
+EXIT_BAD_INPUT: Final = 2
+
+app = cyclopts.App(
+    name="pepperstaird",
+    help="Run the pepperstair daemon on this VM.",
+    result_action="return_value",
+)
 
 
 def main() -> None:
     """Run the daemon, or only check its settings."""
-    parser = argparse.ArgumentParser(
-        prog="pepperstaird", description="Run the pepperstair daemon on this VM."
-    )
-    parser.add_argument("--settings", type=Path, required=True, help="TOML file")
-    parser.add_argument(
-        "--check", action="store_true", help="check the settings and exit"
-    )
-    arguments = parser.parse_args()
-    sys.exit(run(arguments.settings, arguments.check))
-
-
-def run(path: Path, is_check: bool) -> int:
-    """Read the settings and run until the daemon has stopped."""
-    read = read_settings(path)
+    try:
+        sys.exit(app(exit_on_error=False))
+    except cyclopts.CycloptsError:
+        sys.exit(EXIT_BAD_INPUT)
+
+
+@app.default
+def run(*, settings: Path, check: bool = False) -> int:
+    """Read the settings and run until the daemon has stopped.
+
+    Parameters
+    ----------
+    settings
+        TOML file with the settings of this daemon.
+    check
+        Check the settings and exit.
+    """
+    read = read_settings(settings)
     if read.is_err():
         for fault in read.unwrap_err():
-            print(f"{path}: {fault}", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
-    if is_check:
-        print(f"{path}: settings are valid")
+            print(f"{settings}: {fault}", file=sys.stderr)
+        return EXIT_BAD_INPUT
+    if check:
+        print(f"{settings}: settings are valid")
         return EXIT_OK
+    light_imports.leave_out()
+    # Imported only now, since asyncio and structlog are what brings in the
+    # libraries that have just been left out.
     from .daemon import run_daemon
 
-    configure_logs(read.unwrap().vm.name)
-    return asyncio.run(run_daemon(read.unwrap()))
+    return run_daemon(read.unwrap())
 
 
 def read_settings(path: Path) -> Result[Settings, list[Fault]]:
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -32,6 +32,7 @@
 
 from .clock import monotonic_ms, wall_ms
 from .configuration import ConfigurationAgent
+from .logs import configure_logs
 from .operations import add_operations
 
 log = structlog.get_logger(__name__)
@@ -190,8 +191,13 @@
             self.registry.expire(monotonic_ms())
 
 
-async def run_daemon(settings: Settings) -> int:
+def run_daemon(settings: Settings) -> int:
     """Run a daemon until SIGTERM or SIGINT and return its exit code."""
+    configure_logs(settings.vm.name)
+    return asyncio.run(_run_until_signal(settings))
+
+
+async def _run_until_signal(settings: Settings) -> int:
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
