Count sent frames by kind and say whether a neighbour takes more

Frames are counted where they are written; status shows them as n_control_sent_bytes_<kind> and n_data_sent_bytes_<kind>.

--- a/packages/pepperstair-peers/pepperstair_peers/__init__.py
+++ b/packages/pepperstair-peers/pepperstair_peers/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .control import ControlPlane
+from .counters import FrameCounters, SentFrames
 from .data import CallClient, CallRunner, CallServer
 from .identity import Identity
 from .listener import PeerListener
@@ -13,8 +14,10 @@
     "CallRunner",
     "CallServer",
     "ControlPlane",
+    "FrameCounters",
     "FrameStream",
     "Identity",
     "PeerListener",
+    "SentFrames",
     "open_stream",
 ]
--- a/packages/pepperstair-peers/pepperstair_peers/control/plane.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/plane.py
@@ -15,6 +15,7 @@
 from pepperstair_core.membership import MemberDirectory
 from pepperstair_core.wire import Heartbeat, Hello, MemberUpdate, StreamKind, Welcome
 
+from ..counters import FrameCounters
 from ..identity import Identity
 from ..stream import FrameStream, open_stream
 
@@ -33,12 +34,14 @@
         directory: MemberDirectory,
         settings: MembersSettings,
         frame_max_bytes: int,
+        counters: FrameCounters,
         rng: random.Random,
     ) -> None:
         self._identity = identity
         self._directory = directory
         self._settings = settings
         self._frame_max_bytes = frame_max_bytes
+        self._counters = counters
         self._rng = rng
         self._streams: dict[str, FrameStream] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -66,6 +69,15 @@
         for stream in list(self._streams.values()):
             stream.close()
 
+    def is_writable(self, vm: str) -> bool:
+        """Return whether a neighbour is there and takes what is sent to it.
+
+        What is sent to one that reads slowly piles up in this process; work
+        that can wait is held back until its stream has drained.
+        """
+        stream = self._streams.get(vm)
+        return stream is not None and not stream.is_closed and stream.gate.is_open
+
     def send(self, vm: str, *frames: Any) -> None:
         """Send frames to a neighbour, if a stream to it is open."""
         stream = self._streams.get(vm)
@@ -98,7 +110,9 @@
         delay_s = _RETRY_MIN_S
         while True:
             try:
-                stream = await open_stream(host, port, self._frame_max_bytes)
+                stream = await open_stream(
+                    host, port, self._frame_max_bytes, self._counters
+                )
             except OSError:
                 await asyncio.sleep(self._rng.uniform(0, delay_s))
                 delay_s = min(delay_s * 2, _RETRY_MAX_S)
--- /dev/null
+++ b/packages/pepperstair-peers/pepperstair_peers/counters.py
@@ -0,0 +1,60 @@
+"""Counts of the frames that a daemon sends, by kind of frame."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class SentFrames:
+    """Frames of one kind that were sent, and their bytes."""
+
+    n_frames: int = 0
+    n_bytes: int = 0
+
+
+class FrameCounters:
+    """Frames sent on all streams of one kind, control or data.
+
+    >>> counters = FrameCounters()
+    >>> counters.add(Heartbeat(1), 4)
+    >>> dict(counters.iter_named("control"))["n_control_sent_bytes_heartbeat"]
+    4
+    """
+
+    def __init__(self) -> None:
+        self._sent: dict[type, SentFrames] = {}
+
+    def add(self, frame: Any, n_bytes: int) -> None:
+        """Count a frame that is being sent."""
+        sent = self._sent.get(type(frame))
+        if sent is None:
+            sent = self._sent[type(frame)] = SentFrames()
+        sent.n_frames += 1
+        sent.n_bytes += n_bytes
+
+    @property
+    def n_bytes(self) -> int:
+        """Return the bytes of every kind of frame together."""
+        return sum(sent.n_bytes for sent in self._sent.values())
+
+    def iter_named(self, streams: str) -> Iterator[tuple[str, int]]:
+        """Yield each count under the name that status and metrics use."""
+        for cls, sent in self._sent.items():
+            name = _snake_case(cls.__name__)
+            yield f"n_{streams}_sent_frames_{name}", sent.n_frames
+            yield f"n_{streams}_sent_bytes_{name}", sent.n_bytes
+
+
+def _snake_case(name: str) -> str:
+    return re.sub(r"(?<!^)(?=[A-Z])", "_", name).lower()
+
+
+__all__ = ["FrameCounters", "SentFrames"]
--- a/packages/pepperstair-peers/pepperstair_peers/data/client.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/client.py
@@ -23,6 +23,7 @@
 )
 from pepperstair_http import BodyBuffer, StreamedResponse
 
+from ..counters import FrameCounters
 from ..identity import Identity
 from ..stream import FrameStream, open_stream
 from .sending import CreditGate, send_body
@@ -144,9 +145,12 @@
 class CallClient:
     """Carries calls to other daemons over one stream each."""
 
-    def __init__(self, identity: Identity, frame_max_bytes: int) -> None:
+    def __init__(
+        self, identity: Identity, frame_max_bytes: int, counters: FrameCounters
+    ) -> None:
         self._identity = identity
         self._frame_max_bytes = frame_max_bytes
+        self._counters = counters
         self._streams: dict[str, _DataStream] = {}
         self._opening: dict[str, asyncio.Future[_DataStream]] = {}
 
@@ -177,7 +181,9 @@
     async def _open(self, peer_address: str) -> _DataStream:
         host, port = parse_address(peer_address)
         try:
-            stream = await open_stream(host, port, self._frame_max_bytes)
+            stream = await open_stream(
+                host, port, self._frame_max_bytes, self._counters
+            )
         except OSError as error:
             failure = Failure(ErrorKind.PEER_UNREACHABLE, str(error), run=Run.NO)
             raise PepperstairError(failure) from error
--- a/packages/pepperstair-peers/pepperstair_peers/listener.py
+++ b/packages/pepperstair-peers/pepperstair_peers/listener.py
@@ -12,6 +12,7 @@
 from pepperstair_core.wire import Hello, StreamKind
 from pepperstair_core.wire.control import PROTOCOL_VERSION
 
+from .counters import FrameCounters
 from .identity import Identity
 from .stream import FrameStream
 
@@ -30,10 +31,12 @@
         identity: Identity,
         frame_max_bytes: int,
         handlers: Mapping[StreamKind, StreamHandler],
+        counters: Mapping[StreamKind, FrameCounters],
     ) -> None:
         self._identity = identity
         self._frame_max_bytes = frame_max_bytes
         self._handlers = handlers
+        self._counters = counters
         self._server: asyncio.Server | None = None
         self._streams: set[FrameStream] = set()
         self.n_rejected = 0
@@ -68,6 +71,7 @@
             if not self._is_welcome(frame):
                 self._reject(stream, f"not a Hello: {type(frame).__name__}")
                 return
+            stream.counters = self._counters[frame.stream_kind]
             stream.send(self._identity.welcome())
             self._handlers[frame.stream_kind](stream, frame)
 
--- a/packages/pepperstair-peers/pepperstair_peers/stream.py
+++ b/packages/pepperstair-peers/pepperstair_peers/stream.py
@@ -11,6 +11,8 @@
 from pepperstair_core.wire import FrameDecoder, FrameError, encode_frame
 from pepperstair_http import WriteGate
 
+from .counters import FrameCounters
+
 log = structlog.get_logger(__name__)
 
 
@@ -30,9 +32,9 @@
         self._transport: asyncio.Transport | None = None
         self._reason = ""
         self.gate = WriteGate()
+        self.counters = FrameCounters()
         self.on_frame: Callable[[Any], None] = lambda frame: None
         self.closed_callbacks: list[Callable[[str], None]] = []
-        self.n_sent_bytes = 0
         self.n_received_bytes = 0
         self.last_heard_ms = 0
 
@@ -76,9 +78,10 @@
         """Write frames in one piece; they are lost where the stream is closed."""
         if self.is_closed:
             return
-        data = b"".join([encode_frame(frame) for frame in frames])
-        self.n_sent_bytes += len(data)
-        self._transport.write(data)
+        encoded = [encode_frame(frame) for frame in frames]
+        for frame, data in zip(frames, encoded, strict=True):
+            self.counters.add(frame, len(data))
+        self._transport.write(b"".join(encoded))
 
     def close(self) -> None:
         """Break the stream."""
@@ -86,12 +89,15 @@
             self._transport.abort()
 
 
-async def open_stream(host: str, port: int, frame_max_bytes: int) -> FrameStream:
+async def open_stream(
+    host: str, port: int, frame_max_bytes: int, counters: FrameCounters
+) -> FrameStream:
     """Connect to another daemon, or raise OSError."""
     loop = asyncio.get_running_loop()
     _, stream = await loop.create_connection(
         lambda: FrameStream(frame_max_bytes, lambda opened: None), host, port
     )
+    stream.counters = counters
     return stream
 
 
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -24,6 +24,7 @@
     CallClient,
     CallServer,
     ControlPlane,
+    FrameCounters,
     Identity,
     PeerListener,
 )
@@ -66,13 +67,19 @@
         )
         self.registry = TargetRegistry(settings.members.target_lease_ms)
         self.runner = TargetRunner(self.registry)
-        self.call_client = CallClient(self.identity, settings.peers.frame_max_bytes)
+        self.frame_counters = {kind: FrameCounters() for kind in StreamKind}
+        self.call_client = CallClient(
+            self.identity,
+            settings.peers.frame_max_bytes,
+            self.frame_counters[StreamKind.DATA],
+        )
         self.call_server = CallServer(self.runner.run)
         self.control = ControlPlane(
             self.identity,
             self.directory,
             settings.members,
             settings.peers.frame_max_bytes,
+            self.frame_counters[StreamKind.CONTROL],
             self.rng,
         )
         self.listener = PeerListener(
@@ -82,6 +89,7 @@
                 StreamKind.CONTROL: self.control.take_stream,
                 StreamKind.DATA: self.call_server.take_stream,
             },
+            self.frame_counters,
         )
         self.proxy = Proxy(self._proxy_context())
         self.callers = HttpServer(
@@ -117,6 +125,14 @@
             "n_streams_rejected": self.listener.n_rejected,
             "n_platform_reads": self.platform.counters.n_reads,
             "n_platform_writes": self.platform.counters.n_writes,
+            **self._frame_counts(),
+        }
+
+    def _frame_counts(self) -> dict[str, int]:
+        return {
+            name: count
+            for kind, counters in self.frame_counters.items()
+            for name, count in counters.iter_named(kind.value)
         }
 
     async def start(self) -> None:
