--- a/packages/pepperstair-core/pepperstair_core/config/settings.py
+++ b/packages/pepperstair-core/pepperstair_core/config/settings.py
@@ -6,18 +6,41 @@
 import tomllib
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Final
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from ..labels import is_label_name
-from ..schema import Fault, option, read_record
+from ..schema import Fault, Form, option, read_document
+
+
+def parse_address(text: str) -> tuple[str, int] | None:
+    """Split `127.0.0.1:8000` into IP number and port, or return None."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return None
+    if not port.isdecimal() or not 0 <= int(port) <= 65535:
+        return None
+    return host.strip("[]"), int(port)
+
+
+_NAME: Final = Form("a name", is_label_name)
+_ADDRESS: Final = Form(
+    "an IP number and port", lambda text: parse_address(text) is not None
+)
+_OPTIONAL_ADDRESS: Final = Form(
+    "an IP number and port, or an empty string",
+    lambda text: not text or parse_address(text) is not None,
+)
 
 
 @dataclass(frozen=True, slots=True)
 class VmSettings:
     """Where and what this VM is."""
 
-    name: str = option("Name of the VM, unique in the fleet.")
+    name: str = option("Name of the VM, unique in the fleet.", form=_NAME)
     availability_zone: str = option("Availability zone of the VM.")
     region: str = option("Region of the availability zone.", default="")
     labels: dict[str, str] = option("Labels of the proxy and its targets.", default={})
@@ -27,7 +50,7 @@
 class CallersSettings:
     """The proxy that callers speak to."""
 
-    address: str = option("Address and port to listen on.")
+    address: str = option("Address and port to listen on.", form=_ADDRESS)
     n_connections_max: int = option(
         "Connections served at once; more are refused.", default=1000, minimum=1
     )
@@ -46,7 +69,7 @@
 class OperatorsSettings:
     """The interface for operators and for the targets of this VM."""
 
-    address: str = option("Address and port to listen on.")
+    address: str = option("Address and port to listen on.", form=_ADDRESS)
     token: str = option(
         "Bearer token; required where the address is not loopback.", default=""
     )
@@ -59,12 +82,14 @@
 class PeersSettings:
     """Streams to and from other daemons."""
 
-    address: str = option("Address and port to listen on.")
+    address: str = option("Address and port to listen on.", form=_ADDRESS)
     advertised_address: str = option(
-        "Address told to other daemons; empty for the listening one.", default=""
+        "Address told to other daemons; empty for the listening one.",
+        default="",
+        form=_OPTIONAL_ADDRESS,
     )
     seed_addresses: tuple[str, ...] = option(
-        "Daemons to join the fleet through.", default=()
+        "Daemons to join the fleet through.", default=(), form=_ADDRESS
     )
     frame_max_bytes: int = option(
         "Largest frame on a stream.", default=262_144, minimum=4096
@@ -119,7 +144,7 @@
 class PlatformSettings:
     """The platform's table service and object store."""
 
-    address: str = option("Address and port of the platform.")
+    address: str = option("Address and port of the platform.", form=_ADDRESS)
     timeout_ms: int = option(
         "Time after which a platform call is given up.", default=1000, minimum=10
     )
@@ -135,7 +160,9 @@
 class MetricsSettings:
     """Where metrics go."""
 
-    statsd_address: str = option("statsd's address; empty for none.", default="")
+    statsd_address: str = option(
+        "statsd's address; empty for none.", default="", form=_OPTIONAL_ADDRESS
+    )
     interval_ms: int = option(
         "Time between two sendings of the counters.", default=1000, minimum=50
     )
@@ -161,60 +188,17 @@
         table = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         return Err([Fault("document", f"TOML ({error})")])
-    read = read_record(Settings, table, "")
-    if read.is_err():
-        return read
-    faults = list(_iter_settings_faults(read.unwrap()))
-    if faults:
-        return Err(faults)
-    return Ok(read.unwrap())
-
-
-def parse_address(text: str) -> tuple[str, int] | None:
-    """Split `127.0.0.1:8000` into IP number and port, or return None."""
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return None
-    if not port.isdecimal() or not 0 <= int(port) <= 65535:
-        return None
-    return host.strip("[]"), int(port)
+    return read_document(Settings, table, _iter_settings_faults)
 
 
 def _iter_settings_faults(settings: Settings) -> Iterator[Fault]:
-    if not is_label_name(settings.vm.name):
-        yield Fault("vm.name", f"a name, not {settings.vm.name!r}")
-    addresses = [
-        ("callers.address", settings.callers.address),
-        ("operators.address", settings.operators.address),
-        ("peers.address", settings.peers.address),
-        ("platform.address", settings.platform.address),
-        *_optional("peers.advertised_address", settings.peers.advertised_address),
-        *_optional("metrics.statsd_address", settings.metrics.statsd_address),
-        *(
-            (f"peers.seed_addresses[{index}]", address)
-            for index, address in enumerate(settings.peers.seed_addresses)
-        ),
-    ]
-    for where, address in addresses:
-        if parse_address(address) is None:
-            yield Fault(where, f"an IP number and port, not {address!r}")
-    yield from _iter_token_faults(settings.operators)
-
-
-def _optional(where: str, address: str) -> list[tuple[str, str]]:
-    return [(where, address)] if address else []
-
-
-def _iter_token_faults(operators: OperatorsSettings) -> Iterator[Fault]:
     """Refuse an open operators' interface.
 
     Without a token anybody who reaches the port could change the routing of
     every customer, and nobody would notice before it happened.
     """
-    parsed = parse_address(operators.address)
-    if parsed is None or operators.token:
+    parsed = parse_address(settings.operators.address)
+    if parsed is None or settings.operators.token:
         return
     if not ipaddress.ip_address(parsed[0]).is_loopback:
         yield Fault("operators.token", "a token, as the address is not loopback")
--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -12,10 +12,10 @@
 from dataclasses import dataclass
 from typing import Final
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from .labels import is_label_name, parse_selector
-from .schema import Fault, option, read_record
+from .schema import Fault, option, read_document
 
 MAX_ROUTES: Final = 2_000
 MAX_SERVICES: Final = 500
@@ -133,13 +133,7 @@
 
 def read_intent(table: object) -> Result[Intent, list[Fault]]:
     """Read an intent from a parsed table and validate the whole of it."""
-    read = read_record(Intent, table, "")
-    if read.is_err():
-        return read
-    faults = list(iter_intent_faults(read.unwrap()))
-    if faults:
-        return Err(faults)
-    return Ok(read.unwrap())
+    return read_document(Intent, table, iter_intent_faults)
 
 
 def iter_intent_faults(intent: Intent) -> Iterator[Fault]:
--- a/packages/pepperstair-core/pepperstair_core/schema.py
+++ b/packages/pepperstair-core/pepperstair_core/schema.py
@@ -17,7 +17,7 @@
 import functools
 import types
 import typing
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import MISSING, dataclass, field
 from typing import Any, TypeVar
 
@@ -37,6 +37,14 @@
         return f"{self.where}: expected {self.expected}"
 
 
+@dataclass(frozen=True, slots=True)
+class Form:
+    """What a string must look like: the words for it and the check."""
+
+    expected: str
+    accepts: Callable[[str], bool]
+
+
 @dataclass(frozen=True, slots=True)
 class Option:
     """The declaration behind one field of a document."""
@@ -45,6 +53,22 @@
     minimum: int | float | None = None
     maximum: int | float | None = None
     choices: tuple[str, ...] = ()
+    form: Form | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OptionEntry:
+    """One option of a document as the page of settings lists it."""
+
+    name: str
+    type_name: str
+    default: Any
+    declared: Option
+
+    @property
+    def is_required(self) -> bool:
+        """Return whether a document must name the option."""
+        return self.default is MISSING
 
 
 def option(
@@ -54,13 +78,14 @@
     minimum: int | float | None = None,
     maximum: int | float | None = None,
     choices: tuple[str, ...] = (),
+    form: Form | None = None,
 ) -> Any:
     """Declare one option of a document: its sentence, default and range.
 
     A mapping or data class default is shared between instances, which is safe
     as documents are never changed after reading.
     """
-    declared = Option(doc, minimum, maximum, choices)
+    declared = Option(doc, minimum, maximum, choices, form)
     metadata = {"option": declared}
     if isinstance(default, dict):
         return field(default_factory=dict, metadata=metadata)
@@ -75,51 +100,89 @@
 
 def read_record(cls: type[T], table: object, where: str) -> Result[T, list[Fault]]:
     """Read a table into a data class, or return every fault found in it."""
+    return read_document(cls, table, lambda record: iter(()), where)
+
+
+def read_document(
+    cls: type[T],
+    table: object,
+    iter_faults: Callable[[T], Iterator[Fault]],
+    where: str = "",
+) -> Result[T, list[Fault]]:
+    """Read a table, then check it as a whole with `iter_faults`.
+
+    The check of the whole also runs where single keys are wrong, with neutral
+    values in their place: operators would otherwise mend a file, run the check
+    again and find the next fault. A fault of the whole at a key that is wrong
+    by itself is left out, as it would only follow from the neutral value.
+    """
     faults: list[Fault] = []
-    value = _read_table(cls, table, where, faults)
-    if faults:
-        return Err(faults)
-    return Ok(value)
+    record = _read_table(cls, table, where, faults)
+    known = {fault.where for fault in faults}
+    faults += [fault for fault in iter_faults(record) if fault.where not in known]
+    return Err(faults) if faults else Ok(record)
 
 
-def iter_options(cls: type, where: str = "") -> Iterator[tuple[str, Any, Option]]:
-    """Yield each option below a data class as (dotted name, default, declaration)."""
+def iter_options(cls: type, where: str = "") -> Iterator[OptionEntry]:
+    """Yield each option below a data class, by its dotted name."""
     hints = type_hints(cls)
     for item in dataclasses.fields(cls):
-        name = f"{where}.{item.name}" if where else item.name
-        if dataclasses.is_dataclass(hints[item.name]):
-            yield from iter_options(hints[item.name], name)
+        name = _join(where, item.name)
+        hint = hints[item.name]
+        if dataclasses.is_dataclass(hint):
+            yield from iter_options(hint, name)
             continue
         default = item.default
         if item.default_factory is not MISSING:
             default = item.default_factory()
-        yield name, default, item.metadata["option"]
+        yield OptionEntry(name, _type_name(hint), default, item.metadata["option"])
+
+
+def _type_name(hint: Any) -> str:
+    origin = typing.get_origin(hint)
+    if origin is tuple:
+        return f"list of {_type_name(typing.get_args(hint)[0])}s"
+    if origin is dict:
+        return "table of strings"
+    return {str: "string", int: "integer", float: "number", bool: "boolean"}[hint]
 
 
 def _read_table(cls: Any, table: object, where: str, faults: list[Fault]) -> Any:
     if not isinstance(table, Mapping):
-        faults.append(Fault(where, f"a table, not {_shown(table)}"))
-        return None
+        faults.append(Fault(where or "document", f"a table, not {_shown(table)}"))
+        return _neutral(cls)
     fields = {item.name: item for item in dataclasses.fields(cls)}
     for key in table:
         if key not in fields:
             known = ", ".join(sorted(fields))
             faults.append(Fault(_join(where, str(key)), f"one of the keys {known}"))
+    hints = type_hints(cls)
     values = {}
     for name, item in fields.items():
         if name in table:
-            expected = type_hints(cls)[name]
             declared = item.metadata.get("option", Option(""))
             values[name] = _read_value(
-                expected, table[name], _join(where, name), declared, faults
+                hints[name], table[name], _join(where, name), declared, faults
             )
-        elif item.default is MISSING and item.default_factory is MISSING:
+        elif _is_required(item):
             faults.append(Fault(_join(where, name), "a value, this key is required"))
-    if faults:
-        return None
+            values[name] = _neutral(hints[name])
     return cls(**values)
 
 
+def _is_required(item: dataclasses.Field) -> bool:
+    return item.default is MISSING and item.default_factory is MISSING
+
+
+def _neutral(expected: Any) -> Any:
+    """Return a value of a type, to stand for one that could not be read."""
+    if dataclasses.is_dataclass(expected):
+        hints = type_hints(expected)
+        required = filter(_is_required, dataclasses.fields(expected))
+        return expected(**{item.name: _neutral(hints[item.name]) for item in required})
+    return (typing.get_origin(expected) or expected)()
+
+
 def _read_value(
     expected: Any, value: Any, where: str, declared: Option, faults: list[Fault]
 ) -> Any:
@@ -158,7 +221,7 @@
             faults.append(
                 Fault(_join(where, str(key)), f"a string, not {_shown(item)}")
             )
-    return dict(value)
+    return {key: item for key, item in value.items() if isinstance(item, str)}
 
 
 def _read_scalar(
@@ -168,7 +231,9 @@
         value = float(value)
     if type(value) is not expected:
         faults.append(Fault(where, f"{_NAMES[expected]}, not {_shown(value)}"))
-        return value
+        return _neutral(expected)
+    if declared.form is not None and not declared.form.accepts(value):
+        faults.append(Fault(where, f"{declared.form.expected}, not {_shown(value)}"))
     if declared.choices and value not in declared.choices:
         wanted = " or ".join(declared.choices)
         faults.append(Fault(where, f"{wanted}, not {_shown(value)}"))
@@ -198,4 +263,14 @@
     return text if len(text) <= 40 else f"{text[:37]}..."
 
 
-__all__ = ["Fault", "Option", "iter_options", "option", "read_record", "type_hints"]
+__all__ = [
+    "Fault",
+    "Form",
+    "Option",
+    "OptionEntry",
+    "iter_options",
+    "option",
+    "read_document",
+    "read_record",
+    "type_hints",
+]
