Keep a naive daemon to measure against

It has its own copies of the parts that are being replaced and shares the codec, HTTP and platform packages, so that it stays as it is while they move.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -13,7 +13,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +22,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SCRIPTS = Path(sys.executable).parent
+PEPPERSTAIRD = (str(SCRIPTS / "pepperstaird"),)
+NAIVE_DAEMON = (sys.executable, "-m", "benchmarks.naive")
 
 
 def free_port() -> int:
@@ -42,12 +44,31 @@
     settings: Path
     process: subprocess.Popen[bytes]
 
+    @property
+    def log(self) -> Path:
+        """Return the file that the daemon's log lines go to."""
+        return self.settings.with_suffix(".log")
+
+    def kill(self) -> None:
+        """End the process at once, as when its VM is lost."""
+        self.process.kill()
+        self.process.wait()
+
+    def freeze(self) -> None:
+        """Stop the process where it stands, unaware of it."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let a frozen process go on."""
+        self.process.send_signal(signal.SIGCONT)
+
 
 @dataclass
 class Fleet:
     """The processes of one run, all stopped by `stop`."""
 
     folder: Path
+    daemon_command: tuple[str, ...] = PEPPERSTAIRD
     platform: str = ""
     daemons: list[DaemonProcess] = field(default_factory=list)
     processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
@@ -82,11 +103,23 @@
         """Start a daemon process on settings; its log goes beside them."""
         with settings.with_suffix(".log").open("ab") as log:
             process = subprocess.Popen(
-                [SCRIPTS / "pepperstaird", "--settings", settings], stderr=log
+                [*self.daemon_command, "--settings", settings], cwd=ROOT, stderr=log
             )
         self.processes.append(process)
         return process
 
+    def restart_daemon(self, daemon: DaemonProcess) -> DaemonProcess:
+        """Start a daemon that has ended again, on the same addresses."""
+        index = self.daemons.index(daemon)
+        restarted = replace(daemon, process=self.spawn_daemon(daemon.settings))
+        self.daemons[index] = restarted
+        return restarted
+
+    def set_platform_faults(self, **faults: Any) -> None:
+        """Set what goes wrong at the platform stand-in; nothing for none."""
+        body = json.dumps({"mode": "none", **faults}).encode()
+        fetch(self.platform, "PUT", "/v1/faults", body)
+
     def start_target(self, daemon: DaemonProcess, service: str, *more: str) -> str:
         """Start a target beside a daemon and return its address."""
         port = str(free_port())
@@ -120,10 +153,12 @@
 
 
 @contextlib.contextmanager
-def running_fleet() -> Iterator[Fleet]:
+def running_fleet(
+    daemon_command: tuple[str, ...] = PEPPERSTAIRD,
+) -> Iterator[Fleet]:
     """Yield an empty fleet and stop all that was started in it."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(Path(folder))
+        fleet = Fleet(Path(folder), daemon_command)
         try:
             yield fleet
         finally:
--- /dev/null
+++ b/benchmarks/naive/runner.py
@@ -0,0 +1,134 @@
+"""Runs calls on the targets of this VM, from a queue without a limit."""
+
+from __future__ import annotations
+
+import asyncio
+
+import structlog
+
+from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
+from pepperstair_core.members import Target, TargetState
+from pepperstair_core.wire import CallHead
+from pepperstair_http import (
+    BodyBuffer,
+    ClientConnection,
+    ConnectionLostError,
+    ResponseHead,
+    StreamedResponse,
+)
+from pepperstair_targets import TargetRegistry
+from pepperstair_targets.pool import ConnectionPool
+
+log = structlog.get_logger(__name__)
+
+
+class _LocalTarget:
+    """The connections and slots of one target."""
+
+    def __init__(self, target: Target) -> None:
+        self.address = target.address
+        self.pool = ConnectionPool(target.address)
+        self.slots = asyncio.Semaphore(target.n_slots)
+        self.n_in_flight = 0
+
+
+class NaiveRunner:
+    """Carries a call to a local target, within the target's slots."""
+
+    def __init__(self, registry: TargetRegistry) -> None:
+        self._registry = registry
+        self._targets: dict[str, _LocalTarget] = {}
+        self.is_draining = False
+
+    @property
+    def n_in_flight(self) -> int:
+        """Return the calls that targets are running now."""
+        return sum(target.n_in_flight for target in self._targets.values())
+
+    async def run(self, head: CallHead, body: BodyBuffer) -> StreamedResponse:
+        """Run a call and return its answer, or raise PepperstairError."""
+        target = self._registry.get(head.target)
+        if target is None:
+            raise _not_run(ErrorKind.NO_TARGET, head.target)
+        # The refusal is given here, beside the target: a daemon that has not
+        # heard of the draining yet learns of it without any work being lost.
+        if self.is_draining or target.state is TargetState.DRAINING:
+            raise _not_run(ErrorKind.DRAINING, head.target)
+        local = self._local(target)
+        try:
+            async with asyncio.timeout(head.time_left_ms / 1000):
+                await local.slots.acquire()
+        except TimeoutError as error:
+            raise _not_run(ErrorKind.OVERLOADED, head.target) from error
+        local.n_in_flight += 1
+        return await self._run_in_slot(local, head, body)
+
+    def close(self) -> None:
+        """Close the idle connections to every target."""
+        for local in self._targets.values():
+            local.pool.close()
+
+    def _local(self, target: Target) -> _LocalTarget:
+        local = self._targets.get(target.name)
+        if local is None or local.address != target.address:
+            local = _LocalTarget(target)
+            self._targets[target.name] = local
+        return local
+
+    async def _run_in_slot(
+        self, local: _LocalTarget, head: CallHead, body: BodyBuffer
+    ) -> StreamedResponse:
+        """Send the request; the slot is held until the answer is read or dropped."""
+        try:
+            connection = await local.pool.take()
+        except OSError as error:
+            _release(local)
+            raise _not_run(ErrorKind.TARGET_UNREACHABLE, str(error)) from error
+        is_ended = False
+
+        def end() -> None:
+            nonlocal is_ended
+            if not is_ended:
+                is_ended = True
+                _release(local)
+                local.pool.give_back(connection)
+
+        try:
+            response = await _exchange(connection, head, body)
+        except BaseException:
+            connection.close()
+            end()
+            raise
+        return StreamedResponse(response.status, response.headers, connection.body, end)
+
+
+async def _exchange(
+    connection: ClientConnection, head: CallHead, body: BodyBuffer
+) -> ResponseHead:
+    try:
+        async with asyncio.timeout(head.time_left_ms / 1000):
+            connection.start(
+                head.method, head.path, head.headers, None if head.has_body else b""
+            )
+            if head.has_body:
+                while part := await body.read():
+                    await connection.send_part(part)
+                connection.finish()
+            return await connection.read_head()
+    except TimeoutError as error:
+        raise PepperstairError(Failure(ErrorKind.TIMEOUT, head.target)) from error
+    except (ConnectionLostError, ConnectionResetError) as error:
+        failure = Failure(ErrorKind.TARGET_FAILED, str(error))
+        raise PepperstairError(failure) from error
+
+
+def _release(local: _LocalTarget) -> None:
+    local.n_in_flight -= 1
+    local.slots.release()
+
+
+def _not_run(kind: ErrorKind, detail: str) -> PepperstairError:
+    return PepperstairError(Failure(kind, detail, run=Run.NO))
+
+
+__all__ = ["NaiveRunner"]
