--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -26,7 +26,8 @@
     (pytester.path / "KNOWN-RED.txt").write_text("# a comment\n" + "\n".join(lines))
     pytester.makeconftest(CONFTEST)
     pytester.makepyfile(test_it=TESTS)
-    return pytester.runpytest_inprocess("-p", "no:cacheprovider", "-p", "no:hypothesispytest")
+    without = ("-p", "no:cacheprovider", "-p", "no:hypothesispytest")
+    return pytester.runpytest_inprocess(*without)
 
 
 def test_listed_failure_is_printed_and_passed_over(pytester):
