HTTP: one receive buffer, one write an answer, stalled clients closed

Cause: each read of a plain asyncio.Protocol allocates 256 KB; depending on what the process allocated before, malloc maps and unmaps that for each read. An answer went out in three writes and each connection set two timers a request. Found on the way, each with a test that failed before: a cut answer looked like an orderly end, a client that stalls in the middle of its body held its connection for ever, a refusal was lost to a client that was still sending.

--- a/packages/pepperstair-http/pepperstair_http/__init__.py
+++ b/packages/pepperstair-http/pepperstair_http/__init__.py
@@ -4,6 +4,7 @@
 
 from .body import BodyBuffer, ConnectionLostError, StreamedResponse
 from .client import ClientConnection, connect
+from .exchange import Exchange, Handler
 from .fetch import Fetcher
 from .messages import (
     Headers,
@@ -13,7 +14,8 @@
     end_to_end_headers,
     header_value,
 )
-from .server import Exchange, HttpServer, ServerLimits
+from .receiving import ReceivingProtocol
+from .server import HttpServer, ServerLimits
 from .writing import WriteGate
 
 __all__ = [
@@ -22,8 +24,10 @@
     "ConnectionLostError",
     "Exchange",
     "Fetcher",
+    "Handler",
     "Headers",
     "HttpServer",
+    "ReceivingProtocol",
     "Request",
     "Response",
     "ResponseHead",
--- a/packages/pepperstair-http/pepperstair_http/body.py
+++ b/packages/pepperstair-http/pepperstair_http/body.py
@@ -22,18 +22,32 @@
 
     `on_consumed` is told of each part that was read, so that the receiving
     side can ask for more; without that, a slow reader of a 64 MB body would
-    make this process hold all of it.
+    make this process hold all of it. `on_wait` is called when the reader begins
+    to wait for a part that has not arrived.
 
     >>> body = BodyBuffer.of(b"loot")
     >>> asyncio.run(body.read())
     b'loot'
     """
 
-    __slots__ = ("_error", "_is_whole", "_on_consumed", "_parts", "_waiter", "n_bytes")
-
-    def __init__(self, on_consumed: Callable[[int], None] | None = None) -> None:
+    __slots__ = (
+        "_error",
+        "_is_whole",
+        "_on_consumed",
+        "_on_wait",
+        "_parts",
+        "_waiter",
+        "n_bytes",
+    )
+
+    def __init__(
+        self,
+        on_consumed: Callable[[int], None] | None = None,
+        on_wait: Callable[[], None] | None = None,
+    ) -> None:
         self._parts: deque[bytes] = deque()
         self._on_consumed = on_consumed
+        self._on_wait = on_wait
         self._is_whole = False
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -83,6 +97,8 @@
                 raise self._error
             if self._is_whole:
                 return b""
+            if self._on_wait is not None:
+                self._on_wait()
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         return self._take()
--- a/packages/pepperstair-http/pepperstair_http/client.py
+++ b/packages/pepperstair-http/pepperstair_http/client.py
@@ -10,14 +10,15 @@
 
 from .body import HIGH_WATER_BYTES, BodyBuffer, ConnectionLostError
 from .messages import Headers, ResponseHead
-from .writing import WriteGate
+from .receiving import ReceivingProtocol
+from .writing import WriteGate, break_transport
 
 log = structlog.get_logger(__name__)
 
 _HEAD_MAX_BYTES: Final = 65_536
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(ReceivingProtocol):
     """A connection that carries one request at a time.
 
     `request` writes the head, `send_part` and `finish` the body, `read_head`
@@ -102,7 +103,7 @@
     def close(self) -> None:
         """Break the connection, which cancels a request in progress."""
         if self._transport is not None:
-            self._transport.abort()
+            break_transport(self._transport)
 
     def _write(self, data: bytes) -> None:
         if self.is_closed:
--- a/packages/pepperstair-http/pepperstair_http/writing.py
+++ b/packages/pepperstair-http/pepperstair_http/writing.py
@@ -1,8 +1,25 @@
-"""Waiting for a transport whose peer reads slowly."""
+"""Waiting for a transport whose peer reads slowly, and breaking one."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
+from typing import Final
+
+_LINGER_ZERO: Final = struct.pack("ii", 1, 0)
+
+
+def break_transport(transport: asyncio.Transport) -> None:
+    """Reset a connection, so that the peer can't take what it got for the whole.
+
+    A plain close looks like an orderly end: a caller that reads an answer
+    without length until the end would take half of it for all of it.
+    """
+    opened = transport.get_extra_info("socket")
+    if opened is not None and not transport.is_closing():
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+    transport.abort()
 
 
 class WriteGate:
@@ -49,4 +66,4 @@
         self._waiters.clear()
 
 
-__all__ = ["WriteGate"]
+__all__ = ["WriteGate", "break_transport"]
--- a/packages/pepperstair-peers/pepperstair_peers/stream.py
+++ b/packages/pepperstair-peers/pepperstair_peers/stream.py
@@ -9,14 +9,14 @@
 import structlog
 
 from pepperstair_core.wire import FrameDecoder, FrameError, encode_frame
-from pepperstair_http import WriteGate
+from pepperstair_http import ReceivingProtocol, WriteGate
 
 from .counters import FrameCounters
 
 log = structlog.get_logger(__name__)
 
 
-class FrameStream(asyncio.Protocol):
+class FrameStream(ReceivingProtocol):
     """Sends and receives frames; the owner sets the two callbacks.
 
     `on_frame` is called for each frame. Every function in `closed_callbacks` is
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -153,7 +153,7 @@
         """Finish what is in flight, refuse the rest as not run, then close."""
         log.info(Event.STOPPING)
         self.runner.is_draining = True
-        self.callers.stop_listening()
+        self.callers.drain()
         deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
         while self.runner.n_in_flight and monotonic_ms() < deadline_ms:
             await asyncio.sleep(0.02)
