Spread versions between neighbours, with a few pollers in each zone

Change: decisions of the distribution as events in, actions out: eager tree per customer with have and pull, anti-entropy, rule for putting in force, floor after a restart, zone pollers, acknowledgements, fair turns per customer on sending queues, applying and platform requests. The daemon carries them out. Not yet: failure and differential tests, operators' endpoints, measurements.

--- a/packages/pepperstair-core/pepperstair_core/distribution/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/__init__.py
@@ -1,3 +1,73 @@
-"""Decisions about configuration: acceptance, spreading and applying."""
+"""Decisions about configuration: holding, spreading, asking and applying."""
 
 from __future__ import annotations
+
+from .actions import (
+    Action,
+    Converged,
+    FetchObject,
+    Note,
+    PutInForce,
+    ReadBells,
+    ReadHead,
+    ReadHeads,
+    Reject,
+    Send,
+)
+from .convergence import Collection, collect, missing_vms
+from .events import (
+    BellsRead,
+    ChangeAccepted,
+    DistributionEvent,
+    FrameReceived,
+    HeadRead,
+    HeadsRead,
+    MembersChanged,
+    NeighbourDown,
+    NeighbourUp,
+    ObjectFetched,
+    Paused,
+    Tick,
+    Work,
+)
+from .fair_queue import FairQueue, TokenBucket
+from .floor import ReachedBy
+from .node import Distribution
+from .outbox import Outbox
+from .state import PLATFORM, Timing
+
+__all__ = [
+    "PLATFORM",
+    "Action",
+    "BellsRead",
+    "ChangeAccepted",
+    "Collection",
+    "Converged",
+    "Distribution",
+    "DistributionEvent",
+    "FairQueue",
+    "FetchObject",
+    "FrameReceived",
+    "HeadRead",
+    "HeadsRead",
+    "MembersChanged",
+    "NeighbourDown",
+    "NeighbourUp",
+    "Note",
+    "ObjectFetched",
+    "Outbox",
+    "Paused",
+    "PutInForce",
+    "ReachedBy",
+    "ReadBells",
+    "ReadHead",
+    "ReadHeads",
+    "Reject",
+    "Send",
+    "Tick",
+    "Timing",
+    "TokenBucket",
+    "Work",
+    "collect",
+    "missing_vms",
+]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/distribution/applying.py
@@ -0,0 +1,157 @@
+"""Building the next snapshot: the whole of it or nothing.
+
+Received deltas and bodies wait in a fair queue, as reading a large document
+takes long enough to delay a small customer's change behind a burst.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..decisions import DecisionKind
+from ..versions import Delta, Head, Snapshot, apply_delta, make_delta, make_snapshot
+from .actions import Actions, Note, Reject
+from .in_force import advance
+from .pulling import fetch_failed, want
+from .spreading import announce
+from .state import (
+    PLATFORM,
+    Candidate,
+    CustomerState,
+    DistributionState,
+    ReceivedBody,
+    ReceivedDelta,
+)
+
+_N_EARLY_DELTAS_MAX: Final = 32
+
+
+def apply_next(state: DistributionState, now_ms: int) -> Actions:
+    """Apply the delta or body whose turn it is, if one waits."""
+    received = state.inbox.take()
+    if isinstance(received, ReceivedDelta):
+        yield from _apply_delta(state, received, now_ms)
+    elif isinstance(received, ReceivedBody):
+        yield from _apply_body(state, received, now_ms)
+
+
+def hold(
+    state: DistributionState,
+    snapshot: Snapshot,
+    learnt_from: str,
+    now_ms: int,
+    delta: Delta | None = None,
+) -> Actions:
+    """Hold a version, tell the neighbours, and put it in force when permitted.
+
+    Updates cross each other in flight: a version that is not newer than the
+    held one is counted and ignored, so no proxy ever moves back.
+    """
+    customer = state.customer(snapshot.head.customer)
+    if snapshot.head.version <= customer.held_version:
+        state.counters.n_versions_ignored += 1
+        return
+    if delta is None:
+        delta = make_delta(customer.held or customer.empty, snapshot)
+    customer.held = snapshot
+    customer.n_received = max(customer.n_received, snapshot.head.version)
+    customer.add_delta(delta)
+    customer.add_candidate(Candidate(snapshot, now_ms, learnt_from))
+    if customer.pull is not None and customer.pull.version <= snapshot.head.version:
+        customer.pull = None
+    yield from announce(state, customer, delta, learnt_from)
+    yield from advance(state, customer, now_ms)
+    _queue_early_delta(state, customer)
+
+
+def _apply_delta(
+    state: DistributionState, received: ReceivedDelta, now_ms: int
+) -> Actions:
+    delta = received.delta
+    customer = state.customer(delta.head.customer)
+    version = delta.head.version
+    if version <= customer.held_version:
+        state.counters.n_versions_ignored += 1
+        return
+    base = customer.empty if delta.base_version == 0 else customer.held
+    if base is None or base.head.version != delta.base_version:
+        _keep_early_delta(customer, received)
+        want(state, customer, version, now_ms, is_urgent=True)
+        return
+    applied = apply_delta(base, delta)
+    if applied.is_err():
+        # The base differs from the sender's, or the delta was damaged. Without
+        # the digest the daemon would serve a document that nobody accepted.
+        cause = "; ".join(map(str, applied.unwrap_err()))
+        state.counters.n_deltas_refused += 1
+        customer.n_received = customer.held_version
+        yield Note(DecisionKind.REJECTED, customer.customer, f"delta: {cause}")
+        want(state, customer, version, now_ms, is_urgent=True, needs_full=True)
+        return
+    state.counters.n_deltas_applied += 1
+    yield from hold(state, applied.unwrap(), received.sender, now_ms, delta)
+
+
+def _apply_body(
+    state: DistributionState, received: ReceivedBody, now_ms: int
+) -> Actions:
+    head = received.head
+    customer = state.customer(head.customer)
+    if head.version <= customer.held_version:
+        state.counters.n_versions_ignored += 1
+        return
+    made = make_snapshot(head, received.body)
+    if made.is_ok():
+        yield from hold(state, made.unwrap(), received.sender, now_ms)
+        return
+    customer.n_received = customer.held_version
+    cause = "; ".join(map(str, made.unwrap_err()))
+    if received.sender == PLATFORM:
+        yield from _reject(state, customer, head, cause, now_ms)
+        return
+    yield Note(DecisionKind.REJECTED, customer.customer, f"{received.sender}: {cause}")
+    if customer.pull is not None:
+        customer.pull.due_ms = now_ms
+
+
+def _reject(
+    state: DistributionState,
+    customer: CustomerState,
+    head: Head,
+    cause: str,
+    now_ms: int,
+) -> Actions:
+    """Leave the held version in force, and report what could not be applied."""
+    state.counters.n_versions_rejected += 1
+    customer.rejected = head
+    customer.rejected_cause = cause
+    customer.rejected_until_ms = now_ms + state.timing.rejected_retry_ms
+    if customer.pull is not None and customer.pull.version <= head.version:
+        customer.pull = None
+    fetch_failed(state, customer.customer, now_ms)
+    yield Reject(head, PLATFORM, cause)
+
+
+def _keep_early_delta(customer: CustomerState, received: ReceivedDelta) -> None:
+    """Keep a delta whose base is on its way, to catch up without a second pull.
+
+    While a full snapshot is being pulled the customer goes on changing; without
+    these the receiver would stay a version behind and pull for ever.
+    """
+    customer.n_received = customer.held_version
+    if len(customer.early_deltas) >= _N_EARLY_DELTAS_MAX:
+        customer.early_deltas.pop(min(customer.early_deltas))
+    customer.early_deltas[received.delta.base_version] = received
+
+
+def _queue_early_delta(state: DistributionState, customer: CustomerState) -> None:
+    for base_version in list(customer.early_deltas):
+        if base_version < customer.held_version:
+            del customer.early_deltas[base_version]
+    received = customer.early_deltas.pop(customer.held_version, None)
+    if received is not None:
+        cost = len(received.delta.patch) + len(customer.held.body)
+        state.inbox.put(customer.customer, received, cost)
+
+
+__all__ = ["apply_next", "hold"]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/distribution/fair_queue.py
@@ -0,0 +1,104 @@
+"""Deficit round robin over customers, and the token bucket behind it.
+
+A large customer's burst waits in that customer's own line: a small customer's
+item is taken after at most one turn of each other customer (Shreedhar and
+Varghese 1995).
+
+>>> queue = FairQueue(quantum=10)
+>>> for number in range(3):
+...     queue.put("sayaw", f"sayaw {number}", 10)
+>>> queue.put("lantern", "lantern 0", 10)
+>>> [queue.take() for _ in range(2)]
+['sayaw 0', 'lantern 0']
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Generic, TypeVar
+
+Item = TypeVar("Item")
+
+
+class FairQueue(Generic[Item]):
+    """Lines of items by customer, taken in turns of equal cost."""
+
+    def __init__(self, quantum: int) -> None:
+        self._quantum = quantum
+        self._lines: dict[str, deque[tuple[int, Item]]] = {}
+        self._turns: deque[str] = deque()
+        self._deficits: dict[str, int] = {}
+        self._costs: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return sum(len(line) for line in self._lines.values())
+
+    def put(self, customer: str, item: Item, cost: int) -> None:
+        """Add an item to the end of a customer's line."""
+        if customer not in self._lines:
+            self._lines[customer] = deque()
+            self._turns.append(customer)
+            self._deficits[customer] = 0
+            self._costs[customer] = 0
+        self._lines[customer].append((cost, item))
+        self._costs[customer] += cost
+
+    def take(self) -> Item | None:
+        """Remove and return the next item, or None from an empty queue."""
+        while self._turns:
+            customer = self._turns[0]
+            cost, item = self._lines[customer][0]
+            if self._deficits[customer] >= cost:
+                return self._remove_first(customer, cost, item)
+            self._deficits[customer] += self._quantum
+            self._turns.rotate(-1)
+        return None
+
+    def cost_of(self, customer: str) -> int:
+        """Return the cost of all that waits for a customer."""
+        return self._costs.get(customer, 0)
+
+    def drop(self, customer: str) -> tuple[Item, ...]:
+        """Remove a customer's whole line and return what was in it."""
+        line = self._lines.get(customer, ())
+        items = tuple(item for _, item in line)
+        if line:
+            self._forget(customer)
+        return items
+
+    def _remove_first(self, customer: str, cost: int, item: Item) -> Item:
+        self._deficits[customer] -= cost
+        self._costs[customer] -= cost
+        line = self._lines[customer]
+        line.popleft()
+        if not line:
+            self._forget(customer)
+        return item
+
+    def _forget(self, customer: str) -> None:
+        """Drop an empty line with its deficit, so that idling earns no credit."""
+        del self._lines[customer], self._deficits[customer], self._costs[customer]
+        self._turns.remove(customer)
+
+
+class TokenBucket:
+    """Permits a steady rate with bursts up to one second's worth."""
+
+    def __init__(self, n_per_s: float, now_ms: int) -> None:
+        self._n_per_s = n_per_s
+        self._n_tokens = float(n_per_s)
+        self._filled_at_ms = now_ms
+
+    def take(self, now_ms: int) -> int:
+        """Take a token and return 0, or return the time in ms until there is one."""
+        elapsed_ms = max(0, now_ms - self._filled_at_ms)
+        self._filled_at_ms = now_ms
+        filled = self._n_tokens + elapsed_ms * self._n_per_s / 1000
+        self._n_tokens = min(self._n_per_s, filled)
+        if self._n_tokens >= 1:
+            self._n_tokens -= 1
+            return 0
+        return int((1 - self._n_tokens) * 1000 / self._n_per_s) + 1
+
+
+__all__ = ["FairQueue", "TokenBucket"]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/distribution/serving.py
@@ -0,0 +1,98 @@
+"""Answering neighbours' pulls.
+
+Deltas go to whoever is a few versions behind; a full snapshot is served to a
+bounded number of neighbours at once, so that a herd that comes back does not
+stall the daemons that survived.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+
+from ..versions import Delta, Snapshot
+from ..wire import Busy, DeltaPush, Pull, SnapshotPart
+from .actions import Actions, Send
+from .state import PART_MAX_BYTES, CustomerState, DistributionState
+
+_N_OTHERS_MAX: Final = 3
+
+
+def on_pull(state: DistributionState, sender: str, frame: Pull, now_ms: int) -> Actions:
+    """Send what the neighbour lacks, or say that it should ask elsewhere."""
+    customer = state.customer(frame.customer)
+    customer.pruned.discard(sender)
+    held = customer.held
+    if held is None or held.head.version <= frame.held_version:
+        return
+    chain = _chain(customer, frame.held_version)
+    if chain and sum(len(delta.patch) for delta in chain) < len(held.body):
+        for delta in chain:
+            yield Send(sender, DeltaPush(delta), customer.customer)
+        return
+    _expire(state, now_ms)
+    key = (sender, frame.customer)
+    is_full = len(state.served) >= state.timing.n_pulls_served_max
+    if is_full and key not in state.served:
+        state.counters.n_busy_sent += 1
+        yield Send(sender, _busy(state, customer, sender))
+        return
+    state.served[key] = now_ms + state.timing.serving_timeout_ms
+    state.counters.n_full_pulls_served += 1
+    for part in iter_parts(held):
+        yield Send(sender, part, customer.customer)
+
+
+def release(state: DistributionState, vm: str, customer: str) -> None:
+    """Free the place of a full pull once its receiver says what it holds."""
+    state.served.pop((vm, customer), None)
+
+
+def iter_parts(snapshot: Snapshot) -> Iterator[SnapshotPart]:
+    """Cut a snapshot into pieces that let other frames pass between them."""
+    n_parts = max(1, -(-len(snapshot.body) // PART_MAX_BYTES))
+    for index in range(n_parts):
+        start = index * PART_MAX_BYTES
+        data = snapshot.body[start : start + PART_MAX_BYTES]
+        yield SnapshotPart(snapshot.head, index, n_parts, data)
+
+
+def _chain(customer: CustomerState, held_version: int) -> list[Delta]:
+    """Return the deltas from a version to the held one, empty where one lacks."""
+    by_base = {delta.base_version: delta for delta in customer.deltas}
+    chain = []
+    version = held_version
+    while version in by_base:
+        delta = by_base[version]
+        if len(delta.patch) > PART_MAX_BYTES:
+            return []
+        chain.append(delta)
+        version = delta.head.version
+    return chain if version == customer.held_version else []
+
+
+def _expire(state: DistributionState, now_ms: int) -> None:
+    """Take back places whose receivers went silent.
+
+    A frozen neighbour would otherwise hold its place for good, and after a few
+    of them every later pull would be declined.
+    """
+    for key, until_ms in list(state.served.items()):
+        if now_ms >= until_ms:
+            del state.served[key]
+
+
+def _busy(state: DistributionState, customer: CustomerState, sender: str) -> Busy:
+    others = [
+        state.fleet.members[vm].peer_address
+        for vm, version in sorted(customer.holders.items())
+        if version >= customer.held_version
+        and vm != sender
+        and vm in state.fleet.members
+    ]
+    state.rng.shuffle(others)
+    retry_after_ms = int(state.timing.busy_retry_ms * state.rng.uniform(0.5, 1.5))
+    return Busy(customer.customer, retry_after_ms, tuple(others[:_N_OTHERS_MAX]))
+
+
+__all__ = ["iter_parts", "on_pull", "release"]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/distribution/state.py
@@ -0,0 +1,235 @@
+"""What one daemon remembers about the spreading of versions."""
+
+from __future__ import annotations
+
+import hashlib
+from collections import deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final
+
+from ..intent import Intent
+from ..members import Member, MemberState
+from ..versions import Delta, Head, Snapshot, digest_of, encode_intent
+from .fair_queue import FairQueue
+
+PLATFORM: Final = "platform"
+PART_MAX_BYTES: Final = 65_536
+_N_CANDIDATES_MAX: Final = 4
+_DELTAS_MAX_BYTES: Final = 262_144
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Times and bounds of the distribution; the defaults suit the target fleet."""
+
+    pull_grace_ms: int = 150
+    pull_timeout_ms: int = 1000
+    pull_backoff_max_ms: int = 8000
+    rejected_retry_ms: int = 30_000
+    n_pulls_served_max: int = 4
+    serving_timeout_ms: int = 2000
+    busy_retry_ms: int = 300
+    alone_wait_ms: int = 2000
+    anti_entropy_ms: int = 5000
+    poll_interval_ms: int = 1000
+    sign_interval_ms: int = 2000
+    poller_silence_ms: int = 5000
+    outage_silence_ms: int = 30_000
+    floor_wait_ms: int = 1500
+    inquiry_ms: int = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A version that is held and waits for another holder before it is in force."""
+
+    snapshot: Snapshot
+    held_at_ms: int
+    learnt_from: str
+
+
+@dataclass(slots=True)
+class PullState:
+    """A version that is known of and not yet held."""
+
+    version: int
+    due_ms: int
+    head: Head | None = None
+    needs_full: bool = False
+    n_rounds: int = 0
+    asked: set[str] = field(default_factory=set)
+    parts: dict[int, bytes] = field(default_factory=dict)
+    parts_head: Head | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedDelta:
+    """A delta that waits for its turn to be applied."""
+
+    sender: str
+    delta: Delta
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedBody:
+    """A whole body that waits for its turn to be applied."""
+
+    sender: str
+    head: Head
+    body: bytes
+
+
+@dataclass(slots=True)
+class CustomerState:
+    """One customer's versions on this daemon and what neighbours hold of them.
+
+    `n_received` is the newest version that was received, perhaps not applied
+    yet. `deltas` lead from older versions to the held one; `early_deltas` build
+    on a version that is not held yet.
+    """
+
+    customer: str
+    empty: Snapshot
+    held: Snapshot | None = None
+    in_force: Snapshot | None = None
+    n_received: int = 0
+    candidates: list[Candidate] = field(default_factory=list)
+    deltas: deque[Delta] = field(default_factory=deque)
+    early_deltas: dict[int, ReceivedDelta] = field(default_factory=dict)
+    holders: dict[str, int] = field(default_factory=dict)
+    pruned: set[str] = field(default_factory=set)
+    pull: PullState | None = None
+    rejected: Head | None = None
+    rejected_cause: str = ""
+    rejected_until_ms: int = 0
+
+    @property
+    def held_version(self) -> int:
+        """Return the newest version held, 0 for none."""
+        return 0 if self.held is None else self.held.head.version
+
+    @property
+    def in_force_version(self) -> int:
+        """Return the version in force, 0 for none."""
+        return 0 if self.in_force is None else self.in_force.head.version
+
+    def add_candidate(self, candidate: Candidate) -> None:
+        """Keep a version until it may be put in force.
+
+        Under a burst the newest version changes faster than a neighbour can
+        confirm it, so the oldest ones are kept too: otherwise nothing would go
+        in force until the burst ends.
+        """
+        self.candidates.append(candidate)
+        if len(self.candidates) > _N_CANDIDATES_MAX:
+            del self.candidates[-2]
+
+    def add_delta(self, delta: Delta) -> None:
+        """Keep a delta for neighbours that are a few versions behind."""
+        self.deltas.append(delta)
+        n_bytes = sum(len(kept.patch) for kept in self.deltas)
+        while n_bytes > _DELTAS_MAX_BYTES:
+            n_bytes -= len(self.deltas.popleft().patch)
+
+
+@dataclass(slots=True)
+class Counters:
+    """Counts that `status` and the metrics show."""
+
+    n_versions_ignored: int = 0
+    n_versions_rejected: int = 0
+    n_deltas_applied: int = 0
+    n_deltas_refused: int = 0
+    n_full_pulls: int = 0
+    n_full_pulls_served: int = 0
+    n_busy_sent: int = 0
+    n_prunes: int = 0
+    n_in_force_alone: int = 0
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The live members as far as they matter here."""
+
+    own_vm: str
+    own_zone: str
+    members: dict[str, Member] = field(default_factory=dict)
+    neighbours: set[str] = field(default_factory=set)
+
+    def update(self, members: Iterable[Member]) -> None:
+        """Take the directory's newest records."""
+        self.members = {member.vm: member for member in members}
+
+    def live(self) -> Iterator[str]:
+        """Yield the members that nobody doubts, this daemon among them."""
+        yield self.own_vm
+        for vm, member in self.members.items():
+            if vm != self.own_vm and member.state is MemberState.ALIVE:
+                yield vm
+
+    def zone_of(self, vm: str) -> str:
+        """Return the availability zone of a member, empty if it is unknown."""
+        member = self.members.get(vm)
+        return member.availability_zone if member else ""
+
+
+@dataclass(slots=True)
+class DistributionState:
+    """All state of the distribution on one daemon."""
+
+    fleet: Fleet
+    rng: Random
+    timing: Timing = field(default_factory=Timing)
+    customers: dict[str, CustomerState] = field(default_factory=dict)
+    inbox: FairQueue[ReceivedDelta | ReceivedBody] = field(
+        default_factory=lambda: FairQueue(PART_MAX_BYTES)
+    )
+    served: dict[tuple[str, str], int] = field(default_factory=dict)
+    anti_entropy_due_ms: int = 0
+    counters: Counters = field(default_factory=Counters)
+
+    def customer(self, name: str) -> CustomerState:
+        """Return the state of a customer, new where nothing is known of it."""
+        state = self.customers.get(name)
+        if state is None:
+            state = CustomerState(name, empty_snapshot(name))
+            self.customers[name] = state
+        return state
+
+    def held_versions(self) -> tuple[tuple[str, int], ...]:
+        """Return each customer's held version, by customer."""
+        return tuple(
+            (name, state.held_version)
+            for name, state in sorted(self.customers.items())
+            if state.held is not None
+        )
+
+    def versions_digest(self) -> bytes:
+        """Return a digest that is equal where all held versions are equal."""
+        text = repr(self.held_versions()).encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def empty_snapshot(customer: str) -> Snapshot:
+    """Return version 0, the base of a customer's first delta."""
+    intent = Intent(customer)
+    body = encode_intent(intent)
+    return Snapshot(Head(customer, 0, digest_of(body), 0, "", ""), body, intent)
+
+
+__all__ = [
+    "PART_MAX_BYTES",
+    "PLATFORM",
+    "Candidate",
+    "Counters",
+    "CustomerState",
+    "DistributionState",
+    "Fleet",
+    "PullState",
+    "ReceivedBody",
+    "ReceivedDelta",
+    "Timing",
+    "empty_snapshot",
+]
--- a/packages/pepperstair-core/pepperstair_core/wire/control.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -67,7 +67,8 @@
 class Have:
     """Says which version of a customer the sender holds, in force or not."""
 
-    head: Head
+    customer: str
+    version: int
 
 
 @frame(11)
@@ -119,8 +120,9 @@
 @frame(16)
 @dataclass(frozen=True, slots=True)
 class Acknowledge:
-    """Tells, towards the accepting daemon, on which VMs a version is in force."""
+    """Tells, towards the collecting daemon, where a version is in force."""
 
+    collector: str
     customer: str
     version: int
     vms: tuple[str, ...]
@@ -131,12 +133,44 @@
 class HeadsDigest:
     """Compares the versions that both sides hold, for repair of what was missed.
 
-    Without `heads` it only carries the digest; where the digests differ, the
-    receiver answers with its heads, and each side then pulls what it lacks.
+    Without `versions` it only carries the digest; where the digests differ, the
+    receiver answers with its versions, and each side then pulls what it lacks.
+    An empty digest asks for the answer in any case. `is_floor_known` says that
+    the sender's versions are complete, not those of a daemon that just started.
     """
 
     digest: bytes
-    heads: tuple[Head, ...] = ()
+    is_floor_known: bool
+    is_answer: bool = False
+    versions: tuple[tuple[str, int], ...] = ()
+
+
+@frame(18)
+@dataclass(frozen=True, slots=True)
+class Inquire:
+    """Asks the fleet to acknowledge a version towards the collecting daemon.
+
+    It is passed on once by every daemon, and the way it came is the way that
+    the acknowledgements go back.
+    """
+
+    collector: str
+    number: int
+    customer: str
+    version: int
+
+
+@frame(19)
+@dataclass(frozen=True, slots=True)
+class PollerSign:
+    """Says within a zone that a poller lives, and whether the platform answers.
+
+    `number` tells the signs of one poller apart, so that each is passed on once.
+    """
+
+    vm: str
+    number: int
+    is_platform_reachable: bool
 
 
 @frame(20)
@@ -172,6 +206,8 @@
     | Prune
     | Busy
     | Acknowledge
+    | Inquire
+    | PollerSign
     | MemberUpdate
     | MembersDigest
     | HeadsDigest
@@ -187,8 +223,10 @@
     "Heartbeat",
     "HeadsDigest",
     "Hello",
+    "Inquire",
     "MemberUpdate",
     "MembersDigest",
+    "PollerSign",
     "Prune",
     "Pull",
     "SnapshotPart",
--- a/packages/pepperstair-platform/pepperstair_platform/__init__.py
+++ b/packages/pepperstair-platform/pepperstair_platform/__init__.py
@@ -4,7 +4,16 @@
 
 from .acceptance import Accepted, ChangeRequest, accept_change
 from .platform import Compare, Platform, Row
-from .rows import N_BUCKETS, bucket_of, head_from_row, head_prefix, head_row
+from .rows import (
+    N_BUCKETS,
+    bells_prefix,
+    bucket_of,
+    bucket_of_bell,
+    head_from_row,
+    head_key,
+    head_prefix,
+    head_row,
+)
 
 __all__ = [
     "N_BUCKETS",
@@ -14,8 +23,11 @@
     "Platform",
     "Row",
     "accept_change",
+    "bells_prefix",
     "bucket_of",
+    "bucket_of_bell",
     "head_from_row",
+    "head_key",
     "head_prefix",
     "head_row",
 ]
--- a/packages/pepperstair-platform/pepperstair_platform/platform.py
+++ b/packages/pepperstair-platform/pepperstair_platform/platform.py
@@ -16,6 +16,8 @@
 from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_http import ConnectionLostError, Fetcher, Response
 
+from .turns import RequestTurns
+
 log = structlog.get_logger(__name__)
 
 
@@ -42,6 +44,7 @@
     n_reads: int = 0
     n_writes: int = 0
     n_failures: int = 0
+    n_refused: int = 0
 
 
 class Platform:
@@ -49,25 +52,31 @@
 
     Every method returns a failure as a value. `platform_unavailable` says that
     nothing was written; `change_outcome_unknown` that a write may have taken
-    effect although its answer was lost.
+    effect although its answer was lost; `busy` that the request never left this
+    daemon, as no turn came for its customer in time.
     """
 
     def __init__(self, settings: PlatformSettings) -> None:
         host, port = parse_address(settings.address)
         self._fetcher = Fetcher(host, port, settings.timeout_ms)
+        self._turns = RequestTurns(settings.requests_per_s)
+        self._timeout_ms = settings.timeout_ms
         self.counters = PlatformCounters()
 
     def close(self) -> None:
         """Close the connections to the platform."""
+        self._turns.close()
         self._fetcher.close()
 
-    async def read_rows(self, prefix: str) -> Result[tuple[Row, ...], Failure]:
+    async def read_rows(
+        self, prefix: str, customer: str = ""
+    ) -> Result[tuple[Row, ...], Failure]:
         """Return all rows whose key starts with a prefix, by key."""
-        read = await self._read(f"/v1/rows?prefix={prefix}")
+        read = await self._read(f"/v1/rows?prefix={prefix}", customer)
         return read.map(lambda response: _rows(response.body))
 
     async def commit(
-        self, compare: tuple[Compare, ...], put: tuple[Row, ...]
+        self, compare: tuple[Compare, ...], put: tuple[Row, ...], customer: str = ""
     ) -> Result[bool, Failure]:
         """Write rows if every comparison holds; False where one does not."""
         self.counters.n_writes += 1
@@ -77,7 +86,7 @@
                 "put": [asdict(row) for row in put],
             }
         )
-        sent = await self._send("POST", "/v1/transaction", body.encode())
+        sent = await self._send("POST", "/v1/transaction", body.encode(), customer)
         return sent.map(lambda response: response.status == 200)
 
     async def delete_row(self, key: str) -> Result[bool, Failure]:
@@ -86,24 +95,28 @@
         sent = await self._send("DELETE", f"/v1/rows/{key}", b"")
         return sent.map(lambda response: True)
 
-    async def get_object(self, digest: str) -> Result[bytes | None, Failure]:
+    async def get_object(
+        self, digest: str, customer: str = ""
+    ) -> Result[bytes | None, Failure]:
         """Return an object, or None where there is none."""
-        read = await self._read(f"/v1/objects/{digest}")
+        read = await self._read(f"/v1/objects/{digest}", customer)
         return read.map(lambda r: r.body if r.status == 200 else None)
 
-    async def put_object(self, digest: str, data: bytes) -> Result[bool, Failure]:
+    async def put_object(
+        self, digest: str, data: bytes, customer: str = ""
+    ) -> Result[bool, Failure]:
         """Store an object under its digest; storing it again changes nothing."""
         self.counters.n_writes += 1
-        sent = await self._send("PUT", f"/v1/objects/{digest}", data)
+        sent = await self._send("PUT", f"/v1/objects/{digest}", data, customer)
         return sent.map(lambda response: True)
 
-    async def _read(self, path: str) -> Result[Response, Failure]:
+    async def _read(self, path: str, customer: str) -> Result[Response, Failure]:
         self.counters.n_reads += 1
-        sent = await self._send("GET", path, b"")
+        sent = await self._send("GET", path, b"", customer)
         return sent.map_err(_nothing_written)
 
     async def _send(
-        self, method: str, path: str, body: bytes
+        self, method: str, path: str, body: bytes, customer: str = ""
     ) -> Result[Response, Failure]:
         """Send one request and tell a certain failure from an uncertain one.
 
@@ -111,6 +124,10 @@
         written. A timeout or a lost connection does not: the platform may have
         committed before its answer was lost.
         """
+        if not await self._turns.take(customer, len(body), self._timeout_ms):
+            self.counters.n_refused += 1
+            detail = "too many requests wait for the platform"
+            return Err(Failure(ErrorKind.BUSY, detail, self._timeout_ms))
         try:
             response = await self._fetcher.fetch(method, path, body)
         except (TimeoutError, ConnectionLostError) as error:
@@ -129,6 +146,8 @@
 
 
 def _nothing_written(failure: Failure) -> Failure:
+    if failure.kind is ErrorKind.BUSY:
+        return failure
     return Failure(ErrorKind.PLATFORM_UNAVAILABLE, failure.detail)
 
 
--- a/packages/pepperstair-platform/pepperstair_platform/rows.py
+++ b/packages/pepperstair-platform/pepperstair_platform/rows.py
@@ -39,6 +39,16 @@
     return f"bell/{bucket_of(customer):02d}"
 
 
+def bells_prefix() -> str:
+    """Return the prefix of all bells."""
+    return "bell/"
+
+
+def bucket_of_bell(row: Row) -> int:
+    """Return the bucket that a bell's row stands for."""
+    return int(row.key.removeprefix(bells_prefix()))
+
+
 def change_key(change_id: str) -> str:
     """Return the key of the row that says what a change became."""
     return f"change/{change_id}"
@@ -66,7 +76,9 @@
 __all__ = [
     "N_BUCKETS",
     "bell_key",
+    "bells_prefix",
     "bucket_of",
+    "bucket_of_bell",
     "change_key",
     "change_row",
     "head_from_row",
--- /dev/null
+++ b/packages/pepperstair-platform/pepperstair_platform/turns.py
@@ -0,0 +1,88 @@
+"""Turns at the platform: fair between customers, at a bounded rate."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+import structlog
+
+from pepperstair_core.distribution import FairQueue, TokenBucket
+
+log = structlog.get_logger(__name__)
+
+_QUANTUM_BYTES: Final = 65_536
+_REQUEST_BYTES: Final = 1024
+N_WAITING_MAX: Final = 64
+
+
+class RequestTurns:
+    """Lets requests to the platform pass one by one, each customer in turn.
+
+    Without it one customer's bulk would use up the platform's capacity, and a
+    small customer's change would time out behind it.
+    """
+
+    def __init__(self, n_per_s: int) -> None:
+        self._bucket = TokenBucket(n_per_s, 0)
+        self._queue: FairQueue[asyncio.Future[None]] = FairQueue(_QUANTUM_BYTES)
+        self._n_waiting: dict[str, int] = {}
+        self._task: asyncio.Task[None] | None = None
+        self.n_refused = 0
+
+    async def take(self, customer: str, n_bytes: int, timeout_ms: int) -> bool:
+        """Wait for a turn; False where too many wait or none came in time."""
+        loop = asyncio.get_running_loop()
+        if not self._queue and not self._bucket.take(_loop_ms(loop)):
+            return True
+        if self._n_waiting.get(customer, 0) >= N_WAITING_MAX:
+            self.n_refused += 1
+            return False
+        turn: asyncio.Future[None] = loop.create_future()
+        self._queue.put(customer, turn, _REQUEST_BYTES + n_bytes)
+        self._n_waiting[customer] = self._n_waiting.get(customer, 0) + 1
+        if self._task is None:
+            self._task = loop.create_task(self._give_turns())
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await turn
+        except TimeoutError:
+            self.n_refused += 1
+            return False
+        finally:
+            self._leave(customer)
+        return True
+
+    def close(self) -> None:
+        """Give no more turns."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _leave(self, customer: str) -> None:
+        self._n_waiting[customer] -= 1
+        if not self._n_waiting[customer]:
+            del self._n_waiting[customer]
+
+    async def _give_turns(self) -> None:
+        loop = asyncio.get_running_loop()
+        while (turn := self._next_turn()) is not None:
+            while wait_ms := self._bucket.take(_loop_ms(loop)):
+                await asyncio.sleep(wait_ms / 1000)
+            if turn.done():
+                continue
+            turn.set_result(None)
+        self._task = None
+
+    def _next_turn(self) -> asyncio.Future[None] | None:
+        """Return the next turn that somebody still waits for."""
+        while (turn := self._queue.take()) is not None:
+            if not turn.done():
+                return turn
+        return None
+
+
+def _loop_ms(loop: asyncio.AbstractEventLoop) -> int:
+    return int(loop.time() * 1000)
+
+
+__all__ = ["N_WAITING_MAX", "RequestTurns"]
--- /dev/null
+++ b/packages/pepperstaird/pepperstaird/configuration/agent.py
@@ -0,0 +1,271 @@
+"""Brings accepted versions to this daemon and puts them in force."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import asdict
+from typing import Any, Final
+
+import structlog
+
+from pepperstair_core.config import PlatformSettings
+from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
+from pepperstair_core.distribution import (
+    Action,
+    ChangeAccepted,
+    Collection,
+    Converged,
+    Distribution,
+    DistributionEvent,
+    FrameReceived,
+    MembersChanged,
+    NeighbourDown,
+    NeighbourUp,
+    Note,
+    Outbox,
+    Paused,
+    PutInForce,
+    Reject,
+    Send,
+    Tick,
+    Timing,
+    Work,
+    collect,
+)
+from pepperstair_core.events import Event
+from pepperstair_core.labels import Labels
+from pepperstair_core.membership import MemberDirectory
+from pepperstair_core.routing import RouteTable, compile_routes, overrides_of
+from pepperstair_core.versions import Snapshot
+from pepperstair_peers import ControlPlane
+from pepperstair_platform import Platform
+
+from ..clock import monotonic_ms, wall_ms
+from .records import VersionRecord, VersionRecords
+from .source import ConfigurationSource
+
+log = structlog.get_logger(__name__)
+
+_TICK_S: Final = 0.05
+
+
+class ConfigurationAgent:
+    """Holds the versions in force and carries out the distribution's decisions."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        settings: PlatformSettings,
+        control: ControlPlane,
+        directory: MemberDirectory,
+        decisions: DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        own = directory.own()
+        self._control = control
+        self._directory = directory
+        self._decisions = decisions
+        self._proxy_labels: Labels = dict(own.labels)
+        self._in_force: dict[str, Snapshot] = {}
+        self._outbox = Outbox()
+        self._source = ConfigurationSource(platform, self._handle)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._has_work = asyncio.Event()
+        timing = Timing(poll_interval_ms=settings.poll_interval_ms)
+        self.distribution = Distribution(own.vm, own.availability_zone, rng, timing)
+        self.records = VersionRecords()
+        self.route_table = RouteTable()
+        self.overrides: Mapping[str, Labels] = {}
+        self.on_changed: Callable[[Snapshot], None] = lambda snapshot: None
+
+    @property
+    def is_floor_known(self) -> bool:
+        """Return whether all that the daemon may have held before is in force."""
+        return self.distribution.floor.is_known
+
+    @property
+    def reached_by(self) -> str:
+        """Return who told the floor: the platform, neighbours or nobody yet."""
+        return self.distribution.floor.reached_by.value
+
+    def start(self) -> None:
+        """Begin to listen to the neighbours and to the clock."""
+        self._control.on_members_changed = self.members_changed
+        self._control.on_neighbour_up = lambda vm: self._handle(NeighbourUp(vm))
+        self._control.on_neighbour_down = self._on_neighbour_down
+        self._control.on_configuration_frame = lambda vm, frame: self._handle(
+            FrameReceived(vm, frame)
+        )
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._tick_for_ever()),
+            loop.create_task(self._work_for_ever()),
+        ]
+
+    def close(self) -> None:
+        """Stop every task."""
+        for task in self._tasks:
+            task.cancel()
+        self._source.close()
+
+    def members_changed(self) -> None:
+        """Take the directory's records in."""
+        self._handle(MembersChanged(self._directory.members()))
+
+    def catch_up(self) -> None:
+        """Learn the floor again after a pause, before calls are carried."""
+        self._handle(Paused())
+
+    def accepted(self, snapshot: Snapshot) -> None:
+        """Spread a version that this daemon committed on the platform."""
+        self._handle(ChangeAccepted(snapshot))
+
+    def versions(self) -> dict[str, int]:
+        """Return the version in force of each customer."""
+        return {
+            customer: snapshot.head.version
+            for customer, snapshot in sorted(self._in_force.items())
+        }
+
+    def get(self, customer: str) -> Snapshot | None:
+        """Return the snapshot in force of a customer."""
+        return self._in_force.get(customer)
+
+    def collect(self, customer: str, version: int) -> Collection:
+        """Begin to collect where a version is in force, asking the fleet at once."""
+        distribution = self.distribution
+        return collect(
+            distribution.convergence,
+            distribution.state,
+            customer,
+            version,
+            monotonic_ms(),
+            0,
+        )
+
+    def counters(self) -> dict[str, int]:
+        """Return the counts that `status` and the metrics show."""
+        return asdict(self.distribution.state.counters)
+
+    def rejected(self) -> dict[str, Any]:
+        """Return the versions that were applied nowhere in part, and why."""
+        return {
+            name: {"version": state.rejected.version, "cause": state.rejected_cause}
+            for name, state in sorted(self.distribution.state.customers.items())
+            if state.rejected is not None
+            and state.rejected.version > state.held_version
+        }
+
+    def _handle(self, event: DistributionEvent) -> None:
+        for action in self.distribution.handle(event, monotonic_ms()):
+            self._carry_out(action)
+        self._flush()
+        if self.distribution.state.inbox:
+            self._has_work.set()
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case Send(vm, frame, ""):
+                self._control.send(vm, frame)
+            case Send(vm, frame, customer):
+                self._outbox.put(vm, customer, frame)
+            case PutInForce(snapshot, learnt_from):
+                self._put_in_force(snapshot, learnt_from)
+            case Reject():
+                self._report_rejected(action)
+            case Note(kind, subject, cause, figures):
+                self._decide(kind, subject, cause, figures)
+            case Converged():
+                self._report_converged(action)
+            case _:
+                self._source.start(action)
+
+    def _flush(self) -> None:
+        """Send what waits, as long as each neighbour takes it."""
+        for vm in list(self._outbox.waiting()):
+            while is_writable(self._control, vm):
+                frame = self._outbox.take(vm)
+                if frame is None:
+                    break
+                self._control.send(vm, frame)
+
+    def _put_in_force(self, snapshot: Snapshot, learnt_from: str) -> None:
+        head = snapshot.head
+        self._in_force[head.customer] = snapshot
+        self.route_table = compile_routes(self._in_force.values(), self._proxy_labels)
+        self.overrides = overrides_of(self._in_force.values())
+        self.records.add(VersionRecord(head, learnt_from, wall_ms()))
+        log.info(
+            Event.VERSION_IN_FORCE,
+            customer=head.customer,
+            version=head.version,
+            learnt_from=learnt_from,
+        )
+        self.on_changed(snapshot)
+
+    def _report_rejected(self, action: Reject) -> None:
+        head = action.head
+        log.error(
+            Event.VERSION_REJECTED,
+            customer=head.customer,
+            version=head.version,
+            learnt_from=action.learnt_from,
+            cause=action.cause,
+        )
+        cause = f"version {head.version}: {action.cause}"
+        self._decide(DecisionKind.REJECTED, head.customer, cause, ())
+
+    def _report_converged(self, action: Converged) -> None:
+        self.records.note_convergence(
+            action.customer, action.version, action.convergence_ms
+        )
+        log.info(
+            Event.CHANGE_CONVERGED,
+            customer=action.customer,
+            version=action.version,
+            convergence_ms=action.convergence_ms,
+            n_vms=action.n_vms,
+        )
+
+    def _decide(
+        self,
+        kind: DecisionKind,
+        subject: str,
+        cause: str,
+        figures: tuple[tuple[str, float], ...],
+    ) -> None:
+        self._decisions.add(Decision(wall_ms(), kind, subject, cause, figures))
+
+    def _on_neighbour_down(self, vm: str) -> None:
+        self._outbox.drop(vm)
+        self._handle(NeighbourDown(vm))
+
+    async def _tick_for_ever(self) -> None:
+        self.members_changed()
+        while True:
+            self._handle(Tick())
+            await asyncio.sleep(_TICK_S)
+
+    async def _work_for_ever(self) -> None:
+        """Apply what was received, one piece between two turns of the loop.
+
+        A burst of large versions applied in one go would hold the loop, and
+        calls on this VM would wait for it.
+        """
+        while True:
+            await self._has_work.wait()
+            self._has_work.clear()
+            while self.distribution.state.inbox:
+                self._handle(Work())
+                await asyncio.sleep(0)
+
+
+def is_writable(control: ControlPlane, vm: str) -> bool:
+    """Return whether a neighbour's stream takes more frames now."""
+    ask = getattr(control, "is_writable", None)
+    return True if ask is None else ask(vm)
+
+
+__all__ = ["ConfigurationAgent", "is_writable"]
--- /dev/null
+++ b/packages/pepperstaird/pepperstaird/configuration/records.py
@@ -0,0 +1,69 @@
+"""What this daemon remembers of the versions it put in force."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, replace
+from typing import Final
+
+import structlog
+
+from pepperstair_core.versions import Head
+
+log = structlog.get_logger(__name__)
+
+N_RECORDS_MAX: Final = 50
+
+
+@dataclass(frozen=True, slots=True)
+class VersionRecord:
+    """One version: from whom it was learnt, and when it went in force here.
+
+    `convergence_ms` is known on the daemon that accepted the change, and on
+    whoever was asked to wait for it.
+    """
+
+    head: Head
+    learnt_from: str
+    in_force_at_ms: int
+    convergence_ms: int | None = None
+
+
+class VersionRecords:
+    """The newest versions of each customer, oldest first."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, deque[VersionRecord]] = {}
+
+    def add(self, record: VersionRecord) -> None:
+        """Keep a version that went in force."""
+        records = self._records.setdefault(
+            record.head.customer, deque(maxlen=N_RECORDS_MAX)
+        )
+        records.append(record)
+
+    def note_convergence(
+        self, customer: str, version: int, convergence_ms: int
+    ) -> None:
+        """Keep how long a version took until it was in force everywhere."""
+        records = self._records.get(customer, deque())
+        for index, record in enumerate(records):
+            if record.head.version == version:
+                records[index] = replace(record, convergence_ms=convergence_ms)
+
+    def of(self, customer: str) -> tuple[VersionRecord, ...]:
+        """Return a customer's versions, oldest first."""
+        return tuple(self._records.get(customer, ()))
+
+    def find(self, customer: str, version: int) -> VersionRecord | None:
+        """Return the record of one version."""
+        found = (r for r in self.of(customer) if r.head.version == version)
+        return next(found, None)
+
+    def find_change(self, customer: str, change_id: str) -> VersionRecord | None:
+        """Return the record of the version that a change became."""
+        found = (r for r in self.of(customer) if r.head.change_id == change_id)
+        return next(found, None)
+
+
+__all__ = ["N_RECORDS_MAX", "VersionRecord", "VersionRecords"]
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -61,9 +61,6 @@
             )
         )
         self.platform = Platform(settings.platform)
-        self.configuration = ConfigurationAgent(
-            self.platform, settings.platform, settings.vm.labels
-        )
         self.registry = TargetRegistry(settings.members.target_lease_ms)
         self.runner = TargetRunner(self.registry)
         self.call_client = CallClient(self.identity, settings.peers.frame_max_bytes)
@@ -75,6 +72,14 @@
             settings.peers.frame_max_bytes,
             self.rng,
         )
+        self.configuration = ConfigurationAgent(
+            self.platform,
+            settings.platform,
+            self.control,
+            self.directory,
+            self.decisions,
+            self.rng,
+        )
         self.listener = PeerListener(
             self.identity,
             settings.peers.frame_max_bytes,
@@ -101,7 +106,7 @@
     @property
     def ready_by(self) -> str:
         """Return how the daemon became ready, or an empty string."""
-        return "platform" if self.is_ready() else ""
+        return self.configuration.reached_by
 
     def is_ready(self) -> bool:
         """Return whether the daemon may carry calls."""
@@ -117,6 +122,7 @@
             "n_streams_rejected": self.listener.n_rejected,
             "n_platform_reads": self.platform.counters.n_reads,
             "n_platform_writes": self.platform.counters.n_writes,
+            **self.configuration.counters(),
         }
 
     async def start(self) -> None:
@@ -125,8 +131,8 @@
         await self.operators.listen(*parse_address(settings.operators.address))
         await self.listener.listen(*parse_address(settings.peers.address))
         await self.callers.listen(*parse_address(settings.callers.address))
-        self.control.start(settings.peers.seed_addresses)
         self.configuration.start()
+        self.control.start(settings.peers.seed_addresses)
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
 
--- a/packages/pepperstaird/pepperstaird/operations.py
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -96,6 +96,7 @@
             }
             for member in daemon.directory.members()
         ],
+        "rejected": daemon.configuration.rejected(),
         "counters": daemon.counters(),
     }
 
@@ -135,7 +136,7 @@
         version=snapshot.head.version,
         change_id=change_id,
     )
-    daemon.configuration.apply(snapshot)
+    daemon.configuration.accepted(snapshot)
     return json_reply(
         {
             "customer": intent.customer,
