--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import signal
-from collections.abc import Iterable
 from dataclasses import replace
 
 import structlog
@@ -16,7 +15,7 @@
 from pepperstair_core.events import Event
 from pepperstair_core.members import Member, MemberState, label_items
 from pepperstair_core.membership import MemberDirectory
-from pepperstair_core.routing import CompiledRoute, Endpoint, iter_endpoints
+from pepperstair_core.routing import CompiledRoute, Endpoint, EndpointTable
 from pepperstair_core.wire import CallHead, StreamKind
 from pepperstair_http import BodyBuffer, HttpServer, ServerLimits, StreamedResponse
 from pepperstair_operators import OperatorServer
@@ -24,6 +23,7 @@
     CallClient,
     CallServer,
     ControlPlane,
+    FrameCounters,
     Identity,
     PeerListener,
 )
@@ -32,6 +32,7 @@
 
 from .clock import monotonic_ms, wall_ms
 from .configuration import ConfigurationAgent
+from .logs import configure_logs
 from .operations import add_operations
 
 log = structlog.get_logger(__name__)
@@ -63,13 +64,19 @@
         self.platform = Platform(settings.platform)
         self.registry = TargetRegistry(settings.members.target_lease_ms)
         self.runner = TargetRunner(self.registry)
-        self.call_client = CallClient(self.identity, settings.peers.frame_max_bytes)
+        self.frame_counters = {kind: FrameCounters() for kind in StreamKind}
+        self.call_client = CallClient(
+            self.identity,
+            settings.peers.frame_max_bytes,
+            self.frame_counters[StreamKind.DATA],
+        )
         self.call_server = CallServer(self.runner.run)
         self.control = ControlPlane(
             self.identity,
             self.directory,
             settings.members,
             settings.peers.frame_max_bytes,
+            self.frame_counters[StreamKind.CONTROL],
             self.rng,
         )
         self.configuration = ConfigurationAgent(
@@ -87,6 +94,7 @@
                 StreamKind.CONTROL: self.control.take_stream,
                 StreamKind.DATA: self.call_server.take_stream,
             },
+            self.frame_counters,
         )
         self.proxy = Proxy(self._proxy_context())
         self.callers = HttpServer(
@@ -100,7 +108,10 @@
         operators = OperatorServer(settings.operators)
         add_operations(operators, self)
         self.operators = HttpServer(operators.handle, ServerLimits())
+        self.endpoint_table = EndpointTable()
         self.registry.on_changed = self._publish_targets
+        self.control.on_members_changed = self._renew_endpoints
+        self.configuration.on_changed = lambda snapshot: self._renew_endpoints()
         self._lease_task: asyncio.Task[None] | None = None
 
     @property
@@ -123,6 +134,14 @@
             "n_platform_reads": self.platform.counters.n_reads,
             "n_platform_writes": self.platform.counters.n_writes,
             **self.configuration.counters(),
+            **self._frame_counts(),
+        }
+
+    def _frame_counts(self) -> dict[str, int]:
+        return {
+            name: count
+            for kind, counters in self.frame_counters.items()
+            for name, count in counters.iter_named(kind.value)
         }
 
     async def start(self) -> None:
@@ -167,11 +186,12 @@
             body_max_bytes=self.settings.callers.body_max_bytes,
         )
 
-    def _endpoints(self, compiled: CompiledRoute) -> Iterable[Endpoint]:
-        return iter_endpoints(
-            self.directory.members(),
-            compiled.target_selector,
-            self.configuration.overrides,
+    def _endpoints(self, compiled: CompiledRoute) -> tuple[Endpoint, ...]:
+        return self.endpoint_table.endpoints(compiled.target_selector)
+
+    def _renew_endpoints(self) -> None:
+        self.endpoint_table = EndpointTable(
+            self.directory.members(), self.configuration.overrides
         )
 
     def _choose(self, endpoints: list[Endpoint]) -> Endpoint | None:
@@ -189,6 +209,7 @@
         self.control.publish(
             replace(own, sequence=own.sequence + 1, targets=self.registry.targets())
         )
+        self._renew_endpoints()
 
     async def _check_leases(self) -> None:
         while True:
@@ -196,8 +217,13 @@
             self.registry.expire(monotonic_ms())
 
 
-async def run_daemon(settings: Settings) -> int:
+def run_daemon(settings: Settings) -> int:
     """Run a daemon until SIGTERM or SIGINT and return its exit code."""
+    configure_logs(settings.vm.name)
+    return asyncio.run(_run_until_signal(settings))
+
+
+async def _run_until_signal(settings: Settings) -> int:
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
