Membership: neighbours on rings, suspicion, refutation and repair

The thin plane was a full mesh that flooded every record on every stream and never took anybody for gone. Members now stand on rings ordered by rendezvous weight, within each zone and over the fleet; a daemon keeps streams to those beside it. Ruled out: rendezvous picks of each side, whose degree reached 13 at 600 members where rings have 4, and of which one changed edge needs all pairs to be weighed to be known on both ends.

Neighbours beat once a second; a stream that is silent for two beats is dialled anew, a member silent for three is suspected, and gone 3 s later unless it refutes with a higher incarnation. A refused dial raises the suspicion at once. Records go once to each neighbour, in rounds of bounded size; digests of 16 buckets find what a broken stream lost.

Seen failing first: without the probe beyond the fleet a zone that was cut off stayed apart ({5, 10} == {15}); with unknown gone members taken, forgotten ones came back; without refutation a doubt stood; without a fresh start of the heard times a daemon that was paused accused its neighbours; without the digests a lost update was never repaired; without rounds one joiner got all 600 records in one frame.

--- a/packages/pepperstair-core/pepperstair_core/members.py
+++ b/packages/pepperstair-core/pepperstair_core/members.py
@@ -79,6 +79,21 @@
         return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
 
 
+@dataclass(frozen=True, slots=True)
+class MemberRank:
+    """Which record of a member a daemon holds, without the record itself."""
+
+    vm: str
+    incarnation: int
+    state: MemberState
+    sequence: int
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Return the order among records of one VM: the highest is current."""
+        return (self.incarnation, int(self.state), self.sequence)
+
+
 def newer_member(known: Member | None, heard: Member) -> bool:
     """Return whether a record that was heard replaces the known one."""
     return known is None or heard.rank > known.rank
@@ -96,6 +111,7 @@
 
 __all__ = [
     "Member",
+    "MemberRank",
     "MemberState",
     "Target",
     "TargetState",
--- a/packages/pepperstair-core/pepperstair_core/membership/directory.py
+++ b/packages/pepperstair-core/pepperstair_core/membership/directory.py
@@ -2,17 +2,30 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Iterable, Iterator
+from typing import Final
 
-from ..members import Member, newer_member
+from ..members import Member, MemberRank, newer_member
+from ..rendezvous import weight
+
+N_BUCKETS: Final = 16
+_DIGEST_BYTES: Final = 8
 
 
 class MemberDirectory:
-    """The newest record of each member, the own one among them."""
+    """The newest record of each member, the own one among them.
+
+    Members fall into buckets by name, and each bucket has a digest of its
+    usable members, kept up to date with every change. Two daemons compare 128
+    bytes of digests and then talk only about the buckets that differ.
+    """
 
     def __init__(self, own: Member) -> None:
         self._own_vm = own.vm
-        self._members: dict[str, Member] = {own.vm: own}
+        self._members: dict[str, Member] = {}
+        self._digests = [0] * N_BUCKETS
+        self._put(own)
 
     def own(self) -> Member:
         """Return this daemon's own record."""
@@ -20,7 +33,7 @@
 
     def put_own(self, member: Member) -> None:
         """Replace this daemon's own record."""
-        self._members[self._own_vm] = member
+        self._put(member)
 
     def members(self) -> tuple[Member, ...]:
         """Return every record."""
@@ -34,14 +47,81 @@
         """Take the records that are newer than the known ones and yield them.
 
         Only the owner writes its own record: what others say of this daemon is
-        left out here.
+        left out here. So is an unknown member that is gone: daemons that have
+        forgotten it would otherwise teach it to each other for ever.
         """
         for member in heard:
             if member.vm == self._own_vm:
                 continue
-            if newer_member(self._members.get(member.vm), member):
-                self._members[member.vm] = member
+            known = self._members.get(member.vm)
+            if known is None and not member.is_usable:
+                continue
+            if newer_member(known, member):
+                self._put(member)
                 yield member
 
+    def forget(self, vm: str) -> None:
+        """Drop the record of a member that is long gone."""
+        member = self._members.pop(vm, None)
+        if member is not None:
+            self._digests[bucket_of(vm)] ^= _mark(member)
+
+    def digests(self) -> bytes:
+        """Return the digests of all buckets, one after the other."""
+        return b"".join(
+            digest.to_bytes(_DIGEST_BYTES, "big") for digest in self._digests
+        )
+
+    def differing_buckets(self, digests: bytes) -> bytes:
+        """Return the numbers of the buckets whose digests differ."""
+        own = self.digests()
+        return bytes(
+            bucket
+            for bucket in range(N_BUCKETS)
+            if _digest(own, bucket) != _digest(digests, bucket)
+        )
+
+    def in_buckets(self, buckets: bytes) -> Iterator[Member]:
+        """Yield the records in some buckets, those of gone members among them."""
+        wanted = frozenset(buckets)
+        for member in self._members.values():
+            if bucket_of(member.vm) in wanted:
+                yield member
+
+    def _put(self, member: Member) -> None:
+        known = self._members.get(member.vm)
+        bucket = bucket_of(member.vm)
+        if known is not None:
+            self._digests[bucket] ^= _mark(known)
+        self._digests[bucket] ^= _mark(member)
+        self._members[member.vm] = member
+
+
+def bucket_of(vm: str) -> int:
+    """Return the bucket that a member is compared in."""
+    return weight("member-bucket", vm) % N_BUCKETS
+
+
+def rank_of(member: Member) -> MemberRank:
+    """Return the rank of a record as it is told to other daemons."""
+    return MemberRank(member.vm, member.incarnation, member.state, member.sequence)
+
+
+def _digest(digests: bytes, bucket: int) -> bytes:
+    start = bucket * _DIGEST_BYTES
+    return digests[start : start + _DIGEST_BYTES]
+
+
+def _mark(member: Member) -> int:
+    """Return what a record adds to its bucket's digest.
+
+    Gone members add nothing, as each daemon forgets them at its own time.
+    """
+    if not member.is_usable:
+        return 0
+    text = f"{member.vm}\0{member.rank}".encode()
+    digest = hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
 
-__all__ = ["MemberDirectory"]
+__all__ = ["N_BUCKETS", "MemberDirectory", "bucket_of", "rank_of"]
--- a/packages/pepperstair-core/pepperstair_core/wire/control.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -10,7 +10,7 @@
 from enum import StrEnum
 from typing import Final
 
-from ..members import Member
+from ..members import Member, MemberRank
 from ..versions import Delta, Head
 from .codec import frame
 
@@ -30,7 +30,8 @@
     """Opens a stream: who connects, and what the stream is for.
 
     `start_id` names the process, whatever its incarnation becomes: a call may
-    be asked for again only from the process that took it.
+    be asked for again only from the process that took it. `sequence` rises with
+    each stream that the process opens, and fences off the earlier ones.
     """
 
     protocol_version: int
@@ -38,6 +39,7 @@
     vm: str
     start_id: int
     peer_address: str
+    sequence: int
 
 
 @frame(2)
@@ -152,13 +154,32 @@
 class MembersDigest:
     """Compares the member records of both sides, for repair of what was missed.
 
-    Without `ranks` it only carries the digest; where the digests differ, the
-    receiver answers with the rank of each of its records, and each side then
-    sends the records that the other lacks.
+    `digests` holds one digest a bucket of members; the receiver answers with
+    `MemberRanks` where some differ, and not at all where none does.
     """
 
-    digest: bytes
-    ranks: tuple[tuple[str, int, int, int], ...] = ()
+    digests: bytes
+
+
+@frame(22)
+@dataclass(frozen=True, slots=True)
+class MemberRanks:
+    """Tells which records the sender holds in the buckets that differ.
+
+    The receiver sends the records that are newer on its side, and asks for
+    those that are older or missing there.
+    """
+
+    buckets: bytes
+    ranks: tuple[MemberRank, ...]
+
+
+@frame(23)
+@dataclass(frozen=True, slots=True)
+class MembersPull:
+    """Asks for the records of some members."""
+
+    vms: tuple[str, ...]
 
 
 ControlFrame = (
@@ -174,6 +195,8 @@
     | Acknowledge
     | MemberUpdate
     | MembersDigest
+    | MemberRanks
+    | MembersPull
     | HeadsDigest
 )
 
@@ -188,7 +211,9 @@
     "HeadsDigest",
     "Hello",
     "MemberUpdate",
+    "MemberRanks",
     "MembersDigest",
+    "MembersPull",
     "Prune",
     "Pull",
     "SnapshotPart",
--- a/packages/pepperstair-peers/pepperstair_peers/control/plane.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/plane.py
@@ -1,51 +1,94 @@
-"""The streams to neighbours and the member records that travel on them."""
+"""Carries out the membership decisions on real streams."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Final
 
 import structlog
 
-from pepperstair_core.config import MembersSettings, parse_address
+from pepperstair_core.config import MembersSettings, PeersSettings
+from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.events import Event
 from pepperstair_core.members import Member
-from pepperstair_core.membership import MemberDirectory
-from pepperstair_core.wire import Heartbeat, Hello, MemberUpdate, StreamKind, Welcome
+from pepperstair_core.membership import (
+    Action,
+    Close,
+    Dial,
+    MemberChanged,
+    MemberDirectory,
+    Membership,
+    PauseDetector,
+    Send,
+)
+from pepperstair_core.wire import (
+    Heartbeat,
+    Hello,
+    MemberRanks,
+    MembersDigest,
+    MembersPull,
+    MemberUpdate,
+    StreamKind,
+    Welcome,
+)
 
 from ..counters import FrameCounters
+from ..dialling import Dialler
 from ..identity import Identity
-from ..stream import FrameStream, open_stream
+from ..stream import FrameStream
+from .changes import note_change
+from .links import ControlLink, ControlLinks
 
 log = structlog.get_logger(__name__)
 
-_RETRY_MIN_S: Final = 0.1
-_RETRY_MAX_S: Final = 5.0
+_FLUSH_S: Final = 0.005
+_TICKS_PER_HEARTBEAT: Final = 4
+_MEMBER_FRAMES: Final = (
+    Heartbeat,
+    MemberUpdate,
+    MembersDigest,
+    MemberRanks,
+    MembersPull,
+)
 
 
 class ControlPlane:
-    """Keeps a control stream to each neighbour and floods member changes."""
+    """Keeps control streams to the neighbours and member records up to date."""
 
     def __init__(
         self,
         identity: Identity,
         directory: MemberDirectory,
-        settings: MembersSettings,
-        frame_max_bytes: int,
+        members: MembersSettings,
+        peers: PeersSettings,
         counters: FrameCounters,
+        decisions: DecisionLog,
         rng: random.Random,
+        clock_ms: Callable[[], int],
     ) -> None:
-        self._identity = identity
-        self._directory = directory
-        self._settings = settings
-        self._frame_max_bytes = frame_max_bytes
-        self._counters = counters
-        self._rng = rng
-        self._streams: dict[str, FrameStream] = {}
+        now_ms = clock_ms()
+        self._clock_ms = clock_ms
+        self._decisions = decisions
+        self._heartbeat_ms = members.heartbeat_ms
+        self._dialler = Dialler(
+            identity,
+            StreamKind.CONTROL,
+            peers.frame_max_bytes,
+            counters,
+            members.heartbeat_ms,
+        )
+        self._membership = Membership(directory, members, peers, rng, now_ms)
+        lease_ms = members.heartbeat_ms * members.n_heartbeats_missed
+        self._pauses = PauseDetector(lease_ms, now_ms)
+        self._links = ControlLinks(identity.vm, members.heartbeat_ms)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._dialled: set[str] = set()
+        self._tick_timer: asyncio.TimerHandle | None = None
+        self._flush_timer: asyncio.TimerHandle | None = None
+        self._is_closed = False
+        self.n_pauses = 0
+        self.on_paused: Callable[[], None] = lambda: None
         self.on_members_changed: Callable[[], None] = lambda: None
         self.on_neighbour_up: Callable[[str], None] = lambda vm: None
         self.on_neighbour_down: Callable[[str], None] = lambda vm: None
@@ -54,19 +97,21 @@
     @property
     def neighbours(self) -> tuple[str, ...]:
         """Return the VMs that a stream is open to."""
-        return tuple(self._streams)
+        return self._links.vms
 
-    def start(self, seed_addresses: tuple[str, ...]) -> None:
-        """Begin to dial the seeds and to send heartbeats."""
-        for address in seed_addresses:
-            self._dial(address)
-        self._run(self._send_heartbeats())
+    def start(self) -> None:
+        """Begin to join the fleet and to send heartbeats."""
+        self._tick()
 
     def close(self) -> None:
         """Break every stream and stop dialling."""
+        self._is_closed = True
+        for timer in (self._tick_timer, self._flush_timer):
+            if timer is not None:
+                timer.cancel()
         for task in self._tasks:
             task.cancel()
-        for stream in list(self._streams.values()):
+        for stream in self._links.streams():
             stream.close()
 
     def is_writable(self, vm: str) -> bool:
@@ -75,105 +120,139 @@
         What is sent to one that reads slowly piles up in this process; work
         that can wait is held back until its stream has drained.
         """
-        stream = self._streams.get(vm)
-        return stream is not None and not stream.is_closed and stream.gate.is_open
+        link = self._links.get(vm)
+        if link is None or link.stream.is_closed:
+            return False
+        return link.stream.gate.is_open
 
     def send(self, vm: str, *frames: Any) -> None:
         """Send frames to a neighbour, if a stream to it is open."""
-        stream = self._streams.get(vm)
-        if stream is not None:
-            stream.send(*frames)
+        link = self._links.get(vm)
+        if link is not None:
+            link.stream.send(*frames)
 
     def publish(self, member: Member) -> None:
         """Tell the fleet this daemon's own record after a change."""
-        self._directory.put_own(member)
-        self._flood((member,), "")
+        self._carry_out(self._membership.publish(member))
+
+    def leave(self) -> None:
+        """Tell the fleet at once that this daemon goes."""
+        self._carry_out(self._membership.leave())
+        self._flush()
+
+    def discover(self, addresses: Iterable[str]) -> None:
+        """Take addresses of daemons that the platform's table names."""
+        self._membership.discover(addresses)
+
+    def check_pause(self) -> bool:
+        """Notice whether this process was paused, and come back if it was.
+
+        Returns True where the pause was noticed just now: what the kernel has
+        kept since is then stale, and must not be read.
+        """
+        pause_ms = self._pauses.check(self._clock_ms())
+        if not pause_ms:
+            return False
+        self.n_pauses += 1
+        log.warning(Event.PAUSE_DETECTED, pause_ms=pause_ms)
+        self.on_paused()
+        self._carry_out(self._membership.resume(self._clock_ms()))
+        return True
 
     def take_stream(self, stream: FrameStream, hello: Hello) -> None:
         """Serve a control stream that another daemon opened."""
-        self._add(hello.vm, stream)
-        self._dial(hello.peer_address)
+        now_ms = self._clock_ms()
+        link = ControlLink(stream, hello.vm, hello.start_id, False, now_ms)
+        self._add(link, hello.peer_address)
 
-    def _dial(self, address: str) -> None:
-        if address in self._dialled or address == self._identity.peer_address:
-            return
-        self._dialled.add(address)
-        self._run(self._keep_dialled(address))
+    def _tick(self) -> None:
+        self.check_pause()
+        self._carry_out(self._membership.tick(self._clock_ms()))
+        loop = asyncio.get_running_loop()
+        delay_s = self._heartbeat_ms / 1000 / _TICKS_PER_HEARTBEAT
+        self._tick_timer = loop.call_later(delay_s, self._tick)
 
-    async def _keep_dialled(self, address: str) -> None:
-        """Keep a stream to an address, with full-jitter backoff.
+    def _flush(self) -> None:
+        self._flush_timer = None
+        actions = list(self._membership.flush(self.is_writable, self._clock_ms()))
+        # With nothing sent the neighbours are slow: the next tick tries again.
+        self._carry_out(actions, is_flush_wanted=bool(actions))
 
-        After a herd restart all survivors dial at once; without jitter they
-        would do so in step, again and again, and each wave would fail the next.
-        """
-        host, port = parse_address(address)
-        delay_s = _RETRY_MIN_S
-        while True:
-            try:
-                stream = await open_stream(
-                    host, port, self._frame_max_bytes, self._counters
-                )
-            except OSError:
-                await asyncio.sleep(self._rng.uniform(0, delay_s))
-                delay_s = min(delay_s * 2, _RETRY_MAX_S)
-                continue
-            delay_s = _RETRY_MIN_S
-            closed = asyncio.Event()
-            stream.closed_callbacks.append(lambda reason, closed=closed: closed.set())
-            stream.on_frame = lambda frame, stream=stream: self._on_welcome(
-                stream, frame
-            )
-            stream.send(self._identity.hello(StreamKind.CONTROL))
-            await closed.wait()
-
-    def _on_welcome(self, stream: FrameStream, frame: Any) -> None:
-        if not isinstance(frame, Welcome):
-            stream.close()
-            return
-        self._add(frame.vm, stream)
+    def _carry_out(
+        self, actions: Iterable[Action], is_flush_wanted: bool = True
+    ) -> None:
+        is_changed = False
+        for action in actions:
+            if isinstance(action, Send):
+                self.send(action.vm, action.frame)
+            elif isinstance(action, Dial):
+                self._run(self._dial(action.address))
+            elif isinstance(action, Close):
+                self._break(action.vm)
+            elif isinstance(action, MemberChanged):
+                is_changed = True
+                note_change(self._decisions, action, self._clock_ms())
+        if is_changed:
+            self.on_members_changed()
+        if is_flush_wanted and self._membership.is_flush_due:
+            self._schedule_flush()
 
-    def _add(self, vm: str, stream: FrameStream) -> None:
-        """Take a stream into use, in place of an older one to the same VM."""
-        self._streams[vm] = stream
-        stream.on_frame = lambda frame: self._on_frame(vm, frame)
-        stream.closed_callbacks.append(lambda reason: self._on_closed(vm, stream))
-        log.info(Event.PEER_CONNECTED, peer=vm)
-        stream.send(MemberUpdate(self._directory.members()))
-        self.on_neighbour_up(vm)
+    def _schedule_flush(self) -> None:
+        """Send changes a little later, so that those of one burst share frames."""
+        if self._flush_timer is None and not self._is_closed:
+            loop = asyncio.get_running_loop()
+            self._flush_timer = loop.call_later(_FLUSH_S, self._flush)
+
+    def _break(self, vm: str) -> None:
+        link = self._links.get(vm)
+        if link is not None:
+            link.stream.close()
+
+    async def _dial(self, address: str) -> None:
+        def on_welcome(stream: FrameStream, welcome: Welcome) -> None:
+            now_ms = self._clock_ms()
+            link = ControlLink(stream, welcome.vm, welcome.start_id, True, now_ms)
+            self._add(link, address)
+
+        try:
+            await self._dialler.dial(address, on_welcome)
+        except (OSError, TimeoutError) as error:
+            is_refused = isinstance(error, ConnectionRefusedError)
+            now_ms = self._clock_ms()
+            self._carry_out(self._membership.fail(address, is_refused, now_ms))
 
-    def _on_closed(self, vm: str, stream: FrameStream) -> None:
-        if self._streams.get(vm) is stream:
-            del self._streams[vm]
-            log.info(Event.PEER_LOST, peer=vm)
+    def _add(self, link: ControlLink, address: str) -> None:
+        """Take a stream into use, unless there is a better one."""
+        if not self._links.is_better(link):
+            self._membership.settle(address)
+            link.stream.close()
+            return
+        vm = link.vm
+        link.stream.on_frame = lambda frame: self._on_frame(link, frame)
+        link.stream.closed_callbacks.append(lambda reason: self._on_closed(link))
+        replaced = self._links.put(link)
+        if replaced is not None:
+            replaced.stream.close()
             self.on_neighbour_down(vm)
+        log.info(Event.PEER_CONNECTED, peer=vm)
+        now_ms = self._clock_ms()
+        self._carry_out(self._membership.open(vm, address, link.is_dialler, now_ms))
+        self.on_neighbour_up(vm)
 
-    def _on_frame(self, vm: str, frame: Any) -> None:
-        if isinstance(frame, MemberUpdate):
-            self._on_members(vm, frame)
-        elif not isinstance(frame, Heartbeat):
-            self.on_configuration_frame(vm, frame)
+    def _on_closed(self, link: ControlLink) -> None:
+        if not self._links.remove(link) or self._is_closed:
+            return
+        log.info(Event.PEER_LOST, peer=link.vm)
+        self._carry_out(self._membership.close(link.vm, self._clock_ms()))
+        self.on_neighbour_down(link.vm)
 
-    def _on_members(self, sender: str, frame: MemberUpdate) -> None:
-        changed = tuple(self._directory.merge(frame.members))
-        if not changed:
+    def _on_frame(self, link: ControlLink, frame: Any) -> None:
+        if self._links.get(link.vm) is not link:
             return
-        for member in changed:
-            if member.is_usable:
-                self._dial(member.peer_address)
-        self._flood(changed, sender)
-        self.on_members_changed()
-
-    def _flood(self, members: tuple[Member, ...], sender: str) -> None:
-        for vm, stream in self._streams.items():
-            if vm != sender:
-                stream.send(MemberUpdate(members))
-
-    async def _send_heartbeats(self) -> None:
-        while True:
-            await asyncio.sleep(self._settings.heartbeat_ms / 1000)
-            heartbeat = Heartbeat(self._directory.own().incarnation)
-            for stream in list(self._streams.values()):
-                stream.send(heartbeat)
+        now_ms = self._clock_ms()
+        self._carry_out(self._membership.receive(link.vm, frame, now_ms))
+        if not isinstance(frame, _MEMBER_FRAMES):
+            self.on_configuration_frame(link.vm, frame)
 
     def _run(self, coroutine: Any) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- /dev/null
+++ b/packages/pepperstair-peers/pepperstair_peers/dialling.py
@@ -0,0 +1,77 @@
+"""Opening a stream to another daemon and learning who it is."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+import structlog
+
+from pepperstair_core.config import parse_address
+from pepperstair_core.wire import StreamKind, Welcome
+
+from .counters import FrameCounters
+from .identity import Identity
+from .stream import FrameStream, open_stream
+
+log = structlog.get_logger(__name__)
+
+_TIMEOUT_MIN_MS: Final = 250
+
+
+@dataclass(frozen=True, slots=True)
+class Dialler:
+    """What every stream of one kind is opened with."""
+
+    identity: Identity
+    stream_kind: StreamKind
+    frame_max_bytes: int
+    counters: FrameCounters
+    timeout_ms: int
+
+    async def dial(
+        self, address: str, on_welcome: Callable[[FrameStream, Welcome], None]
+    ) -> FrameStream:
+        """Open a stream, or raise OSError or TimeoutError.
+
+        `on_welcome` is called as soon as the other side has said who it is,
+        before any frame that follows is handed on. Without a limit on the time
+        an address that swallows packets would keep its caller for minutes.
+        """
+        timeout_ms = max(self.timeout_ms, _TIMEOUT_MIN_MS)
+        host, port = parse_address(address)
+        async with asyncio.timeout(timeout_ms / 1000):
+            stream = await open_stream(host, port, self.frame_max_bytes, self.counters)
+            try:
+                await self._greet(stream, on_welcome)
+            except BaseException:
+                stream.close()
+                raise
+        return stream
+
+    async def _greet(
+        self, stream: FrameStream, on_welcome: Callable[[FrameStream, Welcome], None]
+    ) -> None:
+        welcomed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+        def on_first_frame(frame: Any) -> None:
+            if not isinstance(frame, Welcome):
+                stream.close()
+                return
+            on_welcome(stream, frame)
+            if not welcomed.done():
+                welcomed.set_result(None)
+
+        def on_closed(reason: str) -> None:
+            if not welcomed.done():
+                welcomed.set_exception(ConnectionResetError("closed unwelcomed"))
+
+        stream.on_frame = on_first_frame
+        stream.closed_callbacks.append(on_closed)
+        stream.send(self.identity.hello(self.stream_kind))
+        await welcomed
+
+
+__all__ = ["Dialler"]
--- a/packages/pepperstair-peers/pepperstair_peers/identity.py
+++ b/packages/pepperstair-peers/pepperstair_peers/identity.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
 
 from pepperstair_core.wire import Hello, StreamKind, Welcome
 from pepperstair_core.wire.control import PROTOCOL_VERSION
@@ -15,11 +17,19 @@
     vm: str
     start_id: int
     peer_address: str
+    _sequences: Iterator[int] = field(
+        default_factory=lambda: itertools.count(1), repr=False, compare=False
+    )
 
     def hello(self, stream_kind: StreamKind) -> Hello:
-        """Return the frame that opens a stream from this daemon."""
+        """Return the frame that opens the next stream from this daemon."""
         return Hello(
-            PROTOCOL_VERSION, stream_kind, self.vm, self.start_id, self.peer_address
+            PROTOCOL_VERSION,
+            stream_kind,
+            self.vm,
+            self.start_id,
+            self.peer_address,
+            next(self._sequences),
         )
 
     def welcome(self) -> Welcome:
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -78,9 +78,11 @@
             self.identity,
             self.directory,
             settings.members,
-            settings.peers.frame_max_bytes,
+            settings.peers,
             self.frame_counters[StreamKind.CONTROL],
+            self.decisions,
             self.rng,
+            monotonic_ms,
         )
         self.listener = PeerListener(
             self.identity,
@@ -141,7 +143,7 @@
         await self.operators.listen(*parse_address(settings.operators.address))
         await self.listener.listen(*parse_address(settings.peers.address))
         await self.callers.listen(*parse_address(settings.callers.address))
-        self.control.start(settings.peers.seed_addresses)
+        self.control.start()
         self.configuration.start()
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
@@ -151,6 +153,7 @@
         log.info(Event.STOPPING)
         self.runner.is_draining = True
         self.callers.stop_listening()
+        self.control.leave()
         deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
         while self.runner.n_in_flight and monotonic_ms() < deadline_ms:
             await asyncio.sleep(0.02)
--- /dev/null
+++ b/tests/test_membership_differential.py
@@ -0,0 +1,156 @@
+"""Membership against its naive full mesh, under faults."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from .fake_network import FakeNetwork
+from .naive.full_mesh import NaiveMember, exchange_all
+
+ZONES = ["pos-a", "pos-b", "pos-c"]
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(["kill", "restart", "touch", "cut", "heal", "break", "pause"]),
+        st.integers(0, 11),
+        st.integers(1, 20),
+    ),
+    max_size=10,
+)
+
+
+def apply_fault(network: FakeNetwork, kind: str, index: int) -> None:
+    """Bring about one fault in the fake fleet."""
+    node = list(network.nodes.values())[index % len(network.nodes)]
+    if kind == "kill" and len(network.up()) > 2:
+        network.kill(node.vm)
+    elif kind == "restart":
+        network.kill(node.vm)
+        network.start(node.vm, node.zone)
+    elif kind == "touch" and node.is_up:
+        network.touch(node.vm)
+    elif kind == "cut":
+        network.cut_zones = frozenset((node.zone,))
+    elif kind == "heal":
+        network.cut_zones = frozenset()
+    elif kind == "break":
+        network.close_streams(node.vm)
+    elif kind == "pause" and node.is_up:
+        network.act(node.vm, node.membership.resume(network.now_ms))
+
+
+def naive_view(network: FakeNetwork) -> dict[str, int]:
+    """Return what the naive full mesh of the running daemons ends with."""
+    owns = [node.membership.directory.own() for node in network.up()]
+    members = [NaiveMember(replace(own)) for own in owns]
+    exchange_all(members)
+    views = [{vm: m.sequence for vm, m in member.view.items()} for member in members]
+    assert all(view == views[0] for view in views)
+    return views[0]
+
+
+@settings(derandomize=True, max_examples=40, deadline=None, database=None)
+@given(
+    seed=st.integers(0, 10_000),
+    n_nodes=st.integers(2, 12),
+    faults=FAULTS,
+    drop=st.sampled_from([0.0, 0.1, 0.3]),
+    duplicate=st.sampled_from([0.0, 0.3]),
+)
+def test_views_end_like_those_of_the_full_mesh(seed, n_nodes, faults, drop, duplicate):
+    """Records are lost, doubled and overtaken while daemons die and zones part.
+
+    A daemon whose view stays wrong sends calls to a VM that is gone, or none to
+    one that came back.
+    """
+    zones = [ZONES[index % len(ZONES)] for index in range(n_nodes)]
+    network = FakeNetwork(seed, zones, ("vm-000", "vm-001"))
+    network.drop_probability = drop
+    network.duplicate_probability = duplicate
+    for kind, index, n_ticks in faults:
+        apply_fault(network, kind, index)
+        network.run(n_ticks * 250)
+    network.cut_zones = frozenset()
+    network.drop_probability = 0.0
+    network.run(60_000)
+    expected = naive_view(network)
+    assert [node.view for node in network.up()] == [expected] * len(network.up())
+
+
+def test_herd_death_leaves_one_connected_fleet():
+    """Half of the VMs are replaced at once, the seeds among them.
+
+    Where the survivors fell into groups, a change made in one would never reach
+    the proxies of another.
+    """
+    network = FakeNetwork(3, [ZONES[index % 3] for index in range(40)], ("vm-000",))
+    network.run(15_000)
+    for index in range(20):
+        network.kill(f"vm-{index:03d}")
+    network.run(20_000)
+    survivors = {node.vm for node in network.up()}
+    assert {frozenset(node.view) for node in network.up()} == {frozenset(survivors)}
+    for index in range(20):
+        network.start(f"vm-{index:03d}", ZONES[index % 3])
+    network.run(30_000)
+    assert {len(node.view) for node in network.up()} == {40}
+
+
+def test_zone_that_was_cut_off_returns():
+    """The switch of a zone fails for a minute and both sides take the other for gone.
+
+    Without dialling beyond the known fleet nobody would ever dial across again,
+    and each side would keep its own configuration for good.
+    """
+    network = FakeNetwork(5, [ZONES[index % 3] for index in range(15)], ("vm-000",))
+    network.run(10_000)
+    network.cut_zones = frozenset(("pos-b",))
+    network.run(60_000)
+    inside = {node.vm for node in network.up() if node.zone == "pos-b"}
+    assert all(set(network.nodes[vm].view) == inside for vm in inside)
+    network.cut_zones = frozenset()
+    network.run(20_000)
+    assert {len(node.view) for node in network.up()} == {15}
+
+
+def frames_at_rest(n_nodes: int) -> float:
+    """Return the frames that each daemon sends a second when nothing happens."""
+    zones = [ZONES[index % len(ZONES)] for index in range(n_nodes)]
+    network = FakeNetwork(1, zones, ("vm-000",))
+    network.run(20_000)
+    network.n_frames.clear()
+    network.run(20_000)
+    assert set(network.n_frames) <= {"Heartbeat", "MembersDigest"}
+    return sum(network.n_frames.values()) / n_nodes / 20
+
+
+@pytest.mark.parametrize("n_nodes", [12, 48])
+def test_frames_at_rest_do_not_grow_with_the_fleet(n_nodes):
+    """Each daemon beats to at most four neighbours and repairs now and then."""
+    assert frames_at_rest(n_nodes) <= 4.2
+
+
+def test_lost_update_is_repaired_on_streams_that_stay_open():
+    """A record is lost between two neighbours, and their stream stays open.
+
+    Nothing else would ever tell of it: calls would go on to a target that has
+    left.
+    """
+    network = FakeNetwork(7, ["pos-a", "pos-b"], ("vm-000",))
+    network.run(5_000)
+    network.drop_probability = 1.0
+    network.touch("vm-000")
+    network.run(500)
+    network.drop_probability = 0.0
+    network.run(20_000)
+    assert network.nodes["vm-001"].view == network.nodes["vm-000"].view
+
+
+def test_daemon_joins_with_its_first_tick():
+    """A herd comes back: whoever waits for the next probe serves seconds later."""
+    network = FakeNetwork(8, ["pos-a", "pos-b"], ("vm-000",))
+    network.run(1_000)
+    assert [len(node.view) for node in network.up()] == [2, 2]
