--- a/packages/pepperstair-core/pepperstair_core/wire/control.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -10,7 +10,7 @@
 from enum import StrEnum
 from typing import Final
 
-from ..members import Member
+from ..members import Member, MemberRank
 from ..versions import Delta, Head
 from .codec import frame
 
@@ -30,7 +30,8 @@
     """Opens a stream: who connects, and what the stream is for.
 
     `start_id` names the process, whatever its incarnation becomes: a call may
-    be asked for again only from the process that took it.
+    be asked for again only from the process that took it. `sequence` rises with
+    each stream that the process opens, and fences off the earlier ones.
     """
 
     protocol_version: int
@@ -38,6 +39,7 @@
     vm: str
     start_id: int
     peer_address: str
+    sequence: int
 
 
 @frame(2)
@@ -67,7 +69,8 @@
 class Have:
     """Says which version of a customer the sender holds, in force or not."""
 
-    head: Head
+    customer: str
+    version: int
 
 
 @frame(11)
@@ -119,8 +122,9 @@
 @frame(16)
 @dataclass(frozen=True, slots=True)
 class Acknowledge:
-    """Tells, towards the accepting daemon, on which VMs a version is in force."""
+    """Tells, towards the collecting daemon, where a version is in force."""
 
+    collector: str
     customer: str
     version: int
     vms: tuple[str, ...]
@@ -131,12 +135,44 @@
 class HeadsDigest:
     """Compares the versions that both sides hold, for repair of what was missed.
 
-    Without `heads` it only carries the digest; where the digests differ, the
-    receiver answers with its heads, and each side then pulls what it lacks.
+    Without `versions` it only carries the digest; where the digests differ, the
+    receiver answers with its versions, and each side then pulls what it lacks.
+    An empty digest asks for the answer in any case. `is_floor_known` says that
+    the sender's versions are complete, not those of a daemon that just started.
     """
 
     digest: bytes
-    heads: tuple[Head, ...] = ()
+    is_floor_known: bool
+    is_answer: bool = False
+    versions: tuple[tuple[str, int], ...] = ()
+
+
+@frame(18)
+@dataclass(frozen=True, slots=True)
+class Inquire:
+    """Asks the fleet to acknowledge a version towards the collecting daemon.
+
+    It is passed on once by every daemon, and the way it came is the way that
+    the acknowledgements go back.
+    """
+
+    collector: str
+    number: int
+    customer: str
+    version: int
+
+
+@frame(19)
+@dataclass(frozen=True, slots=True)
+class PollerSign:
+    """Says within a zone that a poller lives, and whether the platform answers.
+
+    `number` tells the signs of one poller apart, so that each is passed on once.
+    """
+
+    vm: str
+    number: int
+    is_platform_reachable: bool
 
 
 @frame(20)
@@ -152,13 +188,32 @@
 class MembersDigest:
     """Compares the member records of both sides, for repair of what was missed.
 
-    Without `ranks` it only carries the digest; where the digests differ, the
-    receiver answers with the rank of each of its records, and each side then
-    sends the records that the other lacks.
+    `digests` holds one digest a bucket of members; the receiver answers with
+    `MemberRanks` where some differ, and not at all where none does.
     """
 
-    digest: bytes
-    ranks: tuple[tuple[str, int, int, int], ...] = ()
+    digests: bytes
+
+
+@frame(22)
+@dataclass(frozen=True, slots=True)
+class MemberRanks:
+    """Tells which records the sender holds in the buckets that differ.
+
+    The receiver sends the records that are newer on its side, and asks for
+    those that are older or missing there.
+    """
+
+    buckets: bytes
+    ranks: tuple[MemberRank, ...]
+
+
+@frame(23)
+@dataclass(frozen=True, slots=True)
+class MembersPull:
+    """Asks for the records of some members."""
+
+    vms: tuple[str, ...]
 
 
 ControlFrame = (
@@ -172,8 +227,12 @@
     | Prune
     | Busy
     | Acknowledge
+    | Inquire
+    | PollerSign
     | MemberUpdate
     | MembersDigest
+    | MemberRanks
+    | MembersPull
     | HeadsDigest
 )
 
@@ -187,8 +246,12 @@
     "Heartbeat",
     "HeadsDigest",
     "Hello",
+    "Inquire",
     "MemberUpdate",
+    "MemberRanks",
     "MembersDigest",
+    "PollerSign",
+    "MembersPull",
     "Prune",
     "Pull",
     "SnapshotPart",
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -62,9 +62,6 @@
             )
         )
         self.platform = Platform(settings.platform)
-        self.configuration = ConfigurationAgent(
-            self.platform, settings.platform, settings.vm.labels
-        )
         self.registry = TargetRegistry(settings.members.target_lease_ms)
         self.runner = TargetRunner(self.registry)
         self.frame_counters = {kind: FrameCounters() for kind in StreamKind}
@@ -78,8 +75,18 @@
             self.identity,
             self.directory,
             settings.members,
-            settings.peers.frame_max_bytes,
+            settings.peers,
             self.frame_counters[StreamKind.CONTROL],
+            self.decisions,
+            self.rng,
+            monotonic_ms,
+        )
+        self.configuration = ConfigurationAgent(
+            self.platform,
+            settings.platform,
+            self.control,
+            self.directory,
+            self.decisions,
             self.rng,
         )
         self.listener = PeerListener(
@@ -112,7 +119,7 @@
     @property
     def ready_by(self) -> str:
         """Return how the daemon became ready, or an empty string."""
-        return "platform" if self.is_ready() else ""
+        return self.configuration.reached_by
 
     def is_ready(self) -> bool:
         """Return whether the daemon may carry calls."""
@@ -128,6 +135,7 @@
             "n_streams_rejected": self.listener.n_rejected,
             "n_platform_reads": self.platform.counters.n_reads,
             "n_platform_writes": self.platform.counters.n_writes,
+            **self.configuration.counters(),
             **self._frame_counts(),
         }
 
@@ -144,8 +152,8 @@
         await self.operators.listen(*parse_address(settings.operators.address))
         await self.listener.listen(*parse_address(settings.peers.address))
         await self.callers.listen(*parse_address(settings.callers.address))
-        self.control.start(settings.peers.seed_addresses)
         self.configuration.start()
+        self.control.start()
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
 
@@ -153,7 +161,8 @@
         """Finish what is in flight, refuse the rest as not run, then close."""
         log.info(Event.STOPPING)
         self.runner.is_draining = True
-        self.callers.stop_listening()
+        self.callers.drain()
+        self.control.leave()
         deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
         while self.runner.n_in_flight and monotonic_ms() < deadline_ms:
             await asyncio.sleep(0.02)
