--- a/Makefile
+++ b/Makefile
@@ -41,5 +41,20 @@
 bench-convergence: install
 	$(PYTHON) -m benchmarks.convergence --sizes "$(SIZES)" --changes $(CHANGES)
 
+bench-control-bytes: SIZES ?= 5 10
+bench-control-bytes: CHANGES ?= 10
+bench-control-bytes: PHASE_S ?= 10
+bench-control-bytes: install
+	$(PYTHON) -m benchmarks.control_bytes --sizes "$(SIZES)" \
+		--changes $(CHANGES) --phase-s $(PHASE_S)
+
+bench-calls: DEPLOYMENTS ?= lantern
+bench-calls: LOADS ?= 0.9 2
+bench-calls: SEGMENT_S ?= 6
+bench-calls: WORK_MS ?= 400
+bench-calls: install
+	$(PYTHON) -m benchmarks.calls --deployments "$(DEPLOYMENTS)" --loads "$(LOADS)" \
+		--segment-s $(SEGMENT_S) --work-ms $(WORK_MS)
+
 clean:
 	rm -rf $(VENV) build .pytest_cache .ruff_cache
--- /dev/null
+++ b/benchmarks/calls.py
@@ -0,0 +1,219 @@
+"""`make bench-calls`: goodput and latency under load and faults, beside naive.
+
+Both versions serve the same deployment at the same time and are loaded in turn,
+segment by segment, with the same seeded arrivals.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from .convergence import VERSIONS
+from .deployments import (
+    DEPLOYMENTS,
+    SMALL_CUSTOMERS,
+    Running,
+    start_deployment,
+    tell_target,
+)
+from .fleet import running_fleet, status_of
+from .load import Answered, Stream, offer, summarise
+from .processes import processor_s
+from .report import print_run, print_table
+
+SEED: Final = 1
+SHARES: Final = {"urgent": 0.3, "normal": 0.5, "deferrable": 0.2}
+DEADLINES_MS: Final = {"urgent": 2000.0, "normal": 2000.0, "deferrable": 10_000.0}
+FAULT_LOAD: Final = 0.7
+SLOW_BY: Final = 10
+SMALL_LOAD: Final = 0.15
+FLOOD: Final = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One segment: its name, its load and what goes wrong meanwhile."""
+
+    name: str
+    streams: tuple[Stream, ...]
+    begin: Callable[[Running], None] = lambda running: None
+    end: Callable[[Running], None] = lambda running: None
+    is_restarting: bool = False
+
+
+def main() -> None:
+    """Measure the deployments that were asked for."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--deployments", default="lantern")
+    parser.add_argument("--loads", default="0.9 2")
+    parser.add_argument("--segment-s", type=float, default=6.0)
+    parser.add_argument("--work-ms", type=float, default=400.0)
+    arguments = parser.parse_args()
+    print_run(
+        f'make bench-calls DEPLOYMENTS="{arguments.deployments}" '
+        f'LOADS="{arguments.loads}" SEGMENT_S={arguments.segment_s:g} '
+        f"WORK_MS={arguments.work_ms:g}"
+    )
+    for customer in arguments.deployments.split():
+        _measure(customer, arguments)
+
+
+def _measure(customer: str, arguments: argparse.Namespace) -> None:
+    deployment = DEPLOYMENTS[customer]
+    with contextlib.ExitStack() as stack:
+        fleets = {
+            name: start_deployment(
+                deployment,
+                stack.enter_context(running_fleet(command)),
+                arguments.work_ms,
+            )
+            for name, command in VERSIONS.items()
+        }
+        capacity_per_s = deployment.n_slots / arguments.work_ms * 1000
+        loads = list(map(float, arguments.loads.split()))
+        rows, costs = [], []
+        for case in _iter_cases(fleets["chosen"], capacity_per_s, loads, arguments):
+            for name, running in fleets.items():
+                answered, cost = _run(case, running, arguments.segment_s)
+                rows.extend(_iter_rows(case, name, answered))
+                costs.append((case.name, name, *cost))
+    print_table(
+        f"{customer}: {len(fleets['chosen'].daemons)} daemons, "
+        f"{deployment.n_slots} slots, {arguments.work_ms:g} ms of work, "
+        f"capacity {capacity_per_s:.0f} calls/s",
+        ("case", "kind", "version", "offered", "good %", "p50 ms", "p99 ms"),
+        sorted(rows, key=lambda row: [case for case, *_ in costs].index(row[0])),
+    )
+    print_table(
+        f"{customer}: cost of the same segments",
+        ("case", "version", "daemons' processor ms a call", "retries % of calls"),
+        costs,
+    )
+
+
+def _iter_cases(
+    running: Running,
+    capacity_per_s: float,
+    loads: Sequence[float],
+    arguments: argparse.Namespace,
+) -> Iterator[Case]:
+    def load(factor: float) -> tuple[Stream, ...]:
+        return _mixed_load(running, factor * capacity_per_s)
+
+    slow, quick = str(arguments.work_ms * SLOW_BY), str(arguments.work_ms)
+    for factor in loads:
+        yield Case(f"load {factor:g}", load(factor))
+    yield Case(
+        "one target 10 times slower",
+        load(FAULT_LOAD),
+        lambda it: tell_target(it.targets[0], "work-ms", slow),
+        lambda it: tell_target(it.targets[0], "work-ms", quick),
+    )
+    yield Case(
+        "one target fails, says it serves",
+        load(FAULT_LOAD),
+        lambda it: tell_target(it.targets[1], "status", "500"),
+        lambda it: tell_target(it.targets[1], "status", "200"),
+    )
+    yield Case("targets restart in turn", load(FAULT_LOAD), is_restarting=True)
+    small = _small_load(capacity_per_s)
+    yield Case("small customers alone", small)
+    yield Case("large customer floods", small + _flood(running, capacity_per_s))
+
+
+def _mixed_load(running: Running, calls_per_s: float) -> tuple[Stream, ...]:
+    """Return urgent, normal and deferrable calls to services by their slots."""
+    services = running.deployment.services
+    paths = [s.name for s in services for _ in range(s.n_instances * s.n_slots)]
+    return tuple(
+        Stream(
+            kind,
+            tuple(f"/{name}/{kind}" for name in paths),
+            calls_per_s * share,
+            DEADLINES_MS[kind],
+            "POST" if kind == "urgent" else "GET",
+        )
+        for kind, share in SHARES.items()
+    )
+
+
+def _small_load(capacity_per_s: float) -> tuple[Stream, ...]:
+    paths = tuple(f"/{customer}/notes" for customer in SMALL_CUSTOMERS)
+    return (Stream("small customers", paths, SMALL_LOAD * capacity_per_s, 2000.0),)
+
+
+def _flood(running: Running, capacity_per_s: float) -> tuple[Stream, ...]:
+    paths = (f"/{running.deployment.services[0].name}/normal",)
+    rate = FLOOD * SMALL_LOAD * capacity_per_s
+    return (Stream("large customer", paths, rate, 2000.0),)
+
+
+def _run(
+    case: Case, running: Running, segment_s: float
+) -> tuple[list[Answered], tuple[float, float]]:
+    """Run one segment and return its answers, processor ms a call and retries."""
+    case.begin(running)
+    retries_before = _n_retries(running)
+    processor_before_s = _processor_s(running)
+    answered = asyncio.run(_offer(case, running, segment_s))
+    n_calls = max(1, len(answered))
+    processor_ms = (_processor_s(running) - processor_before_s) * 1000 / n_calls
+    retries_percent = 100 * (_n_retries(running) - retries_before) / n_calls
+    case.end(running)
+    time.sleep(1.0)
+    return answered, (processor_ms, retries_percent)
+
+
+async def _offer(case: Case, running: Running, segment_s: float) -> list[Answered]:
+    addresses = [daemon.callers for daemon in running.daemons]
+    restarts = None
+    if case.is_restarting:
+        restarts = asyncio.create_task(_restart_in_turn(running, segment_s))
+    answered = await offer(addresses, case.streams, segment_s, random.Random(SEED))
+    if restarts is not None:
+        await restarts
+    return answered
+
+
+async def _restart_in_turn(running: Running, segment_s: float) -> None:
+    """Let one target after the other drain and come back."""
+    for target in running.targets:
+        await asyncio.to_thread(tell_target, target, "state", "draining")
+        await asyncio.sleep(segment_s / len(running.targets))
+        await asyncio.to_thread(tell_target, target, "state", "serving")
+
+
+def _n_retries(running: Running) -> int:
+    return sum(
+        status_of(daemon).get("counters", {}).get("n_retries", 0)
+        for daemon in running.daemons
+    )
+
+
+def _processor_s(running: Running) -> float:
+    return sum(processor_s(daemon.process.pid) for daemon in running.daemons)
+
+
+def _iter_rows(case: Case, name: str, answered: list[Answered]) -> Iterator[tuple]:
+    for stream in case.streams:
+        summary = summarise(answered, stream.kind)
+        yield (
+            case.name,
+            stream.kind,
+            name,
+            summary.n_offered,
+            summary.good_percent,
+            summary.p50_ms,
+            summary.p99_ms,
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/convergence.py
+++ b/benchmarks/convergence.py
@@ -97,7 +97,7 @@
     accepting.kill()
     last_s = bench.converge(version, since_s)
     bench.note("accepting daemon killed", version, last_s)
-    _wait_ready([bench.fleet.restart_daemon(accepting)])
+    wait_ready([bench.fleet.restart_daemon(accepting)])
 
 
 def platform_out(bench: Bench, turn: int) -> None:
@@ -124,7 +124,7 @@
     restarted = [bench.fleet.restart_daemon(daemon) for daemon in herd]
     version = bench.change(survivor)
     bench.note("half of the fleet restarts", version, bench.converge(version, since_s))
-    _wait_ready(restarted)
+    wait_ready(restarted)
 
 
 CASES: Final[dict[str, Callable[[Bench, int], None]]] = {
@@ -176,7 +176,7 @@
             for index in range(size):
                 zone = ZONES[index % len(ZONES)]
                 fleet.start_daemon(f"vm-{index}", zone, '{ customer = "lantern" }')
-            _wait_ready(fleet.daemons)
+            wait_ready(fleet.daemons)
             benches.append(Bench(name, fleet, FleetLogs(fleet)))
         for bench in benches:
             undisturbed(bench, 0)
@@ -215,7 +215,8 @@
     return bench.fleet.daemons[turn % len(bench.fleet.daemons)]
 
 
-def _wait_ready(daemons: list[DaemonProcess]) -> None:
+def wait_ready(daemons: list[DaemonProcess]) -> None:
+    """Wait until daemons carry calls."""
     for daemon in daemons:
         wait_until(
             lambda at=daemon.operators: fetch(at, "GET", "/v1/ready")[0] == 200,
--- /dev/null
+++ b/benchmarks/deployments.py
@@ -0,0 +1,147 @@
+"""The two deployments of the brief, with one daemon beside each instance."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from .fleet import DaemonProcess, Fleet, fetch, status_of, wait_until
+from .intents import RouteSpec, apply_intent, intent_toml
+
+SMALL_CUSTOMERS: Final = ("duende", "sorrel", "parang")
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """One service: how many instances it has and the slots of each."""
+
+    name: str
+    n_instances: int
+    n_slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """One user's zones and services."""
+
+    customer: str
+    zones: tuple[str, ...]
+    services: tuple[Service, ...]
+
+    @property
+    def n_slots(self) -> int:
+        """Return the slots of all instances together."""
+        return sum(service.n_instances * service.n_slots for service in self.services)
+
+
+LANTERN: Final = Deployment(
+    "lantern",
+    ("pos-a", "pos-b", "pos-c"),
+    (Service("ledger", 7, 12), Service("vault", 5, 12)),
+)
+SAYAW: Final = Deployment(
+    "sayaw",
+    ("luz-a", "luz-b", "luz-c", "luz-d"),
+    (Service("klase", 6, 9), Service("aklatan", 4, 9)),
+)
+DEPLOYMENTS: Final = {item.customer: item for item in (LANTERN, SAYAW)}
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """A deployment that runs: its fleet and its targets' addresses."""
+
+    deployment: Deployment
+    fleet: Fleet
+    targets: tuple[str, ...]
+
+    @property
+    def daemons(self) -> list[DaemonProcess]:
+        """Return every daemon of the deployment."""
+        return self.fleet.daemons
+
+
+def start_deployment(deployment: Deployment, fleet: Fleet, work_ms: float) -> Running:
+    """Start daemons and targets and put every customer's routes in force."""
+    fleet.start_platform()
+    instances = [
+        (service, index)
+        for service in deployment.services
+        for index in range(service.n_instances)
+    ]
+    for number, (service, index) in enumerate(instances):
+        zone = deployment.zones[number % len(deployment.zones)]
+        fleet.start_daemon(f"{service.name}-{index}", zone, "{}")
+    targets = tuple(
+        fleet.start_target(
+            daemon,
+            service.name,
+            *("--name", f"target-{daemon.vm}"),
+            *("--n-slots", str(service.n_slots)),
+            *("--work-ms", str(work_ms)),
+        )
+        for daemon, (service, _) in zip(fleet.daemons, instances, strict=True)
+    )
+    _wait_for(fleet, lambda status: status.get("ready"), "every daemon ready")
+    documents = _documents(deployment)
+    for customer, document in documents.items():
+        applied = apply_intent(fleet.daemons[0], customer, document)
+        if applied.status != 200:
+            raise AssertionError(f"{customer}: {applied}")
+    customers = set(documents)
+    _wait_for(fleet, lambda s: customers <= s["versions"].keys(), "routes everywhere")
+    _wait_for(
+        fleet,
+        lambda status: sum(map(_n_targets, status["members"])) == len(targets),
+        "every target known everywhere",
+    )
+    return Running(deployment, fleet, targets)
+
+
+def tell_target(target: str, what: str, value: str) -> None:
+    """Change how a target stand-in behaves: its state, status or work-ms."""
+    fetch(target, "PUT", f"/stand-in/{what}", value.encode())
+
+
+def _documents(deployment: Deployment) -> dict[str, str]:
+    names = tuple(service.name for service in deployment.services)
+    kinds = (("urgent", 2000), ("normal", 2000), ("deferrable", 10_000))
+    routes = tuple(
+        RouteSpec(
+            f"{name}-{priority}",
+            f"/{name}/{priority}",
+            name,
+            priority,
+            is_idempotent=priority != "urgent",
+            timeout_ms=timeout_ms,
+        )
+        for name in names
+        for priority, timeout_ms in kinds
+    )
+    documents = {deployment.customer: intent_toml(deployment.customer, names, routes)}
+    for customer in SMALL_CUSTOMERS:
+        route = RouteSpec("notes", f"/{customer}", names[0], is_idempotent=True)
+        documents[customer] = intent_toml(customer, names[:1], (route,))
+    return documents
+
+
+def _n_targets(member: dict) -> int:
+    return len(member["targets"])
+
+
+def _wait_for(fleet: Fleet, is_met, what: str) -> None:
+    for daemon in fleet.daemons:
+        wait_until(lambda at=daemon: is_met(status_of(at)), f"{what}: {daemon.vm}", 60)
+
+
+__all__ = [
+    "DEPLOYMENTS",
+    "LANTERN",
+    "SAYAW",
+    "SMALL_CUSTOMERS",
+    "Deployment",
+    "Running",
+    "Service",
+    "start_deployment",
+    "tell_target",
+]
--- a/benchmarks/naive/daemon.py
+++ b/benchmarks/naive/daemon.py
@@ -11,6 +11,7 @@
 import structlog
 
 from pepperstair_core.config import Settings, parse_address
+from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.events import Event
 from pepperstair_core.members import Member, MemberState, label_items
 from pepperstair_core.membership import MemberDirectory
@@ -65,9 +66,11 @@
             identity,
             self.directory,
             settings.members,
-            frame_max_bytes,
+            settings.peers,
             self.frame_counters[StreamKind.CONTROL],
+            DecisionLog(),
             self.rng,
+            monotonic_ms,
         )
         self.listener = PeerListener(
             identity,
@@ -106,7 +109,7 @@
         await self.operators.listen(*parse_address(settings.operators.address))
         await self.listener.listen(*parse_address(settings.peers.address))
         await self.callers.listen(*parse_address(settings.callers.address))
-        self.control.start(settings.peers.seed_addresses)
+        self.control.start()
         self.configuration.start()
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=settings.peers.address)
@@ -121,6 +124,7 @@
             await asyncio.sleep(0.02)
         self._lease_task.cancel()
         self.configuration.close()
+        self.control.leave()
         self.control.close()
         self.call_client.close()
         self.listener.close()
--- a/benchmarks/naive/proxy.py
+++ b/benchmarks/naive/proxy.py
@@ -130,10 +130,7 @@
     if exchange.request.method != "HEAD" and not _has_length(response.headers):
         headers = (*headers, (b"transfer-encoding", b"chunked"))
     try:
-        await exchange.send_head(response.status, headers)
-        while part := await response.body.read():
-            await exchange.send_part(part)
-        await exchange.finish()
+        await exchange.stream(response.status, headers, response.body)
     except (PepperstairError, ConnectionLostError):
         exchange.abort()
     finally:
--- a/stand_ins/target.py
+++ b/stand_ins/target.py
@@ -3,7 +3,9 @@
 Run it with `python -m stand_ins.target --port P --daemon ADDRESS --service NAME`.
 It answers every request with its name and the request's body; a request may set
 `x-work-ms` to take that long. `GET /stand-in/runs` tells how often each request id
-ran, `PUT /stand-in/state` with `draining` makes it leave.
+ran, `PUT /stand-in/state` with `draining` makes it leave. `PUT /stand-in/work-ms`
+makes it slower from now on, `PUT /stand-in/status` with `500` makes it fail at once
+while it goes on saying that it serves.
 """
 
 from __future__ import annotations
@@ -40,6 +42,7 @@
     n_connections_max: int = 130
     work_ms: float = 0.0
     state: str = "serving"
+    status: int = 200
     address: str = ""
     runs: Counter[str] = field(default_factory=Counter)
 
@@ -55,14 +58,18 @@
             parts.append(part)
         work_ms = header_value(exchange.request.headers, b"x-work-ms")
         delay_ms = float(work_ms) if work_ms else self.work_ms
-        if delay_ms:
+        if delay_ms and self.status == 200:
             await asyncio.sleep(delay_ms / 1000)
-        await exchange.respond(200, _TEXT, b"".join(parts))
+        await exchange.respond(self.status, _TEXT, b"".join(parts))
 
     async def _handle_control(self, exchange: Exchange) -> None:
         body = await exchange.body.read_all(1024) or b""
         if exchange.request.path.endswith("/state"):
             self.state = body.decode()
+        elif exchange.request.path.endswith("/work-ms"):
+            self.work_ms = float(body)
+        elif exchange.request.path.endswith("/status"):
+            self.status = int(body)
         content = json.dumps({"state": self.state, "runs": self.runs})
         await exchange.respond(200, _TEXT, content.encode())
 
--- /dev/null
+++ b/tests/test_process_floor.py
@@ -0,0 +1,70 @@
+"""Real daemons that restart while the platform is out."""
+
+from __future__ import annotations
+
+from benchmarks.fleet import wait_until
+from benchmarks.intents import apply_intent
+from tests.process_fleet import (
+    CUSTOMER,
+    award_document,
+    call,
+    put_in_force,
+    served_by,
+    start_daemons,
+    start_target,
+    wait_in_force,
+)
+
+
+def test_restart_while_the_platform_is_out(fleet):
+    """A daemon is killed and started again during an outage of the platform.
+
+    It may refuse calls until its neighbours have told it what is in force. Were
+    it to serve the older version, callers would reach what was moved away; were
+    it never to serve, every restart in a long outage would cost an instance.
+    """
+    daemons = start_daemons(fleet, 3)
+    start_target(fleet, daemons[1], "ledger")
+    start_target(fleet, daemons[2], "vault")
+    put_in_force(fleet, award_document("ledger"), daemons[0])
+    put_in_force(fleet, award_document("vault"), daemons[1])
+    fleet.set_platform_faults(mode="outage")
+    daemons[0].kill()
+    restarted = fleet.restart_daemon(daemons[0])
+    answers: list[str] = []
+
+    def is_serving() -> bool:
+        answers.append(served_by(call(restarted, f"call-{len(answers)}")))
+        return answers[-1] == "vault"
+
+    wait_until(is_serving, "an answer of vault through the restarted daemon")
+    assert set(answers) <= {"", "vault"}
+
+
+def test_restart_beside_a_neighbour_that_lags(fleet):
+    """A daemon restarts in an outage while one neighbour missed the last version.
+
+    The lagging neighbour was frozen when the version spread and wakes as the
+    daemon asks around. Believing it would take the daemon back.
+    """
+    daemons = start_daemons(fleet, 3)
+    start_target(fleet, daemons[2], "ledger")
+    start_target(fleet, daemons[2], "vault")
+    put_in_force(fleet, award_document("ledger"), daemons[0])
+    daemons[1].freeze()
+    applied = apply_intent(daemons[0], CUSTOMER, award_document("vault"))
+    assert applied.version == 2
+    wait_in_force([daemons[0], daemons[2]], 2)
+    fleet.set_platform_faults(mode="outage")
+    daemons[0].kill()
+    daemons[1].wake()
+    restarted = fleet.restart_daemon(daemons[0])
+    answers: list[str] = []
+
+    def is_serving() -> bool:
+        answers.append(served_by(call(restarted, f"call-{len(answers)}")))
+        return answers[-1] == "vault"
+
+    wait_until(is_serving, "an answer of vault through the restarted daemon")
+    assert set(answers) <= {"", "vault"}
+    wait_in_force(fleet.daemons, 2)
