Decide choice, admission and retries apart from sockets

Calls went to a random target, waited in a plain semaphore and were never sent again. The three decisions are now state objects in core/calls: two candidates by expected wait with slow start and ejection above a floor; exact slots with priorities, bounded ageing, deficit round robin over customers and refusals in the instant they are certain; retries within a budget of a tenth of the calls.

With float tokens the budget lost one retry in thirty to rounding, so it counts in percent.

--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -2,6 +2,27 @@
 
 from __future__ import annotations
 
+from .admission import Admission, Admitted, RefusalCause, Refused, Verdict
+from .choice import CallEnd, Ejection, Load, TargetChooser
+from .fair_queue import WaitingCall
 from .outcome import CallOutcome
+from .retry import Attempt, GiveUp, Retry, RetryBudget, decide_retry
 
-__all__ = ["CallOutcome"]
+__all__ = [
+    "Admission",
+    "Admitted",
+    "Attempt",
+    "CallEnd",
+    "CallOutcome",
+    "Ejection",
+    "GiveUp",
+    "Load",
+    "RefusalCause",
+    "Refused",
+    "Retry",
+    "RetryBudget",
+    "TargetChooser",
+    "Verdict",
+    "WaitingCall",
+    "decide_retry",
+]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -0,0 +1,239 @@
+"""Which calls a target runs now, which wait, and which are refused.
+
+The daemon beside the target is the only one that sends it work, so that its
+slots are exact and a refusal proves that the call did not run.
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from ..intent import PRIORITIES
+from .fair_queue import FairQueue, WaitingCall
+
+FIRST_SERVICE_MS: Final = 10.0
+SERVICE_WEIGHT: Final = 0.1
+RETRY_AFTER_MIN_MS: Final = 10
+RETRY_AFTER_MAX_MS: Final = 5_000
+# Ageing: one grant in so many goes to a less urgent call that has waited for
+# longer than its bound. A bounded share, as under overload every deferrable
+# call is old, and letting all of them pass first would turn priorities over.
+AGED_GRANT_INTERVAL: Final = 10
+AGED_AFTER_MS: Final = 500.0
+
+
+class RefusalCause(StrEnum):
+    """Why a call was refused."""
+
+    QUEUE_FULL = "queue full"
+    TOO_LATE = "no slot before its deadline"
+    DISPLACED = "displaced by a more urgent call"
+    OVER_SHARE = "displaced by a customer with fewer calls"
+    DRAINING = "the target is leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The call may run now."""
+
+    ticket: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The call does not run and gets its answer at once."""
+
+    ticket: int
+    cause: RefusalCause
+    retry_after_ms: int
+
+
+Verdict = Admitted | Refused
+
+
+class Admission:
+    """The slots of one target and the calls that wait for them.
+
+    Every method returns the verdicts that follow, which may concern other
+    calls than the one it was called for. Times are in milliseconds.
+
+    >>> admission = Admission(n_slots=1)
+    >>> call = WaitingCall(7, "lantern", "urgent", 0, 2000, 8)
+    >>> list(admission.arrive(call, now_ms=0))
+    [Admitted(ticket=7)]
+    """
+
+    def __init__(self, n_slots: int) -> None:
+        self.n_slots = n_slots
+        self.n_in_flight = 0
+        self.service_ms = FIRST_SERVICE_MS
+        self._queues = {priority: FairQueue() for priority in PRIORITIES}
+        self._waiting: dict[int, WaitingCall] = {}
+        self._deadlines: list[tuple[float, int]] = []
+        self._n_grants = 0
+
+    @property
+    def n_queued(self) -> int:
+        """Return how many calls wait."""
+        return len(self._waiting)
+
+    @property
+    def next_expiry_ms(self) -> float | None:
+        """Return when `expire` should be called, or None with nothing waiting."""
+        while self._deadlines and self._deadlines[0][1] not in self._waiting:
+            heapq.heappop(self._deadlines)
+        if not self._deadlines:
+            return None
+        return self._deadlines[0][0] - self.service_ms
+
+    def arrive(self, call: WaitingCall, now_ms: float) -> list[Verdict]:
+        """Take a new call: run it, let it wait, or refuse it or another."""
+        if self.n_in_flight < self.n_slots and not self._waiting:
+            self.n_in_flight += 1
+            return [Admitted(call.ticket)]
+        if self._expected_end_ms(call, now_ms) > call.deadline_ms:
+            return [self._refuse(call, RefusalCause.TOO_LATE)]
+        if len(self._waiting) < call.n_queued_max:
+            self._push(call)
+            return []
+        return self._arrive_at_full_queue(call)
+
+    def finish(
+        self, customer: str, priority: str, service_ms: float | None, now_ms: float
+    ) -> list[Verdict]:
+        """Take the end of a running call and let the next ones in.
+
+        `service_ms` is None where the call says nothing of the target's speed,
+        as when its connection could not be opened.
+        """
+        self.n_in_flight -= 1
+        if service_ms is not None:
+            cost = service_ms / max(self.service_ms, 0.01) - 1.0
+            self._queues[priority].charge(customer, cost)
+            self.service_ms += SERVICE_WEIGHT * (service_ms - self.service_ms)
+        return self._grant(now_ms)
+
+    def resize(self, n_slots: int, now_ms: float) -> list[Verdict]:
+        """Take a changed number of slots; calls in flight go on."""
+        self.n_slots = n_slots
+        return self._grant(now_ms)
+
+    def expire(self, now_ms: float) -> list[Verdict]:
+        """Refuse the calls that can no longer be answered in time.
+
+        They are refused in that instant, not at their deadline: a caller that
+        knows early can still go elsewhere.
+        """
+        verdicts: list[Verdict] = []
+        while (expiry_ms := self.next_expiry_ms) is not None and expiry_ms <= now_ms:
+            call = self._waiting[self._deadlines[0][1]]
+            self._remove(call)
+            verdicts.append(self._refuse(call, RefusalCause.TOO_LATE))
+        return verdicts
+
+    def withdraw(self, ticket: int) -> None:
+        """Forget a waiting call whose caller has left."""
+        call = self._waiting.get(ticket)
+        if call is not None:
+            self._remove(call)
+
+    def drain(self) -> list[Verdict]:
+        """Refuse every waiting call, as the target is leaving."""
+        calls = list(self._waiting.values())
+        for call in calls:
+            self._remove(call)
+        return [Refused(call.ticket, RefusalCause.DRAINING, 0) for call in calls]
+
+    def _arrive_at_full_queue(self, call: WaitingCall) -> list[Verdict]:
+        victim = self._victim(call)
+        if victim is None:
+            return [self._refuse(call, RefusalCause.QUEUE_FULL)]
+        is_less_urgent = victim.priority != call.priority
+        cause = RefusalCause.DISPLACED if is_less_urgent else RefusalCause.OVER_SHARE
+        self._remove(victim)
+        self._push(call)
+        return [self._refuse(victim, cause)]
+
+    def _victim(self, call: WaitingCall) -> WaitingCall | None:
+        """Return the waiting call that a new one displaces, if any.
+
+        A queue filled by one large customer would else refuse every small one
+        for as long as the flood lasts.
+        """
+        for priority in reversed(PRIORITIES):
+            queue = self._queues[priority]
+            if priority == call.priority:
+                return _over_share(queue, call)
+            if queue:
+                return queue.newest_of_longest()
+        return None
+
+    def _expected_end_ms(self, call: WaitingCall, now_ms: float) -> float:
+        """Return when the call would be answered, if it had to wait."""
+        n_ahead = 0
+        for priority in PRIORITIES:
+            queue = self._queues[priority]
+            if priority == call.priority:
+                n_ahead += queue.n_ahead(call.customer)
+                break
+            n_ahead += len(queue)
+        n_turns = (n_ahead + 1) / max(1, self.n_slots)
+        return now_ms + (n_turns + 1) * self.service_ms
+
+    def _grant(self, now_ms: float) -> list[Verdict]:
+        verdicts = self.expire(now_ms)
+        while self.n_in_flight < self.n_slots and self._waiting:
+            call = self._next(now_ms)
+            del self._waiting[call.ticket]
+            self.n_in_flight += 1
+            verdicts.append(Admitted(call.ticket))
+        return verdicts
+
+    def _next(self, now_ms: float) -> WaitingCall:
+        self._n_grants += 1
+        filled = [queue for queue in self._queues.values() if queue]
+        if self._n_grants % AGED_GRANT_INTERVAL == 0 and len(filled) > 1:
+            # Without this share, deferrable calls would never run while more
+            # urgent ones keep all slots busy; an archive would seem to be gone.
+            oldest = min((q.oldest() for q in filled[1:]), key=lambda c: c.arrived_ms)
+            if now_ms - oldest.arrived_ms >= AGED_AFTER_MS:
+                self._queues[oldest.priority].remove(oldest)
+                return oldest
+        return filled[0].pop()
+
+    def _push(self, call: WaitingCall) -> None:
+        self._waiting[call.ticket] = call
+        self._queues[call.priority].push(call)
+        heapq.heappush(self._deadlines, (call.deadline_ms, call.ticket))
+
+    def _remove(self, call: WaitingCall) -> None:
+        del self._waiting[call.ticket]
+        self._queues[call.priority].remove(call)
+
+    def _refuse(self, call: WaitingCall, cause: RefusalCause) -> Refused:
+        """Refuse a call with the time until the queue should have run down."""
+        n_turns = (len(self._waiting) + 1) / max(1, self.n_slots)
+        retry_after_ms = int(n_turns * self.service_ms)
+        bounded = min(RETRY_AFTER_MAX_MS, max(RETRY_AFTER_MIN_MS, retry_after_ms))
+        return Refused(call.ticket, cause, bounded)
+
+
+def _over_share(queue: FairQueue, call: WaitingCall) -> WaitingCall | None:
+    if not queue:
+        return None
+    newest = queue.newest_of_longest()
+    if queue.n_of(newest.customer) > queue.n_of(call.customer) + 1:
+        return newest
+    return None
+
+
+__all__ = [
+    "Admission",
+    "Admitted",
+    "RefusalCause",
+    "Refused",
+    "Verdict",
+]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -0,0 +1,270 @@
+"""Which target a call goes to.
+
+Two random candidates are compared by expected wait (Mitzenmacher, "The power
+of two choices in randomized load balancing", 2001): over the least loaded of
+all, which every daemon with the same late reports would pick at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterator, Sequence
+from dataclasses import dataclass
+from enum import Enum, auto
+from random import Random
+from typing import TYPE_CHECKING, Final
+
+from ..members import TargetState
+from .target_health import TargetHealth
+
+if TYPE_CHECKING:
+    from ..routing import Endpoint
+
+AVOIDED_MS: Final = 1_000
+FORGOTTEN_AFTER_MS: Final = 60_000
+N_REMEMBERED_MAX: Final = 2_000
+
+TargetKey = tuple[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What the daemon beside a target last reported of it."""
+
+    n_in_flight: int
+    n_queued: int
+
+
+class CallEnd(Enum):
+    """How a call ended, as far as the choice of targets is concerned."""
+
+    GOOD = auto()
+    ERROR = auto()
+    REFUSED = auto()
+    ABANDONED = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Ejection:
+    """A target that was left out, with the figures of the decision."""
+
+    key: TargetKey
+    n_errors: int
+    period_ms: float
+
+
+LoadOf = Callable[["Endpoint"], "Load | None"]
+
+
+class TargetChooser:
+    """Chooses targets and learns from how the calls to them ended.
+
+    Times are in milliseconds of one clock that never goes back; `rng` makes
+    every choice repeatable.
+    """
+
+    def __init__(self, availability_zone: str, rng: Random) -> None:
+        self._availability_zone = availability_zone
+        self._rng = rng
+        self._health: dict[TargetKey, TargetHealth] = {}
+
+    def choose(
+        self,
+        endpoints: Sequence[Endpoint],
+        load_of: LoadOf,
+        now_ms: float,
+        excluded: Collection[TargetKey] = (),
+    ) -> Endpoint | None:
+        """Return the endpoint for one call, or None where none is left.
+
+        The call counts as in flight on it until `end` is called.
+        """
+        known = self._known(endpoints, now_ms)
+        usable = [endpoint for endpoint in endpoints if endpoint.key not in excluded]
+        if not usable:
+            return None
+        chosen = self._probe(usable, now_ms)
+        if chosen is None:
+            wait_of = _wait_of(known, load_of, now_ms)
+            chosen = self._pick(self._healthy(usable, endpoints, now_ms), wait_of)
+        known[chosen.key].n_in_flight += 1
+        return chosen
+
+    def end(
+        self,
+        endpoint: Endpoint,
+        endpoints: Sequence[Endpoint],
+        end: CallEnd,
+        now_ms: float,
+        retry_after_ms: int = 0,
+    ) -> Ejection | None:
+        """Take the end of a call; return the ejection that follows from it."""
+        health = self._health.get(endpoint.key)
+        if health is None:
+            return None
+        health.n_in_flight = max(0, health.n_in_flight - 1)
+        if end is CallEnd.GOOD:
+            health.succeed()
+        elif end is CallEnd.REFUSED:
+            # A target that refuses at once has nothing in flight and so looks
+            # idle: without this it would draw all calls and refuse them all.
+            avoided_ms = min(retry_after_ms or AVOIDED_MS, AVOIDED_MS)
+            health.avoided_until_ms = now_ms + avoided_ms
+            health.is_probed = False
+        elif end is CallEnd.ABANDONED:
+            health.is_probed = False
+        else:
+            health.fail()
+            return self._eject_if_due(endpoint, endpoints, health, now_ms)
+        return None
+
+    def _eject_if_due(
+        self,
+        endpoint: Endpoint,
+        endpoints: Sequence[Endpoint],
+        health: TargetHealth,
+        now_ms: float,
+    ) -> Ejection | None:
+        is_failed_probe = health.is_ejected and health.is_probed
+        if health.n_errors < endpoint.policy.ejection_errors and not is_failed_probe:
+            return None
+        if health.is_ejected and not is_failed_probe:
+            return None
+        if not health.is_ejected and not self._may_eject(endpoint, endpoints):
+            return None
+        period_ms = health.eject(now_ms, self._rng)
+        return Ejection(endpoint.key, health.n_errors, period_ms)
+
+    def _may_eject(self, endpoint: Endpoint, endpoints: Sequence[Endpoint]) -> bool:
+        """Hold a floor under the targets that stay in use.
+
+        A fault on this daemon's own side makes every target look broken; with
+        all of them ejected the service would be gone though nothing is wrong.
+        """
+        n_ejected = sum(1 for _ in self._iter_ejected(endpoints))
+        return n_ejected < _n_ejected_max(endpoints, endpoint)
+
+    def _iter_ejected(self, endpoints: Sequence[Endpoint]) -> Iterator[Endpoint]:
+        for endpoint in endpoints:
+            health = self._health.get(endpoint.key)
+            if health is not None and health.is_ejected:
+                yield endpoint
+
+    def _probe(self, usable: list[Endpoint], now_ms: float) -> Endpoint | None:
+        """Return a target whose ejection is over, for one call to try it."""
+        for endpoint in usable:
+            health = self._health[endpoint.key]
+            if health.is_due_for_probe(now_ms):
+                health.is_probed = True
+                return endpoint
+        return None
+
+    def _healthy(
+        self, usable: list[Endpoint], endpoints: Sequence[Endpoint], now_ms: float
+    ) -> list[Endpoint]:
+        """Leave out what is ejected or just refused, down to the floor.
+
+        Targets that left since can have made the ejected ones too large a
+        share; those whose time ends first are then used again.
+        """
+        ejected = list(self._iter_ejected(endpoints))
+        if ejected:
+            ejected.sort(key=lambda endpoint: self._ejected_until_ms(endpoint))
+            n_back = max(0, len(ejected) - _n_ejected_max(endpoints, ejected[0]))
+            out = {endpoint.key for endpoint in ejected[n_back:]}
+            usable = [item for item in usable if item.key not in out] or usable
+        welcome = [
+            endpoint
+            for endpoint in usable
+            if self._health[endpoint.key].avoided_until_ms <= now_ms
+        ]
+        return welcome or usable
+
+    def _pick(
+        self, healthy: list[Endpoint], wait_of: Callable[[Endpoint], float]
+    ) -> Endpoint:
+        """Return the better of two, from the own zone while it has room."""
+        zone = self._availability_zone
+        near = [item for item in healthy if item.availability_zone == zone]
+        if not near or len(near) == len(healthy):
+            return self._better_of_two(healthy, wait_of)
+        best = self._better_of_two(near, wait_of)
+        if wait_of(best) < 1.0:
+            return best
+        far = [item for item in healthy if item.availability_zone != zone]
+        other = self._better_of_two(far, wait_of)
+        return other if wait_of(other) < wait_of(best) else best
+
+    def _better_of_two(
+        self, endpoints: list[Endpoint], wait_of: Callable[[Endpoint], float]
+    ) -> Endpoint:
+        n_endpoints = len(endpoints)
+        if n_endpoints == 1:
+            return endpoints[0]
+        first = int(self._rng.random() * n_endpoints)
+        second = int(self._rng.random() * (n_endpoints - 1))
+        second += second >= first
+        one, other = endpoints[first], endpoints[second]
+        return one if wait_of(one) <= wait_of(other) else other
+
+    def _ejected_until_ms(self, endpoint: Endpoint) -> float:
+        return self._health[endpoint.key].ejected_until_ms
+
+    def _known(
+        self, endpoints: Sequence[Endpoint], now_ms: float
+    ) -> dict[TargetKey, TargetHealth]:
+        """Return the state by target, with one for each that is new.
+
+        Where none of a service's targets is known, this daemon is the new one
+        and they are taken as warm.
+        """
+        known = self._health
+        missing = [item.key for item in endpoints if item.key not in known]
+        is_new = len(missing) < len(endpoints)
+        for key in missing:
+            known[key] = TargetHealth(now_ms, is_new=is_new)
+        if len(known) > N_REMEMBERED_MAX:
+            self._forget(now_ms)
+        for endpoint in endpoints:
+            known[endpoint.key].seen_ms = now_ms
+        return known
+
+    def _forget(self, now_ms: float) -> None:
+        """Drop targets that have not been offered for a while.
+
+        Targets come and go for ever; remembering each would fill the memory.
+        """
+        self._health = {
+            key: health
+            for key, health in self._health.items()
+            if health.n_in_flight or now_ms - health.seen_ms < FORGOTTEN_AFTER_MS
+        }
+
+
+def _n_ejected_max(endpoints: Sequence[Endpoint], of: Endpoint) -> int:
+    allowed = len(endpoints) * of.policy.ejected_percent_max // 100
+    return min(allowed, len(endpoints) - 1)
+
+
+def _wait_of(
+    known: dict[TargetKey, TargetHealth], load_of: LoadOf, now_ms: float
+) -> Callable[[Endpoint], float]:
+    """Return the function from endpoint to expected wait, in calls per slot.
+
+    Own calls are counted exactly; the report, which may be a second old, adds
+    those of other daemons. It is never taken to lower what is seen here.
+    """
+
+    def wait_of(endpoint: Endpoint) -> float:
+        health = known[endpoint.key]
+        load = load_of(endpoint)
+        n_waiting = health.n_in_flight
+        if load is not None:
+            n_waiting = max(n_waiting, load.n_in_flight) + load.n_queued
+        is_cold = endpoint.target.state is TargetState.COLD
+        share = health.warmth(is_cold, now_ms)
+        return n_waiting / (endpoint.target.n_slots * share)
+
+    return wait_of
+
+
+__all__ = ["CallEnd", "Ejection", "Load", "LoadOf", "TargetChooser", "TargetKey"]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/calls/target_health.py
@@ -0,0 +1,102 @@
+"""What this daemon has seen of one target: load, errors, ejection, warmth.
+
+A target's own word (announced state, health or load endpoints) is a hint: it
+may lag or be wrong. What decides here is how the calls of this daemon ended.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Final
+
+EJECTION_BASE_MS: Final = 1_000
+EJECTION_MAX_MS: Final = 30_000
+EJECTION_JITTER: Final = 0.25
+SLOW_START_MS: Final = 10_000
+SLOW_START_MIN_SHARE: Final = 0.1
+# Successes in a row after which earlier ejections no longer lengthen the next.
+N_SUCCESSES_TO_FORGET: Final = 20
+
+
+class TargetHealth:
+    """The state of one target as seen from here."""
+
+    __slots__ = (
+        "_n_successes",
+        "_warm_since_ms",
+        "avoided_until_ms",
+        "ejected_until_ms",
+        "is_ejected",
+        "is_probed",
+        "n_ejections",
+        "n_errors",
+        "n_in_flight",
+        "seen_ms",
+    )
+
+    def __init__(self, seen_ms: float, *, is_new: bool) -> None:
+        self.n_in_flight = 0
+        self.n_errors = 0
+        self.n_ejections = 0
+        self.ejected_until_ms = 0.0
+        self.avoided_until_ms = 0.0
+        self.is_ejected = False
+        self.is_probed = False
+        self.seen_ms = seen_ms
+        self._n_successes = 0
+        self._warm_since_ms = seen_ms if is_new else seen_ms - SLOW_START_MS
+
+    def warmth(self, is_cold: bool, now_ms: float) -> float:
+        """Return the share of its slots that a target is trusted with.
+
+        A target that just started answers slowly; its full share at once would
+        queue calls behind its warm-up, which callers see as a latency spike.
+        """
+        if is_cold:
+            self._warm_since_ms = now_ms
+            return SLOW_START_MIN_SHARE
+        share = (now_ms - self._warm_since_ms) / SLOW_START_MS
+        return min(1.0, max(SLOW_START_MIN_SHARE, share))
+
+    def is_due_for_probe(self, now_ms: float) -> bool:
+        """Return whether one call may try whether an ejected target is back."""
+        return (
+            self.is_ejected and not self.is_probed and now_ms >= self.ejected_until_ms
+        )
+
+    def succeed(self) -> None:
+        """Take a good answer: the target is back, or still there."""
+        self.n_errors = 0
+        self.is_ejected = False
+        self.is_probed = False
+        self._n_successes += 1
+        if self._n_successes >= N_SUCCESSES_TO_FORGET:
+            self.n_ejections = 0
+
+    def fail(self) -> None:
+        """Take an error that the target or its daemon caused."""
+        self.n_errors += 1
+        self._n_successes = 0
+
+    def eject(self, now_ms: float, rng: Random) -> float:
+        """Leave the target out for a while and return for how long, in ms.
+
+        The time doubles with each ejection, and is jittered: daemons that saw
+        the same fault would else all probe the target in the same instant.
+        """
+        period_ms = min(EJECTION_MAX_MS, EJECTION_BASE_MS * 2**self.n_ejections)
+        period_ms *= 1 + EJECTION_JITTER * (2 * rng.random() - 1)
+        self.n_ejections += 1
+        self.is_ejected = True
+        self.is_probed = False
+        self.ejected_until_ms = now_ms + period_ms
+        return period_ms
+
+
+__all__ = [
+    "EJECTION_BASE_MS",
+    "EJECTION_MAX_MS",
+    "SLOW_START_MIN_SHARE",
+    "SLOW_START_MS",
+    "TargetHealth",
+]
--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from typing import Final
 
-from .intent import Route, Service
+from .intent import Policy, Route, Service
 from .labels import Labels, Selector, parse_selector
 from .members import Member, Target, TargetState
 from .versions import Snapshot
@@ -37,11 +38,40 @@
         return prefix.endswith("/") or not rest or rest[0] in "/?"
 
 
+DEFAULT_POLICY: Final = Policy("default", "")
+
+
+@dataclass(frozen=True, slots=True)
+class CompiledPolicy:
+    """A policy with the customer that stated it and its parsed selector."""
+
+    customer: str
+    policy: Policy
+    target_selector: Selector
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyTable:
+    """The policies in force. A customer's policies hold for its calls only."""
+
+    policies: tuple[CompiledPolicy, ...] = ()
+
+    def find(self, customer: str, target_labels: Labels) -> Policy:
+        """Return the first policy of a customer that selects a target."""
+        for compiled in self.policies:
+            if compiled.customer != customer:
+                continue
+            if compiled.target_selector.matches(target_labels):
+                return compiled.policy
+        return DEFAULT_POLICY
+
+
 @dataclass(frozen=True, slots=True)
 class RouteTable:
-    """Every route of this proxy, the most specific first."""
+    """Every route of this proxy, the most specific first, and the policies."""
 
     routes: tuple[CompiledRoute, ...] = ()
+    policies: PolicyTable = PolicyTable()
 
     def match(self, host: str, path: str) -> CompiledRoute | None:
         """Return the most specific route for a request, or None."""
@@ -53,12 +83,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
-    """A target and the member beside which it runs."""
+    """A target, the member beside which it runs and the policy for its calls."""
 
     vm: str
     availability_zone: str
     peer_address: str
     target: Target
+    policy: Policy = DEFAULT_POLICY
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Return what names the target in the fleet: its VM and its name."""
+        return (self.vm, self.target.name)
 
 
 def compile_routes(snapshots: Iterable[Snapshot], proxy_labels: Labels) -> RouteTable:
@@ -67,14 +103,29 @@
     The order is total (host given, longest prefix, customer, name), so that
     every proxy with the same versions and labels decides alike.
     """
-    compiled = sorted(_iter_compiled(snapshots, proxy_labels), key=_specificity)
-    return RouteTable(tuple(compiled))
+    held = tuple(snapshots)
+    compiled = sorted(_iter_compiled(held, proxy_labels), key=_specificity)
+    return RouteTable(tuple(compiled), compile_policies(held))
+
+
+def compile_policies(snapshots: Iterable[Snapshot]) -> PolicyTable:
+    """Compile the policies in force, in the order in which they are stated."""
+    return PolicyTable(
+        tuple(
+            CompiledPolicy(
+                snapshot.head.customer, policy, parse_selector(policy.selector).unwrap()
+            )
+            for snapshot in snapshots
+            for policy in snapshot.intent.policies
+        )
+    )
 
 
 def iter_endpoints(
     members: Iterable[Member],
     selector: Selector,
     overrides: Mapping[str, Labels],
+    policy_of: Callable[[Labels], Policy] = lambda labels: DEFAULT_POLICY,
 ) -> Iterator[Endpoint]:
     """Yield the targets that a service's selector chooses and that take work."""
     for member in members:
@@ -83,9 +134,14 @@
         for target in member.targets:
             if target.state is TargetState.DRAINING:
                 continue
-            if selector.matches(effective_labels(member.vm, target, overrides)):
+            labels = effective_labels(member.vm, target, overrides)
+            if selector.matches(labels):
                 yield Endpoint(
-                    member.vm, member.availability_zone, member.peer_address, target
+                    member.vm,
+                    member.availability_zone,
+                    member.peer_address,
+                    target,
+                    policy_of(labels),
                 )
 
 
@@ -142,10 +198,14 @@
 
 
 __all__ = [
+    "DEFAULT_POLICY",
+    "CompiledPolicy",
     "CompiledRoute",
     "Endpoint",
+    "PolicyTable",
     "RouteTable",
     "apply_override",
+    "compile_policies",
     "compile_routes",
     "effective_labels",
     "iter_endpoints",
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,157 @@
+"""Admission beside a target and the decision to retry."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from pepperstair_core.calls import (
+    Admission,
+    Admitted,
+    Attempt,
+    GiveUp,
+    RefusalCause,
+    Retry,
+    RetryBudget,
+    WaitingCall,
+    decide_retry,
+)
+from pepperstair_core.calls.fair_queue import FairQueue
+from pepperstair_core.calls.retry import GiveUpCause
+from pepperstair_core.errors import ErrorKind, Failure, Run
+
+
+def call(ticket, customer="a", priority="normal", deadline_ms=10_000, n_queued_max=2):
+    """Return a call that arrives at 0."""
+    return WaitingCall(ticket, customer, priority, 0.0, deadline_ms, n_queued_max)
+
+
+def full(*waiting: WaitingCall) -> Admission:
+    """Return one slot that is taken, with calls that wait."""
+    admission = Admission(1)
+    for item in (call(0), *waiting):
+        admission.arrive(item, 0.0)
+    return admission
+
+
+def test_urgent_call_displaces_the_newest_of_the_least_urgent():
+    """A booking arrives while the queue is full of archive browsing.
+
+    The displaced call did not run, and is told so in that instant.
+    """
+    waiting = [call(1, priority="deferrable"), call(2, priority="deferrable")]
+    admission = full(*waiting)
+    (refused,) = admission.arrive(call(3, priority="urgent"), 0.0)
+    assert (refused.ticket, refused.cause) == (2, RefusalCause.DISPLACED)
+    assert refused.retry_after_ms > 0
+    assert admission.finish("a", "normal", 10, 1.0) == [Admitted(3)]
+
+
+def test_small_customer_gets_a_place_in_a_queue_that_a_large_one_filled():
+    """One customer fills the whole queue; another one's first call arrives."""
+    admission = full(call(1), call(2))
+    (refused,) = admission.arrive(call(3, customer="b"), 0.0)
+    assert (refused.ticket, refused.cause) == (2, RefusalCause.OVER_SHARE)
+    (refused,) = admission.arrive(call(4), 0.0)
+    assert (refused.ticket, refused.cause) == (4, RefusalCause.QUEUE_FULL)
+
+
+def test_call_that_cannot_be_answered_in_time_is_refused_in_that_instant():
+    """The deadline of a call would pass while it waits.
+
+    Kept in the queue, it would be run for a caller that has given up.
+    """
+    admission = full()
+    (refused,) = admission.arrive(call(1, deadline_ms=15), 0.0)
+    assert refused.cause is RefusalCause.TOO_LATE
+    assert admission.arrive(call(2, deadline_ms=40), 0.0) == []
+    assert admission.expire(admission.next_expiry_ms - 1) == []
+    (refused,) = admission.expire(admission.next_expiry_ms)
+    assert (refused.ticket, refused.cause) == (2, RefusalCause.TOO_LATE)
+    assert admission.next_expiry_ms is None
+
+
+def test_old_deferrable_call_runs_beside_urgent_ones():
+    """Urgent calls keep every slot busy for minutes.
+
+    By priority alone, archive browsing would never come to its turn.
+    """
+    admission = full(call(1, priority="deferrable", deadline_ms=1e9))
+    admitted = []
+    for ticket in range(2, 30):
+        urgent = call(ticket, priority="urgent", deadline_ms=1e9)
+        admission.arrive(urgent, 1000.0)
+        admitted += admission.finish("a", "urgent", 10, 1000.0)
+    assert [verdict.ticket for verdict in admitted].index(1) == 9
+
+
+def test_drained_and_withdrawn_calls_leave_the_queue():
+    admission = full(call(1), call(2))
+    admission.withdraw(1)
+    (refused,) = admission.drain()
+    assert (refused.ticket, refused.cause) == (2, RefusalCause.DRAINING)
+    assert (admission.n_queued, admission.n_in_flight) == (0, 1)
+
+
+def test_customer_with_long_calls_has_fewer_turns():
+    """One customer's calls each take five times as long as another's."""
+    queue = FairQueue()
+    for ticket in range(60):
+        queue.push(call(ticket, customer="long" if ticket % 2 else "short"))
+    taken = []
+    while len(taken) < 24:
+        customer = queue.pop().customer
+        taken.append(customer)
+        queue.charge(customer, 4.0 if customer == "long" else 0.0)
+    assert taken.count("short") == 5 * taken.count("long")
+
+
+def attempt(kind, run=None, is_idempotent=False, n=1, left_ms=500, **more):
+    """Return a failed attempt."""
+    failure = Failure(kind, run=run)
+    return Attempt(failure, n, is_idempotent, more.pop("replay", True), left_ms, **more)
+
+
+@pytest.mark.parametrize(
+    ("failed", "cause"),
+    [
+        (attempt(ErrorKind.TARGET_FAILED), GiveUpCause.MAY_HAVE_RUN),
+        (attempt(ErrorKind.DRAINING, Run.UNKNOWN), GiveUpCause.MAY_HAVE_RUN),
+        (
+            attempt(ErrorKind.DRAINING, earlier_run=Run.UNKNOWN),
+            GiveUpCause.MAY_HAVE_RUN,
+        ),
+        (attempt(ErrorKind.BODY_TOO_LARGE), GiveUpCause.FINAL),
+        (attempt(ErrorKind.TIMEOUT, is_idempotent=True), GiveUpCause.FINAL),
+        (attempt(ErrorKind.DRAINING, replay=False), GiveUpCause.FINAL),
+        (attempt(ErrorKind.DRAINING, n=3), GiveUpCause.ATTEMPTS),
+        (attempt(ErrorKind.DRAINING, left_ms=0), GiveUpCause.DEADLINE),
+        (attempt(ErrorKind.DRAINING), None),
+        (attempt(ErrorKind.TARGET_FAILED, is_idempotent=True), None),
+    ],
+)
+def test_only_what_cannot_run_twice_is_sent_again(failed, cause):
+    decision = decide_retry(failed, RetryBudget(), Random(1))
+    assert isinstance(decision, Retry) if cause is None else decision == GiveUp(cause)
+
+
+def test_refusal_after_a_lost_answer_does_not_say_not_run():
+    """The first attempt's answer is lost and the second one is refused.
+
+    Told `no`, the caller would send a request again that may have run. Seen as
+    a failure of the differential test of retries before attempts were added up.
+    """
+    failed = attempt(ErrorKind.OVERLOADED, earlier_run=Run.UNKNOWN)
+    assert failed.has_run is Run.UNKNOWN
+
+
+def test_budget_ends_retries_during_an_outage():
+    budget, rng = RetryBudget(), Random(2)
+    decisions = []
+    for _ in range(200):
+        budget.add_call(10)
+        decisions.append(decide_retry(attempt(ErrorKind.DRAINING), budget, rng))
+    n_retries = sum(isinstance(decision, Retry) for decision in decisions)
+    assert n_retries == 30
+    assert decisions[-2] == GiveUp(GiveUpCause.BUDGET)
