--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -14,8 +14,11 @@
 from .intent import Policy, Route, Service
 from .labels import Labels, Selector, parse_selector
 from .members import Member, Target, TargetState
+from .policies import DEFAULT_POLICY, PolicyTable, compile_policies
 from .versions import Snapshot
 
+NO_POLICIES: Final = PolicyTable()
+
 
 @dataclass(frozen=True, slots=True)
 class CompiledRoute:
@@ -27,58 +30,65 @@
     service: Service
     target_selector: Selector
 
-    def matches(self, host: str, path: str) -> bool:
-        """Return whether a request for a host and path takes this route."""
-        if self.route.host and self.route.host != host:
-            return False
-        prefix = self.route.path_prefix
-        if not path.startswith(prefix):
-            return False
-        rest = path[len(prefix) :]
-        return prefix.endswith("/") or not rest or rest[0] in "/?"
 
+class RouteTable:
+    """Every route of this proxy, found by the longest prefix, and the policies.
 
-DEFAULT_POLICY: Final = Policy("default", "")
+    Looking a request up costs one dictionary access for each prefix of its
+    path, however many routes there are; a scan would grow with the customers.
+    """
 
+    __slots__ = ("_by_host", "policies", "routes")
 
-@dataclass(frozen=True, slots=True)
-class CompiledPolicy:
-    """A policy with the customer that stated it and its parsed selector."""
-
-    customer: str
-    policy: Policy
-    target_selector: Selector
+    def __init__(
+        self,
+        routes: Iterable[CompiledRoute] = (),
+        policies: PolicyTable = NO_POLICIES,
+    ) -> None:
+        self.routes = tuple(routes)
+        self.policies = policies
+        self._by_host: dict[str, dict[str, CompiledRoute]] = {}
+        for compiled in self.routes:
+            by_prefix = self._by_host.setdefault(compiled.route.host, {})
+            by_prefix.setdefault(compiled.route.path_prefix, compiled)
 
+    def match(self, host: str, path: str) -> CompiledRoute | None:
+        """Return the most specific route for a request, or None.
 
-@dataclass(frozen=True, slots=True)
-class PolicyTable:
-    """The policies in force. A customer's policies hold for its calls only."""
+        A route for the request's host goes before one for every host, and a
+        longer prefix before a shorter one.
+        """
+        if host and host in self._by_host:
+            found = _longest_prefix(self._by_host[host], path)
+            if found is not None:
+                return found
+        return _longest_prefix(self._by_host.get("", {}), path)
 
-    policies: tuple[CompiledPolicy, ...] = ()
 
-    def find(self, customer: str, target_labels: Labels) -> Policy:
-        """Return the first policy of a customer that selects a target."""
-        for compiled in self.policies:
-            if compiled.customer != customer:
-                continue
-            if compiled.target_selector.matches(target_labels):
-                return compiled.policy
-        return DEFAULT_POLICY
+def _longest_prefix(
+    by_prefix: Mapping[str, CompiledRoute], path: str
+) -> CompiledRoute | None:
+    for prefix in _iter_prefixes(path.partition("?")[0]):
+        found = by_prefix.get(prefix)
+        if found is not None:
+            return found
+    return None
 
 
-@dataclass(frozen=True, slots=True)
-class RouteTable:
-    """Every route of this proxy, the most specific first, and the policies."""
+def _iter_prefixes(path: str) -> Iterator[str]:
+    """Yield the path cut at each slash, longest first, with and without it.
 
-    routes: tuple[CompiledRoute, ...] = ()
-    policies: PolicyTable = PolicyTable()
-
-    def match(self, host: str, path: str) -> CompiledRoute | None:
-        """Return the most specific route for a request, or None."""
-        for compiled in self.routes:
-            if compiled.matches(host, path):
-                return compiled
-        return None
+    >>> list(_iter_prefixes("/a/b"))
+    ['/a/b', '/a/', '/a', '/']
+    """
+    yield path
+    end = len(path.rstrip("/")) if path.endswith("/") else len(path)
+    if 0 < end < len(path):
+        yield path[:end]
+    while (end := path.rfind("/", 0, end)) >= 0:
+        yield path[: end + 1]
+        if end > 0:
+            yield path[:end]
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,20 +115,41 @@
     """
     held = tuple(snapshots)
     compiled = sorted(_iter_compiled(held, proxy_labels), key=_specificity)
-    return RouteTable(tuple(compiled), compile_policies(held))
+    return RouteTable(compiled, compile_policies(held))
 
 
-def compile_policies(snapshots: Iterable[Snapshot]) -> PolicyTable:
-    """Compile the policies in force, in the order in which they are stated."""
-    return PolicyTable(
-        tuple(
-            CompiledPolicy(
-                snapshot.head.customer, policy, parse_selector(policy.selector).unwrap()
-            )
-            for snapshot in snapshots
-            for policy in snapshot.intent.policies
-        )
-    )
+class EndpointTable:
+    """The endpoints of each service, kept until members or overrides change.
+
+    Walking all members for each call would cost a millisecond in a fleet of
+    600; members change seldom beside the calls.
+    """
+
+    __slots__ = ("_cache", "_members", "_overrides", "_policies")
+
+    def __init__(
+        self,
+        members: Iterable[Member] = (),
+        overrides: Mapping[str, Labels] | None = None,
+        policies: PolicyTable = NO_POLICIES,
+    ) -> None:
+        self._members = tuple(members)
+        self._overrides = overrides or {}
+        self._policies = policies
+        self._cache: dict[tuple[Selector, str], tuple[Endpoint, ...]] = {}
+
+    def endpoints(self, selector: Selector, customer: str = "") -> tuple[Endpoint, ...]:
+        """Return the targets that a service's selector chooses, by name.
+
+        Each carries the policy that the customer states for its calls to it.
+        """
+        found = self._cache.get((selector, customer))
+        if found is None:
+            policy_of = lambda labels: self._policies.find(customer, labels)
+            chosen = iter_endpoints(self._members, selector, self._overrides, policy_of)
+            found = tuple(sorted(chosen, key=_endpoint_order))
+            self._cache[(selector, customer)] = found
+        return found
 
 
 def iter_endpoints(
@@ -127,7 +158,7 @@
     overrides: Mapping[str, Labels],
     policy_of: Callable[[Labels], Policy] = lambda labels: DEFAULT_POLICY,
 ) -> Iterator[Endpoint]:
-    """Yield the targets that a service's selector chooses and that take work."""
+    """Yield the targets that a selector chooses and that take work."""
     for member in members:
         if not member.is_usable:
             continue
@@ -165,10 +196,15 @@
 
 
 def overrides_of(snapshots: Iterable[Snapshot]) -> dict[str, Labels]:
-    """Return the label overrides in force, by workload."""
+    """Return the label overrides in force, by workload.
+
+    Where two customers override one workload the last by name wins, on every
+    daemon alike, whatever order their versions arrived in.
+    """
+    in_order = sorted(snapshots, key=lambda snapshot: snapshot.head.customer)
     return {
         override.workload: override.labels
-        for snapshot in snapshots
+        for snapshot in in_order
         for override in snapshot.intent.label_overrides
     }
 
@@ -192,20 +228,21 @@
             )
 
 
+def _endpoint_order(endpoint: Endpoint) -> tuple[str, str]:
+    return (endpoint.vm, endpoint.target.name)
+
+
 def _specificity(compiled: CompiledRoute) -> tuple[bool, int, str, str]:
     route = compiled.route
     return (not route.host, -len(route.path_prefix), compiled.customer, route.name)
 
 
 __all__ = [
-    "DEFAULT_POLICY",
-    "CompiledPolicy",
     "CompiledRoute",
     "Endpoint",
-    "PolicyTable",
+    "EndpointTable",
     "RouteTable",
     "apply_override",
-    "compile_policies",
     "compile_routes",
     "effective_labels",
     "iter_endpoints",
