Carry calls within deadlines, slots and the retry budget

The proxy and the runner are now small modules that carry out the decisions of core/calls: each call is chosen, sent, sent again where that is safe, relayed and counted; each answer says whether the request ran; slots are held until the answer was read or dropped; a caller that leaves closes the connection to the target; a lease is looked at for each call, as a paused daemon has not run its timers yet when it takes the calls that waited in its buffers.

--- a/packages/pepperstair-callers/pepperstair_callers/__init__.py
+++ b/packages/pepperstair-callers/pepperstair_callers/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
-from .proxy import Proxy, ProxyContext
+from .context import CallCarrier, ProxyContext
+from .proxy import Proxy
 
-__all__ = ["Proxy", "ProxyContext"]
+__all__ = ["CallCarrier", "Proxy", "ProxyContext"]
--- /dev/null
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -0,0 +1,289 @@
+"""Sends a call to a target, and to another one where that is safe."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Iterator
+
+import structlog
+
+from pepperstair_core.calls import Attempt, CallEnd, Ejection, GiveUp, decide_retry
+from pepperstair_core.decisions import Decision, DecisionKind
+from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
+from pepperstair_core.events import Event
+from pepperstair_core.routing import CompiledRoute, Endpoint
+from pepperstair_core.wire import CallHead
+from pepperstair_http import Request, StreamedResponse
+
+from . import request_heads
+from .context import ProxyContext
+from .request_body import RequestBody
+
+log = structlog.get_logger(__name__)
+
+# The daemon beside the target is given a little less time than is left here,
+# so that its exact answer (not run, or unknown) comes before the own timeout,
+# which can say `unknown` only.
+HOP_MARGIN_MS = 5
+HOP_MARGIN_SHARE = 0.1
+
+_REFUSALS = frozenset(
+    {
+        ErrorKind.BUSY,
+        ErrorKind.DRAINING,
+        ErrorKind.NOT_READY,
+        ErrorKind.NO_TARGET,
+        ErrorKind.OVERLOADED,
+        ErrorKind.TOO_MANY_CONNECTIONS,
+    }
+)
+_TARGET_ERRORS = frozenset(
+    {
+        ErrorKind.OUTCOME_UNKNOWN,
+        ErrorKind.PEER_UNREACHABLE,
+        ErrorKind.TARGET_FAILED,
+        ErrorKind.TARGET_UNREACHABLE,
+    }
+)
+_SHEDDING_STATUSES = frozenset({429, 503})
+
+
+class ProxiedCall:
+    """One request on its way: its route, its deadline and its attempts."""
+
+    __slots__ = (
+        "_body",
+        "_call_ids",
+        "_context",
+        "_endpoint",
+        "_excluded",
+        "_headers",
+        "_request",
+        "compiled",
+        "deadline_ms",
+        "n_attempts",
+        "run",
+    )
+
+    def __init__(
+        self,
+        context: ProxyContext,
+        request: Request,
+        compiled: CompiledRoute,
+        body: RequestBody,
+        call_ids: Iterator[int],
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._body = body
+        self._call_ids = call_ids
+        self._headers = request_heads.passed_headers(request.headers)
+        self._endpoint: Endpoint | None = None
+        self._excluded: frozenset[tuple[str, str]] = frozenset()
+        self.compiled = compiled
+        timeout_ms = request_heads.timeout_ms(
+            request.headers, compiled.route.timeout_ms
+        )
+        self.deadline_ms = context.now_ms() + timeout_ms
+        self.n_attempts = 0
+        self.run = Run.NO
+
+    @property
+    def time_left_ms(self) -> float:
+        """Return the time until the answer is due."""
+        return self.deadline_ms - self._context.now_ms()
+
+    async def carry(self) -> StreamedResponse:
+        """Return the first answer of a target, or raise the last failure."""
+        context = self._context
+        percent = min(context.retry_budget_percent, self._budget_percent())
+        context.budget.add_call(percent)
+        await self._read_body()
+        while True:
+            self._endpoint = self._choose()
+            self.n_attempts += 1
+            try:
+                return await self._attempt(self._endpoint)
+            except PepperstairError as error:
+                await self._back_off(error.failure)
+            except BaseException:
+                self.run = Run.UNKNOWN
+                self.end(CallEnd.ABANDONED)
+                raise
+
+    def end(self, end: CallEnd, retry_after_ms: int = 0) -> None:
+        """Tell the choice of targets how the last attempt ended, once."""
+        endpoint = self._endpoint
+        if endpoint is None:
+            return
+        self._endpoint = None
+        context = self._context
+        ejection = context.chooser.end(
+            endpoint,
+            context.endpoints(self.compiled),
+            end,
+            context.now_ms(),
+            retry_after_ms,
+        )
+        if ejection is not None:
+            self._report_ejection(ejection)
+
+    def end_answered(self, response: StreamedResponse, is_whole: bool) -> None:
+        """Take the end of an answer that was passed on.
+
+        What the target announced or says on a health endpoint plays no part:
+        errors and cut answers count against it, whatever it says of itself.
+        """
+        if not is_whole or response.status >= 500:
+            is_shedding = is_whole and response.status in _SHEDDING_STATUSES
+            self.end(CallEnd.REFUSED if is_shedding else CallEnd.ERROR)
+        else:
+            self.end(CallEnd.GOOD)
+
+    def abandon(self) -> None:
+        """Take the end of an answer that the caller did not wait for."""
+        self.end(CallEnd.ABANDONED)
+
+    async def _read_body(self) -> None:
+        if not request_heads.has_body(self._request.headers):
+            return
+        try:
+            async with asyncio.timeout(self.time_left_ms / 1000):
+                await self._body.keep()
+        except TimeoutError as error:
+            failure = Failure(ErrorKind.DEADLINE_BEFORE_RUN, "reading the body")
+            raise PepperstairError(failure) from error
+
+    def _choose(self) -> Endpoint:
+        context = self._context
+        chosen = context.chooser.choose(
+            context.endpoints(self.compiled),
+            context.load_of,
+            context.now_ms(),
+            self._excluded,
+        )
+        if chosen is None:
+            failure = Failure(ErrorKind.NO_TARGET, self.compiled.service.name)
+            raise PepperstairError(failure)
+        return chosen
+
+    async def _attempt(self, endpoint: Endpoint) -> StreamedResponse:
+        head = self._call_head(endpoint)
+        body = self._body.for_attempt()
+        if endpoint.vm == self._context.vm:
+            # The runner beside the target holds the deadline itself.
+            return await self._context.carry(endpoint, head, body)
+        try:
+            async with asyncio.timeout(max(0.0, self.time_left_ms) / 1000) as scope:
+                loop = asyncio.get_running_loop()
+                self._body.on_failed = lambda: scope.reschedule(loop.time())
+                return await self._context.carry(endpoint, head, body)
+        except TimeoutError as error:
+            failure = self._body.failure or Failure(ErrorKind.TIMEOUT)
+            raise PepperstairError(failure) from error
+
+    async def _back_off(self, failure: Failure) -> None:
+        """Wait before another attempt, or raise the failure at once."""
+        failed = self._endpoint
+        self.end(self._end_of(failure), failure.retry_after_ms)
+        attempt = Attempt(
+            failure,
+            self.n_attempts,
+            request_heads.is_idempotent(self._request.headers, self.compiled),
+            self._body.is_replayable,
+            self.time_left_ms,
+            self.run,
+        )
+        self.run = attempt.has_run
+        excluded = self._excluded | {failed.key}
+        known = self._context.endpoints(self.compiled)
+        has_other = any(endpoint.key not in excluded for endpoint in known)
+        final = Failure(
+            failure.kind, failure.detail, failure.retry_after_ms, attempt.has_run
+        )
+        if not has_other:
+            raise PepperstairError(final)
+        decision = decide_retry(attempt, self._context.budget, self._context.rng)
+        if isinstance(decision, GiveUp):
+            raise PepperstairError(final)
+        self._excluded = excluded
+        self._report_retry(failed, failure)
+        await asyncio.sleep(decision.delay_ms / 1000)
+
+    def _end_of(self, failure: Failure) -> CallEnd:
+        if failure.kind in _REFUSALS:
+            return CallEnd.REFUSED
+        if failure.kind in _TARGET_ERRORS:
+            return CallEnd.ERROR
+        # A caller that allows less time than the route has learnt nothing of
+        # the target: its short timeouts must not eject one that others use.
+        is_own_timeout = request_heads.timeout_ms(
+            self._request.headers, self.compiled.route.timeout_ms
+        ) == (self.compiled.route.timeout_ms)
+        if failure.kind is ErrorKind.TIMEOUT and is_own_timeout:
+            return CallEnd.ERROR
+        return CallEnd.ABANDONED
+
+    def _call_head(self, endpoint: Endpoint) -> CallHead:
+        request = self._request
+        call_id = next(self._call_ids)
+        return CallHead(
+            call_id=call_id,
+            request_id=request_heads.request_id(request)
+            or f"{self._context.vm}-{call_id}",
+            customer=self.compiled.customer,
+            target=endpoint.target.name,
+            method=request.method,
+            path=request.path,
+            headers=self._headers,
+            priority=self.compiled.route.priority,
+            is_idempotent=request_heads.is_idempotent(request.headers, self.compiled),
+            time_left_ms=self._time_for(endpoint),
+            has_body=request_heads.has_body(request.headers),
+        )
+
+    def _time_for(self, endpoint: Endpoint) -> int:
+        left_ms = self.time_left_ms
+        if endpoint.vm != self._context.vm:
+            left_ms -= min(HOP_MARGIN_MS, left_ms * HOP_MARGIN_SHARE)
+        return max(0, int(left_ms))
+
+    def _budget_percent(self) -> int:
+        endpoints = self._context.endpoints(self.compiled)
+        return min(
+            (endpoint.policy.retry_budget_percent for endpoint in endpoints), default=0
+        )
+
+    def _report_ejection(self, ejection: Ejection) -> None:
+        vm, target = ejection.key
+        cause = f"{ejection.n_errors} errors in a row, seen from {self._context.vm}"
+        figures = (
+            ("n_errors", float(ejection.n_errors)),
+            ("period_ms", ejection.period_ms),
+        )
+        self._decide(DecisionKind.EJECTED, target, cause, figures)
+        log.warning(Event.TARGET_EJECTED, peer=vm, target=target, cause=cause)
+
+    def _report_retry(self, failed: Endpoint, failure: Failure) -> None:
+        figures = (("n_attempts", float(self.n_attempts)),)
+        name = failed.target.name
+        self._decide(DecisionKind.RETRIED, name, failure.kind.value, figures)
+
+    def _decide(
+        self,
+        kind: DecisionKind,
+        subject: str,
+        cause: str,
+        figures: tuple[tuple[str, float], ...],
+    ) -> None:
+        at_ms = int(self._context.now_ms())
+        self._context.decisions.add(Decision(at_ms, kind, subject, cause, figures))
+
+
+def count_call_ids() -> Iterator[int]:
+    """Return the ids of a daemon's calls; each attempt has its own."""
+    return itertools.count(1)
+
+
+__all__ = ["ProxiedCall", "count_call_ids"]
--- /dev/null
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -0,0 +1,47 @@
+"""What the proxy needs of the rest of the daemon."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import structlog
+
+from pepperstair_core.calls import CallOutcome, Load, RetryBudget, TargetChooser
+from pepperstair_core.decisions import DecisionLog
+from pepperstair_core.routing import CompiledRoute, Endpoint, RouteTable
+from pepperstair_core.wire import CallHead
+from pepperstair_http import BodyBuffer, StreamedResponse
+
+log = structlog.get_logger(__name__)
+
+CallCarrier = Callable[[Endpoint, CallHead, BodyBuffer], Awaitable[StreamedResponse]]
+
+
+@dataclass(frozen=True, slots=True)
+class ProxyContext:
+    """The state and the functions that the proxy shares with the daemon.
+
+    `carry` runs one attempt, beside the target or through its daemon. `budget`
+    is shared by all routes. `now_ms` never goes back.
+    """
+
+    vm: str
+    route_table: Callable[[], RouteTable]
+    endpoints: Callable[[CompiledRoute], tuple[Endpoint, ...]]
+    chooser: TargetChooser
+    load_of: Callable[[Endpoint], Load | None]
+    carry: CallCarrier
+    is_ready: Callable[[], bool]
+    is_draining: Callable[[], bool]
+    on_outcome: Callable[[CallOutcome], None]
+    decisions: DecisionLog
+    budget: RetryBudget
+    retry_budget_percent: int
+    now_ms: Callable[[], float]
+    rng: random.Random
+    body_max_bytes: int
+
+
+__all__ = ["CallCarrier", "ProxyContext"]
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -2,48 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
-import itertools
-from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass
-
 import structlog
 
 from pepperstair_core.calls import CallOutcome
-from pepperstair_core.errors import ErrorKind, Failure, PepperstairError
-from pepperstair_core.routing import CompiledRoute, Endpoint, RouteTable
-from pepperstair_core.wire import CallHead
-from pepperstair_http import (
-    BodyBuffer,
-    ConnectionLostError,
-    Exchange,
-    Headers,
-    Request,
-    StreamedResponse,
-    end_to_end_headers,
-    header_value,
-)
-
-log = structlog.get_logger(__name__)
-
-CallCarrier = Callable[[Endpoint, CallHead, BodyBuffer], Awaitable[StreamedResponse]]
+from pepperstair_core.errors import ANSWERS, ErrorKind, Failure, PepperstairError, Run
+from pepperstair_http import ConnectionLostError, Exchange, StreamedResponse
 
+from . import request_heads
+from .attempts import ProxiedCall, count_call_ids
+from .context import ProxyContext
+from .relay import answer_failure, relay
+from .request_body import RequestBody
 
-@dataclass(frozen=True, slots=True)
-class ProxyContext:
-    """What the proxy needs of the rest of the daemon, as functions.
-
-    `choose` picks one of a service's endpoints, None where there is none.
-    """
-
-    vm: str
-    route_table: Callable[[], RouteTable]
-    endpoints: Callable[[CompiledRoute], Iterable[Endpoint]]
-    choose: Callable[[list[Endpoint]], Endpoint | None]
-    carry: CallCarrier
-    is_ready: Callable[[], bool]
-    on_outcome: Callable[[CallOutcome], None]
-    body_max_bytes: int
+log = structlog.get_logger(__name__)
 
 
 class Proxy:
@@ -51,126 +22,98 @@
 
     def __init__(self, context: ProxyContext) -> None:
         self._context = context
-        self._call_ids = itertools.count(1)
+        self._call_ids = count_call_ids()
         self.n_calls = 0
         self.n_failed = 0
+        self.n_retries = 0
+        self.n_in_flight = 0
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request: the target's whole answer or one clear failure."""
         self.n_calls += 1
+        self.n_in_flight += 1
+        start_ms = self._context.now_ms()
+        call: ProxiedCall | None = None
+        # Where nothing else is learnt, as when this task is cancelled because
+        # the connection went away, the caller has left.
+        status, error = ANSWERS[ErrorKind.CANCELLED].status, ErrorKind.CANCELLED
         try:
-            response = await self._call(exchange)
-        except PepperstairError as error:
-            self.n_failed += 1
-            await _answer_failure(exchange, error.failure)
-            return
-        await _relay(exchange, response)
-
-    async def _call(self, exchange: Exchange) -> StreamedResponse:
+            try:
+                call = self._begin(exchange)
+                response = await call.carry()
+            except PepperstairError as failed:
+                failure = failed.failure
+                status, error = failure.answer.status, failure.kind
+                if call is not None:
+                    call.run = failure.has_run
+                await answer_failure(exchange, failure, self._context.is_draining())
+                return
+            call.run = Run.YES
+            is_whole = await self._pass_on(exchange, call, response)
+            status = response.status
+            error = None if is_whole else ErrorKind.TARGET_FAILED
+        except ConnectionLostError:
+            # The caller's own connection broke while its body was arriving.
+            exchange.abort()
+        finally:
+            self._finish(call, status, error, start_ms)
+
+    def _begin(self, exchange: Exchange) -> ProxiedCall:
+        """Find the route of a request, or raise why it is not carried."""
         request = exchange.request
         context = self._context
+        if context.is_draining():
+            raise PepperstairError(Failure(ErrorKind.DRAINING, context.vm))
         if not context.is_ready():
             raise PepperstairError(Failure(ErrorKind.NOT_READY))
+        if request.method == "CONNECT":
+            raise PepperstairError(Failure(ErrorKind.BAD_REQUEST, "no tunnels"))
         compiled = context.route_table().match(request.host, request.path)
         if compiled is None:
             raise PepperstairError(Failure(ErrorKind.NO_ROUTE, request.path))
-        if _content_length(request.headers) > context.body_max_bytes:
+        if request_heads.content_length(request.headers) > context.body_max_bytes:
             raise PepperstairError(Failure(ErrorKind.BODY_TOO_LARGE))
-        endpoint = context.choose(list(context.endpoints(compiled)))
-        if endpoint is None:
-            failure = Failure(ErrorKind.NO_TARGET, compiled.service.name)
-            raise PepperstairError(failure)
-        head = self._call_head(request, compiled, endpoint)
+        body = RequestBody(exchange.body, context.body_max_bytes)
+        return ProxiedCall(context, request, compiled, body, self._call_ids)
+
+    async def _pass_on(
+        self, exchange: Exchange, call: ProxiedCall, response: StreamedResponse
+    ) -> bool:
+        is_whole = False
+        is_answered = False
         try:
-            async with asyncio.timeout(head.time_left_ms / 1000):
-                return await context.carry(endpoint, head, exchange.body)
-        except TimeoutError as error:
-            raise PepperstairError(Failure(ErrorKind.TIMEOUT)) from error
-
-    def _call_head(
-        self, request: Request, compiled: CompiledRoute, endpoint: Endpoint
-    ) -> CallHead:
-        call_id = next(self._call_ids)
-        request_id = header_value(request.headers, b"x-request-id").decode("latin-1")
-        return CallHead(
-            call_id=call_id,
-            request_id=request_id or f"{self._context.vm}-{call_id}",
-            customer=compiled.customer,
-            target=endpoint.target.name,
-            method=request.method,
-            path=request.path,
-            headers=_request_headers(request.headers),
-            priority=compiled.route.priority,
-            is_idempotent=_is_idempotent(request, compiled),
-            time_left_ms=_timeout_ms(request.headers, compiled.route.timeout_ms),
-            has_body=_has_body(request.headers),
-        )
-
-
-async def _relay(exchange: Exchange, response: StreamedResponse) -> None:
-    """Pass the answer on; where it is cut, the caller's connection is broken."""
-    headers = (*end_to_end_headers(response.headers), (b"pepperstair-run", b"yes"))
-    if exchange.request.method != "HEAD" and not _has_length(response.headers):
-        headers = (*headers, (b"transfer-encoding", b"chunked"))
-    try:
-        await exchange.send_head(response.status, headers)
-        while part := await response.body.read():
-            await exchange.send_part(part)
-        await exchange.finish()
-    except (PepperstairError, ConnectionLostError):
-        exchange.abort()
-    finally:
-        response.cancel()
-
-
-async def _answer_failure(exchange: Exchange, failure: Failure) -> None:
-    headers = [
-        (b"content-type", b"text/plain; charset=utf-8"),
-        (b"pepperstair-run", failure.has_run.encode()),
-        (b"pepperstair-error", failure.kind.encode()),
-    ]
-    if failure.retry_after_ms:
-        seconds = -(-failure.retry_after_ms // 1000)
-        headers.append((b"retry-after", str(seconds).encode()))
-        headers.append(
-            (b"pepperstair-retry-after-ms", str(failure.retry_after_ms).encode())
+            is_whole = await relay(exchange, response, self._context.is_draining())
+            is_answered = True
+        finally:
+            response.cancel()
+            if is_answered:
+                call.end_answered(response, is_whole)
+            else:
+                call.abandon()
+        return is_whole
+
+    def _finish(
+        self,
+        call: ProxiedCall | None,
+        status: int,
+        error: ErrorKind | None,
+        start_ms: float,
+    ) -> None:
+        self.n_in_flight -= 1
+        self.n_failed += error is not None
+        n_retries = max(0, call.n_attempts - 1) if call is not None else 0
+        self.n_retries += n_retries
+        outcome = CallOutcome(
+            customer=call.compiled.customer if call is not None else "",
+            route=call.compiled.route.name if call is not None else "",
+            priority=call.compiled.route.priority if call is not None else "",
+            status=status,
+            error=error,
+            run=call.run if call is not None else Run.NO,
+            duration_ms=self._context.now_ms() - start_ms,
+            n_retries=n_retries,
         )
-    body = f"{failure.text}\n".encode()
-    await exchange.respond(failure.answer.status, tuple(headers), body)
-
-
-def _request_headers(headers: Headers) -> Headers:
-    kept = end_to_end_headers(headers)
-    if header_value(headers, b"transfer-encoding"):
-        kept = (*kept, (b"transfer-encoding", b"chunked"))
-    return tuple(item for item in kept if not item[0].startswith(b"pepperstair-"))
-
-
-def _has_body(headers: Headers) -> bool:
-    return _content_length(headers) > 0 or bool(
-        header_value(headers, b"transfer-encoding")
-    )
-
-
-def _has_length(headers: Headers) -> bool:
-    return bool(header_value(headers, b"content-length"))
-
-
-def _content_length(headers: Headers) -> int:
-    value = header_value(headers, b"content-length")
-    return int(value) if value else 0
-
-
-def _is_idempotent(request: Request, compiled: CompiledRoute) -> bool:
-    stated = header_value(request.headers, b"pepperstair-idempotent")
-    return compiled.route.is_idempotent or stated.lower() == b"true"
-
-
-def _timeout_ms(headers: Headers, route_timeout_ms: int) -> int:
-    stated = header_value(headers, b"pepperstair-timeout-ms")
-    if not stated.isdigit() or int(stated) == 0:
-        return route_timeout_ms
-    return min(int(stated), route_timeout_ms)
+        self._context.on_outcome(outcome)
 
 
-__all__ = ["CallCarrier", "Proxy", "ProxyContext"]
+__all__ = ["Proxy"]
--- a/packages/pepperstair-targets/pepperstair_targets/pool.py
+++ b/packages/pepperstair-targets/pepperstair_targets/pool.py
@@ -2,41 +2,65 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
+from typing import Final
 
 import structlog
 
 from pepperstair_core.config import parse_address
+from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
 from pepperstair_http import ClientConnection, connect
 
 log = structlog.get_logger(__name__)
 
+CONNECT_TIMEOUT_S: Final = 1.0
+
 
 class ConnectionPool:
-    """Connections to a target, reused where an answer was read to its end."""
+    """Connections to a target, reused where an answer was read to its end.
+
+    A call opens a connection only when none is idle, and no more calls run than
+    the target takes connections: so the cap holds without counting it again.
+    """
 
     def __init__(self, address: str) -> None:
         self._host, self._port = parse_address(address)
         self._idle: deque[ClientConnection] = deque()
+        self._is_closed = False
 
-    async def take(self) -> ClientConnection:
-        """Return a usable connection, or raise OSError."""
+    def take_idle(self) -> ClientConnection | None:
+        """Return a kept connection that is still open, or None."""
         while self._idle:
             connection = self._idle.pop()
             if connection.is_reusable:
                 return connection
             connection.close()
-        return await connect(self._host, self._port)
+        return None
+
+    async def open(self) -> ClientConnection:
+        """Open a connection; a failure proves that nothing was sent."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return await connect(self._host, self._port)
+        except (OSError, TimeoutError) as error:
+            failure = Failure(ErrorKind.TARGET_UNREACHABLE, str(error), run=Run.NO)
+            raise PepperstairError(failure) from error
 
     def give_back(self, connection: ClientConnection) -> None:
-        """Keep a connection for the next call, if it may carry one."""
-        if connection.is_reusable:
+        """Keep a connection for the next call, if it may carry one.
+
+        Closing one whose answer is not whole tells the target that nobody
+        waits for the rest.
+        """
+        if connection.is_reusable and not self._is_closed:
             self._idle.append(connection)
         else:
             connection.close()
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections now and the others when they come back."""
+        self._is_closed = True
         while self._idle:
             self._idle.pop().close()
 
--- a/packages/pepperstair-targets/pepperstair_targets/registry.py
+++ b/packages/pepperstair-targets/pepperstair_targets/registry.py
@@ -33,14 +33,17 @@
         """Return the announced targets."""
         return tuple(lease.target for lease in self._leases.values())
 
-    def get(self, name: str) -> Target | None:
-        """Return the target with a name, if it is announced."""
+    def get(self, name: str, now_ms: float) -> Target | None:
+        """Return the target with a name, if its lease holds."""
         lease = self._leases.get(name)
-        return None if lease is None else lease.target
+        if lease is None or lease.expires_ms <= now_ms:
+            return None
+        return lease.target
 
     def announce(self, target: Target, now_ms: int) -> None:
         """Take an announcement or renew its lease."""
-        known = self.get(target.name)
+        lease = self._leases.get(target.name)
+        known = None if lease is None else lease.target
         self._leases[target.name] = _Lease(target, now_ms + self.lease_ms)
         if known == target:
             return
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -2,134 +2,203 @@
 
 from __future__ import annotations
 
-import asyncio
+from collections.abc import Callable, Iterator
 
 import structlog
 
+from pepperstair_core.calls import Refused
+from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
+from pepperstair_core.intent import Policy
 from pepperstair_core.members import Target, TargetState
 from pepperstair_core.wire import CallHead
-from pepperstair_http import (
-    BodyBuffer,
-    ClientConnection,
-    ConnectionLostError,
-    ResponseHead,
-    StreamedResponse,
-)
+from pepperstair_http import BodyBuffer, StreamedResponse
 
 from .pool import ConnectionPool
 from .registry import TargetRegistry
+from .slots import SlotGate
+from .target_call import TargetCall
 
 log = structlog.get_logger(__name__)
 
+_REFUSALS_LOGGED_EVERY_MS = 1000
 
-class _LocalTarget:
-    """The connections and slots of one target."""
+PolicyOf = Callable[[str, Target], Policy]
 
-    def __init__(self, target: Target) -> None:
-        self.address = target.address
+
+class LocalTarget:
+    """The connections and slots of one announced target."""
+
+    def __init__(
+        self,
+        target: Target,
+        now_ms: Callable[[], float],
+        on_refused: Callable[[str, Refused], None],
+    ) -> None:
+        self.target = target
         self.pool = ConnectionPool(target.address)
-        self.slots = asyncio.Semaphore(target.n_slots)
-        self.n_in_flight = 0
+        self.gate = SlotGate(
+            _n_running_max(target),
+            now_ms,
+            lambda refused: on_refused(target.name, refused),
+        )
 
+    @property
+    def n_in_flight(self) -> int:
+        """Return the calls that the target is running now."""
+        return self.gate.admission.n_in_flight
 
-class TargetRunner:
-    """Carries a call to a local target, within the target's slots."""
+    def take(self, target: Target) -> None:
+        """Take a renewed announcement at the same address."""
+        self.target = target
+        self.gate.resize(_n_running_max(target))
 
-    def __init__(self, registry: TargetRegistry) -> None:
+    def retire(self) -> None:
+        """Refuse what waits and keep no connections; what runs goes on."""
+        self.gate.drain()
+        self.pool.close()
+
+
+class TargetRunner:
+    """Carries a call to a local target, within the target's slots.
+
+    `policy_of` gives the policy of a customer for a target. Refusals go to the
+    decision log, at most one a second for each target, with their count.
+    """
+
+    def __init__(
+        self,
+        registry: TargetRegistry,
+        now_ms: Callable[[], float],
+        policy_of: PolicyOf,
+        decisions: DecisionLog,
+    ) -> None:
         self._registry = registry
-        self._targets: dict[str, _LocalTarget] = {}
+        self._now_ms = now_ms
+        self._policy_of = policy_of
+        self._decisions = decisions
+        self._locals: dict[str, LocalTarget] = {}
+        self._retired: list[LocalTarget] = []
+        self._refusals: dict[str, tuple[float, int]] = {}
         self.is_draining = False
+        self.n_refused = 0
 
     @property
     def n_in_flight(self) -> int:
         """Return the calls that targets are running now."""
-        return sum(target.n_in_flight for target in self._targets.values())
+        return sum(local.n_in_flight for local in self._iter_all())
+
+    def loads(self) -> tuple[tuple[str, int, int], ...]:
+        """Return name, calls in flight and calls waiting of each target."""
+        return tuple(
+            (name, local.n_in_flight, local.gate.admission.n_queued)
+            for name, local in self._locals.items()
+        )
 
     async def run(self, head: CallHead, body: BodyBuffer) -> StreamedResponse:
         """Run a call and return its answer, or raise PepperstairError."""
-        target = self._registry.get(head.target)
-        if target is None:
-            raise _not_run(ErrorKind.NO_TARGET, head.target)
-        # The refusal is given here, beside the target: a daemon that has not
-        # heard of the draining yet learns of it without any work being lost.
-        if self.is_draining or target.state is TargetState.DRAINING:
-            raise _not_run(ErrorKind.DRAINING, head.target)
+        start_ms = self._now_ms()
+        deadline_ms = start_ms + head.time_left_ms
+        target = self._usable_target(head, start_ms)
         local = self._local(target)
-        try:
-            async with asyncio.timeout(head.time_left_ms / 1000):
-                await local.slots.acquire()
-        except TimeoutError as error:
-            raise _not_run(ErrorKind.OVERLOADED, head.target) from error
-        local.n_in_flight += 1
-        return await self._run_in_slot(local, head, body)
+        policy = self._policy_of(head.customer, target)
+        await local.gate.enter(head, deadline_ms, policy.n_queued_max)
+        admitted_ms = self._now_ms()
+
+        def leave(was_sent: bool) -> None:
+            service_ms = self._now_ms() - admitted_ms if was_sent else None
+            local.gate.leave(head, service_ms)
+
+        call = TargetCall(local.pool, head, body, leave)
+        return await call.run(deadline_ms - admitted_ms)
+
+    def follow_registry(self) -> None:
+        """Take what changed in the announced targets.
+
+        Calls that wait for a target that is leaving are refused at once, as
+        not run, so that their daemons can still send them to another one.
+        """
+        for name, local in list(self._locals.items()):
+            target = self._registry.get(name, self._now_ms())
+            if target is None or target.address != local.target.address:
+                self._retire(name)
+            elif target.state is TargetState.DRAINING or self.is_draining:
+                local.gate.drain()
+            else:
+                local.take(target)
+        self._retired = [local for local in self._retired if local.n_in_flight]
+
+    def drain(self) -> None:
+        """Refuse new and waiting calls from now on; those in flight go on."""
+        self.is_draining = True
+        for local in self._locals.values():
+            local.gate.drain()
 
     def close(self) -> None:
         """Close the idle connections to every target."""
-        for local in self._targets.values():
+        for local in self._iter_all():
             local.pool.close()
 
-    def _local(self, target: Target) -> _LocalTarget:
-        local = self._targets.get(target.name)
-        if local is None or local.address != target.address:
-            local = _LocalTarget(target)
-            self._targets[target.name] = local
+    def _usable_target(self, head: CallHead, now_ms: float) -> Target:
+        """Return the target of a call, or refuse it as not run.
+
+        The refusal is given here, beside the target: a daemon that has not
+        heard of the draining yet learns of it without any work being lost. The
+        lease is looked at for each call, as this process may have been paused
+        while it lapsed and not have run its timers yet.
+        """
+        if self.is_draining:
+            raise _not_run(ErrorKind.DRAINING, head.target)
+        target = self._registry.get(head.target, now_ms)
+        if target is None:
+            raise _not_run(ErrorKind.NO_TARGET, head.target)
+        if target.state is TargetState.DRAINING:
+            raise _not_run(ErrorKind.DRAINING, head.target)
+        if head.time_left_ms <= 0:
+            raise _not_run(ErrorKind.DEADLINE_BEFORE_RUN, head.target)
+        return target
+
+    def _local(self, target: Target) -> LocalTarget:
+        local = self._locals.get(target.name)
+        if local is None:
+            local = LocalTarget(target, self._now_ms, self._on_refused)
+            self._locals[target.name] = local
         return local
 
-    async def _run_in_slot(
-        self, local: _LocalTarget, head: CallHead, body: BodyBuffer
-    ) -> StreamedResponse:
-        """Send the request; the slot is held until the answer is read or dropped."""
-        try:
-            connection = await local.pool.take()
-        except OSError as error:
-            _release(local)
-            raise _not_run(ErrorKind.TARGET_UNREACHABLE, str(error)) from error
-        is_ended = False
-
-        def end() -> None:
-            nonlocal is_ended
-            if not is_ended:
-                is_ended = True
-                _release(local)
-                local.pool.give_back(connection)
-
-        try:
-            response = await _exchange(connection, head, body)
-        except BaseException:
-            connection.close()
-            end()
-            raise
-        return StreamedResponse(response.status, response.headers, connection.body, end)
-
-
-async def _exchange(
-    connection: ClientConnection, head: CallHead, body: BodyBuffer
-) -> ResponseHead:
-    try:
-        async with asyncio.timeout(head.time_left_ms / 1000):
-            connection.start(
-                head.method, head.path, head.headers, None if head.has_body else b""
-            )
-            if head.has_body:
-                while part := await body.read():
-                    await connection.send_part(part)
-                connection.finish()
-            return await connection.read_head()
-    except TimeoutError as error:
-        raise PepperstairError(Failure(ErrorKind.TIMEOUT, head.target)) from error
-    except (ConnectionLostError, ConnectionResetError) as error:
-        failure = Failure(ErrorKind.TARGET_FAILED, str(error))
-        raise PepperstairError(failure) from error
-
-
-def _release(local: _LocalTarget) -> None:
-    local.n_in_flight -= 1
-    local.slots.release()
+    def _retire(self, name: str) -> None:
+        local = self._locals.pop(name)
+        local.retire()
+        self._refusals.pop(name, None)
+        self._retired.append(local)
+
+    def _iter_all(self) -> Iterator[LocalTarget]:
+        yield from self._locals.values()
+        yield from self._retired
+
+    def _on_refused(self, name: str, refused: Refused) -> None:
+        self.n_refused += 1
+        now_ms = self._now_ms()
+        logged_ms, n_refused = self._refusals.get(name, (float("-inf"), 0))
+        if now_ms - logged_ms < _REFUSALS_LOGGED_EVERY_MS:
+            self._refusals[name] = (logged_ms, n_refused + 1)
+            return
+        self._refusals[name] = (now_ms, 0)
+        figures = (
+            ("n_refused", float(n_refused + 1)),
+            ("retry_after_ms", float(refused.retry_after_ms)),
+        )
+        decision = Decision(
+            int(now_ms), DecisionKind.REFUSED, name, refused.cause.value, figures
+        )
+        self._decisions.add(decision)
+
+
+def _n_running_max(target: Target) -> int:
+    return min(target.n_slots, target.n_connections_max)
 
 
 def _not_run(kind: ErrorKind, detail: str) -> PepperstairError:
     return PepperstairError(Failure(kind, detail, run=Run.NO))
 
 
-__all__ = ["TargetRunner"]
+__all__ = ["LocalTarget", "PolicyOf", "TargetRunner"]
--- a/packages/pepperstaird/pepperstaird/clock.py
+++ b/packages/pepperstaird/pepperstaird/clock.py
@@ -1,4 +1,4 @@
-"""The two clocks of the daemon, in milliseconds."""
+"""The clocks of the daemon, in milliseconds."""
 
 from __future__ import annotations
 
@@ -10,9 +10,14 @@
     return time.monotonic_ns() // 1_000_000
 
 
+def precise_ms() -> float:
+    """Return the same time with its fractions, for calls shorter than 1 ms."""
+    return time.monotonic_ns() / 1_000_000
+
+
 def wall_ms() -> int:
     """Return the time of day, for what people read and for start ids."""
     return time.time_ns() // 1_000_000
 
 
-__all__ = ["monotonic_ms", "wall_ms"]
+__all__ = ["monotonic_ms", "precise_ms", "wall_ms"]
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -10,12 +10,25 @@
 import structlog
 
 from pepperstair_callers import Proxy, ProxyContext
+from pepperstair_core.calls import Load, RetryBudget, TargetChooser
 from pepperstair_core.config import Settings, parse_address
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.events import Event
-from pepperstair_core.members import Member, MemberState, label_items
+from pepperstair_core.intent import Policy
+from pepperstair_core.members import (
+    Member,
+    MemberState,
+    Target,
+    TargetState,
+    label_items,
+)
 from pepperstair_core.membership import MemberDirectory
-from pepperstair_core.routing import CompiledRoute, Endpoint, EndpointTable
+from pepperstair_core.routing import (
+    CompiledRoute,
+    Endpoint,
+    EndpointTable,
+    effective_labels,
+)
 from pepperstair_core.wire import CallHead, StreamKind
 from pepperstair_http import BodyBuffer, HttpServer, ServerLimits, StreamedResponse
 from pepperstair_operators import OperatorServer
@@ -30,7 +43,7 @@
 from pepperstair_platform import Platform
 from pepperstair_targets import TargetRegistry, TargetRunner
 
-from .clock import monotonic_ms, wall_ms
+from .clock import monotonic_ms, precise_ms, wall_ms
 from .configuration import ConfigurationAgent
 from .logs import configure_logs
 from .operations import add_operations
@@ -38,6 +51,8 @@
 log = structlog.get_logger(__name__)
 
 _LEASE_CHECK_S = 0.25
+_DRAIN_CHECK_S = 0.02
+_FLUSH_S = 0.1
 
 
 class Daemon:
@@ -66,7 +81,11 @@
             self.platform, settings.platform, settings.vm.labels
         )
         self.registry = TargetRegistry(settings.members.target_lease_ms)
-        self.runner = TargetRunner(self.registry)
+        self.runner = TargetRunner(
+            self.registry, precise_ms, self._policy_of, self.decisions
+        )
+        self.chooser = TargetChooser(settings.vm.availability_zone, self.rng)
+        self.retry_budget = RetryBudget()
         self.frame_counters = {kind: FrameCounters() for kind in StreamKind}
         self.call_client = CallClient(
             self.identity,
@@ -152,11 +171,10 @@
     async def stop(self) -> None:
         """Finish what is in flight, refuse the rest as not run, then close."""
         log.info(Event.STOPPING)
-        self.runner.is_draining = True
+        self.runner.drain()
+        self._publish_targets()
         self.callers.stop_listening()
-        deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
-        while self.runner.n_in_flight and monotonic_ms() < deadline_ms:
-            await asyncio.sleep(0.02)
+        await self._wait_for_calls()
         self._lease_task.cancel()
         self.configuration.close()
         self.control.close()
@@ -168,15 +186,33 @@
         self.platform.close()
         log.info(Event.STOPPED)
 
+    async def _wait_for_calls(self) -> None:
+        """Return once no call is in flight, or when the drain timeout ends."""
+        deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
+        while monotonic_ms() < deadline_ms:
+            if not self.runner.n_in_flight and not self.proxy.n_in_flight:
+                # The last answers may still stand in the buffers of their
+                # connections; closing those now would cut them.
+                await asyncio.sleep(_FLUSH_S)
+                return
+            await asyncio.sleep(_DRAIN_CHECK_S)
+
     def _proxy_context(self) -> ProxyContext:
         return ProxyContext(
             vm=self.settings.vm.name,
             route_table=lambda: self.configuration.route_table,
             endpoints=self._endpoints,
-            choose=self._choose,
+            chooser=self.chooser,
+            load_of=self._load_of,
             carry=self._carry,
             is_ready=self.is_ready,
+            is_draining=lambda: self.runner.is_draining,
             on_outcome=lambda outcome: None,
+            decisions=self.decisions,
+            budget=self.retry_budget,
+            retry_budget_percent=self.settings.calls.retry_budget_percent,
+            now_ms=precise_ms,
+            rng=self.rng,
             body_max_bytes=self.settings.callers.body_max_bytes,
         )
 
@@ -192,8 +228,19 @@
             self.configuration.route_table.policies,
         )
 
-    def _choose(self, endpoints: list[Endpoint]) -> Endpoint | None:
-        return self.rng.choice(endpoints) if endpoints else None
+    def _load_of(self, endpoint: Endpoint) -> Load | None:
+        """Return the load of a target that its daemon last reported."""
+        load_of = getattr(self.call_client, "load_of", None)
+        if load_of is None or endpoint.vm == self.settings.vm.name:
+            return None
+        reported = load_of(endpoint.peer_address, endpoint.target.name)
+        return None if reported is None else Load(*reported)
+
+    def _policy_of(self, customer: str, target: Target) -> Policy:
+        labels = effective_labels(
+            self.settings.vm.name, target, self.configuration.overrides
+        )
+        return self.configuration.route_table.policies.find(customer, labels)
 
     async def _carry(
         self, endpoint: Endpoint, head: CallHead, body: BodyBuffer
@@ -203,10 +250,14 @@
         return await self.call_client.run(endpoint.peer_address, head, body)
 
     def _publish_targets(self) -> None:
+        self.runner.follow_registry()
+        targets = self.registry.targets()
+        if self.runner.is_draining:
+            targets = tuple(
+                replace(target, state=TargetState.DRAINING) for target in targets
+            )
         own = self.directory.own()
-        self.control.publish(
-            replace(own, sequence=own.sequence + 1, targets=self.registry.targets())
-        )
+        self.control.publish(replace(own, sequence=own.sequence + 1, targets=targets))
         self._renew_endpoints()
 
     async def _check_leases(self) -> None:
--- /dev/null
+++ b/tests/call_mesh.py
@@ -0,0 +1,207 @@
+"""A proxy, runners and targets in one process, over real loopback HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+
+from pepperstair_callers import Proxy, ProxyContext
+from pepperstair_core.calls import CallOutcome, RetryBudget, TargetChooser
+from pepperstair_core.decisions import DecisionLog
+from pepperstair_core.intent import Policy, Route, Service
+from pepperstair_core.labels import parse_selector
+from pepperstair_core.members import Target, TargetState
+from pepperstair_core.routing import CompiledRoute, Endpoint, RouteTable
+from pepperstair_http import (
+    Fetcher,
+    HttpServer,
+    Response,
+    ServerLimits,
+    header_value,
+)
+from pepperstair_targets import TargetRegistry, TargetRunner
+
+LEASE_MS = 6000
+Answer = Callable[["RawTarget", asyncio.StreamWriter, bytes], Awaitable[None]]
+
+
+def http(body: bytes = b"", status: str = "200 OK", length: int | None = None) -> bytes:
+    """Return the bytes of an answer, which may state a false length."""
+    n_bytes = len(body) if length is None else length
+    return f"HTTP/1.1 {status}\r\ncontent-length: {n_bytes}\r\n\r\n".encode() + body
+
+
+async def answer_ok(target: RawTarget, writer: asyncio.StreamWriter, head: bytes):
+    """Answer with the target's name."""
+    writer.write(http(target.name.encode()))
+
+
+class RawTarget:
+    """A target that answers with any bytes and records what it got."""
+
+    def __init__(self, name: str, answer: Answer) -> None:
+        self.name = name
+        self.answer = answer
+        self.heads: list[bytes] = []
+        self.n_closed = 0
+        self.writers: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+
+    async def listen(self) -> str:
+        """Start and return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{port}"
+
+    async def close(self) -> None:
+        """Stop listening and drop every connection."""
+        self._server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer) -> None:
+        self.writers.append(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.heads.append(head)
+                _, found, rest = head.lower().partition(b"content-length: ")
+                if found:
+                    await reader.readexactly(int(rest.split(b"\r\n")[0]))
+                answering = asyncio.ensure_future(self.answer(self, writer, head))
+                closing = asyncio.ensure_future(reader.read(1))
+                await asyncio.wait(
+                    {answering, closing}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not answering.done():
+                    answering.cancel()
+                    self.n_closed += 1
+                    return
+                closing.cancel()
+                await asyncio.wait({closing})
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+
+@dataclass
+class Node:
+    """A VM with one target and the runner beside it."""
+
+    runner: TargetRunner
+    registry: TargetRegistry
+    target: Target
+
+
+class Mesh:
+    """One route to one service whose targets stand on VMs of their own."""
+
+    def __init__(self, policy: Policy | None = None, body_max_bytes=500_000, **route):
+        self.policy = policy or Policy("p", "")
+        service = Service("s", "app=s")
+        self.route = Route("r", "/", "s", **{"timeout_ms": 1500, **route})
+        selector = parse_selector("app=s").unwrap()
+        self.table = RouteTable([CompiledRoute("c", 1, self.route, service, selector)])
+        self.skew_ms = 0.0
+        self.nodes: dict[str, Node] = {}
+        self.raw: dict[str, RawTarget] = {}
+        self.outcomes: list[CallOutcome] = []
+        self.decisions = DecisionLog()
+        self.is_draining = False
+        self.proxy = Proxy(self._context(body_max_bytes))
+        self.server = HttpServer(self.proxy.handle, ServerLimits())
+        self.address = ("127.0.0.1", 0)
+
+    def now_ms(self) -> float:
+        """Return the time, moved on by the length of simulated pauses."""
+        return time.monotonic() * 1000 + self.skew_ms
+
+    async def __aenter__(self) -> Mesh:
+        self.address = ("127.0.0.1", await self.server.listen("127.0.0.1", 0))
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        for target in self.raw.values():
+            await target.close()
+        for node in self.nodes.values():
+            node.runner.close()
+        self.server.close()
+
+    async def add(self, name: str, answer: Answer = answer_ok, n_slots: int = 2):
+        """Start a target on a VM of its own and announce it."""
+        raw = RawTarget(name, answer)
+        address = await raw.listen()
+        self.raw[name] = raw
+        serving = TargetState.SERVING
+        target = Target(name, address, (("app", "s"),), n_slots, 9, serving)
+        registry = TargetRegistry(LEASE_MS)
+        runner = TargetRunner(
+            registry, self.now_ms, lambda customer, target: self.policy, self.decisions
+        )
+        registry.on_changed = runner.follow_registry
+        self.nodes[name] = Node(runner, registry, target)
+        self.announce(name)
+        return raw
+
+    def announce(self, name: str, state: TargetState = TargetState.SERVING) -> None:
+        """Announce a target, or renew its lease."""
+        node = self.nodes[name]
+        node.target = replace(node.target, state=state)
+        node.registry.announce(node.target, int(self.now_ms()))
+
+    async def call(self, method="POST", body=b"", headers=(), path="/x") -> Response:
+        """Send one request through the proxy."""
+        fetcher = Fetcher(*self.address, 8000)
+        try:
+            return await fetcher.fetch(method, path, body, headers)
+        finally:
+            fetcher.close()
+
+    def endpoints(self) -> tuple[Endpoint, ...]:
+        """Return every target, as gossip that is behind would."""
+        return tuple(
+            Endpoint(name, "z", "127.0.0.1:1", node.target, self.policy)
+            for name, node in self.nodes.items()
+        )
+
+    def _context(self, body_max_bytes: int) -> ProxyContext:
+        rng = random.Random(4)
+        return ProxyContext(
+            vm="front",
+            route_table=lambda: self.table,
+            endpoints=lambda compiled: self.endpoints(),
+            chooser=TargetChooser("z", rng),
+            load_of=lambda endpoint: None,
+            carry=lambda item, head, body: self.nodes[item.vm].runner.run(head, body),
+            is_ready=lambda: True,
+            is_draining=lambda: self.is_draining,
+            on_outcome=self.outcomes.append,
+            decisions=self.decisions,
+            budget=RetryBudget(),
+            retry_budget_percent=10,
+            now_ms=self.now_ms,
+            rng=rng,
+            body_max_bytes=body_max_bytes,
+        )
+
+
+async def seen(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def run_of(response: Response) -> tuple[int, str]:
+    """Return status and what the answer says of whether the request ran."""
+    return response.status, header_value(response.headers, b"pepperstair-run").decode()
+
+
+def retry_after_ms(response: Response) -> int:
+    """Return when the answer says to come back, 0 where it does not."""
+    value = header_value(response.headers, b"pepperstair-retry-after-ms")
+    return int(value or 0)
