Judge by priority whether a call can still be answered in time

One estimate of the service time for a whole target made every booking that had to wait look late where the target also serves large files: the new test failed so (refused as too late at 1000 ms, with downloads of 3000 ms beside it). The estimate is now by priority, and counts for at most half of a call's time.

A stopped daemon refuses as not run for 0.4 s at least before it exits, so that the others hear of it: on a stream that is closed already, a call's outcome would be unknown to its caller.

--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -70,9 +70,10 @@
         self.n_slots = n_slots
         self.n_in_flight = 0
         self.service_ms = FIRST_SERVICE_MS
+        self._service_ms_of = dict.fromkeys(PRIORITIES, FIRST_SERVICE_MS)
         self._queues = {priority: FairQueue() for priority in PRIORITIES}
         self._waiting: dict[int, WaitingCall] = {}
-        self._deadlines: list[tuple[float, int]] = []
+        self._latest_starts: list[tuple[float, int]] = []
         self._n_grants = 0
 
     @property
@@ -83,18 +84,17 @@
     @property
     def next_expiry_ms(self) -> float | None:
         """Return when `expire` should be called, or None with nothing waiting."""
-        while self._deadlines and self._deadlines[0][1] not in self._waiting:
-            heapq.heappop(self._deadlines)
-        if not self._deadlines:
-            return None
-        return self._deadlines[0][0] - self.service_ms
+        latest = self._latest_starts
+        while latest and latest[0][1] not in self._waiting:
+            heapq.heappop(latest)
+        return latest[0][0] if latest else None
 
     def arrive(self, call: WaitingCall, now_ms: float) -> list[Verdict]:
         """Take a new call: run it, let it wait, or refuse it or another."""
         if self.n_in_flight < self.n_slots and not self._waiting:
             self.n_in_flight += 1
             return [Admitted(call.ticket)]
-        if self._expected_end_ms(call, now_ms) > call.deadline_ms:
+        if self._expected_start_ms(call, now_ms) > self._latest_start_ms(call):
             return [self._refuse(call, RefusalCause.TOO_LATE)]
         if len(self._waiting) < call.n_queued_max:
             self._push(call)
@@ -114,6 +114,8 @@
             cost = service_ms / max(self.service_ms, 0.01) - 1.0
             self._queues[priority].charge(customer, cost)
             self.service_ms += SERVICE_WEIGHT * (service_ms - self.service_ms)
+            known_ms = self._service_ms_of[priority]
+            self._service_ms_of[priority] += SERVICE_WEIGHT * (service_ms - known_ms)
         return self._grant(now_ms)
 
     def resize(self, n_slots: int, now_ms: float) -> list[Verdict]:
@@ -129,7 +131,7 @@
         """
         verdicts: list[Verdict] = []
         while (expiry_ms := self.next_expiry_ms) is not None and expiry_ms <= now_ms:
-            call = self._waiting[self._deadlines[0][1]]
+            call = self._waiting[self._latest_starts[0][1]]
             self._remove(call)
             verdicts.append(self._refuse(call, RefusalCause.TOO_LATE))
         return verdicts
@@ -171,8 +173,19 @@
                 return queue.newest_of_longest()
         return None
 
-    def _expected_end_ms(self, call: WaitingCall, now_ms: float) -> float:
-        """Return when the call would be answered, if it had to wait."""
+    def _latest_start_ms(self, call: WaitingCall) -> float:
+        """Return until when it makes sense to run the call.
+
+        Started later, it would be answered after its deadline, and its slot
+        lost to a call that is still wanted. The estimate is that of its own
+        priority, as one target may serve bookings and large files, and at most
+        half of its time, as an estimate can be wrong.
+        """
+        half_ms = (call.deadline_ms - call.arrived_ms) / 2
+        return call.deadline_ms - min(half_ms, self._service_ms_of[call.priority])
+
+    def _expected_start_ms(self, call: WaitingCall, now_ms: float) -> float:
+        """Return when the call would run, if it had to wait."""
         n_ahead = 0
         for priority in PRIORITIES:
             queue = self._queues[priority]
@@ -181,7 +194,7 @@
                 break
             n_ahead += len(queue)
         n_turns = (n_ahead + 1) / max(1, self.n_slots)
-        return now_ms + (n_turns + 1) * self.service_ms
+        return now_ms + n_turns * self.service_ms
 
     def _grant(self, now_ms: float) -> list[Verdict]:
         verdicts = self.expire(now_ms)
@@ -207,7 +220,8 @@
     def _push(self, call: WaitingCall) -> None:
         self._waiting[call.ticket] = call
         self._queues[call.priority].push(call)
-        heapq.heappush(self._deadlines, (call.deadline_ms, call.ticket))
+        entry = (self._latest_start_ms(call), call.ticket)
+        heapq.heappush(self._latest_starts, entry)
 
     def _remove(self, call: WaitingCall) -> None:
         del self._waiting[call.ticket]
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -54,6 +54,7 @@
 _LEASE_CHECK_S = 0.25
 _DRAIN_CHECK_S = 0.02
 _FLUSH_S = 0.1
+_NOTICE_S = 0.4
 
 
 class Daemon:
@@ -188,8 +189,14 @@
         log.info(Event.STOPPED)
 
     async def _wait_for_calls(self) -> None:
-        """Return once no call is in flight, or when the drain timeout ends."""
+        """Return once no call is in flight, or when the drain timeout ends.
+
+        Other daemons need a moment to hear that this one leaves. A call that
+        they send meanwhile is refused as not run; on a stream that is closed
+        already, its outcome would be unknown to its caller.
+        """
         deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
+        await asyncio.sleep(min(_NOTICE_S, self.settings.calls.drain_timeout_ms / 1000))
         while monotonic_ms() < deadline_ms:
             if not self.runner.n_in_flight and not self.proxy.n_in_flight:
                 # The last answers may still stand in the buffers of their
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -72,6 +72,20 @@
     assert admission.next_expiry_ms is None
 
 
+def test_long_downloads_do_not_make_bookings_look_late():
+    """A target serves large files and bookings in the same slots.
+
+    With one estimate for both, every booking that has to wait would be refused
+    as too late, though it takes no time itself.
+    """
+    admission = Admission(12)
+    admission.n_in_flight = 112
+    for _ in range(100):
+        admission.finish("a", "deferrable", 3000, 0.0)
+    booking = call(1, priority="urgent", deadline_ms=1000)
+    assert admission.arrive(booking, 0.0) == []
+
+
 def test_old_deferrable_call_runs_beside_urgent_ones():
     """Urgent calls keep every slot busy for minutes.
 
