--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -7,14 +7,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from typing import Final
 
-from .intent import Route, Service
+from .intent import Policy, Route, Service
 from .labels import Labels, Selector, parse_selector
 from .members import Member, Target, TargetState
+from .policies import DEFAULT_POLICY, PolicyTable, compile_policies
 from .versions import Snapshot
 
+NO_POLICIES: Final = PolicyTable()
+
 
 @dataclass(frozen=True, slots=True)
 class CompiledRoute:
@@ -28,16 +32,21 @@
 
 
 class RouteTable:
-    """Every route of this proxy, found by the longest prefix of the path.
+    """Every route of this proxy, found by the longest prefix, and the policies.
 
     Looking a request up costs one dictionary access for each prefix of its
     path, however many routes there are; a scan would grow with the customers.
     """
 
-    __slots__ = ("_by_host", "routes")
+    __slots__ = ("_by_host", "policies", "routes")
 
-    def __init__(self, routes: Iterable[CompiledRoute] = ()) -> None:
+    def __init__(
+        self,
+        routes: Iterable[CompiledRoute] = (),
+        policies: PolicyTable = NO_POLICIES,
+    ) -> None:
         self.routes = tuple(routes)
+        self.policies = policies
         self._by_host: dict[str, dict[str, CompiledRoute]] = {}
         for compiled in self.routes:
             by_prefix = self._by_host.setdefault(compiled.route.host, {})
@@ -84,12 +93,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
-    """A target and the member beside which it runs."""
+    """A target, the member beside which it runs and the policy for its calls."""
 
     vm: str
     availability_zone: str
     peer_address: str
     target: Target
+    policy: Policy = DEFAULT_POLICY
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Return what names the target in the fleet: its VM and its name."""
+        return (self.vm, self.target.name)
 
 
 def compile_routes(snapshots: Iterable[Snapshot], proxy_labels: Labels) -> RouteTable:
@@ -98,8 +113,9 @@
     The order is total (host given, longest prefix, customer, name), so that
     every proxy with the same versions and labels decides alike.
     """
-    compiled = sorted(_iter_compiled(snapshots, proxy_labels), key=_specificity)
-    return RouteTable(compiled)
+    held = tuple(snapshots)
+    compiled = sorted(_iter_compiled(held, proxy_labels), key=_specificity)
+    return RouteTable(compiled, compile_policies(held))
 
 
 class EndpointTable:
@@ -109,24 +125,30 @@
     600; members change seldom beside the calls.
     """
 
-    __slots__ = ("_cache", "_members", "_overrides")
+    __slots__ = ("_cache", "_members", "_overrides", "_policies")
 
     def __init__(
         self,
         members: Iterable[Member] = (),
         overrides: Mapping[str, Labels] | None = None,
+        policies: PolicyTable = NO_POLICIES,
     ) -> None:
         self._members = tuple(members)
         self._overrides = overrides or {}
-        self._cache: dict[Selector, tuple[Endpoint, ...]] = {}
+        self._policies = policies
+        self._cache: dict[tuple[Selector, str], tuple[Endpoint, ...]] = {}
+
+    def endpoints(self, selector: Selector, customer: str = "") -> tuple[Endpoint, ...]:
+        """Return the targets that a service's selector chooses, by name.
 
-    def endpoints(self, selector: Selector) -> tuple[Endpoint, ...]:
-        """Return the targets that a service's selector chooses, by name."""
-        found = self._cache.get(selector)
+        Each carries the policy that the customer states for its calls to it.
+        """
+        found = self._cache.get((selector, customer))
         if found is None:
-            chosen = iter_endpoints(self._members, selector, self._overrides)
+            policy_of = lambda labels: self._policies.find(customer, labels)
+            chosen = iter_endpoints(self._members, selector, self._overrides, policy_of)
             found = tuple(sorted(chosen, key=_endpoint_order))
-            self._cache[selector] = found
+            self._cache[(selector, customer)] = found
         return found
 
 
@@ -134,6 +156,7 @@
     members: Iterable[Member],
     selector: Selector,
     overrides: Mapping[str, Labels],
+    policy_of: Callable[[Labels], Policy] = lambda labels: DEFAULT_POLICY,
 ) -> Iterator[Endpoint]:
     """Yield the targets that a selector chooses and that take work."""
     for member in members:
@@ -142,9 +165,14 @@
         for target in member.targets:
             if target.state is TargetState.DRAINING:
                 continue
-            if selector.matches(effective_labels(member.vm, target, overrides)):
+            labels = effective_labels(member.vm, target, overrides)
+            if selector.matches(labels):
                 yield Endpoint(
-                    member.vm, member.availability_zone, member.peer_address, target
+                    member.vm,
+                    member.availability_zone,
+                    member.peer_address,
+                    target,
+                    policy_of(labels),
                 )
 
 
