--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -11,7 +11,7 @@
 import contextlib
 import random
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -37,14 +37,23 @@
 FLOOD: Final = 10
 
 
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What one target is told before a segment and after it."""
+
+    target: int
+    what: str
+    value: str
+    value_after: str
+
+
 @dataclass(frozen=True, slots=True)
 class Case:
     """One segment: its name, its load and what goes wrong meanwhile."""
 
     name: str
     streams: tuple[Stream, ...]
-    begin: Callable[[Running], None] = lambda running: None
-    end: Callable[[Running], None] = lambda running: None
+    fault: Fault | None = None
     is_restarting: bool = False
 
 
@@ -113,14 +122,12 @@
     yield Case(
         "one target 10 times slower",
         load(FAULT_LOAD),
-        lambda it: tell_target(it.targets[0], "work-ms", slow),
-        lambda it: tell_target(it.targets[0], "work-ms", quick),
+        Fault(0, "work-ms", slow, quick),
     )
     yield Case(
         "one target fails, says it serves",
         load(FAULT_LOAD),
-        lambda it: tell_target(it.targets[1], "status", "500"),
-        lambda it: tell_target(it.targets[1], "status", "200"),
+        Fault(1, "status", "500", "200"),
     )
     yield Case("targets restart in turn", load(FAULT_LOAD), is_restarting=True)
     small = _small_load(capacity_per_s)
@@ -159,14 +166,12 @@
     case: Case, running: Running, segment_s: float
 ) -> tuple[list[Answered], tuple[float, float]]:
     """Run one segment and return its answers, processor ms a call and retries."""
-    case.begin(running)
     retries_before = _n_retries(running)
     processor_before_s = _processor_s(running)
     answered = asyncio.run(_offer(case, running, segment_s))
     n_calls = max(1, len(answered))
     processor_ms = (_processor_s(running) - processor_before_s) * 1000 / n_calls
     retries_percent = 100 * (_n_retries(running) - retries_before) / n_calls
-    case.end(running)
     time.sleep(1.0)
     return answered, (processor_ms, retries_percent)
 
@@ -176,7 +181,13 @@
     restarts = None
     if case.is_restarting:
         restarts = asyncio.create_task(_restart_in_turn(running, segment_s))
+    fault = case.fault
+    if fault is not None:
+        await tell_target(running.targets[fault.target], fault.what, fault.value)
     answered = await offer(addresses, case.streams, segment_s, random.Random(SEED))
+    if fault is not None:
+        target = running.targets[fault.target]
+        await tell_target(target, fault.what, fault.value_after)
     if restarts is not None:
         await restarts
     return answered
@@ -185,9 +196,9 @@
 async def _restart_in_turn(running: Running, segment_s: float) -> None:
     """Let one target after the other drain and come back."""
     for target in running.targets:
-        await asyncio.to_thread(tell_target, target, "state", "draining")
+        await tell_target(target, "state", "draining")
         await asyncio.sleep(segment_s / len(running.targets))
-        await asyncio.to_thread(tell_target, target, "state", "serving")
+        await tell_target(target, "state", "serving")
 
 
 def _n_retries(running: Running) -> int:
--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from .fleet import DaemonProcess, Fleet, fetch, status_of, wait_until
+from .fleet import DaemonProcess, Fleet, fetch_async, status_of, wait_until
 from .intents import RouteSpec, apply_intent, intent_toml
 
 SMALL_CUSTOMERS: Final = ("duende", "sorrel", "parang")
@@ -98,9 +98,9 @@
     return Running(deployment, fleet, targets)
 
 
-def tell_target(target: str, what: str, value: str) -> None:
+async def tell_target(target: str, what: str, value: str) -> None:
     """Change how a target stand-in behaves: its state, status or work-ms."""
-    fetch(target, "PUT", f"/stand-in/{what}", value.encode())
+    await fetch_async(target, "PUT", f"/stand-in/{what}", value.encode())
 
 
 def _documents(deployment: Deployment) -> dict[str, str]:
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -193,18 +193,25 @@
     address: str, method: str, path: str, body: bytes = b"", headers: Any = ()
 ) -> tuple[int, bytes]:
     """Send one request and return status and body; status 0 without an answer."""
+    return asyncio.run(fetch_async(address, method, path, body, headers))
 
-    async def send() -> tuple[int, bytes]:
-        fetcher = Fetcher(*parse_address(address), 5000)
-        try:
-            response = await fetcher.fetch(method, path, body, headers)
-        except (OSError, TimeoutError, ConnectionLostError):
-            return 0, b""
-        finally:
-            fetcher.close()
-        return response.status, response.body
 
-    return asyncio.run(send())
+async def fetch_async(
+    address: str, method: str, path: str, body: bytes = b"", headers: Any = ()
+) -> tuple[int, bytes]:
+    """Do the same on a running loop.
+
+    A second loop in another thread would not do: the connections of a process
+    share one buffer, and answers would be mixed.
+    """
+    fetcher = Fetcher(*parse_address(address), 5000)
+    try:
+        response = await fetcher.fetch(method, path, body, headers)
+    except (OSError, TimeoutError, ConnectionLostError):
+        return 0, b""
+    finally:
+        fetcher.close()
+    return response.status, response.body
 
 
 def status_of(daemon: DaemonProcess) -> dict[str, Any]:
--- a/benchmarks/naive/runner.py
+++ b/benchmarks/naive/runner.py
@@ -18,6 +18,7 @@
 )
 from pepperstair_targets import TargetRegistry
 from pepperstair_targets.pool import ConnectionPool
+from pepperstaird.clock import monotonic_ms
 
 log = structlog.get_logger(__name__)
 
@@ -47,7 +48,7 @@
 
     async def run(self, head: CallHead, body: BodyBuffer) -> StreamedResponse:
         """Run a call and return its answer, or raise PepperstairError."""
-        target = self._registry.get(head.target)
+        target = self._registry.get(head.target, monotonic_ms())
         if target is None:
             raise _not_run(ErrorKind.NO_TARGET, head.target)
         # The refusal is given here, beside the target: a daemon that has not
@@ -80,10 +81,10 @@
     ) -> StreamedResponse:
         """Send the request; the slot is held until the answer is read or dropped."""
         try:
-            connection = await local.pool.take()
-        except OSError as error:
+            connection = local.pool.take_idle() or await local.pool.open()
+        except PepperstairError:
             _release(local)
-            raise _not_run(ErrorKind.TARGET_UNREACHABLE, str(error)) from error
+            raise
         is_ended = False
 
         def end() -> None:
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from benchmarks.fleet import (
     DaemonProcess,
     Fleet,
     fetch,
+    fetch_async,
     free_port,
     status_of,
     wait_until,
@@ -109,14 +110,27 @@
 
 def runs_of(target: str) -> dict[str, int]:
     """Return how often each request id ran on a target."""
-    status, body = fetch(target, "GET", "/stand-in/runs")
+    return asyncio.run(runs_of_async(target))
+
+
+async def runs_of_async(target: str) -> dict[str, int]:
+    """Return how often each request id ran on a target."""
+    status, body = await fetch_async(target, "GET", "/stand-in/runs")
     assert status == 200
     return json.loads(body)["runs"]
 
 
-def set_target_state(target: str, state: str) -> None:
+async def set_target_state(target: str, state: str) -> None:
     """Let a target say something else of itself from now on."""
-    assert fetch(target, "PUT", "/stand-in/state", state.encode())[0] == 200
+    answer = await fetch_async(target, "PUT", "/stand-in/state", state.encode())
+    assert answer[0] == 200
+
+
+async def wait_for_runs(targets: list[str], n_runs: int) -> None:
+    """Wait until targets have begun to run a number of calls together."""
+    async with asyncio.timeout(20):
+        while sum([len(await runs_of_async(target)) for target in targets]) < n_runs:
+            await asyncio.sleep(0.02)
 
 
 def call(daemon: DaemonProcess, request_id: str, **more: str) -> Told:
@@ -162,7 +176,7 @@
 
 
 async def call_during(
-    addresses: list[str], leave: Callable[[], None], is_running: Callable[[], bool]
+    addresses: list[str], targets: list[str], leave: Callable[[], Awaitable[None]]
 ) -> list[Told]:
     """Start slow calls, leave once they all run, and return their answers."""
     calls = [
@@ -176,9 +190,8 @@
         )
         for index in range(N_SLOW_CALLS)
     ]
-    while not await asyncio.to_thread(is_running):
-        await asyncio.sleep(0.02)
-    await asyncio.to_thread(leave)
+    await wait_for_runs(targets, N_SLOW_CALLS)
+    await leave()
     return await asyncio.gather(*calls)
 
 
--- a/tests/test_process_at_most_once.py
+++ b/tests/test_process_at_most_once.py
@@ -11,12 +11,11 @@
 
 import pytest
 
-from benchmarks.fleet import DaemonProcess, Fleet, wait_until
+from benchmarks.fleet import DaemonProcess, Fleet, fetch_async
 from tests.process_fleet import (
     Told,
     award_document,
     call_async,
-    is_ready,
     put_in_force,
     runs_of,
     set_target_state,
@@ -72,7 +71,9 @@
         daemon.kill()
         await asyncio.sleep(self.rng.uniform(0, 0.3))
         restarted = self.fleet.restart_daemon(daemon)
-        await asyncio.to_thread(_wait_ready, restarted)
+        async with asyncio.timeout(20):
+            while not await _is_ready(restarted):
+                await asyncio.sleep(0.05)
 
     async def _freeze(self, index: int) -> None:
         daemon = self.fleet.daemons[index]
@@ -82,9 +83,9 @@
 
     async def _drain(self) -> None:
         target = self.rng.choice(self.targets)
-        await asyncio.to_thread(set_target_state, target, "draining")
+        await set_target_state(target, "draining")
         await asyncio.sleep(self.rng.uniform(0.2, 0.8))
-        await asyncio.to_thread(set_target_state, target, "serving")
+        await set_target_state(target, "serving")
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -161,8 +162,8 @@
             yield f"{request_id} was told {told.status} and not whether it ran"
 
 
-def _wait_ready(daemon: DaemonProcess) -> None:
-    wait_until(lambda: is_ready(daemon), f"{daemon.vm} ready")
+async def _is_ready(daemon: DaemonProcess) -> bool:
+    return (await fetch_async(daemon.operators, "GET", "/v1/ready"))[0] == 200
 
 
 def test_check_itself_finds_each_kind_of_fault():
--- a/tests/test_process_drain.py
+++ b/tests/test_process_drain.py
@@ -33,8 +33,8 @@
     told = asyncio.run(
         call_during(
             [daemon.callers for daemon in daemons],
+            [leaving, staying],
             lambda: set_target_state(leaving, "draining"),
-            lambda: len(runs_of(leaving)) + len(runs_of(staying)) == N_SLOW_CALLS,
         )
     )
     assert [answer.status for answer in told] == [200] * N_SLOW_CALLS
