Command line with all its verbs; burn counts, report and statsd metrics

Cause: operators could apply, check and look at the status only; a from_version that could not be read counted as none and a broken escape as another name. Ruled out: collecting burn counts over the streams between daemons (a message more, and nothing says which daemon was silent); a statsd client that resolves names and may block; a TOML writer of our own (tomli-w is pinned). Seen: with the former server and operations four of the malformed requests of tests/test_command_line.py fail their test.

--- a/packages/pepperstair-cli/pepperstair_cli/__main__.py
+++ b/packages/pepperstair-cli/pepperstair_cli/__main__.py
@@ -2,23 +2,59 @@
 
 from __future__ import annotations
 
+import sys
+from collections.abc import Sequence
+
 import cyclopts
 
-from .commands import apply, check, status
+from .commands import (
+    apply,
+    check,
+    diff,
+    explain,
+    get,
+    history,
+    label,
+    report_burn,
+    status,
+    wait,
+)
+from .output import ExitCode
 
 app = cyclopts.App(
     name="pepperstair",
     help="State routing and traffic intent, and see what became of it.",
     version_flags=["--version"],
+    result_action="return_value",
 )
 app.command(apply.run, name="apply")
-app.command(check.run, name="check")
+app.command(diff.run, name="diff")
+app.command(get.run, name="get")
+app.command(label.run, name="label")
+app.command(wait.run, name="wait")
 app.command(status.run, name="status")
+app.command(history.run, name="history")
+app.command(explain.run, name="explain")
+app.command(check.run, name="check")
+report = cyclopts.App(name="report", help="Reports over the fleet.")
+report.command(report_burn.run, name="burn")
+app.command(report)
+app.register_install_completion_command()
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the command that the arguments name and exit with its code."""
+    sys.exit(run(arguments))
 
 
-def main() -> None:
-    """Run the command that the arguments name."""
-    app()
+def run(arguments: Sequence[str] | None = None) -> ExitCode:
+    """Run one command; wrong arguments are one line and bad input."""
+    try:
+        ended = app(arguments, exit_on_error=False, print_error=False)
+    except cyclopts.CycloptsError as error:
+        print(" ".join(str(error).split()), file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    return ended if isinstance(ended, ExitCode) else ExitCode.DONE
 
 
 if __name__ == "__main__":
--- a/packages/pepperstair-cli/pepperstair_cli/commands/check.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/check.py
@@ -2,33 +2,51 @@
 
 from __future__ import annotations
 
+import tomllib
 from pathlib import Path
 
+from result import Ok, Result
+
 from pepperstair_core.config import parse_settings_toml
 from pepperstair_core.intent import parse_intent_toml
 
-from ..output import ExitCode, show_faults
+from ..connection import Output
+from ..documents import read_text
+from ..output import ExitCode, Refusal, Report, finish, refuse_faults
 
 
-def run(file: Path) -> ExitCode:
+def run(file: Path, *, output: Output = "text") -> ExitCode:
     """Check a file and list every fault in it.
 
     Parameters
     ----------
     file
-        Settings (with a `[vm]` table) or an intent document.
+        Settings of a daemon or an intent document, in TOML.
     """
-    try:
-        text = file.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        print(f"{file}: expected a readable TOML file ({error})")
-        return ExitCode.BAD_INPUT
-    parse = parse_settings_toml if "[vm]" in text else parse_intent_toml
-    parsed = parse(text)
+    return finish(_check(file), output)
+
+
+def _check(file: Path) -> Result[Report, Refusal]:
+    read = read_text(file)
+    if read.is_err():
+        return read
+    text = read.unwrap()
+    is_settings = _is_settings(text)
+    parsed = (parse_settings_toml if is_settings else parse_intent_toml)(text)
     if parsed.is_err():
-        return show_faults(str(file), parsed.unwrap_err())
-    print(f"{file}: valid")
-    return ExitCode.DONE
+        return refuse_faults(str(file), parsed.unwrap_err())
+    kind = "settings" if is_settings else "intent"
+    content = {"file": str(file), "kind": kind, "is_valid": True}
+    return Ok(Report(content, f"{file}: valid {kind}"))
+
+
+def _is_settings(text: str) -> bool:
+    """Return whether a document is settings: only an intent names a customer."""
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError:
+        return False
+    return "customer" not in table and "vm" in table
 
 
 __all__ = ["run"]
--- /dev/null
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/history.py
@@ -0,0 +1,47 @@
+"""`pepperstair history`: the changes of a customer that were accepted."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from typing import Any
+
+from result import Result
+
+from ..asking import ask, path_of
+from ..connection import Connection
+from ..output import ExitCode, Refusal, Report, finish, join_lines
+from ..showing import show_time
+
+
+def run(customer: str, *, connection: Connection) -> ExitCode:
+    """List the accepted changes of a customer.
+
+    Parameters
+    ----------
+    customer
+        Customer whose changes to list.
+    """
+    return finish(asyncio.run(_history(customer, connection)), connection.output)
+
+
+async def _history(customer: str, connection: Connection) -> Result[Report, Refusal]:
+    asked = await ask(connection, "GET", path_of("history", customer))
+    return asked.map(lambda content: Report(content, _text(customer, content)))
+
+
+def _text(customer: str, content: dict[str, Any]) -> str:
+    lines = join_lines(_iter_lines(content["changes"]))
+    return lines or f"{customer}: no change is known"
+
+
+def _iter_lines(changes: list[dict[str, Any]]) -> Iterator[str]:
+    for change in changes:
+        accepted_at = show_time(change["accepted_at_ms"])
+        yield (
+            f"version {change['version']}  {accepted_at}  by {change['accepted_by']}"
+            f"  change {change['change_id']}"
+        )
+
+
+__all__ = ["run"]
--- /dev/null
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/report_burn.py
@@ -0,0 +1,118 @@
+"""`pepperstair report burn`: error budgets and alerts over the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Iterator
+from typing import Annotated
+
+from cyclopts import Parameter
+from result import Ok, Result
+
+from pepperstair_core.burn import (
+    Alert,
+    BurnReport,
+    ConvergenceBurn,
+    CustomerBurn,
+    PriorityBurn,
+    make_burn_report,
+)
+
+from ..connection import Address, Output, Token
+from ..fleet import collect_counts
+from ..output import ExitCode, Refusal, Report, finish, join_lines
+from ..showing import show_duration, show_percent
+
+
+def run(
+    *,
+    at: Annotated[
+        tuple[Address, ...],
+        Parameter(
+            help="Operators' address of a daemon; may be given more than once.",
+            negative="",
+        ),
+    ],
+    token: Token = "",
+    output: Output = "text",
+) -> ExitCode:
+    """Show how each customer's objectives are met, over all members of the fleet.
+
+    Every member that the given daemons know is asked at the operators' address
+    that it advertises. Those that do not answer are named.
+    """
+    return finish(asyncio.run(_report(at, token)), output)
+
+
+async def _report(addresses: tuple[str, ...], token: str) -> Result[Report, Refusal]:
+    collected = await collect_counts(addresses, token)
+    if collected.is_err():
+        return collected
+    counts = collected.unwrap()
+    report = make_burn_report(counts.daemons, counts.missing)
+    return Ok(Report(dataclasses.asdict(report), join_lines(_iter_lines(report))))
+
+
+def _iter_lines(report: BurnReport) -> Iterator[str]:
+    n_asked = len(report.daemons) + len(report.missing)
+    yield f"covers {len(report.daemons)} of {n_asked} daemons"
+    for vm in report.missing:
+        yield f"  no answer from {vm}: its calls are not counted"
+    for daemon in report.daemons:
+        lived = show_duration(daemon.lived_ms)
+        yield f"  {daemon.vm} has lived {lived}: earlier calls are not counted"
+    if not report.customers:
+        yield "no call and no change has been counted yet"
+    for customer in report.customers:
+        yield from _iter_customer_lines(customer)
+
+
+def _iter_customer_lines(burn: CustomerBurn) -> Iterator[str]:
+    yield ""
+    objectives = burn.objectives
+    yield (
+        f"{burn.customer}: {objectives.availability_percent:g}% of calls, changes in "
+        f"force within {show_duration(objectives.convergence_ms)}"
+    )
+    yield "  window   covered  priority     calls  available     late  burn rate"
+    for window in burn.windows:
+        start = f"  {show_duration(window.window_ms):<7} {window.covered_percent:7.2f}%"
+        yield f"{start}  urgent  {_priority_cells(window.urgent)}"
+        yield f"{start}  normal  {_priority_cells(window.normal)}"
+    yield (
+        f"  budget left: urgent {show_percent(burn.urgent_budget_left_percent)}, "
+        f"normal {show_percent(burn.normal_budget_left_percent)}"
+    )
+    yield from map(_alert_line, burn.alerts)
+    yield _convergence_line(burn.convergence)
+
+
+def _priority_cells(burn: PriorityBurn) -> str:
+    return (
+        f"{burn.counts.n_calls:>11}  {show_percent(burn.availability_percent):>9}"
+        f"  {show_percent(burn.late_percent):>7}  {burn.burn_rate:>9.2f}"
+    )
+
+
+def _alert_line(alert: Alert) -> str:
+    rule = alert.rule
+    state = "FIRING" if alert.is_firing else "quiet"
+    return (
+        f"  {rule.name} {alert.priority}: {state} ({alert.long_burn_rate:.2f} over "
+        f"{show_duration(rule.long_window_ms)}, {alert.short_burn_rate:.2f} over "
+        f"{show_duration(rule.short_window_ms)}, fires above {rule.threshold:g})"
+    )
+
+
+def _convergence_line(convergence: ConvergenceBurn) -> str:
+    if not convergence.n_changes:
+        return "  changes: none counted"
+    return (
+        f"  changes: {convergence.n_changes}, {convergence.n_late} late, "
+        f"median {show_duration(round(convergence.median_ms))}, "
+        f"slowest {show_duration(convergence.max_ms)}"
+    )
+
+
+__all__ = ["run"]
--- a/packages/pepperstair-cli/pepperstair_cli/commands/status.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/status.py
@@ -3,40 +3,40 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
+from typing import Any
 
-from pepperstair_operators import OperatorClient
-
-from ..output import ExitCode, OutputFormat, show, show_failure, show_refusal
-
-
-def run(*, at: str, token: str = "", output: OutputFormat = "text") -> ExitCode:
-    """Show a daemon's readiness, versions, members and counters.
-
-    Parameters
-    ----------
-    at
-        Operators' address of the daemon.
-    token
-        Bearer token of the operators' interface.
-    output
-        Text for people, JSON for programs.
-    """
-    return asyncio.run(_show(at, token, output))
-
-
-async def _show(at: str, token: str, output: OutputFormat) -> ExitCode:
-    sent = await OperatorClient(at, token).send("GET", "/v1/status")
-    if sent.is_err():
-        return show_failure(sent.unwrap_err())
-    reply = sent.unwrap()
-    if reply.status != 200:
-        return show_refusal(reply)
-    content = reply.content
-    lines = [f"{content['vm']}: {'ready' if content['ready'] else 'not ready'}"]
-    lines += [f"  {name} {version}" for name, version in content["versions"].items()]
-    lines += [f"  {member['vm']} {member['state']}" for member in content["members"]]
-    show(content, "\n".join(lines), output)
-    return ExitCode.DONE
+from result import Result
+
+from ..asking import ask, path_of
+from ..connection import Connection
+from ..output import ExitCode, Refusal, Report, finish, join_lines
+
+
+def run(*, connection: Connection) -> ExitCode:
+    """Show a daemon's readiness, versions, members and counters."""
+    return finish(asyncio.run(_status(connection)), connection.output)
+
+
+async def _status(connection: Connection) -> Result[Report, Refusal]:
+    asked = await ask(connection, "GET", path_of("status"))
+    return asked.map(lambda content: Report(content, join_lines(_iter_lines(content))))
+
+
+def _iter_lines(content: dict[str, Any]) -> Iterator[str]:
+    reached = f", reached by {content['reached_by']}" if content["reached_by"] else ""
+    yield f"{content['vm']}: {'ready' if content['ready'] else 'not ready'}{reached}"
+    yield "versions in force"
+    for customer, version in content["versions"].items():
+        yield f"  {customer} {version}"
+    yield "members"
+    for member in content["members"]:
+        yield f"  {member['vm']} {member['state']} in {member['availability_zone']}"
+        for target in member["targets"]:
+            yield f"    target {target['name']} {target['state']}"
+    yield "counters"
+    for name, count in content["counters"].items():
+        yield f"  {name} {count}"
 
 
 __all__ = ["run"]
--- a/packages/pepperstair-cli/pepperstair_cli/output.py
+++ b/packages/pepperstair-cli/pepperstair_cli/output.py
@@ -1,17 +1,21 @@
-"""What every command prints, and the exit codes."""
+"""What every command ends with: a report or a refusal, and the exit code."""
 
 from __future__ import annotations
 
 import json
 import sys
+from dataclasses import dataclass
 from enum import IntEnum
-from typing import Any, Literal
+from typing import TYPE_CHECKING, Any
 
-from pepperstair_core.errors import ErrorKind, Failure
-from pepperstair_core.schema import Fault
-from pepperstair_operators import Reply
+from result import Err, Result
 
-OutputFormat = Literal["text", "json"]
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from pepperstair_core.schema import Fault
+
+    from .connection import OutputFormat
 
 
 class ExitCode(IntEnum):
@@ -23,44 +27,54 @@
     OUTCOME_UNKNOWN = 3
 
 
-def show(content: Any, text: str, output: OutputFormat) -> None:
-    """Print a result as JSON or as text."""
-    print(json.dumps(content, indent=2) if output == "json" else text)
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What a command found or did, for programs and for people."""
+
+    content: Any
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a command did not do its work: one line each, and the exit code."""
+
+    lines: tuple[str, ...]
+    exit_code: ExitCode = ExitCode.REFUSED
+
+
+def finish(ended: Result[Report, Refusal], output: OutputFormat) -> ExitCode:
+    """Print a report on standard output or a refusal on standard error."""
+    if ended.is_err():
+        refusal = ended.unwrap_err()
+        print("\n".join(refusal.lines), file=sys.stderr)
+        return refusal.exit_code
+    report = ended.unwrap()
+    print(json.dumps(report.content, indent=2) if output == "json" else report.text)
+    return ExitCode.DONE
 
 
-def show_faults(name: str, faults: list[Fault]) -> ExitCode:
-    """Print one line for each fault of a document."""
-    for fault in faults:
-        print(f"{name}: {fault}", file=sys.stderr)
-    return ExitCode.BAD_INPUT
+def refuse_input(*lines: str) -> Err[Refusal]:
+    """Return a refusal of what the operator gave."""
+    return Err(Refusal(lines, ExitCode.BAD_INPUT))
 
 
-def show_failure(failure: Failure) -> ExitCode:
-    """Print why a daemon could not be asked."""
-    print(f"{failure.kind}: {failure.text}", file=sys.stderr)
-    if failure.kind is ErrorKind.CHANGE_OUTCOME_UNKNOWN:
-        return ExitCode.OUTCOME_UNKNOWN
-    return ExitCode.REFUSED
+def refuse_faults(name: str, faults: Iterable[Fault]) -> Err[Refusal]:
+    """Return a refusal with one line for each fault of a document."""
+    return refuse_input(*(f"{name}: {fault}" for fault in faults))
 
 
-def show_refusal(reply: Reply) -> ExitCode:
-    """Print why a daemon refused, on one line."""
-    kind = reply.content.get("error", "")
-    print(f"{kind}: {reply.content.get('text', '')}", file=sys.stderr)
-    if kind == ErrorKind.CHANGE_OUTCOME_UNKNOWN:
-        change_id = reply.content.get("change_id", "")
-        print(f"ask again with --change-id {change_id}", file=sys.stderr)
-        return ExitCode.OUTCOME_UNKNOWN
-    if kind == ErrorKind.INVALID_INTENT:
-        return ExitCode.BAD_INPUT
-    return ExitCode.REFUSED
+def join_lines(lines: Iterable[str]) -> str:
+    """Return lines as one text."""
+    return "\n".join(lines)
 
 
 __all__ = [
     "ExitCode",
-    "OutputFormat",
-    "show",
-    "show_failure",
-    "show_faults",
-    "show_refusal",
+    "Refusal",
+    "Report",
+    "finish",
+    "join_lines",
+    "refuse_faults",
+    "refuse_input",
 ]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/burn/messages.py
@@ -0,0 +1,110 @@
+"""What one daemon counted, as `GET /v1/burn` tells it."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+from ..intent import Objectives
+from ..schema import Fault, read_record
+
+if TYPE_CHECKING:
+    from result import Result
+
+_MINUTE_MS: Final = 60_000
+_HOUR_MS: Final = 60 * _MINUTE_MS
+LONGEST_WINDOW_MS: Final = 72 * _HOUR_MS
+
+WINDOWS_MS: Final = (
+    5 * _MINUTE_MS,
+    30 * _MINUTE_MS,
+    _HOUR_MS,
+    6 * _HOUR_MS,
+    LONGEST_WINDOW_MS,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CallCounts:
+    """Calls of one priority in one window, by how they ended."""
+
+    n_good: int = 0
+    n_failed: int = 0
+    n_late: int = 0
+
+    @property
+    def n_calls(self) -> int:
+        """Return how many calls count towards the objective."""
+        return self.n_good + self.n_failed + self.n_late
+
+    def __add__(self, other: CallCounts) -> CallCounts:
+        return CallCounts(
+            self.n_good + other.n_good,
+            self.n_failed + other.n_failed,
+            self.n_late + other.n_late,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class WindowCounts:
+    """The calls of one window that ends now."""
+
+    window_ms: int
+    urgent: CallCounts
+    normal: CallCounts
+
+
+@dataclass(frozen=True, slots=True)
+class Convergence:
+    """One change: how long ago it was in force everywhere, and after how long."""
+
+    age_ms: int
+    duration_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerCounts:
+    """What a daemon counted for one customer.
+
+    `version` is the version that the objectives come from, 0 where the daemon
+    holds none.
+    """
+
+    customer: str
+    version: int
+    objectives: Objectives
+    windows: tuple[WindowCounts, ...]
+    convergences: tuple[Convergence, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonCounts:
+    """What a daemon counted since it was started, `lived_ms` ago."""
+
+    vm: str
+    lived_ms: int
+    customers: tuple[CustomerCounts, ...]
+
+
+def counts_to_table(counts: DaemonCounts) -> dict[str, Any]:
+    """Return a daemon's counts as plain tables, ready for JSON."""
+    return dataclasses.asdict(counts)
+
+
+def read_counts(table: object) -> Result[DaemonCounts, list[Fault]]:
+    """Read a daemon's counts, or list what is wrong with them."""
+    return read_record(DaemonCounts, table, "")
+
+
+__all__ = [
+    "LONGEST_WINDOW_MS",
+    "WINDOWS_MS",
+    "CallCounts",
+    "Convergence",
+    "CustomerCounts",
+    "DaemonCounts",
+    "WindowCounts",
+    "counts_to_table",
+    "read_counts",
+]
--- a/packages/pepperstair-core/pepperstair_core/config/settings.py
+++ b/packages/pepperstair-core/pepperstair_core/config/settings.py
@@ -70,6 +70,11 @@
     """The interface for operators and for the targets of this VM."""
 
     address: str = option("Address and port to listen on.", form=_ADDRESS)
+    advertised_address: str = option(
+        "Address told for reports over the fleet; empty for the listening one.",
+        default="",
+        form=_OPTIONAL_ADDRESS,
+    )
     token: str = option(
         "Bearer token; required where the address is not loopback.", default=""
     )
--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -209,8 +209,13 @@
 
 
 def _iter_override_faults(intent: Intent) -> Iterator[Fault]:
+    seen = set()
     for index, override in enumerate(intent.label_overrides):
         where = f"label_overrides[{index}]"
+        if override.workload in seen:
+            wanted = f"a workload named once, not {override.workload!r} again"
+            yield Fault(f"{where}.workload", wanted)
+        seen.add(override.workload)
         if not is_label_name(override.workload):
             yield Fault(f"{where}.workload", f"a name, not {override.workload!r}")
         for key, value in override.labels.items():
--- a/packages/pepperstair-core/pepperstair_core/members.py
+++ b/packages/pepperstair-core/pepperstair_core/members.py
@@ -52,7 +52,8 @@
     """One daemon as the fleet knows it.
 
     `incarnation` rises with each start or refutation, `sequence` with each
-    change of the record within an incarnation.
+    change of the record within an incarnation. `operators_address` is where the
+    command line reaches the daemon for reports over the fleet.
     """
 
     vm: str
@@ -63,6 +64,7 @@
     peer_address: str
     labels: tuple[tuple[str, str], ...]
     targets: tuple[Target, ...] = ()
+    operators_address: str = ""
 
     @property
     def rank(self) -> tuple[int, int, int]:
--- a/packages/pepperstair-operators/pepperstair_operators/client.py
+++ b/packages/pepperstair-operators/pepperstair_operators/client.py
@@ -11,7 +11,7 @@
 
 from pepperstair_core.config import parse_address
 from pepperstair_core.errors import ErrorKind, Failure
-from pepperstair_http import ConnectionLostError, Fetcher
+from pepperstair_http import ConnectionLostError, Fetcher, Response
 
 log = structlog.get_logger(__name__)
 
@@ -44,10 +44,30 @@
         try:
             response = await self._fetcher.fetch(method, path, body, headers)
         except (TimeoutError, ConnectionLostError) as error:
-            return Err(Failure(ErrorKind.CHANGE_OUTCOME_UNKNOWN, str(error)))
+            return Err(_lost(method, str(error) or "no answer in time"))
         except OSError as error:
             return Err(Failure(ErrorKind.PEER_UNREACHABLE, str(error)))
+        return _read_reply(method, response)
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._fetcher.close()
+
+
+def _lost(method: str, detail: str) -> Failure:
+    """Return what a lost answer means: a read has no outcome to be unsure of."""
+    is_read = method == "GET"
+    kind = ErrorKind.PEER_UNREACHABLE if is_read else ErrorKind.CHANGE_OUTCOME_UNKNOWN
+    return Failure(kind, detail)
+
+
+def _read_reply(method: str, response: Response) -> Result[Reply, Failure]:
+    """Read an answer; an address of something else answers no JSON."""
+    try:
         return Ok(Reply(response.status, json.loads(response.body)))
+    except ValueError:
+        detail = f"status {response.status} without JSON, no operators' interface"
+        return Err(_lost(method, detail))
 
 
 __all__ = ["OperatorClient", "Reply"]
--- a/packages/pepperstair-operators/pepperstair_operators/server.py
+++ b/packages/pepperstair-operators/pepperstair_operators/server.py
@@ -10,6 +10,7 @@
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import structlog
+from result import Err, Ok, Result
 
 from pepperstair_core.config import OperatorsSettings
 from pepperstair_core.errors import ErrorKind, Failure
@@ -37,6 +38,14 @@
     retry_after_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Location:
+    """The path, still encoded, and the query of a request."""
+
+    path: str
+    query: dict[str, str]
+
+
 Handle = Callable[[OperatorRequest], Awaitable[OperatorReply]]
 
 
@@ -67,16 +76,19 @@
     async def _reply(self, exchange: Exchange) -> OperatorReply:
         if not self._is_permitted(exchange):
             return failure_reply(Failure(ErrorKind.UNAUTHORIZED))
-        parts = urlsplit(exchange.request.path)
-        found = self._find(exchange.request.method, parts.path)
+        read = _read_location(exchange.request.path)
+        if read.is_err():
+            return failure_reply(read.unwrap_err())
+        location = read.unwrap()
+        found = self._find(exchange.request.method, location.path)
         if found is None:
-            return failure_reply(Failure(ErrorKind.NOT_FOUND, parts.path))
+            return failure_reply(Failure(ErrorKind.NOT_FOUND, location.path))
         body = await exchange.body.read_all(self._settings.body_max_bytes)
         if body is None:
             return failure_reply(Failure(ErrorKind.BODY_TOO_LARGE))
         handle, name = found
-        query = dict(parse_qsl(parts.query))
-        return await handle(OperatorRequest(exchange.request.method, name, query, body))
+        request = OperatorRequest(exchange.request.method, name, location.query, body)
+        return await handle(request)
 
     def _find(self, method: str, path: str) -> tuple[Handle, str] | None:
         handle = self._handles.get((method, path))
@@ -84,7 +96,7 @@
             return handle, ""
         prefix, _, name = path.rpartition("/")
         handle = self._handles.get((method, f"{prefix}/"))
-        return None if handle is None else (handle, unquote(name))
+        return None if handle is None or not name else (handle, unquote(name))
 
     def _is_permitted(self, exchange: Exchange) -> bool:
         if not self._settings.token:
@@ -94,6 +106,23 @@
         return hmac.compare_digest(given, wanted)
 
 
+def _read_location(target: str) -> Result[_Location, Failure]:
+    """Split a request's target, or refuse one that does not decode.
+
+    A name with a broken escape would otherwise be taken for another name, and
+    the operator would change a customer that nobody asked to change.
+    """
+    try:
+        parts = urlsplit(target)
+        unquote(parts.path, errors="strict")
+        pairs = parse_qsl(
+            parts.query, keep_blank_values=True, strict_parsing=True, errors="strict"
+        )
+    except ValueError as error:
+        return Err(Failure(ErrorKind.BAD_REQUEST, f"path or query ({error})"))
+    return Ok(_Location(parts.path, dict(pairs)))
+
+
 def json_reply(content: Any, status: int = 200) -> OperatorReply:
     """Return a reply with JSON content."""
     return OperatorReply(status, content)
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -5,11 +5,14 @@
 import asyncio
 import random
 import signal
+from collections.abc import Iterator
 from dataclasses import replace
 
 import structlog
 
 from pepperstair_callers import Proxy, ProxyContext
+from pepperstair_core.burn import BurnCounts
+from pepperstair_core.calls import CallOutcome
 from pepperstair_core.config import Settings, parse_address
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.events import Event
@@ -32,7 +35,9 @@
 
 from .clock import monotonic_ms, wall_ms
 from .configuration import ConfigurationAgent
+from .counters import DaemonCounters, DaemonGauges
 from .logs import configure_logs
+from .metrics import MetricsSender
 from .operations import add_operations
 
 log = structlog.get_logger(__name__)
@@ -47,6 +52,10 @@
         self.settings = settings
         self.rng = random.Random()
         self.decisions = DecisionLog()
+        self.burn = BurnCounts(monotonic_ms())
+        self.metrics = MetricsSender(
+            settings.metrics, settings.vm.name, self.counters, self.gauges
+        )
         start_id = wall_ms()
         peer_address = settings.peers.advertised_address or settings.peers.address
         self.identity = Identity(settings.vm.name, start_id, peer_address)
@@ -59,6 +68,7 @@
                 settings.vm.availability_zone,
                 peer_address,
                 label_items(settings.vm.labels),
+                operators_address=_operators_address(settings),
             )
         )
         self.platform = Platform(settings.platform)
@@ -118,25 +128,33 @@
         """Return whether the daemon may carry calls."""
         return self.configuration.is_floor_known
 
-    def counters(self) -> dict[str, int]:
+    def counters(self) -> DaemonCounters:
         """Return the counts that `status` and the metrics show."""
-        return {
-            "n_calls": self.proxy.n_calls,
-            "n_calls_failed": self.proxy.n_failed,
-            "n_calls_taken": self.call_server.n_calls,
-            "n_requests_malformed": self.callers.counters.n_malformed,
-            "n_streams_rejected": self.listener.n_rejected,
-            "n_platform_reads": self.platform.counters.n_reads,
-            "n_platform_writes": self.platform.counters.n_writes,
-            **self._frame_counts(),
-        }
-
-    def _frame_counts(self) -> dict[str, int]:
-        return {
-            name: count
-            for kind, counters in self.frame_counters.items()
-            for name, count in counters.iter_named(kind.value)
-        }
+        return DaemonCounters(
+            n_calls=self.proxy.n_calls,
+            n_calls_failed=self.proxy.n_failed,
+            n_calls_taken=self.call_server.n_calls,
+            n_requests_malformed=self.callers.counters.n_malformed,
+            n_streams_rejected=self.listener.n_rejected,
+            n_platform_reads=self.platform.counters.n_reads,
+            n_platform_writes=self.platform.counters.n_writes,
+            n_metrics_sent=self.metrics.n_sent,
+            n_metrics_dropped=self.metrics.n_dropped,
+            frames=tuple(self._iter_frame_counts()),
+        )
+
+    def gauges(self) -> DaemonGauges:
+        """Return what holds right now, for the metrics."""
+        return DaemonGauges(
+            n_members=sum(member.is_usable for member in self.directory.members()),
+            n_targets=len(self.registry.targets()),
+            n_customers=len(self.configuration.versions()),
+            n_calls_in_flight=self.runner.n_in_flight,
+        )
+
+    def _iter_frame_counts(self) -> Iterator[tuple[str, int]]:
+        for kind, counters in self.frame_counters.items():
+            yield from counters.iter_named(kind.value)
 
     async def start(self) -> None:
         """Listen on every address and begin to join the fleet."""
@@ -146,6 +164,7 @@
         await self.callers.listen(*parse_address(settings.callers.address))
         self.control.start(settings.peers.seed_addresses)
         self.configuration.start()
+        self.metrics.start()
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
 
@@ -158,6 +177,7 @@
         while self.runner.n_in_flight and monotonic_ms() < deadline_ms:
             await asyncio.sleep(0.02)
         self._lease_task.cancel()
+        self.metrics.close()
         self.configuration.close()
         self.control.close()
         self.call_client.close()
@@ -176,10 +196,14 @@
             choose=self._choose,
             carry=self._carry,
             is_ready=self.is_ready,
-            on_outcome=lambda outcome: None,
+            on_outcome=self._count_outcome,
             body_max_bytes=self.settings.callers.body_max_bytes,
         )
 
+    def _count_outcome(self, outcome: CallOutcome) -> None:
+        self.burn.add(outcome, monotonic_ms())
+        self.metrics.add(outcome)
+
     def _endpoints(self, compiled: CompiledRoute) -> tuple[Endpoint, ...]:
         return self.endpoint_table.endpoints(compiled.target_selector)
 
@@ -211,6 +235,10 @@
             self.registry.expire(monotonic_ms())
 
 
+def _operators_address(settings: Settings) -> str:
+    return settings.operators.advertised_address or settings.operators.address
+
+
 def run_daemon(settings: Settings) -> int:
     """Run a daemon until SIGTERM or SIGINT and return its exit code."""
     configure_logs(settings.vm.name)
--- a/packages/pepperstaird/pepperstaird/operations.py
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import uuid
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 import structlog
+from result import Err, Ok, Result
 
 from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_core.events import Event
@@ -22,12 +23,15 @@
 from pepperstair_targets import handle_announcement
 
 from .clock import monotonic_ms, wall_ms
+from .reports import burn_counts, explain_decisions
 
 if TYPE_CHECKING:
     from .daemon import Daemon
 
 log = structlog.get_logger(__name__)
 
+_VERSION_DIGITS_MAX: Final = 15
+
 
 def add_operations(server: OperatorServer, daemon: Daemon) -> None:
     """Serve every operation of a daemon."""
@@ -50,6 +54,12 @@
     async def put_intent(request: OperatorRequest) -> OperatorReply:
         return await _put_intent(daemon, request)
 
+    async def explain(request: OperatorRequest) -> OperatorReply:
+        return explain_decisions(daemon, request)
+
+    async def burn(request: OperatorRequest) -> OperatorReply:
+        return burn_counts(daemon)
+
     async def put_target(request: OperatorRequest) -> OperatorReply:
         taken = handle_announcement(
             daemon.registry,
@@ -71,6 +81,8 @@
     server.add("GET", "/v1/ready", ready)
     server.add("GET", "/v1/intent/", get_intent)
     server.add("PUT", "/v1/intent/", put_intent)
+    server.add("GET", "/v1/explain", explain)
+    server.add("GET", "/v1/burn", burn)
     server.add("PUT", "/v1/targets/", put_target)
     server.add("DELETE", "/v1/targets/", delete_target)
 
@@ -89,6 +101,7 @@
                 "state": member.state.name.lower(),
                 "incarnation": member.incarnation,
                 "availability_zone": member.availability_zone,
+                "operators_address": member.operators_address,
                 "targets": [
                     {"name": target.name, "state": target.state.value}
                     for target in member.targets
@@ -96,25 +109,32 @@
             }
             for member in daemon.directory.members()
         ],
-        "counters": daemon.counters(),
+        "counters": dict(daemon.counters().iter_named()),
     }
 
 
 async def _put_intent(daemon: Daemon, request: OperatorRequest) -> OperatorReply:
     """Accept a change, or refuse the whole of it."""
-    parsed = parse_intent_toml(request.body.decode("utf-8", "replace"))
+    from_version = _read_version(request, "from_version")
+    if from_version.is_err():
+        return _faults_reply(ErrorKind.BAD_REQUEST, [from_version.unwrap_err()])
+    try:
+        text = request.body.decode()
+    except UnicodeDecodeError as error:
+        fault = Fault("document", f"UTF-8 ({error})")
+        return _faults_reply(ErrorKind.INVALID_INTENT, [fault])
+    parsed = parse_intent_toml(text)
     if parsed.is_err():
         return _faults_reply(ErrorKind.INVALID_INTENT, parsed.unwrap_err())
     intent = parsed.unwrap()
     if intent.customer != request.name:
         fault = Fault("customer", f"{request.name!r}, not {intent.customer!r}")
         return _faults_reply(ErrorKind.INVALID_INTENT, [fault])
-    from_version = request.query.get("from_version", "")
     change_id = request.query.get("change_id") or uuid.uuid4().hex
     change = ChangeRequest(
         intent,
         change_id,
-        int(from_version) if from_version.isdecimal() else None,
+        from_version.unwrap(),
         daemon.settings.vm.name,
         wall_ms(),
     )
@@ -146,6 +166,20 @@
     )
 
 
+def _read_version(request: OperatorRequest, name: str) -> Result[int | None, Fault]:
+    """Read a version from the query; None where it is not given.
+
+    A version that can't be read must not count as none: the change would then
+    be made whatever the newest version is, and undo another operator's.
+    """
+    text = request.query.get(name)
+    if text is None:
+        return Ok(None)
+    if not (text.isascii() and text.isdecimal()) or len(text) > _VERSION_DIGITS_MAX:
+        return Err(Fault(name, f"a version, not {text!r}"))
+    return Ok(int(text))
+
+
 def _faults_reply(kind: ErrorKind, faults: list[Fault]) -> OperatorReply:
     shown = [{"where": fault.where, "expected": fault.expected} for fault in faults]
     return failure_reply(Failure(kind, "; ".join(map(str, faults))), faults=shown)
--- /dev/null
+++ b/packages/pepperstaird/pepperstaird/reports.py
@@ -0,0 +1,50 @@
+"""The operations by which a daemon reports on itself: decisions and burn."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from pepperstair_core.burn import counts_to_table
+from pepperstair_operators import OperatorReply, OperatorRequest, json_reply
+
+from .clock import monotonic_ms
+
+if TYPE_CHECKING:
+    from pepperstair_core.decisions import Decision
+
+    from .daemon import Daemon
+
+log = structlog.get_logger(__name__)
+
+
+def explain_decisions(daemon: Daemon, request: OperatorRequest) -> OperatorReply:
+    """Answer with the decisions about a subject, or all, the oldest first."""
+    found = daemon.decisions.find(request.query.get("subject", ""))
+    return json_reply({"decisions": [_decision_table(each) for each in found]})
+
+
+def burn_counts(daemon: Daemon) -> OperatorReply:
+    """Answer with what this daemon counted, and each customer's objectives."""
+    held = (daemon.configuration.get(name) for name in daemon.configuration.versions())
+    objectives = {
+        snapshot.head.customer: (snapshot.head.version, snapshot.intent.objectives)
+        for snapshot in held
+    }
+    vm = daemon.settings.vm.name
+    counts = daemon.burn.snapshot(vm, monotonic_ms(), objectives)
+    return json_reply(counts_to_table(counts))
+
+
+def _decision_table(decision: Decision) -> dict[str, Any]:
+    return {
+        "at_ms": decision.at_ms,
+        "kind": decision.kind.value,
+        "subject": decision.subject,
+        "cause": decision.cause,
+        "figures": dict(decision.figures),
+    }
+
+
+__all__ = ["burn_counts", "explain_decisions"]
--- /dev/null
+++ b/tests/test_command_line.py
@@ -0,0 +1,207 @@
+"""The command line against a daemon and the platform stand-in, as processes."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from benchmarks.fleet import fetch, free_port, running_fleet, wait_until
+from pepperstair_cli.__main__ import run
+from pepperstair_cli.output import ExitCode
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "lantern.toml"
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with running_fleet() as started:
+        started.start_platform()
+        daemon = started.start_daemon("vm-1", "pos-a", '{ customer = "lantern" }')
+        wait_until(lambda: fetch(daemon.operators, "GET", "/v1/ready")[0] == 200, "vm")
+        run(["apply", str(EXAMPLE), "--at", daemon.operators])
+        yield started
+
+
+@pytest.fixture
+def at(fleet):
+    return fleet.daemons[0].operators
+
+
+@pytest.fixture
+def command(capsys):
+    """Return a function that runs a command: its exit code, output and errors."""
+
+    def call(*arguments: object) -> tuple[ExitCode, str, str]:
+        capsys.readouterr()
+        code = run([str(argument) for argument in arguments])
+        captured = capsys.readouterr()
+        return code, captured.out, captured.err
+
+    return call
+
+
+def version_of(command, at: str) -> int:
+    """Return the version of lantern in force."""
+    return json.loads(command("status", "--at", at, "--output", "json")[1])["versions"][
+        "lantern"
+    ]
+
+
+def test_get_prints_what_apply_takes_back_unchanged(command, at, tmp_path):
+    file = tmp_path / "held.toml"
+    file.write_text(command("get", "lantern", "--at", at)[1])
+    code, out, _ = command("diff", file, "--at", at)
+    assert code is ExitCode.DONE
+    assert "no difference" in out
+
+
+def test_diff_shows_what_apply_would_change(command, at, tmp_path):
+    file = tmp_path / "changed.toml"
+    file.write_text(EXAMPLE.read_text().replace("2000", "2500"))
+    out = command("diff", file, "--at", at)[1].splitlines()
+    assert "-timeout_ms = 2000" in out
+    assert "+timeout_ms = 2500" in out
+
+
+def test_labels_are_set_taken_away_and_reset(command, at):
+    arguments = ("--customer", "lantern", "--at", at)
+    assert command("label", "ledger-1", "canary=yes", "old-", *arguments)[0] == 0
+    held = json.loads(command("get", "lantern", "--at", at, "--output", "json")[1])
+    assert held["intent"]["label_overrides"] == [
+        {"workload": "ledger-1", "labels": {"canary": "yes", "old": ""}}
+    ]
+    resets = ("--reset", "canary", "--reset", "old")
+    assert command("label", "ledger-1", *resets, *arguments)[0] == 0
+    held = json.loads(command("get", "lantern", "--at", at, "--output", "json")[1])
+    assert held["intent"]["label_overrides"] == []
+
+
+def test_operators_who_race_are_told_and_undo_nothing(command, at):
+    """Two operators start from the same version and both send a change.
+
+    The later one would undo the labels of the earlier one, and calls would go
+    to the wrong targets without an error anywhere.
+    """
+    newest = version_of(command, at)
+    late = ("--from-version", newest, "--customer", "lantern", "--at", at)
+    assert command("label", "ledger-1", "a=b", *late)[0] is ExitCode.DONE
+    code, _, err = command("label", "ledger-1", "c=d", *late)
+    assert code is ExitCode.REFUSED
+    assert err.startswith("conflict: ")
+    assert len(err.splitlines()) == 1
+    assert version_of(command, at) == newest + 1
+
+
+def test_same_change_id_commits_once(command, at, tmp_path):
+    """The answer to a change is lost, and the operator sends it again."""
+    file = tmp_path / "again.toml"
+    file.write_text(EXAMPLE.read_text().replace("2000", "1900"))
+    arguments = ("apply", file, "--change-id", "again-1", "--at", at)
+    first, second = command(*arguments), command(*arguments)
+    assert first == second
+    assert first[0] is ExitCode.DONE
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("status",),
+        ("status", "--at", "localhost:1"),
+        ("status", "--at", "127.0.0.1:1", "--output", "xml"),
+        ("apply", "absent.toml", "--at", "127.0.0.1:1"),
+        ("label", "ledger-1", "--customer", "c", "--at", "127.0.0.1:1"),
+        ("label", "ledger-1", "=x", "--customer", "c", "--at", "127.0.0.1:1"),
+        ("explain", "--route", "award", "--at", "127.0.0.1:1"),
+        ("check", "absent.toml"),
+        ("statsu",),
+    ],
+)
+def test_bad_input_is_one_line_and_exit_code_2(command, arguments):
+    code, out, err = command(*arguments)
+    assert code is ExitCode.BAD_INPUT
+    assert out == ""
+    assert len(err.splitlines()) == 1
+
+
+def test_check_names_every_fault(command, tmp_path):
+    file = tmp_path / "bad.toml"
+    file.write_text('customer = "a b"\nroutes = 3\n')
+    code, _, err = command("check", file)
+    assert code is ExitCode.BAD_INPUT
+    assert err.splitlines() == [
+        f"{file}: routes: expected a list, not 3",
+        f"{file}: customer: expected a name, not 'a b'",
+    ]
+
+
+def test_daemon_that_is_away_refuses_reads_and_leaves_changes_unsent(command):
+    address = f"127.0.0.1:{free_port()}"
+    for arguments in (("status",), ("apply", EXAMPLE)):
+        code, _, err = command(*arguments, "--at", address)
+        assert code is ExitCode.REFUSED
+        assert err.startswith(f"peer_unreachable: {address}: ")
+
+
+def test_address_of_something_else_is_one_clear_line(command, fleet):
+    """An operator gives the callers' address; it used to end in a traceback."""
+    code, _, err = command("status", "--at", fleet.daemons[0].callers)
+    assert code is ExitCode.REFUSED
+    assert "no operators' interface" in err
+
+
+@pytest.mark.parametrize(
+    ("path", "body"),
+    [
+        ("/v1/intent/lantern?from_version=abc", b""),
+        ("/v1/intent/lantern?from_version=", b""),
+        ("/v1/intent/lantern?from_version=-1", b""),
+        ("/v1/intent/lantern?change_id=%ff", b""),
+        ("/v1/intent/%ff", b""),
+        ("/v1/intent/lantern", b"customer = '\xff'"),
+        ("/v1/targets/x", b"{"),
+        ("/v1/targets/x", b'["address"]'),
+    ],
+)
+def test_malformed_requests_are_refused_and_change_nothing(command, at, path, body):
+    """A version that could not be read used to count as none.
+
+    The change was then made over whatever was newest, and an operator's script
+    with a slip in it undid another operator's work.
+    """
+    newest = version_of(command, at)
+    body = body or EXAMPLE.read_bytes()
+    code, answer = fetch(at, "PUT", path, body)
+    assert (code, json.loads(answer)["error"]) in (
+        (400, "bad_request"),
+        (422, "invalid_intent"),
+    )
+    assert version_of(command, at) == newest
+
+
+def test_names_are_percent_encoded(command, at, tmp_path):
+    file = tmp_path / "slash.toml"
+    file.write_text('customer = "a/b"\n')
+    assert command("apply", file, "--at", at)[0] is ExitCode.DONE
+    assert command("get", "a/b", "--at", at)[0] is ExitCode.DONE
+
+
+def test_burn_report_names_members_that_do_not_answer(command, fleet, at):
+    """A daemon dies: its calls are missing from the sums, which must be said."""
+    gone = fleet.start_daemon("vm-2", "pos-b", "{}")
+    report = ("report", "burn", "--at", at)
+    wait_until(lambda: "covers 2 of 2" in command(*report)[1], "both daemons")
+    gone.process.kill()
+    gone.process.wait()
+    code, out, _ = command(*report)
+    assert code is ExitCode.DONE
+    assert "covers 1 of 2 daemons" in out
+    assert "no answer from vm-2" in out
+
+
+def test_explain_without_decisions_says_so(command, at):
+    assert command("explain", "--subject", "nobody", "--at", at)[1:] == (
+        "no decision is known\n",
+        "",
+    )
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,106 @@
+"""Metrics: statsd lines over UDP that never make a call wait."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from pepperstair_core.calls import CallOutcome
+from pepperstair_core.config import MetricsSettings
+from pepperstair_core.errors import Run
+from pepperstaird.counters import DaemonCounters, DaemonGauges
+from pepperstaird.metrics import DATAGRAM_MAX_BYTES, MetricsSender
+from pepperstaird.timings import Timings
+
+
+class Counts:
+    """Counters that a test sets."""
+
+    def __init__(self) -> None:
+        self.n_calls = 0
+        self.frames = ()
+
+    def read(self) -> DaemonCounters:
+        """Return the counters as the daemon would."""
+        return DaemonCounters(n_calls=self.n_calls, frames=self.frames)
+
+
+@pytest.fixture
+def receiver():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened:
+        opened.bind(("127.0.0.1", 0))
+        opened.settimeout(5)
+        yield opened
+
+
+def open_sender(receiver: socket.socket, counts: Counts) -> MetricsSender:
+    """Return a sender to a receiver, without the task that sends at intervals."""
+    host, port = receiver.getsockname()
+    settings = MetricsSettings(f"{host}:{port}")
+    sender = MetricsSender(settings, "vm-1.a", counts.read, DaemonGauges)
+    sender.open()
+    return sender
+
+
+def test_counters_go_as_differences_and_times_as_percentiles(receiver):
+    counts = Counts()
+    sender = open_sender(receiver, counts)
+    for n_calls, expected in ((3, b"calls:3|c"), (5, b"calls:2|c")):
+        counts.n_calls = n_calls
+        sender.add(CallOutcome("c", "r", "urgent", 200, None, Run.YES, 10.0, 0))
+        sender.send()
+        lines = receiver.recv(65_536).split(b"\n")
+        assert b"pepperstair.vm-1_a." + expected in lines
+        assert b"pepperstair.vm-1_a.targets:0|g" in lines
+        (p99,) = [line for line in lines if b"call_ms.urgent.p99" in line]
+        assert 10.0 <= float(p99.split(b":")[1].split(b"|")[0]) <= 11.0
+    sender.close()
+
+
+def test_receiver_that_is_away_costs_dropped_metrics_only(receiver):
+    """A statsd process that is restarted must not stop or slow the daemon."""
+    sender = open_sender(receiver, Counts())
+    receiver.close()
+    for _ in range(20):
+        sender.send()
+    assert sender.n_dropped > 0
+    sender.close()
+
+
+def test_full_socket_buffer_drops_instead_of_waiting(receiver):
+    """A network that takes no more must not stop the loop that carries calls."""
+    sender = open_sender(receiver, Counts())
+
+    class FullSocket:
+        def send(self, data: bytes) -> int:
+            raise BlockingIOError
+
+        def close(self) -> None:
+            pass
+
+    sender.replace_socket(FullSocket())
+    sender.send()
+    assert (sender.n_sent, sender.n_dropped) == (0, 4)
+
+
+def test_datagrams_stay_below_the_smallest_mtu(receiver):
+    counts = Counts()
+    counts.frames = tuple((f"n_control_sent_frames_{i}", 1) for i in range(200))
+    sender = open_sender(receiver, counts)
+    sender.send()
+    n_lines = 0
+    while n_lines < 204:
+        datagram = receiver.recv(65_536)
+        assert len(datagram) <= DATAGRAM_MAX_BYTES
+        n_lines += len(datagram.split(b"\n"))
+    sender.close()
+
+
+def test_timings_stay_in_range_for_extreme_times():
+    timings = Timings()
+    for duration_ms in (0.0, 0.001, 1.0, 1e9):
+        timings.add(duration_ms)
+    times = dict(timings.take())
+    assert times[50] <= times[90] <= times[99] < 1_000_000
+    assert list(timings.take()) == []
