Pages held to the code; start failures and loop errors as one JSON line

Cause: nothing kept the pages of settings, commands, errors, events and metrics true; an address in use ended the daemon with a traceback; a handler's failure was logged under a name outside the closed list. Ruled out: generating every page, as what to do about an event is prose. The burn report is left out of the daemon's imports.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := $(wildcard packages/*)
 TOOLS := pytest hypothesis ruff
 
-.PHONY: install test lint format demo clean bench-path bench-idle
+.PHONY: install test lint format demo docs clean bench-path bench-idle
 
 install: $(VENV)/installed
 
@@ -29,6 +29,9 @@
 demo: install
 	$(PYTHON) -m benchmarks.demo
 
+docs: install
+	$(PYTHON) -m pepperstair_core.config.reference > docs/user-guide/settings.md
+
 bench-path: install
 	$(PYTHON) -m benchmarks.path
 
--- a/packages/pepperstair-cli/pepperstair_cli/commands/apply.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/apply.py
@@ -14,7 +14,7 @@
 
 
 def run(
-    file: Path, *, connection: Connection, options: ChangeOptions = _NO_OPTIONS
+    file: Path, /, *, connection: Connection, options: ChangeOptions = _NO_OPTIONS
 ) -> ExitCode:
     """Apply an intent document.
 
--- a/packages/pepperstair-cli/pepperstair_cli/commands/check.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/check.py
@@ -15,7 +15,7 @@
 from ..output import ExitCode, Refusal, Report, finish, refuse_faults
 
 
-def run(file: Path, *, output: Output = "text") -> ExitCode:
+def run(file: Path, /, *, output: Output = "text") -> ExitCode:
     """Check a file and list every fault in it.
 
     Parameters
--- a/packages/pepperstair-cli/pepperstair_cli/commands/diff.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/diff.py
@@ -20,7 +20,7 @@
 from ..output import ExitCode, Refusal, Report, finish, join_lines
 
 
-def run(file: Path, *, connection: Connection) -> ExitCode:
+def run(file: Path, /, *, connection: Connection) -> ExitCode:
     """Show what applying a document would change.
 
     Parameters
--- a/packages/pepperstair-cli/pepperstair_cli/commands/get.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/get.py
@@ -13,7 +13,7 @@
 from ..output import ExitCode, Refusal, Report, finish
 
 
-def run(customer: str, *, connection: Connection) -> ExitCode:
+def run(customer: str, /, *, connection: Connection) -> ExitCode:
     """Print the intent in force as TOML that `apply` takes back unchanged.
 
     Parameters
--- a/packages/pepperstair-cli/pepperstair_cli/commands/history.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/history.py
@@ -14,7 +14,7 @@
 from ..showing import show_time
 
 
-def run(customer: str, *, connection: Connection) -> ExitCode:
+def run(customer: str, /, *, connection: Connection) -> ExitCode:
     """List the accepted changes of a customer.
 
     Parameters
--- a/packages/pepperstair-cli/pepperstair_cli/commands/label.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/label.py
@@ -22,6 +22,7 @@
 
 def run(
     workload: str,
+    /,
     *changes: str,
     customer: str,
     reset: Annotated[tuple[str, ...], Parameter(negative="")] = (),
--- a/packages/pepperstair-cli/pepperstair_cli/commands/report_burn.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/report_burn.py
@@ -10,7 +10,7 @@
 from cyclopts import Parameter
 from result import Ok, Result
 
-from pepperstair_core.burn import (
+from pepperstair_core.burn.report import (
     Alert,
     BurnReport,
     ConvergenceBurn,
--- a/packages/pepperstair-cli/pepperstair_cli/commands/wait.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/wait.py
@@ -14,6 +14,7 @@
 
 def run(
     customer: str,
+    /,
     *,
     version: int | None = None,
     timeout_ms: int = 30_000,
--- a/packages/pepperstair-core/pepperstair_core/burn/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/burn/__init__.py
@@ -1,4 +1,8 @@
-"""Service-level burn: counts of one daemon and the report over many."""
+"""Service-level burn: the counts of one daemon.
+
+The report over many daemons is `pepperstair_core.burn.report`. It is not imported
+here, as the daemon has no use for it and pays for each import with memory.
+"""
 
 from __future__ import annotations
 
@@ -14,38 +18,18 @@
     counts_to_table,
     read_counts,
 )
-from .report import (
-    ALERT_RULES,
-    Alert,
-    AlertRule,
-    BurnReport,
-    ConvergenceBurn,
-    CustomerBurn,
-    PriorityBurn,
-    WindowBurn,
-    make_burn_report,
-)
 
 __all__ = [
-    "ALERT_RULES",
     "LONGEST_WINDOW_MS",
     "WINDOWS_MS",
-    "Alert",
-    "AlertRule",
     "BurnCounts",
-    "BurnReport",
     "CallCounts",
     "Convergence",
-    "ConvergenceBurn",
-    "CustomerBurn",
     "CustomerCounts",
     "DaemonCounts",
     "OutcomeClass",
-    "PriorityBurn",
-    "WindowBurn",
     "WindowCounts",
     "classify_outcome",
     "counts_to_table",
-    "make_burn_report",
     "read_counts",
 ]
--- a/packages/pepperstair-core/pepperstair_core/events.py
+++ b/packages/pepperstair-core/pepperstair_core/events.py
@@ -13,6 +13,7 @@
     """Every event that a daemon logs."""
 
     STARTED = "started"
+    START_FAILED = "start_failed"
     READY = "ready"
     STOPPING = "stopping"
     STOPPED = "stopped"
--- a/packages/pepperstair-http/pepperstair_http/server.py
+++ b/packages/pepperstair-http/pepperstair_http/server.py
@@ -10,6 +10,8 @@
 import h11
 import structlog
 
+from pepperstair_core.events import Event
+
 from .body import HIGH_WATER_BYTES, BodyBuffer, ConnectionLostError
 from .messages import Headers, Request
 from .writing import WriteGate
@@ -247,7 +249,7 @@
             self.abort()
             return
         except Exception:
-            log.exception("a handler failed")
+            log.exception(Event.INTERNAL_ERROR)
             await self._answer_internal_error(exchange)
             return
         self._finish_cycle()
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -7,6 +7,7 @@
 import signal
 from collections.abc import Iterator
 from dataclasses import replace
+from typing import Final
 
 import structlog
 
@@ -36,13 +37,14 @@
 from .clock import monotonic_ms, wall_ms
 from .configuration import ConfigurationAgent
 from .counters import DaemonCounters, DaemonGauges
-from .logs import configure_logs
+from .logs import configure_logs, log_loop_error
 from .metrics import MetricsSender
 from .operations import add_operations
 
 log = structlog.get_logger(__name__)
 
-_LEASE_CHECK_S = 0.25
+EXIT_START_FAILED: Final = 1
+_LEASE_CHECK_S: Final = 0.25
 
 
 class Daemon:
@@ -247,14 +249,21 @@
 
 async def _run_until_signal(settings: Settings) -> int:
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(log_loop_error)
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     daemon = Daemon(settings)
-    await daemon.start()
+    try:
+        await daemon.start()
+    except OSError as error:
+        # Another process holds an address, or it is none of this VM: without
+        # this, the operator would search a traceback for which it was.
+        log.error(Event.START_FAILED, reason=str(error))
+        return EXIT_START_FAILED
     await stopping.wait()
     await daemon.stop()
     return 0
 
 
-__all__ = ["Daemon", "run_daemon"]
+__all__ = ["EXIT_START_FAILED", "Daemon", "run_daemon"]
--- a/packages/pepperstaird/pepperstaird/logs.py
+++ b/packages/pepperstaird/pepperstaird/logs.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
+from typing import Any
 
 import structlog
 
+from pepperstair_core.events import Event
+
+log = structlog.get_logger(__name__)
+
 
 def configure_logs(vm: str) -> None:
     """Set structlog up for this process; every line names the VM."""
@@ -23,4 +29,17 @@
     structlog.contextvars.bind_contextvars(vm=vm)
 
 
-__all__ = ["configure_logs"]
+def log_loop_error(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Log what a task or callback raised and nobody took, as the loop reports it.
+
+    asyncio's own handler would print a traceback of many lines among the JSON,
+    which log collectors drop or cut, so that nobody would see the fault.
+    """
+    log.error(
+        Event.INTERNAL_ERROR,
+        reason=context.get("message", ""),
+        exc_info=context.get("exception"),
+    )
+
+
+__all__ = ["configure_logs", "log_loop_error"]
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -13,10 +13,10 @@
     OutcomeClass,
     classify_outcome,
     counts_to_table,
-    make_burn_report,
     read_counts,
 )
 from pepperstair_core.burn.counts import N_CUSTOMERS_MAX, OTHER_CUSTOMERS
+from pepperstair_core.burn.report import make_burn_report
 from pepperstair_core.calls import CallOutcome
 from pepperstair_core.errors import ErrorKind, Run
 from pepperstair_core.intent import Objectives
