One line for wrong arguments, closed pipes and interrupts; conflicts explained

Cause: the daemon printed a box for a wrong argument; `pepperstair get | head` ended in a traceback; explain said nothing about refused changes. Ruled out: exit code 130 for an interrupt, as 3 says what is known of a change.

--- a/packages/pepperstair-cli/pepperstair_cli/__main__.py
+++ b/packages/pepperstair-cli/pepperstair_cli/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from collections.abc import Sequence
 
@@ -54,8 +55,23 @@
     except cyclopts.CycloptsError as error:
         print(" ".join(str(error).split()), file=sys.stderr)
         return ExitCode.BAD_INPUT
+    except KeyboardInterrupt:
+        print("interrupted: a change that was sent may take effect", file=sys.stderr)
+        return ExitCode.OUTCOME_UNKNOWN
+    except BrokenPipeError:
+        _forget_output()
+        return ExitCode.DONE
     return ended if isinstance(ended, ExitCode) else ExitCode.DONE
 
 
+def _forget_output() -> None:
+    """Send further output nowhere, as the reader of a pipe has left.
+
+    The interpreter writes out what is buffered when it ends, and would print a
+    traceback over an operator's `pepperstair get lantern | head`.
+    """
+    os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+
+
 if __name__ == "__main__":
     main()
--- a/packages/pepperstair-cli/pepperstair_cli/output.py
+++ b/packages/pepperstair-cli/pepperstair_cli/output.py
@@ -50,7 +50,8 @@
         print("\n".join(refusal.lines), file=sys.stderr)
         return refusal.exit_code
     report = ended.unwrap()
-    print(json.dumps(report.content, indent=2) if output == "json" else report.text)
+    text = json.dumps(report.content, indent=2) if output == "json" else report.text
+    print(text, flush=True)
     return ExitCode.DONE
 
 
--- a/packages/pepperstaird/pepperstaird/__main__.py
+++ b/packages/pepperstaird/pepperstaird/__main__.py
@@ -4,7 +4,7 @@
 
 import sys
 from pathlib import Path
-from typing import Final
+from typing import Annotated, Final
 
 import cyclopts
 from result import Err, Result
@@ -27,13 +27,16 @@
 def main() -> None:
     """Run the daemon, or only check its settings."""
     try:
-        sys.exit(app(exit_on_error=False))
-    except cyclopts.CycloptsError:
+        sys.exit(app(exit_on_error=False, print_error=False))
+    except cyclopts.CycloptsError as error:
+        print(" ".join(str(error).split()), file=sys.stderr)
         sys.exit(EXIT_BAD_INPUT)
 
 
 @app.default
-def run(*, settings: Path, check: bool = False) -> int:
+def run(
+    *, settings: Path, check: Annotated[bool, cyclopts.Parameter(negative="")] = False
+) -> int:
     """Read the settings and run until the daemon has stopped.
 
     Parameters
--- a/packages/pepperstaird/pepperstaird/operations.py
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -23,7 +23,7 @@
 from pepperstair_targets import handle_announcement
 
 from .clock import monotonic_ms, wall_ms
-from .reports import burn_counts, explain_decisions
+from .reports import burn_counts, explain_decisions, record_refusal
 
 if TYPE_CHECKING:
     from .daemon import Daemon
@@ -141,6 +141,7 @@
     accepted = await accept_change(daemon.platform, change)
     if accepted.is_err():
         failure = accepted.unwrap_err()
+        record_refusal(daemon, intent.customer, failure)
         log.warning(
             Event.CHANGE_REFUSED,
             customer=intent.customer,
--- a/packages/pepperstaird/pepperstaird/reports.py
+++ b/packages/pepperstaird/pepperstaird/reports.py
@@ -7,13 +7,13 @@
 import structlog
 
 from pepperstair_core.burn import counts_to_table
+from pepperstair_core.decisions import Decision, DecisionKind
+from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_operators import OperatorReply, OperatorRequest, json_reply
 
-from .clock import monotonic_ms
+from .clock import monotonic_ms, wall_ms
 
 if TYPE_CHECKING:
-    from pepperstair_core.decisions import Decision
-
     from .daemon import Daemon
 
 log = structlog.get_logger(__name__)
@@ -25,6 +25,13 @@
     return json_reply({"decisions": [_decision_table(each) for each in found]})
 
 
+def record_refusal(daemon: Daemon, customer: str, failure: Failure) -> None:
+    """Keep why a change was not accepted, for `explain`."""
+    is_conflict = failure.kind is ErrorKind.CONFLICT
+    kind = DecisionKind.CONFLICT if is_conflict else DecisionKind.REFUSED
+    daemon.decisions.add(Decision(wall_ms(), kind, customer, failure.text))
+
+
 def burn_counts(daemon: Daemon) -> OperatorReply:
     """Answer with what this daemon counted, and each customer's objectives."""
     held = (daemon.configuration.get(name) for name in daemon.configuration.versions())
@@ -47,4 +54,4 @@
     }
 
 
-__all__ = ["burn_counts", "explain_decisions"]
+__all__ = ["burn_counts", "explain_decisions", "record_refusal"]
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import json
+import subprocess
 from pathlib import Path
 
 import pytest
 
-from benchmarks.fleet import fetch, free_port, running_fleet, wait_until
+from benchmarks.fleet import SCRIPTS, fetch, free_port, running_fleet, wait_until
 from pepperstair_cli.__main__ import run
 from pepperstair_cli.output import ExitCode
 
@@ -92,6 +93,9 @@
     assert err.startswith("conflict: ")
     assert len(err.splitlines()) == 1
     assert version_of(command, at) == newest + 1
+    explained = command("explain", "--subject", "lantern", "--at", at)[1]
+    assert "  conflict lantern: " in explained
+    assert f"start from version {newest + 1}" in explained
 
 
 def test_same_change_id_commits_once(command, at, tmp_path):
@@ -200,6 +204,15 @@
     assert "no answer from vm-2" in out
 
 
+def test_reader_that_leaves_a_pipe_gets_no_traceback(at):
+    """`pepperstair get lantern | head -1` ends the pipe before all was read."""
+    line = f"{SCRIPTS / 'pepperstair'} get lantern --at {at} | true"
+    done = subprocess.run(
+        ["bash", "-c", f"set -o pipefail; {line}"], capture_output=True, check=False
+    )
+    assert (done.returncode, done.stderr) == (0, b"")
+
+
 def test_explain_without_decisions_says_so(command, at):
     assert command("explain", "--subject", "nobody", "--at", at)[1:] == (
         "no decision is known\n",
--- a/tests/test_daemon_start.py
+++ b/tests/test_daemon_start.py
@@ -27,6 +27,12 @@
     assert (done.returncode, done.stderr) == (0, "")
 
 
+def test_wrong_arguments_are_one_line():
+    done = run_daemon("--settings")
+    assert (done.returncode, done.stdout) == (2, "")
+    assert len(done.stderr.splitlines()) == 1
+
+
 @pytest.mark.parametrize("more", [("--check",), ()])
 def test_wrong_settings_are_one_line_a_fault(tmp_path, more):
     file = tmp_path / "bad.toml"
