Reports do not wait for frozen members; one reader of versions in queries

Cause: the burn report gave each member 15 s, so that one frozen daemon held it up; the reader of from_version was private to one operation. Change: members have 2 s; query_version stands beside the server. Tests freeze a member and guard a daemon with a token.

--- a/packages/pepperstair-cli/pepperstair_cli/asking.py
+++ b/packages/pepperstair-cli/pepperstair_cli/asking.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from pepperstair_core.errors import ErrorKind, Failure
-from pepperstair_operators import OperatorClient, Reply
+from pepperstair_operators import DEFAULT_TIMEOUT_MS, OperatorClient, Reply
 
 from .output import ExitCode, Refusal
 
@@ -25,10 +25,14 @@
 
 
 async def ask(
-    connection: Connection, method: str, path: str, body: bytes = b""
+    connection: Connection,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    timeout_ms: int = DEFAULT_TIMEOUT_MS,
 ) -> Result[Any, Refusal]:
     """Send one request and return the content of the answer."""
-    client = OperatorClient(connection.at, connection.token)
+    client = OperatorClient(connection.at, connection.token, timeout_ms)
     try:
         sent = await client.send(method, path, body)
     finally:
--- a/packages/pepperstair-cli/pepperstair_cli/fleet.py
+++ b/packages/pepperstair-cli/pepperstair_cli/fleet.py
@@ -17,6 +17,8 @@
 from .output import Refusal
 
 _N_ASKED_AT_ONCE: Final = 32
+# A frozen member answers nothing, and many of them must not hold up the report.
+_MEMBER_TIMEOUT_MS: Final = 2000
 _GONE_STATES: Final = frozenset({"gone", "left"})
 
 
@@ -80,7 +82,9 @@
     if parse_address(connection.at) is None:
         return None
     async with limit:
-        asked = await ask(connection, "GET", path_of("burn"))
+        asked = await ask(
+            connection, "GET", path_of("burn"), timeout_ms=_MEMBER_TIMEOUT_MS
+        )
     if asked.is_err():
         return None
     read = read_counts(asked.unwrap())
--- a/packages/pepperstair-operators/pepperstair_operators/__init__.py
+++ b/packages/pepperstair-operators/pepperstair_operators/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .client import OperatorClient, Reply
+from .client import DEFAULT_TIMEOUT_MS, OperatorClient, Reply
 from .server import (
     Handle,
     OperatorReply,
@@ -10,9 +10,11 @@
     OperatorServer,
     failure_reply,
     json_reply,
+    query_version,
 )
 
 __all__ = [
+    "DEFAULT_TIMEOUT_MS",
     "Handle",
     "OperatorClient",
     "OperatorReply",
@@ -21,4 +23,5 @@
     "Reply",
     "failure_reply",
     "json_reply",
+    "query_version",
 ]
--- a/packages/pepperstair-operators/pepperstair_operators/client.py
+++ b/packages/pepperstair-operators/pepperstair_operators/client.py
@@ -15,7 +15,7 @@
 
 log = structlog.get_logger(__name__)
 
-_TIMEOUT_MS: Final = 15_000
+DEFAULT_TIMEOUT_MS: Final = 15_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,9 +29,11 @@
 class OperatorClient:
     """Sends requests to one daemon's operators' interface."""
 
-    def __init__(self, address: str, token: str = "") -> None:
+    def __init__(
+        self, address: str, token: str = "", timeout_ms: int = DEFAULT_TIMEOUT_MS
+    ) -> None:
         host, port = parse_address(address)
-        self._fetcher = Fetcher(host, port, _TIMEOUT_MS)
+        self._fetcher = Fetcher(host, port, timeout_ms)
         self._token = token
 
     async def send(
@@ -70,4 +72,4 @@
         return Err(_lost(method, detail))
 
 
-__all__ = ["OperatorClient", "Reply"]
+__all__ = ["DEFAULT_TIMEOUT_MS", "OperatorClient", "Reply"]
--- a/packages/pepperstair-operators/pepperstair_operators/server.py
+++ b/packages/pepperstair-operators/pepperstair_operators/server.py
@@ -6,7 +6,7 @@
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import structlog
@@ -18,6 +18,8 @@
 
 log = structlog.get_logger(__name__)
 
+_VERSION_DIGITS_MAX: Final = 15
+
 
 @dataclass(frozen=True, slots=True)
 class OperatorRequest:
@@ -123,6 +125,21 @@
     return Ok(_Location(parts.path, dict(pairs)))
 
 
+def query_version(request: OperatorRequest, name: str) -> Result[int | None, Failure]:
+    """Read a version from the query; None where it is not given.
+
+    A version that can't be read must not count as none: a change would then be
+    made whatever the newest version is, and undo another operator's.
+    """
+    text = request.query.get(name)
+    if text is None:
+        return Ok(None)
+    if not (text.isascii() and text.isdecimal()) or len(text) > _VERSION_DIGITS_MAX:
+        detail = f"{name}: expected a version, not {text!r}"
+        return Err(Failure(ErrorKind.BAD_REQUEST, detail))
+    return Ok(int(text))
+
+
 def json_reply(content: Any, status: int = 200) -> OperatorReply:
     """Return a reply with JSON content."""
     return OperatorReply(status, content)
@@ -141,4 +158,5 @@
     "OperatorServer",
     "failure_reply",
     "json_reply",
+    "query_version",
 ]
--- a/packages/pepperstaird/pepperstaird/operations.py
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import uuid
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any
 
 import structlog
-from result import Err, Ok, Result
 
 from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_core.events import Event
@@ -18,6 +17,7 @@
     OperatorServer,
     failure_reply,
     json_reply,
+    query_version,
 )
 from pepperstair_platform import ChangeRequest, accept_change
 from pepperstair_targets import handle_announcement
@@ -30,8 +30,6 @@
 
 log = structlog.get_logger(__name__)
 
-_VERSION_DIGITS_MAX: Final = 15
-
 
 def add_operations(server: OperatorServer, daemon: Daemon) -> None:
     """Serve every operation of a daemon."""
@@ -115,9 +113,9 @@
 
 async def _put_intent(daemon: Daemon, request: OperatorRequest) -> OperatorReply:
     """Accept a change, or refuse the whole of it."""
-    from_version = _read_version(request, "from_version")
+    from_version = query_version(request, "from_version")
     if from_version.is_err():
-        return _faults_reply(ErrorKind.BAD_REQUEST, [from_version.unwrap_err()])
+        return failure_reply(from_version.unwrap_err())
     try:
         text = request.body.decode()
     except UnicodeDecodeError as error:
@@ -167,20 +165,6 @@
     )
 
 
-def _read_version(request: OperatorRequest, name: str) -> Result[int | None, Fault]:
-    """Read a version from the query; None where it is not given.
-
-    A version that can't be read must not count as none: the change would then
-    be made whatever the newest version is, and undo another operator's.
-    """
-    text = request.query.get(name)
-    if text is None:
-        return Ok(None)
-    if not (text.isascii() and text.isdecimal()) or len(text) > _VERSION_DIGITS_MAX:
-        return Err(Fault(name, f"a version, not {text!r}"))
-    return Ok(int(text))
-
-
 def _faults_reply(kind: ErrorKind, faults: list[Fault]) -> OperatorReply:
     shown = [{"where": fault.where, "expected": fault.expected} for fault in faults]
     return failure_reply(Failure(kind, "; ".join(map(str, faults))), faults=shown)
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import subprocess
 from pathlib import Path
 
@@ -192,16 +193,41 @@
 
 
 def test_burn_report_names_members_that_do_not_answer(command, fleet, at):
-    """A daemon dies: its calls are missing from the sums, which must be said."""
-    gone = fleet.start_daemon("vm-2", "pos-b", "{}")
+    """A daemon freezes, then dies: its calls are missing from the sums.
+
+    A report that did not say so would show a full budget, and one that waited
+    for the frozen daemon would not come at all.
+    """
+    silent = fleet.start_daemon("vm-2", "pos-b", "{}")
     report = ("report", "burn", "--at", at)
     wait_until(lambda: "covers 2 of 2" in command(*report)[1], "both daemons")
-    gone.process.kill()
-    gone.process.wait()
-    code, out, _ = command(*report)
-    assert code is ExitCode.DONE
-    assert "covers 1 of 2 daemons" in out
-    assert "no answer from vm-2" in out
+    for number in (signal.SIGSTOP, signal.SIGKILL):
+        silent.process.send_signal(number)
+        code, out, _ = command(*report)
+        assert code is ExitCode.DONE
+        assert "covers 1 of 2 daemons" in out
+        assert "no answer from vm-2" in out
+    silent.process.wait()
+
+
+def test_operators_without_the_token_are_refused(command, fleet, monkeypatch):
+    """Anybody who reaches the port could change every customer's routing."""
+    settings = fleet.folder / "guarded.toml"
+    operators = f"127.0.0.1:{free_port()}"
+    text = fleet.daemons[0].settings.read_text()
+    for address in (fleet.daemons[0].callers, fleet.daemons[0].peers):
+        text = text.replace(address, f"127.0.0.1:{free_port()}")
+    text = text.replace(
+        f'"{fleet.daemons[0].operators}"', f'"{operators}"\ntoken = "x"'
+    )
+    settings.write_text(text.replace('"vm-1"', '"guarded"'))
+    fleet.spawn_daemon(settings)
+    wait_until(lambda: fetch(operators, "GET", "/v1/ready")[0] == 401, "guarded")
+    code, _, err = command("status", "--at", operators)
+    assert code is ExitCode.REFUSED
+    assert err.startswith("unauthorized: ")
+    monkeypatch.setenv("PEPPERSTAIR_TOKEN", "x")
+    assert command("status", "--at", operators)[0] is ExitCode.DONE
 
 
 def test_reader_that_leaves_a_pipe_gets_no_traceback(at):
