--- a/packages/pepperstair-core/pepperstair_core/config/settings.py
+++ b/packages/pepperstair-core/pepperstair_core/config/settings.py
@@ -10,7 +10,7 @@
 
 from result import Err, Result
 
-from ..labels import is_label_name
+from ..labels import is_label_name, iter_label_faults
 from ..schema import Fault, Form, option, read_document
 
 
@@ -197,13 +197,18 @@
 
 
 def _iter_settings_faults(settings: Settings) -> Iterator[Fault]:
+    yield from iter_label_faults("vm.labels", settings.vm.labels)
+    yield from _iter_token_faults(settings.operators)
+
+
+def _iter_token_faults(operators: OperatorsSettings) -> Iterator[Fault]:
     """Refuse an open operators' interface.
 
     Without a token anybody who reaches the port could change the routing of
     every customer, and nobody would notice before it happened.
     """
-    parsed = parse_address(settings.operators.address)
-    if parsed is None or settings.operators.token:
+    parsed = parse_address(operators.address)
+    if parsed is None or operators.token:
         return
     if not ipaddress.ip_address(parsed[0]).is_loopback:
         yield Fault("operators.token", "a token, as the address is not loopback")
--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -14,7 +14,7 @@
 
 from result import Err, Result
 
-from .labels import is_label_name, parse_selector
+from .labels import is_label_name, iter_label_faults, parse_selector
 from .schema import Fault, option, read_document
 
 MAX_ROUTES: Final = 2_000
@@ -218,9 +218,7 @@
         seen.add(override.workload)
         if not is_label_name(override.workload):
             yield Fault(f"{where}.workload", f"a name, not {override.workload!r}")
-        for key, value in override.labels.items():
-            if not is_label_name(key) or (value and not is_label_name(value)):
-                yield Fault(f"{where}.labels.{key}", "a label name and value")
+        yield from iter_label_faults(f"{where}.labels", override.labels)
 
 
 __all__ = [
--- a/packages/pepperstair-core/pepperstair_core/labels.py
+++ b/packages/pepperstair-core/pepperstair_core/labels.py
@@ -9,12 +9,14 @@
 
 import functools
 import re
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 
 from result import Err, Ok, Result
 
+from .schema import Fault
+
 Labels = Mapping[str, str]
 
 _NAME = r"[A-Za-z0-9]([A-Za-z0-9_./-]{0,61}[A-Za-z0-9])?"
@@ -85,6 +87,13 @@
     return _NAME_PATTERN.fullmatch(text) is not None
 
 
+def iter_label_faults(where: str, labels: Labels) -> Iterator[Fault]:
+    """Yield a fault for each label that no selector could name."""
+    for key, value in labels.items():
+        if not is_label_name(key) or (value and not is_label_name(value)):
+            yield Fault(f"{where}.{key}", "a label name and value")
+
+
 def _parse_requirement(text: str) -> Requirement | None:
     if match := _SET_PATTERN.fullmatch(text):
         values = frozenset(value.strip() for value in match[4].split(","))
@@ -107,5 +116,6 @@
     "Requirement",
     "Selector",
     "is_label_name",
+    "iter_label_faults",
     "parse_selector",
 ]
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from benchmarks.fleet import free_port, running_fleet
 from pepperstair_core.calls import CallOutcome
 from pepperstair_core.config import MetricsSettings
 from pepperstair_core.errors import Run
@@ -104,3 +105,12 @@
     times = dict(timings.take())
     assert times[50] <= times[90] <= times[99] < 1_000_000
     assert list(timings.take()) == []
+
+
+def test_daemon_sends_metrics_while_it_runs(receiver):
+    host, port = receiver.getsockname()
+    metrics = f'[metrics]\nstatsd_address = "{host}:{port}"\ninterval_ms = 50\n'
+    with running_fleet() as fleet:
+        fleet.platform = f"127.0.0.1:{free_port()}"
+        fleet.start_daemon("vm-1", "pos-a", "{}", metrics)
+        assert b"pepperstair.vm-1.members:1|g" in receiver.recv(65_536).split(b"\n")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -14,7 +14,7 @@
 FAULTY_SETTINGS = """\
 [vm]
 name = "a b"
-labels = { tier = 3 }
+labels = { tier = 3, app = "a b" }
 [callers]
 address = "localhost:8000"
 n_connections_max = 0
@@ -56,6 +56,7 @@
         "peers.seed_addresses[1]: expected an IP number and port, not 'nowhere'",
         "platform: expected a value, this key is required",
         "vm.availability_zone: expected a value, this key is required",
+        "vm.labels.app: expected a label name and value",
         "vm.labels.tier: expected a string, not 3",
         "vm.name: expected a name, not 'a b'",
     ]
