--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := $(wildcard packages/*)
 TOOLS := pytest hypothesis ruff
 
-.PHONY: install test lint format demo docs clean bench-path bench-idle
+.PHONY: install test lint format demo docs clean bench-path bench-idle bench-burn
 
 install: $(VENV)/installed
 
@@ -38,5 +38,8 @@
 bench-idle: install
 	$(PYTHON) -m benchmarks.idle
 
+bench-burn: install
+	$(PYTHON) -m benchmarks.burn
+
 clean:
 	rm -rf $(VENV) build .pytest_cache .ruff_cache
--- a/packages/pepperstair-core/pepperstair_core/burn/counts.py
+++ b/packages/pepperstair-core/pepperstair_core/burn/counts.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from array import array
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from enum import IntEnum
 from typing import Final
 
@@ -94,11 +94,24 @@
         self, vm: str, now_ms: int, objectives: Mapping[str, tuple[int, Objectives]]
     ) -> DaemonCounts:
         """Return all counts, with the version and objectives of each customer."""
-        customers = tuple(
-            counts.snapshot(name, now_ms, *objectives.get(name, (0, Objectives())))
-            for name, counts in sorted(self._customers.items())
-        )
-        return DaemonCounts(vm, now_ms - self._started_at_ms, customers)
+        customers = tuple(self.iter_customers(now_ms, objectives))
+        return DaemonCounts(vm, self.lived_ms(now_ms), customers)
+
+    def iter_customers(
+        self, now_ms: int, objectives: Mapping[str, tuple[int, Objectives]]
+    ) -> Iterator[CustomerCounts]:
+        """Yield the counts of each customer, by name.
+
+        Calls may be counted between two of them, so that whoever reads many can
+        let calls pass in between.
+        """
+        for name, counts in sorted(self._customers.items()):
+            version, objective = objectives.get(name, (0, Objectives()))
+            yield counts.snapshot(name, now_ms, version, objective)
+
+    def lived_ms(self, now_ms: int) -> int:
+        """Return for how long these counts have been kept."""
+        return now_ms - self._started_at_ms
 
     def _counts_of(self, customer: str) -> _Counts:
         """Return a customer's counts, or those of all customers over the cap.
--- a/packages/pepperstaird/pepperstaird/operations.py
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -56,7 +56,7 @@
         return explain_decisions(daemon, request)
 
     async def burn(request: OperatorRequest) -> OperatorReply:
-        return burn_counts(daemon)
+        return await burn_counts(daemon)
 
     async def put_target(request: OperatorRequest) -> OperatorReply:
         taken = handle_announcement(
--- a/packages/pepperstaird/pepperstaird/reports.py
+++ b/packages/pepperstaird/pepperstaird/reports.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 import structlog
 
-from pepperstair_core.burn import counts_to_table
 from pepperstair_core.decisions import Decision, DecisionKind
 from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_operators import OperatorReply, OperatorRequest, json_reply
@@ -32,16 +33,24 @@
     daemon.decisions.add(Decision(wall_ms(), kind, customer, failure.text))
 
 
-def burn_counts(daemon: Daemon) -> OperatorReply:
-    """Answer with what this daemon counted, and each customer's objectives."""
+async def burn_counts(daemon: Daemon) -> OperatorReply:
+    """Answer with what this daemon counted, and each customer's objectives.
+
+    The loop is left after each customer: all at once would hold up every call
+    by about 15 ms where 100 customers are counted (`make bench-burn`).
+    """
     held = (daemon.configuration.get(name) for name in daemon.configuration.versions())
     objectives = {
         snapshot.head.customer: (snapshot.head.version, snapshot.intent.objectives)
         for snapshot in held
     }
-    vm = daemon.settings.vm.name
-    counts = daemon.burn.snapshot(vm, monotonic_ms(), objectives)
-    return json_reply(counts_to_table(counts))
+    now_ms = monotonic_ms()
+    customers = []
+    for counts in daemon.burn.iter_customers(now_ms, objectives):
+        customers.append(asdict(counts))
+        await asyncio.sleep(0)
+    vm, lived_ms = daemon.settings.vm.name, daemon.burn.lived_ms(now_ms)
+    return json_reply({"vm": vm, "lived_ms": lived_ms, "customers": customers})
 
 
 def _decision_table(decision: Decision) -> dict[str, Any]:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import random
 import socket
 
 import pytest
@@ -98,6 +100,18 @@
     sender.close()
 
 
+def test_percentiles_are_those_of_a_sorted_list_within_a_tenth():
+    rng = random.Random(5)
+    timings = Timings()
+    times = [rng.lognormvariate(1, 2) for _ in range(2000)]
+    for time_ms in times:
+        timings.add(time_ms)
+    times.sort()
+    for percentile, time_ms in timings.take():
+        exact_ms = times[math.ceil(len(times) * percentile / 100) - 1]
+        assert exact_ms <= time_ms * 1.0001 <= exact_ms * 1.101
+
+
 def test_timings_stay_in_range_for_extreme_times():
     timings = Timings()
     for duration_ms in (0.0, 0.001, 1.0, 1e9):
