--- a/packages/pepperstair-cli/pepperstair_cli/commands/report_burn.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/report_burn.py
@@ -81,7 +81,8 @@
         yield f"{start}  urgent  {_priority_cells(window.urgent)}"
         yield f"{start}  normal  {_priority_cells(window.normal)}"
     yield (
-        f"  budget left: urgent {show_percent(burn.urgent_budget_left_percent)}, "
+        "  budget left, by the calls counted: "
+        f"urgent {show_percent(burn.urgent_budget_left_percent)}, "
         f"normal {show_percent(burn.normal_budget_left_percent)}"
     )
     yield from map(_alert_line, burn.alerts)
