--- a/benchmarks/naive/daemon.py
+++ b/benchmarks/naive/daemon.py
@@ -11,6 +11,7 @@
 import structlog
 
 from pepperstair_core.config import Settings, parse_address
+from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.events import Event
 from pepperstair_core.members import Member, MemberState, label_items
 from pepperstair_core.membership import MemberDirectory
@@ -18,15 +19,19 @@
 from pepperstair_core.wire import CallHead, StreamKind
 from pepperstair_http import BodyBuffer, HttpServer, ServerLimits, StreamedResponse
 from pepperstair_operators import OperatorServer
-from pepperstair_peers import Identity, PeerListener
+from pepperstair_peers import (
+    CallClient,
+    CallServer,
+    ControlPlane,
+    FrameCounters,
+    Identity,
+    PeerListener,
+)
 from pepperstair_platform import Platform
 from pepperstair_targets import TargetRegistry
 from pepperstaird.clock import monotonic_ms, wall_ms
 
-from .call_client import NaiveCallClient
-from .call_server import NaiveCallServer
 from .configuration import PollingAgent
-from .control import FullMesh
 from .operations import add_naive_operations
 from .proxy import NaiveContext, NaiveProxy
 from .runner import NaiveRunner
@@ -52,10 +57,20 @@
         self.registry.on_changed = self._publish_targets
         self.runner = NaiveRunner(self.registry)
         frame_max_bytes = settings.peers.frame_max_bytes
-        self.call_client = NaiveCallClient(identity, frame_max_bytes)
-        self.call_server = NaiveCallServer(self.runner.run)
-        self.control = FullMesh(
-            identity, self.directory, settings.members, frame_max_bytes, self.rng
+        self.frame_counters = {kind: FrameCounters() for kind in StreamKind}
+        self.call_client = CallClient(
+            identity, frame_max_bytes, self.frame_counters[StreamKind.DATA]
+        )
+        self.call_server = CallServer(self.runner.run)
+        self.control = ControlPlane(
+            identity,
+            self.directory,
+            settings.members,
+            settings.peers,
+            self.frame_counters[StreamKind.CONTROL],
+            DecisionLog(),
+            self.rng,
+            monotonic_ms,
         )
         self.listener = PeerListener(
             identity,
@@ -64,6 +79,7 @@
                 StreamKind.CONTROL: self.control.take_stream,
                 StreamKind.DATA: self.call_server.take_stream,
             },
+            self.frame_counters,
         )
         self.proxy = NaiveProxy(self._proxy_context())
         self.callers = HttpServer(self.proxy.handle, ServerLimits())
@@ -82,9 +98,9 @@
             "n_calls": self.proxy.n_calls,
             "n_calls_failed": self.proxy.n_failed,
             "n_retries": self.proxy.n_retries,
-            "n_control_sent_bytes": self.control.n_sent_bytes,
             "n_platform_reads": self.platform.counters.n_reads,
             "n_platform_writes": self.platform.counters.n_writes,
+            **dict(self.frame_counters[StreamKind.CONTROL].iter_named("control")),
         }
 
     async def start(self) -> None:
@@ -93,7 +109,7 @@
         await self.operators.listen(*parse_address(settings.operators.address))
         await self.listener.listen(*parse_address(settings.peers.address))
         await self.callers.listen(*parse_address(settings.callers.address))
-        self.control.start(settings.peers.seed_addresses)
+        self.control.start()
         self.configuration.start()
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=settings.peers.address)
@@ -108,6 +124,7 @@
             await asyncio.sleep(0.02)
         self._lease_task.cancel()
         self.configuration.close()
+        self.control.leave()
         self.control.close()
         self.call_client.close()
         self.listener.close()
