--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -14,7 +14,7 @@
 
 from result import Err, Result
 
-from .labels import is_label_name, parse_selector
+from .labels import is_label_name, iter_label_faults, parse_selector
 from .schema import Fault, option, read_document
 
 MAX_ROUTES: Final = 2_000
@@ -209,13 +209,16 @@
 
 
 def _iter_override_faults(intent: Intent) -> Iterator[Fault]:
+    seen = set()
     for index, override in enumerate(intent.label_overrides):
         where = f"label_overrides[{index}]"
+        if override.workload in seen:
+            wanted = f"a workload named once, not {override.workload!r} again"
+            yield Fault(f"{where}.workload", wanted)
+        seen.add(override.workload)
         if not is_label_name(override.workload):
             yield Fault(f"{where}.workload", f"a name, not {override.workload!r}")
-        for key, value in override.labels.items():
-            if not is_label_name(key) or (value and not is_label_name(value)):
-                yield Fault(f"{where}.labels.{key}", "a label name and value")
+        yield from iter_label_faults(f"{where}.labels", override.labels)
 
 
 __all__ = [
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -5,12 +5,15 @@
 import asyncio
 import random
 import signal
+from collections.abc import Iterator
 from dataclasses import replace
+from typing import Final
 
 import structlog
 
 from pepperstair_callers import Proxy, ProxyContext
-from pepperstair_core.calls import Load, RetryBudget, TargetChooser
+from pepperstair_core.burn import BurnCounts
+from pepperstair_core.calls import CallOutcome, Load, RetryBudget, TargetChooser
 from pepperstair_core.config import Settings, parse_address
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.events import Event
@@ -46,15 +49,18 @@
 
 from .clock import monotonic_ms, precise_ms, wall_ms
 from .configuration import ConfigurationAgent
-from .logs import configure_logs
+from .counters import DaemonCounters, DaemonGauges
+from .logs import configure_logs, log_loop_error
+from .metrics import MetricsSender
 from .operations import add_operations
 
 log = structlog.get_logger(__name__)
 
-_LEASE_CHECK_S = 0.25
-_DRAIN_CHECK_S = 0.02
-_FLUSH_S = 0.1
-_NOTICE_S = 0.4
+EXIT_START_FAILED: Final = 1
+_LEASE_CHECK_S: Final = 0.25
+_DRAIN_CHECK_S: Final = 0.02
+_FLUSH_S: Final = 0.1
+_NOTICE_S: Final = 0.4
 
 
 class Daemon:
@@ -64,6 +70,10 @@
         self.settings = settings
         self.rng = random.Random()
         self.decisions = DecisionLog()
+        self.burn = BurnCounts(monotonic_ms())
+        self.metrics = MetricsSender(
+            settings.metrics, settings.vm.name, self.counters, self.gauges
+        )
         start_id = wall_ms()
         peer_address = settings.peers.advertised_address or settings.peers.address
         self.identity = Identity(settings.vm.name, start_id, peer_address)
@@ -76,6 +86,7 @@
                 settings.vm.availability_zone,
                 peer_address,
                 label_items(settings.vm.labels),
+                operators_address=_operators_address(settings),
             )
         )
         self.platform = Platform(settings.platform)
@@ -146,26 +157,35 @@
         """Return whether the daemon may carry calls."""
         return self.configuration.is_floor_known
 
-    def counters(self) -> dict[str, int]:
+    def counters(self) -> DaemonCounters:
         """Return the counts that `status` and the metrics show."""
-        return {
-            "n_calls": self.proxy.n_calls,
-            "n_calls_failed": self.proxy.n_failed,
-            "n_calls_taken": self.call_server.n_calls,
-            "n_requests_malformed": self.callers.counters.n_malformed,
-            "n_streams_rejected": self.listener.n_rejected,
-            "n_platform_reads": self.platform.counters.n_reads,
-            "n_platform_writes": self.platform.counters.n_writes,
+        return DaemonCounters(
+            n_calls=self.proxy.n_calls,
+            n_calls_failed=self.proxy.n_failed,
+            n_calls_taken=self.call_server.n_calls,
+            n_requests_malformed=self.callers.counters.n_malformed,
+            n_streams_rejected=self.listener.n_rejected,
+            n_platform_reads=self.platform.counters.n_reads,
+            n_platform_writes=self.platform.counters.n_writes,
+            n_metrics_sent=self.metrics.n_sent,
+            n_metrics_dropped=self.metrics.n_dropped,
+            n_call_retries=self.proxy.n_retries,
             **self.configuration.counters(),
-            **self._frame_counts(),
-        }
+            frames=tuple(self._iter_frame_counts()),
+        )
+
+    def gauges(self) -> DaemonGauges:
+        """Return what holds right now, for the metrics."""
+        return DaemonGauges(
+            n_members=sum(member.is_usable for member in self.directory.members()),
+            n_targets=len(self.registry.targets()),
+            n_customers=len(self.configuration.versions()),
+            n_calls_in_flight=self.runner.n_in_flight,
+        )
 
-    def _frame_counts(self) -> dict[str, int]:
-        return {
-            name: count
-            for kind, counters in self.frame_counters.items()
-            for name, count in counters.iter_named(kind.value)
-        }
+    def _iter_frame_counts(self) -> Iterator[tuple[str, int]]:
+        for kind, counters in self.frame_counters.items():
+            yield from counters.iter_named(kind.value)
 
     async def start(self) -> None:
         """Listen on every address and begin to join the fleet."""
@@ -175,6 +195,7 @@
         await self.callers.listen(*parse_address(settings.callers.address))
         self.configuration.start()
         self.control.start()
+        self.metrics.start()
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
 
@@ -187,6 +208,7 @@
         self.control.leave()
         await self._wait_for_calls()
         self._lease_task.cancel()
+        self.metrics.close()
         self.configuration.close()
         self.control.close()
         self.call_client.close()
@@ -224,7 +246,7 @@
             carry=self._carry,
             is_ready=self.is_ready,
             is_draining=lambda: self.runner.is_draining,
-            on_outcome=lambda outcome: None,
+            on_outcome=self._count_outcome,
             decisions=self.decisions,
             budget=self.retry_budget,
             retry_budget_percent=self.settings.calls.retry_budget_percent,
@@ -233,6 +255,10 @@
             body_max_bytes=self.settings.callers.body_max_bytes,
         )
 
+    def _count_outcome(self, outcome: CallOutcome) -> None:
+        self.burn.add(outcome, monotonic_ms())
+        self.metrics.add(outcome)
+
     def _endpoints(self, compiled: CompiledRoute) -> tuple[Endpoint, ...]:
         return self.endpoint_table.endpoints(
             compiled.target_selector, compiled.customer
@@ -288,6 +314,10 @@
             self.registry.expire(monotonic_ms())
 
 
+def _operators_address(settings: Settings) -> str:
+    return settings.operators.advertised_address or settings.operators.address
+
+
 def run_daemon(settings: Settings) -> int:
     """Run a daemon until SIGTERM or SIGINT and return its exit code."""
     configure_logs(settings.vm.name)
@@ -296,14 +326,21 @@
 
 async def _run_until_signal(settings: Settings) -> int:
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(log_loop_error)
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     daemon = Daemon(settings)
-    await daemon.start()
+    try:
+        await daemon.start()
+    except OSError as error:
+        # Another process holds an address, or it is none of this VM: without
+        # this, the operator would search a traceback for which it was.
+        log.error(Event.START_FAILED, reason=str(error))
+        return EXIT_START_FAILED
     await stopping.wait()
     await daemon.stop()
     return 0
 
 
-__all__ = ["Daemon", "run_daemon"]
+__all__ = ["EXIT_START_FAILED", "Daemon", "run_daemon"]
