--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -203,7 +203,7 @@
 
 def _n_retries(running: Running) -> int:
     return sum(
-        status_of(daemon).get("counters", {}).get("n_retries", 0)
+        status_of(daemon).get("counters", {}).get("n_call_retries", 0)
         for daemon in running.daemons
     )
 
--- a/benchmarks/naive/daemon.py
+++ b/benchmarks/naive/daemon.py
@@ -97,7 +97,7 @@
         return {
             "n_calls": self.proxy.n_calls,
             "n_calls_failed": self.proxy.n_failed,
-            "n_retries": self.proxy.n_retries,
+            "n_call_retries": self.proxy.n_retries,
             "n_platform_reads": self.platform.counters.n_reads,
             "n_platform_writes": self.platform.counters.n_writes,
             **dict(self.frame_counters[StreamKind.CONTROL].iter_named("control")),
