--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := $(wildcard packages/*)
 TOOLS := pytest hypothesis ruff
 
-.PHONY: install test lint format demo docs clean bench-path bench-idle bench-burn \
+.PHONY: install test lint format demo docs clean bench-path bench-idle bench-http bench-burn \
 	bench-convergence bench-control-bytes bench-calls
 
 install: $(VENV)/installed
@@ -40,6 +40,9 @@
 bench-idle: install
 	$(PYTHON) -m benchmarks.idle
 
+bench-http: install
+	$(PYTHON) -m benchmarks.http_exchange
+
 bench-burn: install
 	$(PYTHON) -m benchmarks.burn
 
--- a/packages/pepperstair-http/pepperstair_http/__init__.py
+++ b/packages/pepperstair-http/pepperstair_http/__init__.py
@@ -4,6 +4,7 @@
 
 from .body import BodyBuffer, ConnectionLostError, StreamedResponse
 from .client import ClientConnection, connect
+from .connection import ServerConnection
 from .exchange import Exchange, Handler
 from .fetch import Fetcher
 from .messages import (
@@ -31,6 +32,7 @@
     "Request",
     "Response",
     "ResponseHead",
+    "ServerConnection",
     "ServerLimits",
     "StreamedResponse",
     "WriteGate",
