Prove the distribution against a naive version and under failures

Cause: nothing held the decisions to their promises. Now equal digests count the neighbour as a holder and waiting versions ask again. Found by thought: a damaged body dropped its pull, so nobody fetched again until the next change.

--- a/packages/pepperstair-core/pepperstair_core/distribution/anti_entropy.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/anti_entropy.py
@@ -35,7 +35,9 @@
     """Answer with the own versions where they differ, or take the answer in."""
     if not frame.is_answer:
         digest = state.versions_digest()
-        if frame.digest != digest:
+        if frame.digest == digest:
+            yield from _note_equal(state, sender, now_ms)
+        else:
             versions = state.held_versions()
             yield Send(sender, HeadsDigest(digest, is_floor_known, True, versions))
         return
@@ -51,4 +53,34 @@
             yield Send(sender, Have(name, version))
 
 
-__all__ = ["ask_versions", "compare_due", "on_heads_digest"]
+def ask_holders_due(
+    state: DistributionState, is_floor_known: bool, now_ms: int
+) -> Actions:
+    """Ask again who holds the versions that wait to be put in force.
+
+    A neighbour says once that it holds a version. Were that word lost with a
+    stream that broke, the version would stay held and never go in force.
+    """
+    if now_ms < state.holders_due_ms:
+        return
+    waiting = {
+        vm
+        for customer in state.customers.values()
+        for candidate in customer.candidates
+        for vm in state.fleet.neighbours
+        if now_ms - candidate.held_at_ms >= state.timing.ask_holders_ms
+        and customer.holders.get(vm, 0) < candidate.snapshot.head.version
+    }
+    if waiting:
+        state.holders_due_ms = now_ms + state.timing.ask_holders_ms
+    for vm in sorted(waiting):
+        yield from ask_versions(vm, is_floor_known)
+
+
+def _note_equal(state: DistributionState, vm: str, now_ms: int) -> Actions:
+    for customer in state.customers.values():
+        note_holder(state, customer, vm, customer.held_version)
+        yield from advance(state, customer, now_ms)
+
+
+__all__ = ["ask_holders_due", "ask_versions", "compare_due", "on_heads_digest"]
--- a/packages/pepperstair-core/pepperstair_core/distribution/applying.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/applying.py
@@ -9,7 +9,14 @@
 from typing import Final
 
 from ..decisions import DecisionKind
-from ..versions import Delta, Head, Snapshot, apply_delta, make_delta, make_snapshot
+from ..versions import (
+    Delta,
+    Snapshot,
+    apply_delta,
+    digest_of,
+    make_delta,
+    make_snapshot,
+)
 from .actions import Actions, Note, Reject
 from .in_force import advance
 from .pulling import fetch_failed, want
@@ -106,8 +113,9 @@
         return
     customer.n_received = customer.held_version
     cause = "; ".join(map(str, made.unwrap_err()))
-    if received.sender == PLATFORM:
-        yield from _reject(state, customer, head, cause, now_ms)
+    is_whole = digest_of(received.body) == head.digest
+    if is_whole or received.sender == PLATFORM:
+        yield from _reject(state, customer, received, cause, now_ms)
         return
     yield Note(DecisionKind.REJECTED, customer.customer, f"{received.sender}: {cause}")
     if customer.pull is not None:
@@ -117,19 +125,27 @@
 def _reject(
     state: DistributionState,
     customer: CustomerState,
-    head: Head,
+    received: ReceivedBody,
     cause: str,
     now_ms: int,
 ) -> Actions:
-    """Leave the held version in force, and report what could not be applied."""
+    """Leave the held version in force, and report what could not be applied.
+
+    A damaged body is asked for again after a while. A whole one that this
+    daemon can't read stays so, as when it is older than who accepted the
+    change: without the memory of it every neighbour's word would start another
+    pull.
+    """
+    head = received.head
     state.counters.n_versions_rejected += 1
     customer.rejected = head
     customer.rejected_cause = cause
-    customer.rejected_until_ms = now_ms + state.timing.rejected_retry_ms
-    if customer.pull is not None and customer.pull.version <= head.version:
+    if digest_of(received.body) == head.digest:
+        customer.rejected_until_ms = now_ms + state.timing.rejected_retry_ms
         customer.pull = None
-    fetch_failed(state, customer.customer, now_ms)
-    yield Reject(head, PLATFORM, cause)
+    else:
+        fetch_failed(state, customer.customer, now_ms)
+    yield Reject(head, received.sender, cause)
 
 
 def _keep_early_delta(customer: CustomerState, received: ReceivedDelta) -> None:
--- a/packages/pepperstair-core/pepperstair_core/distribution/convergence.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/convergence.py
@@ -32,10 +32,14 @@
 
 @dataclass(slots=True)
 class WayBack:
-    """Where acknowledgements of a customer go on their way to a collector."""
+    """Where acknowledgements of a customer go on their way to a collector.
+
+    `is_answered` says that this daemon has acknowledged the version itself.
+    """
 
     parent: str
     version: int
+    is_answered: bool = False
     waiting: set[str] = field(default_factory=set)
 
 
@@ -98,7 +102,9 @@
         collection.vms.add(own_vm)
         yield from _check(collection, state, now_ms)
     for (_, name), way in convergence.ways.items():
-        if name == customer and version >= way.version:
+        is_due = name == customer and version >= way.version
+        if is_due and not way.is_answered:
+            way.is_answered = True
             way.waiting.add(own_vm)
 
 
@@ -133,6 +139,7 @@
     convergence.inquiry_numbers[key] = frame.number
     way = WayBack(sender, frame.version)
     if state.customer(frame.customer).in_force_version >= frame.version:
+        way.is_answered = True
         way.waiting.add(state.fleet.own_vm)
     note_way_back(convergence, frame.collector, frame.customer, way)
     for vm in sorted(state.fleet.neighbours - {sender}):
--- a/packages/pepperstair-core/pepperstair_core/distribution/node.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/node.py
@@ -70,6 +70,7 @@
         yield from polling.poll_due(self.polling, self.state, now_ms)
         yield from pulling.ask_due(self.state, now_ms)
         yield from anti_entropy.compare_due(self.state, self.floor.is_known, now_ms)
+        yield from anti_entropy.ask_holders_due(self.state, self.floor.is_known, now_ms)
         for customer in self.state.customers.values():
             if customer.candidates:
                 yield from in_force.advance(self.state, customer, now_ms)
--- a/packages/pepperstair-core/pepperstair_core/distribution/state.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/state.py
@@ -32,6 +32,7 @@
     serving_timeout_ms: int = 2000
     busy_retry_ms: int = 300
     alone_wait_ms: int = 2000
+    ask_holders_ms: int = 300
     anti_entropy_ms: int = 5000
     poll_interval_ms: int = 1000
     sign_interval_ms: int = 2000
@@ -188,6 +189,7 @@
     )
     served: dict[tuple[str, str], int] = field(default_factory=dict)
     anti_entropy_due_ms: int = 0
+    holders_due_ms: int = 0
     counters: Counters = field(default_factory=Counters)
 
     def customer(self, name: str) -> CustomerState:
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -32,6 +32,7 @@
 
 from .clock import monotonic_ms, wall_ms
 from .configuration import ConfigurationAgent
+from .configuration_operations import add_configuration_operations
 from .logs import configure_logs
 from .operations import add_operations
 
@@ -107,6 +108,7 @@
         )
         operators = OperatorServer(settings.operators)
         add_operations(operators, self)
+        add_configuration_operations(operators, self)
         self.operators = HttpServer(operators.handle, ServerLimits())
         self.endpoint_table = EndpointTable()
         self.registry.on_changed = self._publish_targets
--- /dev/null
+++ b/tests/distribution/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the distribution's decisions."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/distribution/fake_network.py
@@ -0,0 +1,260 @@
+"""A few distributions joined by queues in memory, with a platform beside them."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from pepperstair_core import distribution as d
+from pepperstair_core.intent import Intent, Route, Service
+from pepperstair_core.members import Member, MemberState
+from pepperstair_core.rendezvous import weight
+from pepperstair_core.versions import Head, Snapshot, digest_of, encode_intent
+from pepperstair_core.wire import encode_frame
+
+TICK_MS = 50
+N_BUCKETS = 16
+
+
+def make_intent(customer: str, label: str, n_routes: int = 3) -> Intent:
+    """Return a document whose routes differ with the label."""
+    routes = tuple(
+        Route(f"route-{number}", f"/{label}/{number}", "ledger")
+        for number in range(n_routes)
+    )
+    return Intent(customer, (Service("ledger", "app=ledger"),), routes)
+
+
+@dataclass
+class Node:
+    """One running distribution and what it has put in force."""
+
+    distribution: d.Distribution
+    incarnation: int
+    neighbours: set[str] = field(default_factory=set)
+    in_force: dict[str, Snapshot] = field(default_factory=dict)
+    history: dict[str, list[int]] = field(default_factory=dict)
+    actions: list[Any] = field(default_factory=list)
+
+
+class FakeNetwork:
+    """Delivers frames in a seeded order; drops, repeats and cuts on demand."""
+
+    def __init__(self, seed: int = 1, timing: d.Timing | None = None) -> None:
+        self.rng = random.Random(seed)
+        self.timing = timing
+        self.now_ms = 0
+        self.nodes: dict[str, Node] = {}
+        self.zones: dict[str, str] = {}
+        self.heads: dict[str, Head] = {}
+        self.objects: dict[str, bytes] = {}
+        self.bells: dict[int, str] = {}
+        self.is_platform_out = False
+        self.n_reads = 0
+        self.drop_probability = 0.0
+        self.repeat_probability = 0.0
+        self.cut: Callable[[str, str], bool] = lambda a, b: False
+        self.silent: set[str] = set()
+        self.sent: dict[str, int] = {}
+        self._queue: list[tuple[int, int, str, int, str, Any]] = []
+        self._n_queued = 0
+
+    def start(self, vm: str, zone: str = "z") -> Node:
+        """Start a daemon, or start it again with nothing in its hands."""
+        self.zones[vm] = zone
+        rng = random.Random(f"{vm}/{self.now_ms}/{self.rng.random()}")
+        node = Node(d.Distribution(vm, zone, rng, self.timing), self.now_ms + 1)
+        self.nodes[vm] = node
+        self._connect()
+        return node
+
+    def kill(self, vm: str) -> None:
+        """End a daemon: its streams close and its memory is gone."""
+        del self.nodes[vm]
+        for other, node in self.nodes.items():
+            if vm in node.neighbours:
+                node.neighbours.discard(vm)
+                self.handle(other, d.NeighbourDown(vm))
+        self._tell_members()
+
+    def set_cut(self, cut: Callable[[str, str], bool]) -> None:
+        """Cut streams between pairs of daemons and join the others again."""
+        self.cut = cut
+        self._connect()
+
+    def accept(self, vm: str, intent: Intent) -> Snapshot:
+        """Commit a change at the platform and hand it to one daemon."""
+        snapshot = self.commit(intent, vm)
+        self.handle(vm, d.ChangeAccepted(snapshot))
+        return snapshot
+
+    def commit(self, intent: Intent, accepted_by: str) -> Snapshot:
+        """Commit a change at the platform; its daemon dies before it tells."""
+        body = encode_intent(intent)
+        customer = intent.customer
+        known = self.heads.get(customer)
+        version = known.version + 1 if known else 1
+        change_id = f"{customer}-{version}"
+        head = Head(customer, version, digest_of(body), 0, accepted_by, change_id)
+        self.heads[customer] = head
+        self.objects[head.digest] = body
+        self.bells[bucket_of(customer)] = change_id
+        return Snapshot(head, body, intent)
+
+    def run(self, duration_ms: int) -> None:
+        """Let time pass."""
+        until_ms = self.now_ms + duration_ms
+        while self.now_ms < until_ms:
+            for vm in list(self.nodes):
+                if vm not in self.silent:
+                    self.handle(vm, d.Tick())
+            self._deliver_until(self.now_ms + TICK_MS)
+            self.now_ms += TICK_MS
+
+    def run_until(self, condition: Callable[[], bool], limit_ms: int = 30_000) -> int:
+        """Let time pass until a condition holds and return how much passed."""
+        start_ms = self.now_ms
+        while not condition():
+            assert self.now_ms - start_ms < limit_ms, "the condition was never met"
+            self.run(TICK_MS)
+        return self.now_ms - start_ms
+
+    def all_in_force(self, customer: str, version: int) -> bool:
+        """Return whether every daemon has a version in force."""
+        return all(
+            customer in node.in_force
+            and node.in_force[customer].head.version == version
+            for node in self.nodes.values()
+        )
+
+    def handle(self, vm: str, event: d.DistributionEvent) -> None:
+        """Give a daemon an event, and do at once what it decides."""
+        node = self.nodes[vm]
+        for action in node.distribution.handle(event, self.now_ms):
+            node.actions.append(action)
+            self._carry_out(vm, node, action)
+        if node.distribution.state.inbox and not isinstance(event, d.Work):
+            while node.distribution.state.inbox:
+                self.handle(vm, d.Work())
+
+    def deliver(self, sender: str, receiver: str, frame: Any) -> None:
+        """Hand a frame to a daemon now."""
+        self.handle(receiver, d.FrameReceived(sender, frame))
+
+    def _carry_out(self, vm: str, node: Node, action: Any) -> None:
+        match action:
+            case d.Send(receiver, frame):
+                self._send(vm, receiver, frame)
+            case d.PutInForce(snapshot):
+                head = snapshot.head
+                assert digest_of(snapshot.body) == head.digest
+                node.in_force[head.customer] = snapshot
+                node.history.setdefault(head.customer, []).append(head.version)
+            case d.ReadBells():
+                bells = dict(self.bells)
+                self._answer(vm, node, d.BellsRead(self._if_up(bells)))
+            case d.ReadHeads(bucket):
+                heads = tuple(
+                    head
+                    for customer, head in self.heads.items()
+                    if bucket in (None, bucket_of(customer))
+                )
+                self._answer(vm, node, d.HeadsRead(bucket, self._if_up(heads)))
+            case d.ReadHead(customer):
+                head = self._if_up(self.heads.get(customer))
+                self._answer(vm, node, d.HeadRead(customer, head))
+            case d.FetchObject(head):
+                body = self._if_up(self.objects.get(head.digest))
+                self._answer(vm, node, d.ObjectFetched(head, body))
+
+    def _if_up(self, answer: Any) -> Any:
+        return None if self.is_platform_out else answer
+
+    def _answer(self, vm: str, node: Node, event: d.DistributionEvent) -> None:
+        self.n_reads += 1
+        self._put(vm, node.incarnation, "", event)
+
+    def _send(self, sender: str, receiver: str, frame: Any) -> None:
+        node = self.nodes.get(receiver)
+        if node is None or receiver not in self.nodes[sender].neighbours:
+            return
+        kind = type(frame).__name__
+        self.sent[kind] = self.sent.get(kind, 0) + len(encode_frame(frame))
+        if self.rng.random() < self.drop_probability:
+            return
+        n_copies = 2 if self.rng.random() < self.repeat_probability else 1
+        for _ in range(n_copies):
+            self._put(receiver, node.incarnation, sender, frame)
+
+    def _put(self, vm: str, incarnation: int, sender: str, item: Any) -> None:
+        due_ms = self.now_ms + self.rng.randrange(1, 10)
+        self._n_queued += 1
+        entry = (due_ms, self._n_queued, vm, incarnation, sender, item)
+        heapq.heappush(self._queue, entry)
+
+    def _deliver_until(self, until_ms: int) -> None:
+        while self._queue and self._queue[0][0] < until_ms:
+            due_ms, _, vm, incarnation, sender, item = heapq.heappop(self._queue)
+            self.now_ms = max(self.now_ms, due_ms)
+            node = self.nodes.get(vm)
+            if node is None or node.incarnation != incarnation or vm in self.silent:
+                continue
+            if not sender:
+                self.handle(vm, item)
+            elif sender in node.neighbours:
+                self.deliver(sender, vm, item)
+        self.now_ms = until_ms - TICK_MS
+
+    def _connect(self) -> None:
+        """Join every pair that isn't cut, up to what the membership keeps."""
+        self._tell_members()
+        for vm, node in self.nodes.items():
+            wanted = {o for o in self.nodes if o != vm and not self.cut(vm, o)}
+            for other in sorted(node.neighbours - wanted):
+                node.neighbours.discard(other)
+                self.handle(vm, d.NeighbourDown(other))
+            for other in sorted(wanted - node.neighbours):
+                node.neighbours.add(other)
+        for vm, node in self.nodes.items():
+            known = node.distribution.state.fleet.neighbours
+            for other in sorted(node.neighbours - known):
+                self.handle(vm, d.NeighbourUp(other))
+
+    def _tell_members(self) -> None:
+        for vm in self.nodes:
+            members = tuple(self._members(vm))
+            self.handle(vm, d.MembersChanged(members))
+
+    def _members(self, viewer: str) -> Iterable[Member]:
+        for vm, zone in self.zones.items():
+            is_seen = vm in self.nodes and not self.cut(viewer, vm)
+            member = Member(vm, 1, 0, MemberState.ALIVE, zone, f"{vm}:1", ())
+            yield member if is_seen else replace(member, state=MemberState.GONE)
+
+
+def bucket_of(customer: str) -> int:
+    """Return the bucket of a customer's head."""
+    return weight("bucket", customer) % N_BUCKETS
+
+
+def versions_only_rise(network: FakeNetwork) -> bool:
+    """Return whether no daemon ever moved back."""
+    return all(
+        versions == sorted(set(versions))
+        for node in network.nodes.values()
+        for versions in node.history.values()
+    )
+
+
+def started(n_nodes: int, seed: int = 1, n_zones: int = 1) -> FakeNetwork:
+    """Return a network of ready daemons."""
+    network = FakeNetwork(seed)
+    for number in range(n_nodes):
+        network.start(f"vm-{number}", f"z{number % n_zones}")
+    network.run_until(
+        lambda: all(n.distribution.floor.is_known for n in network.nodes.values())
+    )
+    return network
--- /dev/null
+++ b/tests/distribution/test_in_force.py
@@ -0,0 +1,118 @@
+"""A version goes in force only once enough others hold it."""
+
+from __future__ import annotations
+
+from random import Random
+
+from pepperstair_core import distribution as d
+from pepperstair_core.members import Member, MemberState
+from pepperstair_core.versions import Head, Snapshot, digest_of, encode_intent
+from pepperstair_core.wire import Have
+
+from .fake_network import make_intent, started, versions_only_rise
+
+
+def snapshot(version: int) -> Snapshot:
+    """Return a version of lantern as its accepting daemon has it."""
+    intent = make_intent("lantern", f"v{version}")
+    body = encode_intent(intent)
+    head = Head("lantern", version, digest_of(body), 0, "vm-0", f"change-{version}")
+    return Snapshot(head, body, intent)
+
+
+def lone_distribution(n_members: int, *neighbours: str) -> d.Distribution:
+    """Return one distribution in a fleet, with streams to some members."""
+    distribution = d.Distribution("vm-0", "z", Random(1))
+    members = tuple(
+        Member(f"vm-{n}", 1, 0, MemberState.ALIVE, "z", f"vm-{n}:1", ())
+        for n in range(n_members)
+    )
+    list(distribution.handle(d.MembersChanged(members), 0))
+    for vm in neighbours:
+        list(distribution.handle(d.NeighbourUp(vm), 0))
+    return distribution
+
+
+def n_put_in_force(actions) -> int:
+    """Return how many versions the actions put in force."""
+    return sum(isinstance(action, d.PutInForce) for action in actions)
+
+
+def test_one_holder_besides_the_own_one_is_not_enough():
+    """A daemon applies a version that one other daemon holds, and both die while
+    the platform is out.
+
+    Nobody would know the version any more: the restarted daemon would serve an
+    older one than its callers had seen.
+    """
+    distribution = lone_distribution(3, "vm-1", "vm-2")
+    actions = list(distribution.handle(d.ChangeAccepted(snapshot(1)), 0))
+    assert n_put_in_force(actions) == 0
+    first = d.FrameReceived("vm-1", Have("lantern", 1))
+    assert n_put_in_force(distribution.handle(first, 10)) == 0
+    second = d.FrameReceived("vm-2", Have("lantern", 1))
+    assert n_put_in_force(distribution.handle(second, 20)) == 1
+
+
+def test_daemon_that_is_cut_off_applies_after_a_bounded_wait():
+    """A daemon loses its streams while the others are still listed as alive.
+
+    Without a bound it would hold an accepted version for ever and never apply
+    it; two seconds later it does, and counts that it did so alone.
+    """
+    distribution = lone_distribution(3)
+    list(distribution.handle(d.ChangeAccepted(snapshot(1)), 0))
+    assert n_put_in_force(distribution.handle(d.Tick(), 1950)) == 0
+    assert n_put_in_force(distribution.handle(d.Tick(), 2000)) == 1
+    assert distribution.state.counters.n_in_force_alone == 1
+
+
+def test_fleet_of_two_does_not_wait():
+    distribution = lone_distribution(2, "vm-1")
+    accepted = distribution.handle(d.ChangeAccepted(snapshot(1)), 0)
+    assert n_put_in_force(accepted) == 1
+
+
+def test_versions_go_in_force_during_a_burst():
+    """Changes come faster than neighbours can confirm the newest one.
+
+    Were only the newest version counted, no proxy would move until the burst
+    ends.
+    """
+    distribution = lone_distribution(3, "vm-1", "vm-2")
+    put_in_force = 0
+    for version in range(1, 40):
+        now_ms = version * 10
+        list(distribution.handle(d.ChangeAccepted(snapshot(version)), now_ms))
+        for vm in ("vm-1", "vm-2"):
+            late = d.FrameReceived(vm, Have("lantern", version - 2))
+            put_in_force += n_put_in_force(distribution.handle(late, now_ms))
+    assert put_in_force > 5
+
+
+def test_older_version_that_arrives_late_is_ignored():
+    """Two updates cross each other in flight and the older one comes last.
+
+    Applying it would take the proxy back to routes that were already replaced.
+    """
+    distribution = lone_distribution(1)
+    list(distribution.handle(d.ChangeAccepted(snapshot(2)), 0))
+    late = distribution.handle(d.ChangeAccepted(snapshot(1)), 10)
+    assert n_put_in_force(late) == 0
+    assert distribution.state.customer("lantern").in_force_version == 2
+    assert distribution.state.counters.n_versions_ignored == 1
+
+
+def test_lost_word_of_a_holder_is_asked_for_again():
+    """The frame in which a neighbour says what it holds is lost with its stream.
+
+    The version would be held here and never go in force, while every other
+    proxy has it.
+    """
+    network = started(4)
+    network.drop_probability = 0.6
+    network.accept("vm-0", make_intent("lantern", "a"))
+    network.run(100)
+    network.drop_probability = 0.0
+    assert network.run_until(lambda: network.all_in_force("lantern", 1)) < 2000
+    assert versions_only_rise(network)
--- /dev/null
+++ b/tests/distribution/test_spreading.py
@@ -0,0 +1,248 @@
+"""Versions reach every daemon, whole and at a bounded price."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import msgpack
+
+from pepperstair_core import distribution as d
+from pepperstair_core.versions import digest_of, make_delta
+from pepperstair_core.wire import Busy, DeltaPush, Have, Pull, SnapshotPart
+
+from .fake_network import bucket_of, make_intent, started, versions_only_rise
+
+
+def n_actions(network, kind, *vms: str) -> int:
+    """Return how many actions of a kind some daemons decided on."""
+    return sum(
+        isinstance(action, kind) for vm in vms for action in network.nodes[vm].actions
+    )
+
+
+def test_tree_prunes_itself():
+    """Every stream carries every version until the tree has pruned itself.
+
+    Unpruned, control bytes would grow with the number of streams, not with the
+    number of daemons.
+    """
+    network = started(8)
+    for version in range(1, 6):
+        network.sent.clear()
+        network.accept("vm-0", make_intent("lantern", f"v{version}"))
+        network.run_until(lambda v=version: network.all_in_force("lantern", v))
+        network.run(200)
+    delta = max(
+        len(action.frame.delta.patch) + 150
+        for action in network.nodes["vm-0"].actions
+        if isinstance(action, d.Send) and isinstance(action.frame, DeltaPush)
+    )
+    assert network.sent["DeltaPush"] < 1.2 * delta * len(network.nodes)
+
+
+def test_accepting_daemon_dies_right_after_its_answer():
+    """A change was accepted, and its daemon dies before it told anybody.
+
+    Only the pollers can find it; the operator was told that it is accepted.
+    """
+    network = started(6, n_zones=2)
+    network.commit(make_intent("lantern", "a"), "vm-0")
+    network.kill("vm-0")
+    assert network.run_until(lambda: network.all_in_force("lantern", 1)) < 3000
+
+
+def test_delta_with_a_bad_digest_is_applied_nowhere():
+    """A delta is damaged, or was made from a base that differs from the held one.
+
+    Applied unchecked, this proxy would serve routes that nobody accepted.
+    """
+    network = started(3)
+    first = network.accept("vm-0", make_intent("lantern", "a"))
+    network.run_until(lambda: network.all_in_force("lantern", 1))
+    second = network.commit(make_intent("lantern", "b"), "vm-9")
+    wrong = network.nodes["vm-0"].in_force["lantern"]
+    other = replace(second, intent=make_intent("lantern", "c"))
+    frame = DeltaPush(replace(make_delta(first, other), head=second.head))
+    network.deliver("vm-0", "vm-1", frame)
+    assert network.nodes["vm-1"].in_force["lantern"] == wrong
+    assert network.nodes["vm-1"].distribution.state.counters.n_deltas_refused == 1
+    network.run_until(lambda: network.all_in_force("lantern", 2))
+    assert network.nodes["vm-1"].in_force["lantern"].body == second.body
+
+
+def test_deltas_that_overtake_a_full_pull_are_caught_up_with():
+    """A daemon joins while the customer changes faster than a pull takes.
+
+    Without the deltas that arrived meanwhile it would stay behind and pull the
+    whole again and again.
+    """
+    network = started(4)
+    versions = [
+        network.accept("vm-0", make_intent("lantern", f"v{n}")) for n in range(4)
+    ]
+    distribution = network.nodes["vm-3"].distribution
+    network.kill("vm-3")
+    node = network.start("vm-3")
+    distribution = node.distribution
+    for base, target in zip(versions[1:], versions[2:], strict=False):
+        network.deliver("vm-0", "vm-3", DeltaPush(make_delta(base, target)))
+    assert distribution.state.customer("lantern").held is None
+    (part,) = iter_parts_of(versions[1])
+    network.deliver("vm-0", "vm-3", part)
+    assert distribution.state.customer("lantern").held_version == 4
+    assert versions_only_rise(network)
+
+
+def iter_parts_of(snapshot):
+    """Return a small snapshot as its only part."""
+    return (SnapshotPart(snapshot.head, 0, 1, snapshot.body),)
+
+
+def test_herd_of_pulls_is_bounded():
+    """Half of the fleet comes back at once and pulls everything.
+
+    Served all together they would stall the survivors; sent to the object store
+    they would stall the platform.
+    """
+    network = started(12)
+    intent = make_intent("lantern", "a", n_routes=1500)
+    network.accept("vm-0", intent)
+    network.run_until(lambda: network.all_in_force("lantern", 1))
+    herd = [f"vm-{n}" for n in range(3, 12)]
+    for vm in herd:
+        network.kill(vm)
+    network.is_platform_out = True
+    for vm in herd:
+        network.start(vm)
+    served = [
+        len(network.nodes[vm].distribution.state.served)
+        for _ in range(100)
+        for vm in ("vm-0", "vm-1", "vm-2")
+        if network.run(50) is None
+    ]
+    assert max(served) <= d.Timing().n_pulls_served_max
+    assert network.all_in_force("lantern", 1)
+
+
+def test_pulls_past_the_bound_are_told_where_else_to_ask():
+    """Six neighbours pull a large snapshot at once, and one of them froze.
+
+    Four are served; a place is free again once its receiver has the version,
+    or went silent for too long.
+    """
+    network = started(8)
+    network.accept("vm-0", make_intent("lantern", "a", n_routes=1500))
+    network.run_until(lambda: network.all_in_force("lantern", 1))
+    network.nodes["vm-0"].actions.clear()
+
+    def pull(vm: str) -> str:
+        network.deliver(vm, "vm-0", Pull("lantern", 0))
+        frame = network.nodes["vm-0"].actions[-1].frame
+        if isinstance(frame, Busy):
+            assert frame.other_addresses and frame.retry_after_ms
+        return type(frame).__name__
+
+    kinds = [pull(f"vm-{number}") for number in range(1, 7)]
+    assert kinds == ["SnapshotPart"] * 4 + ["Busy"] * 2
+    network.deliver("vm-1", "vm-0", Have("lantern", 1))
+    assert pull("vm-5") == "SnapshotPart"
+    assert pull("vm-6") == "Busy"
+    network.run(d.Timing().serving_timeout_ms)
+    assert pull("vm-6") == "SnapshotPart"
+
+
+def test_sleeping_daemon_is_repaired_by_comparison():
+    """A daemon stands still while a version spreads, with its streams open and
+    the platform out.
+
+    Nobody tells it again: only the comparison of digests shows what it missed.
+    """
+    network = started(5)
+    network.is_platform_out = True
+    network.silent = {"vm-4"}
+    network.accept("vm-0", make_intent("lantern", "a"))
+    network.run(2000)
+    network.silent = set()
+    assert network.run_until(lambda: network.all_in_force("lantern", 1)) < 10_000
+
+
+def test_damaged_object_leaves_the_held_version_in_force():
+    """The object store returns a damaged body and no neighbour has the version.
+
+    The version is reported as rejected and the held one stays whole; once the
+    store returns the right body the version goes in force.
+    """
+    network = started(3)
+    network.accept("vm-0", make_intent("lantern", "a"))
+    network.run_until(lambda: network.all_in_force("lantern", 1))
+    bad = network.commit(make_intent("lantern", "b"), "vm-9")
+    network.objects[bad.head.digest] = b"damaged"
+    network.run(6000)
+    assert network.all_in_force("lantern", 1)
+    assert n_actions(network, d.Reject, *network.nodes) > 0
+    n_fetches = n_actions(network, d.FetchObject, *network.nodes)
+    network.run(20_000)
+    assert n_actions(network, d.FetchObject, *network.nodes) <= n_fetches + 30
+    network.objects[bad.head.digest] = bad.body
+    network.run_until(lambda: network.all_in_force("lantern", 2))
+
+
+def test_version_that_cannot_be_read_is_not_fetched_again_and_again():
+    """A newer daemon accepted a document that this one can't read.
+
+    Its digest is right, so fetching it again would change nothing, and each
+    word of a neighbour would start another pull. A later version is taken.
+    """
+    network = started(1)
+    network.accept("vm-0", make_intent("lantern", "a"))
+    table = msgpack.unpackb(network.nodes["vm-0"].in_force["lantern"].body)
+    body = msgpack.packb({**table, "later": True})
+    known = network.heads["lantern"]
+    head = replace(known, version=2, digest=digest_of(body), change_id="later")
+    network.heads["lantern"], network.objects[head.digest] = head, body
+    for number in range(20):
+        network.bells[bucket_of("lantern")] = f"ring {number}"
+        network.run(1000)
+    assert n_actions(network, d.Reject, "vm-0") == 1
+    assert network.all_in_force("lantern", 1)
+    network.accept("vm-0", make_intent("lantern", "c"))
+    assert network.all_in_force("lantern", 3)
+
+
+def test_burst_of_a_large_customer_delays_a_small_one_by_a_turn():
+    """A large customer makes 500 changes at once beside one of a small customer.
+
+    In one line the small customer's proxies would wait for all 500.
+    """
+    outbox = d.Outbox()
+    network = started(1)
+    base = network.commit(make_intent("lantern", "v0", n_routes=20), "vm-0")
+    target = network.commit(make_intent("lantern", "v1", n_routes=20), "vm-0")
+    large = DeltaPush(make_delta(base, target))
+    for _ in range(500):
+        outbox.put("vm-1", "lantern", large)
+    small = Have("sayaw", 1)
+    outbox.put("vm-1", "sayaw", small)
+    n_bytes_before = 0
+    while (frame := outbox.take("vm-1")) != small:
+        is_delta = isinstance(frame, DeltaPush)
+        n_bytes_before += len(frame.delta.patch) if is_delta else 0
+    assert n_bytes_before <= 65_536
+
+
+def test_frozen_neighbour_does_not_fill_the_memory():
+    """A neighbour stops reading while a customer goes on changing.
+
+    Its deltas would pile up here until this daemon runs out of memory; one word
+    takes their place, and the neighbour pulls when it wakes.
+    """
+    outbox = d.Outbox()
+    network = started(1)
+    base = network.commit(make_intent("lantern", "v0", n_routes=200), "vm-0")
+    target = network.commit(make_intent("lantern", "v1", n_routes=200), "vm-0")
+    large = DeltaPush(make_delta(base, target))
+    for _ in range(500):
+        outbox.put("vm-1", "lantern", large)
+    taken = list(iter(lambda: outbox.take("vm-1"), None))
+    assert sum(isinstance(frame, DeltaPush) for frame in taken) < 40
+    assert Have("lantern", 2) in taken
