--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -76,9 +76,11 @@
             self.identity,
             self.directory,
             settings.members,
-            settings.peers.frame_max_bytes,
+            settings.peers,
             self.frame_counters[StreamKind.CONTROL],
+            self.decisions,
             self.rng,
+            monotonic_ms,
         )
         self.configuration = ConfigurationAgent(
             self.platform,
@@ -153,7 +155,7 @@
         await self.listener.listen(*parse_address(settings.peers.address))
         await self.callers.listen(*parse_address(settings.callers.address))
         self.configuration.start()
-        self.control.start(settings.peers.seed_addresses)
+        self.control.start()
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
 
@@ -161,7 +163,8 @@
         """Finish what is in flight, refuse the rest as not run, then close."""
         log.info(Event.STOPPING)
         self.runner.is_draining = True
-        self.callers.stop_listening()
+        self.callers.drain()
+        self.control.leave()
         deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
         while self.runner.n_in_flight and monotonic_ms() < deadline_ms:
             await asyncio.sleep(0.02)
