Acceptance: settle a lost answer, and turns at the platform

Change: a row that abandons the change fences off a commit on its way, so the answer is certain while the platform answers at all. A change that is in force here is answered without the platform. Requests wait in bounded lines, one turn a request. The test of turns found that turns of 64 KB let 64 small requests of a bulk pass at once.

--- a/packages/pepperstair-platform/pepperstair_platform/__init__.py
+++ b/packages/pepperstair-platform/pepperstair_platform/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .acceptance import Accepted, ChangeRequest, accept_change
+from .acceptance import Accepted, ChangeRequest, accept_change, repeat_change
 from .platform import Compare, Platform, Row
 from .rows import (
     N_BUCKETS,
@@ -30,4 +30,5 @@
     "head_key",
     "head_prefix",
     "head_row",
+    "repeat_change",
 ]
--- a/packages/pepperstair-platform/pepperstair_platform/platform.py
+++ b/packages/pepperstair-platform/pepperstair_platform/platform.py
@@ -8,6 +8,7 @@
 import json
 from dataclasses import asdict, dataclass
 from typing import Any
+from urllib.parse import quote
 
 import structlog
 from result import Err, Ok, Result
@@ -72,7 +73,7 @@
         self, prefix: str, customer: str = ""
     ) -> Result[tuple[Row, ...], Failure]:
         """Return all rows whose key starts with a prefix, by key."""
-        read = await self._read(f"/v1/rows?prefix={prefix}", customer)
+        read = await self._read(f"/v1/rows?prefix={quote(prefix)}", customer)
         return read.map(lambda response: _rows(response.body))
 
     async def commit(
--- a/packages/pepperstair-platform/pepperstair_platform/rows.py
+++ b/packages/pepperstair-platform/pepperstair_platform/rows.py
@@ -17,6 +17,7 @@
 from .platform import Row
 
 N_BUCKETS: Final = 16
+_ABANDONED: Final = "abandoned"
 
 
 def bucket_of(customer: str) -> int:
@@ -64,6 +65,22 @@
     return Row(change_key(head.change_id), _head_text(head))
 
 
+def abandoned_row(change_id: str, token: str) -> Row:
+    """Return the row of a change that must not take effect any more.
+
+    The token makes the row differ from that of every other attempt, so that no
+    commit that started from an earlier row can still succeed.
+    """
+    return Row(change_key(change_id), json.dumps({_ABANDONED: token}))
+
+
+def head_from_change(row: Row | None) -> Head | None:
+    """Return the head that a change became, None where it became nothing yet."""
+    if row is None or _ABANDONED in json.loads(row.value):
+        return None
+    return head_from_row(row)
+
+
 def head_from_row(row: Row) -> Head:
     """Read a head from its row or from a change's row."""
     return Head(**json.loads(row.value))
@@ -75,12 +92,14 @@
 
 __all__ = [
     "N_BUCKETS",
+    "abandoned_row",
     "bell_key",
     "bells_prefix",
     "bucket_of",
     "bucket_of_bell",
     "change_key",
     "change_row",
+    "head_from_change",
     "head_from_row",
     "head_key",
     "head_prefix",
--- a/packages/pepperstair-platform/pepperstair_platform/turns.py
+++ b/packages/pepperstair-platform/pepperstair_platform/turns.py
@@ -11,8 +11,7 @@
 
 log = structlog.get_logger(__name__)
 
-_QUANTUM_BYTES: Final = 65_536
-_REQUEST_BYTES: Final = 1024
+_UNIT_BYTES: Final = 65_536
 N_WAITING_MAX: Final = 64
 
 
@@ -20,12 +19,14 @@
     """Lets requests to the platform pass one by one, each customer in turn.
 
     Without it one customer's bulk would use up the platform's capacity, and a
-    small customer's change would time out behind it.
+    small customer's change would time out behind it. A turn is one request, or
+    one for each 64 KB that it carries: the rate is counted in requests, so a
+    turn of many small ones would hold the others up for seconds.
     """
 
     def __init__(self, n_per_s: int) -> None:
         self._bucket = TokenBucket(n_per_s, 0)
-        self._queue: FairQueue[asyncio.Future[None]] = FairQueue(_QUANTUM_BYTES)
+        self._queue: FairQueue[asyncio.Future[None]] = FairQueue(quantum=1)
         self._n_waiting: dict[str, int] = {}
         self._task: asyncio.Task[None] | None = None
         self.n_refused = 0
@@ -39,7 +40,7 @@
             self.n_refused += 1
             return False
         turn: asyncio.Future[None] = loop.create_future()
-        self._queue.put(customer, turn, _REQUEST_BYTES + n_bytes)
+        self._queue.put(customer, turn, 1 + n_bytes // _UNIT_BYTES)
         self._n_waiting[customer] = self._n_waiting.get(customer, 0) + 1
         if self._task is None:
             self._task = loop.create_task(self._give_turns())
--- a/packages/pepperstaird/pepperstaird/configuration/agent.py
+++ b/packages/pepperstaird/pepperstaird/configuration/agent.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from typing import Any, Final
 
 import structlog
+from result import Result
 
 from pepperstair_core.config import PlatformSettings
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
@@ -34,13 +36,20 @@
     Work,
     collect,
 )
+from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_core.events import Event
 from pepperstair_core.labels import Labels
 from pepperstair_core.membership import MemberDirectory
 from pepperstair_core.routing import RouteTable, compile_routes, overrides_of
 from pepperstair_core.versions import Snapshot
 from pepperstair_peers import ControlPlane
-from pepperstair_platform import Platform
+from pepperstair_platform import (
+    Accepted,
+    ChangeRequest,
+    Platform,
+    accept_change,
+    repeat_change,
+)
 
 from ..clock import monotonic_ms, wall_ms
 from .records import VersionRecord, VersionRecords
@@ -49,6 +58,7 @@
 log = structlog.get_logger(__name__)
 
 _TICK_S: Final = 0.05
+_N_UNKNOWN_CHANGES_MAX: Final = 1000
 
 
 class ConfigurationAgent:
@@ -69,6 +79,8 @@
         self._decisions = decisions
         self._proxy_labels: Labels = dict(own.labels)
         self._in_force: dict[str, Snapshot] = {}
+        self._platform = platform
+        self._unknown_changes: deque[str] = deque(maxlen=_N_UNKNOWN_CHANGES_MAX)
         self._outbox = Outbox()
         self._source = ConfigurationSource(platform, self._handle)
         self._tasks: list[asyncio.Task[None]] = []
@@ -118,9 +130,30 @@
         """Learn the floor again after a pause, before calls are carried."""
         self._handle(Paused())
 
-    def accepted(self, snapshot: Snapshot) -> None:
-        """Spread a version that this daemon committed on the platform."""
-        self._handle(ChangeAccepted(snapshot))
+    async def accept(self, change: ChangeRequest) -> Result[Accepted, Failure]:
+        """Commit a change on the platform and spread it, or say why not.
+
+        A change that is in force here already is answered without the platform,
+        so asking again after a lost answer helps during an outage too.
+        """
+        repeated = self._find_repeated(change)
+        if repeated is not None:
+            return repeated
+        if change.change_id in self._unknown_changes:
+            change = replace(change, is_asked_again=True)
+        accepted = await accept_change(self._platform, change)
+        if accepted.is_ok():
+            self._handle(ChangeAccepted(accepted.unwrap().snapshot))
+        elif accepted.unwrap_err().kind is ErrorKind.CHANGE_OUTCOME_UNKNOWN:
+            self._unknown_changes.append(change.change_id)
+        return accepted
+
+    def _find_repeated(self, change: ChangeRequest) -> Result[Accepted, Failure] | None:
+        customer = change.intent.customer
+        record = self.records.find_change(customer, change.change_id)
+        if record is None:
+            return None
+        return repeat_change(record.head, change)
 
     def versions(self) -> dict[str, int]:
         """Return the version in force of each customer."""
--- a/packages/pepperstaird/pepperstaird/operations.py
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -18,7 +18,7 @@
     failure_reply,
     json_reply,
 )
-from pepperstair_platform import ChangeRequest, accept_change
+from pepperstair_platform import ChangeRequest
 from pepperstair_targets import handle_announcement
 
 from .clock import monotonic_ms, wall_ms
@@ -118,8 +118,9 @@
         int(from_version) if from_version.isdecimal() else None,
         daemon.settings.vm.name,
         wall_ms(),
+        request.query.get("is_asked_again") == "true",
     )
-    accepted = await accept_change(daemon.platform, change)
+    accepted = await daemon.configuration.accept(change)
     if accepted.is_err():
         failure = accepted.unwrap_err()
         log.warning(
@@ -136,7 +137,6 @@
         version=snapshot.head.version,
         change_id=change_id,
     )
-    daemon.configuration.accepted(snapshot)
     return json_reply(
         {
             "customer": intent.customer,
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,56 @@
+"""Turns at the platform: bounded in rate and number, fair between customers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from pepperstair_platform.turns import N_WAITING_MAX, RequestTurns
+
+
+def test_bulk_of_one_customer_leaves_the_other_its_turn():
+    """A large customer sends hundreds of changes at once through one daemon.
+
+    In one line a small customer's single change would time out behind them.
+    """
+
+    async def order() -> list[str]:
+        turns = RequestTurns(200)
+        taken: list[str] = []
+
+        async def take(customer: str) -> None:
+            if await turns.take(customer, 0, 5000):
+                taken.append(customer)
+
+        large = [asyncio.create_task(take("lantern")) for _ in range(260)]
+        await asyncio.sleep(0)
+        small = asyncio.create_task(take("sayaw"))
+        await asyncio.gather(*large, small)
+        return taken
+
+    taken = asyncio.run(order())
+    assert len(taken) == 261
+    assert taken.index("sayaw") <= 200 + 2
+
+
+def test_waiting_requests_are_bounded():
+    """The platform is slow and changes keep coming.
+
+    Without a bound each would wait in memory; past it they are refused at once
+    as not sent.
+    """
+
+    async def run() -> bool:
+        turns = RequestTurns(1)
+        waiting = [
+            asyncio.create_task(turns.take("lantern", 0, 60_000))
+            for _ in range(N_WAITING_MAX + 1)
+        ]
+        await asyncio.sleep(0)
+        async with asyncio.timeout(10):
+            is_granted = await turns.take("lantern", 0, 60_000)
+        turns.close()
+        for task in waiting:
+            task.cancel()
+        return is_granted
+
+    assert asyncio.run(run()) is False
