--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := $(wildcard packages/*)
 TOOLS := pytest hypothesis ruff
 
-.PHONY: install test lint format demo clean bench-path bench-idle
+.PHONY: install test lint format demo docs clean bench-path bench-idle bench-burn
 
 install: $(VENV)/installed
 
@@ -20,6 +20,7 @@
 	$(VENV)/bin/ruff check .
 
 format: install
+	$(VENV)/bin/ruff format --quiet .
 	$(VENV)/bin/ruff check --fix .
 	$(VENV)/bin/ruff format .
 
@@ -29,11 +30,17 @@
 demo: install
 	$(PYTHON) -m benchmarks.demo
 
+docs: install
+	$(PYTHON) -m pepperstair_core.config.reference > docs/user-guide/settings.md
+
 bench-path: install
 	$(PYTHON) -m benchmarks.path
 
 bench-idle: install
 	$(PYTHON) -m benchmarks.idle
 
+bench-burn: install
+	$(PYTHON) -m benchmarks.burn
+
 clean:
 	rm -rf $(VENV) build .pytest_cache .ruff_cache
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/burn/__init__.py
@@ -0,0 +1,35 @@
+"""Service-level burn: the counts of one daemon.
+
+The report over many daemons is `pepperstair_core.burn.report`. It is not imported
+here, as the daemon has no use for it and pays for each import with memory.
+"""
+
+from __future__ import annotations
+
+from .counts import BurnCounts, OutcomeClass, classify_outcome
+from .messages import (
+    LONGEST_WINDOW_MS,
+    WINDOWS_MS,
+    CallCounts,
+    Convergence,
+    CustomerCounts,
+    DaemonCounts,
+    WindowCounts,
+    counts_to_table,
+    read_counts,
+)
+
+__all__ = [
+    "LONGEST_WINDOW_MS",
+    "WINDOWS_MS",
+    "BurnCounts",
+    "CallCounts",
+    "Convergence",
+    "CustomerCounts",
+    "DaemonCounts",
+    "OutcomeClass",
+    "WindowCounts",
+    "classify_outcome",
+    "counts_to_table",
+    "read_counts",
+]
--- a/packages/pepperstaird/pepperstaird/configuration/agent.py
+++ b/packages/pepperstaird/pepperstaird/configuration/agent.py
@@ -40,7 +40,12 @@
 from pepperstair_core.events import Event
 from pepperstair_core.labels import Labels
 from pepperstair_core.membership import MemberDirectory
-from pepperstair_core.routing import RouteTable, compile_routes, overrides_of
+from pepperstair_core.routing import (
+    RouteTable,
+    apply_override,
+    compile_routes,
+    overrides_of,
+)
 from pepperstair_core.versions import Snapshot
 from pepperstair_peers import ControlPlane
 from pepperstair_platform import (
@@ -77,6 +82,7 @@
         self._control = control
         self._directory = directory
         self._decisions = decisions
+        self._own_vm = own.vm
         self._proxy_labels: Labels = dict(own.labels)
         self._in_force: dict[str, Snapshot] = {}
         self._platform = platform
@@ -91,6 +97,7 @@
         self.route_table = RouteTable()
         self.overrides: Mapping[str, Labels] = {}
         self.on_changed: Callable[[Snapshot], None] = lambda snapshot: None
+        self.on_converged: Callable[[str, int], None] = lambda customer, ms: None
 
     @property
     def is_floor_known(self) -> bool:
@@ -104,7 +111,6 @@
 
     def start(self) -> None:
         """Begin to listen to the neighbours and to the clock."""
-        self._control.on_members_changed = self.members_changed
         self._control.on_neighbour_up = lambda vm: self._handle(NeighbourUp(vm))
         self._control.on_neighbour_down = self._on_neighbour_down
         self._control.on_configuration_frame = lambda vm, frame: self._handle(
@@ -178,6 +184,12 @@
             0,
         )
 
+    def proxy_labels(self) -> Labels:
+        """Return the labels of this proxy, as operators have overridden them."""
+        labels = dict(self._proxy_labels)
+        apply_override(labels, self.overrides.get(self._own_vm, {}))
+        return labels
+
     def counters(self) -> dict[str, int]:
         """Return the counts that `status` and the metrics show."""
         return asdict(self.distribution.state.counters)
@@ -192,8 +204,11 @@
         }
 
     def _handle(self, event: DistributionEvent) -> None:
+        was_floor_known = self.is_floor_known
         for action in self.distribution.handle(event, monotonic_ms()):
             self._carry_out(action)
+        if self.is_floor_known and not was_floor_known:
+            log.info(Event.READY, reached_by=self.reached_by)
         self._flush()
         if self.distribution.state.inbox:
             self._has_work.set()
@@ -227,8 +242,8 @@
     def _put_in_force(self, snapshot: Snapshot, learnt_from: str) -> None:
         head = snapshot.head
         self._in_force[head.customer] = snapshot
-        self.route_table = compile_routes(self._in_force.values(), self._proxy_labels)
         self.overrides = overrides_of(self._in_force.values())
+        self.route_table = compile_routes(self._in_force.values(), self.proxy_labels())
         self.records.add(VersionRecord(head, learnt_from, wall_ms()))
         log.info(
             Event.VERSION_IN_FORCE,
@@ -254,6 +269,9 @@
         self.records.note_convergence(
             action.customer, action.version, action.convergence_ms
         )
+        record = self.records.find(action.customer, action.version)
+        if record is not None and record.head.accepted_by == self._own_vm:
+            self.on_converged(action.customer, action.convergence_ms)
         log.info(
             Event.CHANGE_CONVERGED,
             customer=action.customer,
--- a/packages/pepperstaird/pepperstaird/configuration_operations.py
+++ b/packages/pepperstaird/pepperstaird/configuration_operations.py
@@ -18,9 +18,11 @@
     OperatorServer,
     failure_reply,
     json_reply,
+    query_version,
 )
 
 from .clock import monotonic_ms
+from .reports import explain_decisions
 
 if TYPE_CHECKING:
     from .configuration import VersionRecord
@@ -45,6 +47,8 @@
 
     async def explain(request: OperatorRequest) -> OperatorReply:
         customer = request.query.get("customer", "")
+        if not customer:
+            return explain_decisions(daemon, request)
         content = explain_configuration(
             daemon, customer, request.query.get("route", "")
         )
@@ -63,8 +67,10 @@
     state = daemon.configuration.distribution.state
     known = state.customers.get(customer)
     held_version = known.held_version if known else 0
-    wanted = request.query.get("version", "")
-    version = int(wanted) if wanted.isdecimal() else held_version
+    wanted = query_version(request, "version")
+    if wanted.is_err():
+        return failure_reply(wanted.unwrap_err())
+    version = wanted.unwrap() or held_version
     if not version:
         return failure_reply(Failure(ErrorKind.NOT_FOUND, customer))
     timeout_ms = _timeout_ms(request.query.get("timeout_ms", ""))
@@ -126,7 +132,7 @@
     if route is None:
         return None
     services = {service.name: service for service in snapshot.intent.services}
-    labels = daemon.settings.vm.labels
+    labels = daemon.configuration.proxy_labels()
     is_carried = parse_selector(route.proxies).unwrap().matches(labels)
     return {
         "name": name,
--- a/packages/pepperstaird/pepperstaird/operations.py
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -17,11 +17,13 @@
     OperatorServer,
     failure_reply,
     json_reply,
+    query_version,
 )
 from pepperstair_platform import ChangeRequest
 from pepperstair_targets import handle_announcement
 
 from .clock import monotonic_ms, wall_ms
+from .reports import burn_counts, record_refusal
 
 if TYPE_CHECKING:
     from .daemon import Daemon
@@ -50,6 +52,9 @@
     async def put_intent(request: OperatorRequest) -> OperatorReply:
         return await _put_intent(daemon, request)
 
+    async def burn(request: OperatorRequest) -> OperatorReply:
+        return await burn_counts(daemon)
+
     async def put_target(request: OperatorRequest) -> OperatorReply:
         taken = handle_announcement(
             daemon.registry,
@@ -71,6 +76,7 @@
     server.add("GET", "/v1/ready", ready)
     server.add("GET", "/v1/intent/", get_intent)
     server.add("PUT", "/v1/intent/", put_intent)
+    server.add("GET", "/v1/burn", burn)
     server.add("PUT", "/v1/targets/", put_target)
     server.add("DELETE", "/v1/targets/", delete_target)
 
@@ -89,6 +95,7 @@
                 "state": member.state.name.lower(),
                 "incarnation": member.incarnation,
                 "availability_zone": member.availability_zone,
+                "operators_address": member.operators_address,
                 "targets": [
                     {"name": target.name, "state": target.state.value}
                     for target in member.targets
@@ -97,25 +104,32 @@
             for member in daemon.directory.members()
         ],
         "rejected": daemon.configuration.rejected(),
-        "counters": daemon.counters(),
+        "counters": dict(daemon.counters().iter_named()),
     }
 
 
 async def _put_intent(daemon: Daemon, request: OperatorRequest) -> OperatorReply:
     """Accept a change, or refuse the whole of it."""
-    parsed = parse_intent_toml(request.body.decode("utf-8", "replace"))
+    from_version = query_version(request, "from_version")
+    if from_version.is_err():
+        return failure_reply(from_version.unwrap_err())
+    try:
+        text = request.body.decode()
+    except UnicodeDecodeError as error:
+        fault = Fault("document", f"UTF-8 ({error})")
+        return _faults_reply(ErrorKind.INVALID_INTENT, [fault])
+    parsed = parse_intent_toml(text)
     if parsed.is_err():
         return _faults_reply(ErrorKind.INVALID_INTENT, parsed.unwrap_err())
     intent = parsed.unwrap()
     if intent.customer != request.name:
         fault = Fault("customer", f"{request.name!r}, not {intent.customer!r}")
         return _faults_reply(ErrorKind.INVALID_INTENT, [fault])
-    from_version = request.query.get("from_version", "")
     change_id = request.query.get("change_id") or uuid.uuid4().hex
     change = ChangeRequest(
         intent,
         change_id,
-        int(from_version) if from_version.isdecimal() else None,
+        from_version.unwrap(),
         daemon.settings.vm.name,
         wall_ms(),
         request.query.get("is_asked_again") == "true",
@@ -123,6 +137,7 @@
     accepted = await daemon.configuration.accept(change)
     if accepted.is_err():
         failure = accepted.unwrap_err()
+        record_refusal(daemon, intent.customer, failure)
         log.warning(
             Event.CHANGE_REFUSED,
             customer=intent.customer,
