Tell answers of before a pause from news, and pull what there is

Cause: an answer that waited in a buffer while the daemon was paused made an old floor; a damaged newest object kept a restarted daemon from pulling the version that its neighbours have. Change: questions for the floor carry a number that answers repeat; a pull takes a newer version than the held one where nobody has the wanted one. Seen failing first: both new tests, without the number on either answer and with sources of the wanted version only.

--- a/packages/pepperstair-core/pepperstair_core/distribution/actions.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/actions.py
@@ -34,9 +34,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadHeads:
-    """Read the heads of one bucket, or of all where `bucket` is None."""
+    """Read the heads of one bucket, or of all where `bucket` is None.
+
+    `number` comes back with the answer, which a pause may have made old.
+    """
 
     bucket: int | None
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pepperstair-core/pepperstair_core/distribution/anti_entropy.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/anti_entropy.py
@@ -20,9 +20,9 @@
         yield Send(vm, HeadsDigest(state.versions_digest(), is_floor_known))
 
 
-def ask_versions(vm: str, is_floor_known: bool) -> Actions:
+def ask_versions(vm: str, is_floor_known: bool, number: int = 0) -> Actions:
     """Ask a neighbour for its versions, whatever they are."""
-    yield Send(vm, HeadsDigest(b"", is_floor_known))
+    yield Send(vm, HeadsDigest(b"", is_floor_known, number))
 
 
 def on_heads_digest(
@@ -39,7 +39,8 @@
             yield from _note_equal(state, sender, now_ms)
         else:
             versions = state.held_versions()
-            yield Send(sender, HeadsDigest(digest, is_floor_known, True, versions))
+            answer = HeadsDigest(digest, is_floor_known, frame.number, True, versions)
+            yield Send(sender, answer)
         return
     theirs = dict(frame.versions)
     for name, version in theirs.items():
--- a/packages/pepperstair-core/pepperstair_core/distribution/events.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/events.py
@@ -68,6 +68,7 @@
 
     bucket: int | None
     heads: tuple[Head, ...] | None
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pepperstair-core/pepperstair_core/distribution/floor.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/floor.py
@@ -13,6 +13,7 @@
 
 from ..decisions import DecisionKind
 from ..versions import Head
+from ..wire import HeadsDigest
 from .actions import Actions, Note, ReadHeads
 from .anti_entropy import ask_versions
 from .state import DistributionState
@@ -21,6 +22,7 @@
 _ASK_AGAIN_MS: Final = 500
 _READ_AGAIN_MS: Final = 1000
 _READ_AGAIN_MAX_MS: Final = 4000
+_NUMBER_MAX: Final = 2**32
 
 
 class ReachedBy(StrEnum):
@@ -37,12 +39,15 @@
 
     Only neighbours that know their own floor are counted: a herd of restarted
     daemons would otherwise vouch for one another with nothing in their hands.
+    `number` marks the questions since the last start or pause: an answer from
+    before a pause lies in a buffer and would make an old floor.
     """
 
     reached_by: ReachedBy = ReachedBy.NOBODY
     started_at_ms: int | None = None
     platform_heads: dict[str, int] | None = None
     answers: dict[str, dict[str, int]] = field(default_factory=dict)
+    number: int = 0
     ask_due_ms: int = 0
     read_due_ms: int = 0
     n_reads: int = 0
@@ -53,18 +58,19 @@
         return self.reached_by is not ReachedBy.NOBODY
 
 
-def note_platform_heads(floor: FloorState, heads: tuple[Head, ...]) -> None:
+def note_platform_heads(
+    floor: FloorState, heads: tuple[Head, ...], number: int
+) -> None:
     """Take the heads of all customers, as the platform has them, as the floor."""
-    if not floor.is_known:
+    if not floor.is_known and number == floor.number:
         floor.platform_heads = {head.customer: head.version for head in heads}
 
 
-def note_answer(
-    floor: FloorState, vm: str, versions: tuple[tuple[str, int], ...]
-) -> None:
+def note_answer(floor: FloorState, vm: str, frame: HeadsDigest) -> None:
     """Take a neighbour's versions as part of the floor."""
-    if not floor.is_known:
-        floor.answers[vm] = dict(versions)
+    is_current = frame.is_answer and frame.number == floor.number
+    if is_current and frame.is_floor_known and not floor.is_known:
+        floor.answers[vm] = dict(frame.versions)
 
 
 def check_due(floor: FloorState, state: DistributionState, now_ms: int) -> Actions:
@@ -73,6 +79,7 @@
         return
     if floor.started_at_ms is None:
         floor.started_at_ms = now_ms
+        floor.number = state.rng.randrange(1, _NUMBER_MAX)
     if floor.platform_heads is not None and _has(state, floor.platform_heads):
         floor.reached_by = ReachedBy.PLATFORM
     elif _is_vouched_for(floor, state, now_ms):
@@ -85,17 +92,17 @@
         longest_ms = min(_READ_AGAIN_MS * 2**floor.n_reads, _READ_AGAIN_MAX_MS)
         floor.n_reads = min(floor.n_reads + 1, _READ_AGAIN_MAX_MS // _READ_AGAIN_MS)
         floor.read_due_ms = now_ms + int(longest_ms * state.rng.uniform(0.5, 1.0))
-        yield ReadHeads(None)
+        yield ReadHeads(None, floor.number)
     if now_ms >= floor.ask_due_ms:
         floor.ask_due_ms = now_ms + _ASK_AGAIN_MS
         for vm in sorted(state.fleet.neighbours - floor.answers.keys()):
-            yield from ask_versions(vm, False)
+            yield from ask_versions(vm, False, floor.number)
 
 
 def restart(floor: FloorState, state: DistributionState, now_ms: int) -> Actions:
     """Forget the floor after a pause, so that the daemon catches up first."""
     floor.reached_by = ReachedBy.NOBODY
-    floor.started_at_ms = now_ms
+    floor.started_at_ms = None
     floor.platform_heads = None
     floor.answers.clear()
     floor.ask_due_ms = floor.read_due_ms = floor.n_reads = 0
--- a/packages/pepperstair-core/pepperstair_core/distribution/node.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/node.py
@@ -85,7 +85,9 @@
         self.state.fleet.neighbours.add(event.vm)
         for customer in self.state.customers.values():
             customer.pruned.discard(event.vm)
-        return anti_entropy.ask_versions(event.vm, self.floor.is_known)
+        return anti_entropy.ask_versions(
+            event.vm, self.floor.is_known, self.floor.number
+        )
 
     @_decide.register
     def _(self, event: events.NeighbourDown, now_ms: int) -> Actions:
@@ -127,7 +129,7 @@
         if event.heads is None:
             return
         if event.bucket is None:
-            floor.note_platform_heads(self.floor, event.heads)
+            floor.note_platform_heads(self.floor, event.heads, event.number)
         yield from polling.on_heads(
             self.polling, self.state, event.bucket, event.heads, now_ms
         )
@@ -196,8 +198,7 @@
                 )
 
     def _on_heads_digest(self, sender: str, frame: HeadsDigest, now_ms: int) -> Actions:
-        if frame.is_answer and frame.is_floor_known:
-            floor.note_answer(self.floor, sender, frame.versions)
+        floor.note_answer(self.floor, sender, frame)
         yield from anti_entropy.on_heads_digest(
             self.state, sender, frame, self.floor.is_known, now_ms
         )
--- a/packages/pepperstair-core/pepperstair_core/distribution/pulling.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/pulling.py
@@ -153,12 +153,19 @@
 def _next_source(
     state: DistributionState, customer: CustomerState, pull: PullState
 ) -> str | None:
-    """Return a neighbour to ask: one of the own zone before the others."""
-    able = [
-        vm
+    """Return a neighbour to ask: one of the own zone before the others.
+
+    Where nobody has the wanted version, as when its object is damaged, one that
+    has at least a newer version than the held one is better than none.
+    """
+    versions = {
+        vm: customer.holders.get(vm, 0)
         for vm in sorted(state.fleet.neighbours - pull.asked)
-        if customer.holders.get(vm, 0) >= pull.version
-    ]
+    }
+    able = [vm for vm, version in versions.items() if version >= pull.version]
+    if not able:
+        held_version = customer.held_version
+        able = [vm for vm, version in versions.items() if version > held_version]
     near = [vm for vm in able if state.fleet.zone_of(vm) == state.fleet.own_zone]
     choices = near or able
     return state.rng.choice(choices) if choices else None
--- a/packages/pepperstair-core/pepperstair_core/wire/control.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -139,10 +139,13 @@
     receiver answers with its versions, and each side then pulls what it lacks.
     An empty digest asks for the answer in any case. `is_floor_known` says that
     the sender's versions are complete, not those of a daemon that just started.
+    An answer repeats the question's `number`, so that one which waited in a
+    buffer while the asking process was paused isn't taken for news.
     """
 
     digest: bytes
     is_floor_known: bool
+    number: int = 0
     is_answer: bool = False
     versions: tuple[tuple[str, int], ...] = ()
 
--- a/packages/pepperstaird/pepperstaird/configuration/source.py
+++ b/packages/pepperstaird/pepperstaird/configuration/source.py
@@ -77,8 +77,8 @@
         match action:
             case ReadBells():
                 return self._read_bells()
-            case ReadHeads(bucket):
-                return self._read_heads(bucket)
+            case ReadHeads(bucket, number):
+                return self._read_heads(bucket, number)
             case ReadHead(customer):
                 return self._read_head(customer)
             case FetchObject(head):
@@ -92,13 +92,13 @@
             return BellsRead(None)
         return BellsRead({bucket_of_bell(row): row.value for row in read.unwrap()})
 
-    async def _read_heads(self, bucket: int | None) -> DistributionEvent:
+    async def _read_heads(self, bucket: int | None, number: int) -> DistributionEvent:
         prefix = _ALL_HEADS if bucket is None else head_prefix(bucket)
         read = await self._platform.read_rows(prefix)
         self._note(read.is_ok())
         if read.is_err():
-            return HeadsRead(bucket, None)
-        return HeadsRead(bucket, tuple(map(head_from_row, read.unwrap())))
+            return HeadsRead(bucket, None, number)
+        return HeadsRead(bucket, tuple(map(head_from_row, read.unwrap())), number)
 
     async def _read_head(self, customer: str) -> DistributionEvent:
         key = head_key(customer)
--- a/tests/distribution/fake_network.py
+++ b/tests/distribution/fake_network.py
@@ -156,13 +156,13 @@
             case d.ReadBells():
                 bells = dict(self.bells)
                 self._answer(vm, node, d.BellsRead(self._if_up(bells)))
-            case d.ReadHeads(bucket):
+            case d.ReadHeads(bucket, number):
                 heads = tuple(
                     head
                     for customer, head in self.heads.items()
                     if bucket in (None, bucket_of(customer))
                 )
-                self._answer(vm, node, d.HeadsRead(bucket, self._if_up(heads)))
+                self._answer(vm, node, d.HeadsRead(bucket, self._if_up(heads), number))
             case d.ReadHead(customer):
                 head = self._if_up(self.heads.get(customer))
                 self._answer(vm, node, d.HeadRead(customer, head))
--- a/tests/distribution/test_floor.py
+++ b/tests/distribution/test_floor.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from pepperstair_core import distribution as d
+from pepperstair_core.wire import HeadsDigest
+
 from .fake_network import FakeNetwork, make_intent, started
 
 
@@ -100,3 +103,46 @@
     network.start("vm-0")
     network.run(20_000)
     assert not is_ready(network, "vm-0")
+
+
+def test_damaged_object_does_not_keep_a_restarted_daemon_away():
+    """A customer's newest object is damaged, no daemon could take it, and one
+    daemon restarts.
+
+    No proxy ever had that version, so the daemon is ready with what the others
+    have; waiting for the object would keep all customers' calls away.
+    """
+    network = two_versions(4)
+    head = network.commit(make_intent("lantern", "v3"), "vm-9").head
+    network.objects[head.digest] = b"damaged"
+    network.run(3000)
+    restarted(network, "vm-1")
+    network.run_until(lambda: is_ready(network, "vm-1"))
+    assert network.all_in_force("lantern", 2)
+
+
+def test_answers_from_before_a_pause_make_no_floor():
+    """A daemon is paused; answers that it had asked for wait in its buffers while
+    a version spreads, and are read when it wakes.
+
+    Taken for news they would make it serve the version it remembers.
+    """
+    network = two_versions(4)
+    paused = network.nodes["vm-1"].distribution
+    old_number = 7
+    network.silent = {"vm-1"}
+    network.accept("vm-0", make_intent("lantern", "v3"))
+    network.run(1000)
+    network.is_platform_out = True
+    list(paused.handle(d.Paused(), network.now_ms))
+    versions = (("lantern", 2),)
+    for vm in ("vm-0", "vm-2", "vm-3"):
+        late = HeadsDigest(b"x", True, old_number, True, versions)
+        list(paused.handle(d.FrameReceived(vm, late), network.now_ms))
+    heads = d.HeadsRead(None, (), old_number)
+    list(paused.handle(heads, network.now_ms))
+    list(paused.handle(d.Tick(), network.now_ms + 5000))
+    assert not paused.floor.is_known
+    network.silent = set()
+    network.run_until(lambda: is_ready(network, "vm-1"))
+    assert network.nodes["vm-1"].in_force["lantern"].head.version == 3
--- a/tests/distribution/test_in_force.py
+++ b/tests/distribution/test_in_force.py
@@ -115,6 +115,6 @@
     list(distribution.handle(d.Tick(), 100))
     actions = list(distribution.handle(d.Tick(), 400))
     assert d.Send("vm-2", HeadsDigest(b"", False)) in actions
-    answer = HeadsDigest(b"x", True, True, (("lantern", 1),))
+    answer = HeadsDigest(b"x", True, 0, True, (("lantern", 1),))
     answered = distribution.handle(d.FrameReceived("vm-2", answer), 410)
     assert n_put_in_force(answered) == 1
