Count a woken neighbour for the floor, as it remembers what it held

Cause: with the platform out, a daemon that woke from a pause and one that was restarted each waited for the other to know its floor, in a fleet of three. Found by a process test of a restart beside a neighbour that lags. Change: a neighbour is counted once it has known its floor since it started. Seen failing first: the new test with only ready neighbours counted, and the process test; both pass now.

--- a/packages/pepperstair-core/pepperstair_core/distribution/anti_entropy.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/anti_entropy.py
@@ -9,7 +9,9 @@
 from .state import DistributionState
 
 
-def compare_due(state: DistributionState, is_floor_known: bool, now_ms: int) -> Actions:
+def compare_due(
+    state: DistributionState, has_known_floor: bool, now_ms: int
+) -> Actions:
     """Send the digest to one random neighbour when its time has come."""
     if now_ms < state.anti_entropy_due_ms:
         return
@@ -17,19 +19,19 @@
     state.anti_entropy_due_ms = now_ms + int(interval_ms)
     if state.fleet.neighbours:
         vm = state.rng.choice(sorted(state.fleet.neighbours))
-        yield Send(vm, HeadsDigest(state.versions_digest(), is_floor_known))
+        yield Send(vm, HeadsDigest(state.versions_digest(), has_known_floor))
 
 
-def ask_versions(vm: str, is_floor_known: bool, number: int = 0) -> Actions:
+def ask_versions(vm: str, has_known_floor: bool, number: int = 0) -> Actions:
     """Ask a neighbour for its versions, whatever they are."""
-    yield Send(vm, HeadsDigest(b"", is_floor_known, number))
+    yield Send(vm, HeadsDigest(b"", has_known_floor, number))
 
 
 def on_heads_digest(
     state: DistributionState,
     sender: str,
     frame: HeadsDigest,
-    is_floor_known: bool,
+    has_known_floor: bool,
     now_ms: int,
 ) -> Actions:
     """Answer with the own versions where they differ, or take the answer in."""
@@ -39,7 +41,7 @@
             yield from _note_equal(state, sender, now_ms)
         else:
             versions = state.held_versions()
-            answer = HeadsDigest(digest, is_floor_known, frame.number, True, versions)
+            answer = HeadsDigest(digest, has_known_floor, frame.number, True, versions)
             yield Send(sender, answer)
         return
     theirs = dict(frame.versions)
@@ -55,7 +57,7 @@
 
 
 def ask_holders_due(
-    state: DistributionState, is_floor_known: bool, now_ms: int
+    state: DistributionState, has_known_floor: bool, now_ms: int
 ) -> Actions:
     """Ask again who holds the versions that wait to be put in force.
 
@@ -75,7 +77,7 @@
     if waiting:
         state.holders_due_ms = now_ms + state.timing.ask_holders_ms
     for vm in sorted(waiting):
-        yield from ask_versions(vm, is_floor_known)
+        yield from ask_versions(vm, has_known_floor)
 
 
 def _note_equal(state: DistributionState, vm: str, now_ms: int) -> Actions:
--- a/packages/pepperstair-core/pepperstair_core/distribution/floor.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/floor.py
@@ -37,13 +37,16 @@
 class FloorState:
     """What is known of the floor; `answers` are neighbours' held versions.
 
-    Only neighbours that know their own floor are counted: a herd of restarted
-    daemons would otherwise vouch for one another with nothing in their hands.
+    Only neighbours that have known their own floor are counted: a herd of
+    restarted daemons would otherwise vouch for one another with nothing in their
+    hands. One that catches up after a pause is counted, as it remembers; were it
+    not, it and a restarted daemon could wait for each other for ever.
     `number` marks the questions since the last start or pause: an answer from
     before a pause lies in a buffer and would make an old floor.
     """
 
     reached_by: ReachedBy = ReachedBy.NOBODY
+    has_been_known: bool = False
     started_at_ms: int | None = None
     platform_heads: dict[str, int] | None = None
     answers: dict[str, dict[str, int]] = field(default_factory=dict)
@@ -69,7 +72,7 @@
 def note_answer(floor: FloorState, vm: str, frame: HeadsDigest) -> None:
     """Take a neighbour's versions as part of the floor."""
     is_current = frame.is_answer and frame.number == floor.number
-    if is_current and frame.is_floor_known and not floor.is_known:
+    if is_current and frame.has_known_floor and not floor.is_known:
         floor.answers[vm] = dict(frame.versions)
 
 
@@ -85,6 +88,7 @@
     elif _is_vouched_for(floor, state, now_ms):
         floor.reached_by = ReachedBy.NEIGHBOURS
     if floor.is_known:
+        floor.has_been_known = True
         cause = f"floor known by {floor.reached_by}"
         yield Note(DecisionKind.CAUGHT_UP, state.fleet.own_vm, cause)
         return
@@ -96,7 +100,7 @@
     if now_ms >= floor.ask_due_ms:
         floor.ask_due_ms = now_ms + _ASK_AGAIN_MS
         for vm in sorted(state.fleet.neighbours - floor.answers.keys()):
-            yield from ask_versions(vm, False, floor.number)
+            yield from ask_versions(vm, floor.has_been_known, floor.number)
 
 
 def restart(floor: FloorState, state: DistributionState, now_ms: int) -> Actions:
--- a/packages/pepperstair-core/pepperstair_core/distribution/node.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/node.py
@@ -69,8 +69,12 @@
     def _(self, event: events.Tick, now_ms: int) -> Actions:
         yield from polling.poll_due(self.polling, self.state, now_ms)
         yield from pulling.ask_due(self.state, now_ms)
-        yield from anti_entropy.compare_due(self.state, self.floor.is_known, now_ms)
-        yield from anti_entropy.ask_holders_due(self.state, self.floor.is_known, now_ms)
+        yield from anti_entropy.compare_due(
+            self.state, self.floor.has_been_known, now_ms
+        )
+        yield from anti_entropy.ask_holders_due(
+            self.state, self.floor.has_been_known, now_ms
+        )
         for customer in self.state.customers.values():
             if customer.candidates:
                 yield from in_force.advance(self.state, customer, now_ms)
@@ -86,7 +90,7 @@
         for customer in self.state.customers.values():
             customer.pruned.discard(event.vm)
         return anti_entropy.ask_versions(
-            event.vm, self.floor.is_known, self.floor.number
+            event.vm, self.floor.has_been_known, self.floor.number
         )
 
     @_decide.register
@@ -200,7 +204,7 @@
     def _on_heads_digest(self, sender: str, frame: HeadsDigest, now_ms: int) -> Actions:
         floor.note_answer(self.floor, sender, frame)
         yield from anti_entropy.on_heads_digest(
-            self.state, sender, frame, self.floor.is_known, now_ms
+            self.state, sender, frame, self.floor.has_been_known, now_ms
         )
 
     def _note_way_back(self, sender: str, head: Head) -> None:
--- a/packages/pepperstair-core/pepperstair_core/wire/control.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -137,14 +137,14 @@
 
     Without `versions` it only carries the digest; where the digests differ, the
     receiver answers with its versions, and each side then pulls what it lacks.
-    An empty digest asks for the answer in any case. `is_floor_known` says that
-    the sender's versions are complete, not those of a daemon that just started.
-    An answer repeats the question's `number`, so that one which waited in a
+    An empty digest asks for the answer in any case. `has_known_floor`
+    says that the sender remembers what it held, unlike a daemon that has just
+    started. An answer repeats the question's `number`, so that one which waited in a
     buffer while the asking process was paused isn't taken for news.
     """
 
     digest: bytes
-    is_floor_known: bool
+    has_known_floor: bool
     number: int = 0
     is_answer: bool = False
     versions: tuple[tuple[str, int], ...] = ()
--- a/tests/distribution/test_floor.py
+++ b/tests/distribution/test_floor.py
@@ -146,3 +146,25 @@
     network.silent = set()
     network.run_until(lambda: is_ready(network, "vm-1"))
     assert network.nodes["vm-1"].in_force["lantern"].head.version == 3
+
+
+def test_woken_and_restarted_daemons_do_not_wait_for_each_other():
+    """One of three daemons was frozen while a version spread; another restarts in
+    an outage as it wakes.
+
+    Neither knows its floor, but the woken one remembers what it held. Counting
+    only daemons that are ready, both would refuse calls until the outage ends.
+    """
+    network = started(3)
+    network.accept("vm-0", make_intent("lantern", "v1"))
+    network.run_until(lambda: network.all_in_force("lantern", 1))
+    network.silent = {"vm-1"}
+    network.accept("vm-0", make_intent("lantern", "v2"))
+    network.run(3000)
+    network.is_platform_out = True
+    network.kill("vm-0")
+    network.silent = set()
+    network.handle("vm-1", d.Paused())
+    network.start("vm-0")
+    network.run_until(lambda: is_ready(network, "vm-0") and is_ready(network, "vm-1"))
+    assert network.all_in_force("lantern", 2)
