--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -49,6 +49,7 @@
 
 from .clock import monotonic_ms, precise_ms, wall_ms
 from .configuration import ConfigurationAgent
+from .configuration_operations import add_configuration_operations
 from .counters import DaemonCounters, DaemonGauges
 from .logs import configure_logs, log_loop_error
 from .metrics import MetricsSender
@@ -141,11 +142,14 @@
         )
         operators = OperatorServer(settings.operators)
         add_operations(operators, self)
+        add_configuration_operations(operators, self)
         self.operators = HttpServer(operators.handle, ServerLimits())
         self.endpoint_table = EndpointTable()
         self.registry.on_changed = self._publish_targets
-        self.control.on_members_changed = self._renew_endpoints
+        self.control.on_members_changed = self._members_changed
+        self.control.on_paused = self.configuration.catch_up
         self.configuration.on_changed = lambda snapshot: self._renew_endpoints()
+        self.configuration.on_converged = self._count_convergence
         self._lease_task: asyncio.Task[None] | None = None
 
     @property
@@ -259,11 +263,18 @@
         self.burn.add(outcome, monotonic_ms())
         self.metrics.add(outcome)
 
+    def _count_convergence(self, customer: str, convergence_ms: int) -> None:
+        self.burn.add_convergence(customer, monotonic_ms(), convergence_ms)
+
     def _endpoints(self, compiled: CompiledRoute) -> tuple[Endpoint, ...]:
         return self.endpoint_table.endpoints(
             compiled.target_selector, compiled.customer
         )
 
+    def _members_changed(self) -> None:
+        self.configuration.members_changed()
+        self._renew_endpoints()
+
     def _renew_endpoints(self) -> None:
         self.endpoint_table = EndpointTable(
             self.directory.members(),
