--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -26,17 +26,22 @@
 PEPPERSTAIRD = (str(SCRIPTS / "pepperstaird"),)
 _PORT_RANGE = (10_000, 32_000)
 _PORTS = random.SystemRandom()
+_handed_out: set[int] = set()
 NAIVE_DAEMON = (sys.executable, "-m", "benchmarks.naive")
 
 
 def free_port() -> int:
-    """Return a port that nothing listens on now.
+    """Return a port that nothing listens on now, and never the same one twice.
 
     It lies below the range that the kernel takes ports for outgoing connections
-    from: one of those could hold the port of a killed daemon when it comes back.
+    from: one of those could hold the port of a killed daemon when it comes back,
+    and its owner would answer calls that are meant for that daemon.
     """
     while True:
         port = _PORTS.randrange(*_PORT_RANGE)
+        if port in _handed_out:
+            continue
+        _handed_out.add(port)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return port
--- a/benchmarks/intents.py
+++ b/benchmarks/intents.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from dataclasses import dataclass
 
-from .fleet import DaemonProcess, fetch
+from .fleet import DaemonProcess, fetch_async
 
 _SERVICE = """
 [[services]]
@@ -78,11 +79,24 @@
     from_version: int | None = None,
 ) -> Applied:
     """Send a document to a daemon and return what it answered."""
+    return asyncio.run(
+        apply_intent_async(daemon, customer, document, change_id, from_version)
+    )
+
+
+async def apply_intent_async(
+    daemon: DaemonProcess,
+    customer: str,
+    document: str,
+    change_id: str = "",
+    from_version: int | None = None,
+) -> Applied:
+    """Do the same on a running loop."""
     query = [f"change_id={change_id}"] if change_id else []
     if from_version is not None:
         query.append(f"from_version={from_version}")
     path = f"/v1/intent/{customer}?{'&'.join(query)}"
-    status, body = fetch(daemon.operators, "PUT", path, document.encode())
+    status, body = await fetch_async(daemon.operators, "PUT", path, document.encode())
     content = json.loads(body) if body else {}
     return Applied(
         status,
@@ -103,4 +117,11 @@
     )
 
 
-__all__ = ["Applied", "RouteSpec", "apply_intent", "intent_toml", "sized_intent"]
+__all__ = [
+    "Applied",
+    "RouteSpec",
+    "apply_intent",
+    "apply_intent_async",
+    "intent_toml",
+    "sized_intent",
+]
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -67,7 +67,8 @@
 
 
 def _dirty_mark() -> str:
-    return " with uncommitted changes" if _git("status", "--porcelain") else ""
+    changed = _git("status", "--porcelain", "--untracked-files=no")
+    return " with uncommitted changes" if changed else ""
 
 
 def _git(*arguments: str) -> str:
--- /dev/null
+++ b/tests/test_process_pause.py
@@ -0,0 +1,82 @@
+"""Real daemons that are frozen past their leases and woken."""
+
+from __future__ import annotations
+
+import asyncio
+
+from benchmarks.fleet import wait_until
+from benchmarks.intents import apply_intent
+from tests.process_fleet import (
+    CUSTOMER,
+    Told,
+    award_document,
+    call,
+    call_async,
+    put_in_force,
+    runs_of,
+    served_by,
+    start_daemons,
+    start_target,
+    wait_in_force,
+)
+
+
+def test_frozen_caller_side_serves_nothing_old_when_it_wakes(fleet):
+    """A daemon is frozen past its leases, as when its VM is paused, and wakes.
+
+    Meanwhile the route was moved, and calls have queued up in its sockets. Served
+    from the version it remembers, they would reach what was moved away.
+    """
+    daemons = start_daemons(fleet, 4)
+    start_target(fleet, daemons[1], "ledger")
+    start_target(fleet, daemons[2], "vault")
+    put_in_force(fleet, award_document("ledger"), daemons[1])
+    daemons[0].freeze()
+    applied = apply_intent(daemons[1], CUSTOMER, award_document("vault"))
+    wait_in_force(daemons[1:], applied.version)
+
+    async def call_frozen() -> list[Told]:
+        calls = [
+            asyncio.create_task(call_async(daemons[0].callers, f"frozen-{index}"))
+            for index in range(20)
+        ]
+        await asyncio.sleep(3)
+        daemons[0].wake()
+        return await asyncio.gather(*calls)
+
+    told = asyncio.run(call_frozen())
+    assert {served_by(answer) for answer in told} <= {"", "vault"}
+    wait_in_force(fleet.daemons, applied.version)
+    wait_until(lambda: served_by(call(daemons[0], "later")) == "vault", "vault")
+
+
+def test_frozen_target_side_runs_nothing_whose_deadline_passed(fleet):
+    """The daemon beside a target is frozen while calls are on their way to it.
+
+    Their callers were told that the outcome is unknown, and their deadlines pass.
+    When the daemon wakes it finds the calls in its socket: running them now would
+    book a place long after the member was told to try again.
+    """
+    daemons = start_daemons(fleet, 3)
+    target = start_target(fleet, daemons[0], "ledger")
+    put_in_force(fleet, award_document("ledger"), daemons[1])
+    assert served_by(call(daemons[1], "before")) == "ledger"
+    daemons[0].freeze()
+
+    async def call_through_others() -> list[Told]:
+        calls = [
+            call_async(
+                daemons[1 + index % 2].callers, f"frozen-{index}", timeout_ms="400"
+            )
+            for index in range(20)
+        ]
+        told = await asyncio.gather(*calls)
+        await asyncio.sleep(1.5)
+        return told
+
+    told = asyncio.run(call_through_others())
+    daemons[0].wake()
+    wait_until(lambda: served_by(call(daemons[1], "after")) == "ledger", "ledger")
+    assert {answer.status for answer in told} <= {502, 503, 504}
+    ran = [name for name in runs_of(target) if name.startswith("frozen-")]
+    assert ran == []
