Data streams that outlive their connections, and a memory of runs

A call whose stream was lost ended as unknown at once, a silent stream kept its calls until their deadlines, and a lost stream cancelled what the target was running. Now the sending side replaces a stream that is silent for two heartbeats while calls wait, and asks for its non-idempotent calls by id, at the process that took them. The receiving side runs them on, keeps the answers until the caller has them, and says 'not run' only for an id that it has never seen and will refuse from then on: a head may still be on its way on the lost stream. A Hello with a lower sequence than a later one of its process is refused. Ruled out: dropping the oldest remembered call when the memory is full, as that call could then run a second time; new ones are refused as not run instead.

Seen failing first, each with its guard taken out: a silent stream (no answer within 5 s), a run that was cancelled with its stream, an answer that came twice ('first second' after 'first '), a restarted process and a killed one that led to 'no', a late head that ran after 'no' ([1, 2] == [1], with both guards out: each alone is enough), a Hello of an earlier stream, a frame without a place, an answer for a call that is gone, a cut answer and a cut request, a body beyond its credit, a paused daemon, a reset that came with its head and left the call running for ever, and six rules of the memory.

--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/calls/run_memory.py
@@ -0,0 +1,221 @@
+"""What became of the non-idempotent calls that this process has taken.
+
+A stream can be lost after a target ran a call and before the answer arrived.
+The caller's daemon then asks by id, and must get the answer of that one run, or
+the truth about it: "not run" only where the call can never run any more.
+
+The memory is bounded by refusing new calls as not run. A call is forgotten only
+when its deadline and a margin have passed, and from then on its id and all
+lower ones of the same process count as unknown: neither run again nor denied.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from ..errors import Failure
+
+ANSWER_KEPT_MAX_BYTES: Final = 262_144
+KEPT_MAX_BYTES: Final = 4 * 1024 * 1024
+FORGET_MARGIN_MS: Final = 10_000
+N_SENDERS_MAX: Final = 4096
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Sender:
+    """The process of a daemon that sends calls."""
+
+    vm: str
+    start_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallKey:
+    """A call, wherever and however often its id arrives."""
+
+    sender: Sender
+    call_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A target's whole answer, or the failure that ended the call."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    failure: Failure | None = None
+
+    @classmethod
+    def of_failure(cls, failure: Failure) -> KeptAnswer:
+        """Return the answer of a call that failed."""
+        return cls(0, (), b"", failure)
+
+    @property
+    def n_bytes(self) -> int:
+        """Return about how much memory the answer takes."""
+        return len(self.body) + sum(len(k) + len(v) for k, v in self.headers)
+
+
+class Admission(Enum):
+    """Whether a call that arrives may run."""
+
+    TAKEN = "taken"
+    FULL = "full"
+    REPEATED = "repeated"
+
+
+class RunState(Enum):
+    """What is known of a call that is asked for."""
+
+    RUNNING = "running"
+    ANSWERED = "answered"
+    NOT_KEPT = "not_kept"
+    NEVER_RUN = "never_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Recall:
+    """The answer to a question after a call."""
+
+    state: RunState
+    answer: KeptAnswer | None = None
+
+
+@dataclass(slots=True)
+class _Run:
+    state: RunState
+    expires_ms: int
+    answer: KeptAnswer | None = None
+
+
+class RunMemory:
+    """The non-idempotent calls taken and what became of them.
+
+    >>> memory = RunMemory(n_runs_max=10)
+    >>> key = CallKey(Sender("vm-1", 7), 1)
+    >>> memory.begin(key, time_left_ms=2000, now_ms=0)
+    <Admission.TAKEN: 'taken'>
+    >>> memory.look_up(key, now_ms=5).state
+    <RunState.RUNNING: 'running'>
+    """
+
+    def __init__(self, n_runs_max: int, kept_max_bytes: int = KEPT_MAX_BYTES) -> None:
+        self._n_runs_max = n_runs_max
+        self._kept_max_bytes = kept_max_bytes
+        self._runs: dict[CallKey, _Run] = {}
+        self._expiries: list[tuple[int, int, CallKey]] = []
+        self._n_expiries = 0
+        self._forgotten_ids: dict[Sender, int] = {}
+        self._forgotten_start_id = 0
+        self.n_kept_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def begin(self, key: CallKey, time_left_ms: int, now_ms: int) -> Admission:
+        """Take a call that arrived, unless it was here before or there is no room."""
+        self._forget(now_ms)
+        if key in self._runs or self._is_forgotten(key):
+            return Admission.REPEATED
+        if len(self._runs) >= self._n_runs_max:
+            return Admission.FULL
+        if self.n_kept_bytes >= self._kept_max_bytes:
+            return Admission.FULL
+        self._add(key, RunState.RUNNING, now_ms + time_left_ms + FORGET_MARGIN_MS)
+        return Admission.TAKEN
+
+    def finish(self, key: CallKey, answer: KeptAnswer | None) -> None:
+        """Note that a run is over; None where its answer was too large to keep."""
+        run = self._runs[key]
+        if answer is None or answer.n_bytes > ANSWER_KEPT_MAX_BYTES:
+            run.state = RunState.NOT_KEPT
+            return
+        run.state = RunState.ANSWERED
+        run.answer = answer
+        self.n_kept_bytes += answer.n_bytes
+
+    def release(self, key: CallKey) -> None:
+        """Drop an answer that its caller has; that the call ran is still known."""
+        run = self._runs.get(key)
+        if run is not None and run.state is RunState.ANSWERED:
+            self._drop_answer(run)
+            run.state = RunState.NOT_KEPT
+
+    def look_up(self, key: CallKey, now_ms: int) -> Recall:
+        """Return what became of a call.
+
+        A call that never arrived is marked on being asked for: its head may
+        still be on its way on the lost stream, and would run after the caller
+        was told that it had not.
+        """
+        self._forget(now_ms)
+        run = self._runs.get(key)
+        if run is not None:
+            return Recall(run.state, run.answer)
+        if self._is_forgotten(key) or len(self._runs) >= 2 * self._n_runs_max:
+            return Recall(RunState.UNKNOWN)
+        self._add(key, RunState.NEVER_RUN, now_ms + FORGET_MARGIN_MS)
+        return Recall(RunState.NEVER_RUN)
+
+    def _add(self, key: CallKey, state: RunState, expires_ms: int) -> None:
+        self._runs[key] = _Run(state, expires_ms)
+        self._n_expiries += 1
+        heapq.heappush(self._expiries, (expires_ms, self._n_expiries, key))
+
+    def _forget(self, now_ms: int) -> None:
+        """Forget the calls that are over and whose deadlines are long past."""
+        for key in list(self._iter_expired(now_ms)):
+            run = self._runs[key]
+            if run.state is RunState.RUNNING:
+                self._n_expiries += 1
+                later_ms = now_ms + FORGET_MARGIN_MS
+                heapq.heappush(self._expiries, (later_ms, self._n_expiries, key))
+                continue
+            self._drop_answer(run)
+            del self._runs[key]
+            self._note_forgotten(key)
+
+    def _iter_expired(self, now_ms: int) -> Iterator[CallKey]:
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            yield heapq.heappop(self._expiries)[2]
+
+    def _drop_answer(self, run: _Run) -> None:
+        if run.answer is not None:
+            self.n_kept_bytes -= run.answer.n_bytes
+            run.answer = None
+
+    def _note_forgotten(self, key: CallKey) -> None:
+        ids = self._forgotten_ids
+        ids[key.sender] = max(ids.pop(key.sender, 0), key.call_id)
+        if len(ids) > N_SENDERS_MAX:
+            oldest = next(iter(ids))
+            del ids[oldest]
+            self._forgotten_start_id = max(self._forgotten_start_id, oldest.start_id)
+
+    def _is_forgotten(self, key: CallKey) -> bool:
+        forgotten_id = self._forgotten_ids.get(key.sender)
+        if forgotten_id is None:
+            return key.sender.start_id <= self._forgotten_start_id
+        return key.call_id <= forgotten_id
+
+
+__all__ = [
+    "ANSWER_KEPT_MAX_BYTES",
+    "FORGET_MARGIN_MS",
+    "KEPT_MAX_BYTES",
+    "Admission",
+    "CallKey",
+    "KeptAnswer",
+    "Recall",
+    "RunMemory",
+    "RunState",
+    "Sender",
+]
--- a/packages/pepperstair-core/pepperstair_core/wire/data.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/data.py
@@ -104,12 +104,24 @@
     """Asks what became of a call whose stream was lost.
 
     The receiver sends the kept answer, or keeps the asker waiting for the run
-    in progress, or fails the call as not run where it never saw it.
+    in progress, or fails the call: as not run where it never came and would be
+    refused if it still did, otherwise as unknown.
     """
 
     call_id: int
 
 
+@frame(48)
+@dataclass(frozen=True, slots=True)
+class CallsDone:
+    """Says that the sender has the whole answers of some calls.
+
+    The receiver need not keep them any longer; they go with the heartbeats.
+    """
+
+    call_ids: tuple[int, ...]
+
+
 DataFrame = (
     Hello
     | Welcome
@@ -122,6 +134,7 @@
     | CallFailed
     | Reset
     | CallQuery
+    | CallsDone
 )
 
 __all__ = [
@@ -133,6 +146,7 @@
     "CallFailed",
     "CallHead",
     "CallQuery",
+    "CallsDone",
     "Credit",
     "DataFrame",
     "Headers",
--- a/packages/pepperstair-peers/pepperstair_peers/__init__.py
+++ b/packages/pepperstair-peers/pepperstair_peers/__init__.py
@@ -4,7 +4,7 @@
 
 from .control import ControlPlane
 from .counters import FrameCounters, SentFrames
-from .data import CallClient, CallRunner, CallServer
+from .data import CallClient, CallRunner, CallServer, TargetLoad
 from .identity import Identity
 from .listener import PeerListener
 from .stream import FrameStream, open_stream
@@ -19,5 +19,6 @@
     "Identity",
     "PeerListener",
     "SentFrames",
+    "TargetLoad",
     "open_stream",
 ]
--- a/packages/pepperstair-peers/pepperstair_peers/counters.py
+++ b/packages/pepperstair-peers/pepperstair_peers/counters.py
@@ -23,6 +23,9 @@
 class FrameCounters:
     """Frames sent on all streams of one kind, control or data.
 
+    `n_rejected` counts the frames for which a stream that was dialled from here
+    had to be closed.
+
     >>> counters = FrameCounters()
     >>> counters.add(Heartbeat(1), 4)
     >>> dict(counters.iter_named("control"))["n_control_sent_bytes_heartbeat"]
@@ -31,6 +34,7 @@
 
     def __init__(self) -> None:
         self._sent: dict[type, SentFrames] = {}
+        self.n_rejected = 0
 
     def add(self, frame: Any, n_bytes: int) -> None:
         """Count a frame that is being sent."""
--- a/packages/pepperstair-peers/pepperstair_peers/data/__init__.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .client import CallClient
+from .link import TargetLoad
 from .server import CallRunner, CallServer
 
-__all__ = ["CallClient", "CallRunner", "CallServer"]
+__all__ = ["CallClient", "CallRunner", "CallServer", "TargetLoad"]
--- a/packages/pepperstair-peers/pepperstair_peers/data/server.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/server.py
@@ -4,139 +4,265 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Final
 
 import structlog
 
-from pepperstair_core.errors import ErrorKind, Failure, PepperstairError
+from pepperstair_core.calls.run_memory import (
+    Admission,
+    CallKey,
+    KeptAnswer,
+    RunMemory,
+    RunState,
+    Sender,
+)
+from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
 from pepperstair_core.events import Event
 from pepperstair_core.wire import (
-    AnswerHead,
-    BodyEnd,
-    BodyPart,
-    CallFailed,
     CallHead,
-    Credit,
+    CallQuery,
+    CallsDone,
+    FrameError,
+    Heartbeat,
     Hello,
-    Reset,
 )
 from pepperstair_http import BodyBuffer, ConnectionLostError, StreamedResponse
 
 from ..stream import FrameStream
-from .sending import CreditGate, send_body
+from .fence import StreamFence
+from .incoming import IncomingCall, failed, send_kept
 
 log = structlog.get_logger(__name__)
 
 CallRunner = Callable[[CallHead, BodyBuffer], Awaitable[StreamedResponse]]
+Loads = tuple[tuple[str, int, int], ...]
+
+_ACTIVE_HEARTBEATS: Final = 5
+_ABANDONED_HEARTBEATS: Final = 120
+_RETRY_AFTER_MS: Final = 1000
+
+_ANSWERS: Final = {
+    RunState.NOT_KEPT: Failure(
+        ErrorKind.OUTCOME_UNKNOWN, "it ran, its answer was not kept", run=Run.YES
+    ),
+    RunState.NEVER_RUN: Failure(
+        ErrorKind.PEER_UNREACHABLE, "the request never arrived", run=Run.NO
+    ),
+    RunState.UNKNOWN: Failure(ErrorKind.OUTCOME_UNKNOWN, "the call is forgotten"),
+}
 
 
-class _IncomingCall:
-    """One call taken from another daemon."""
+class _IncomingStream:
+    """A data stream that another daemon opened, and the calls on it."""
 
-    __slots__ = ("body", "credit", "task")
+    def __init__(self, stream: FrameStream, hello: Hello, now_ms: int) -> None:
+        self.stream = stream
+        self.sender = Sender(hello.vm, hello.start_id)
+        self.calls: dict[int, IncomingCall] = {}
+        self.active_ms = now_ms
 
-    def __init__(self, body: BodyBuffer) -> None:
-        self.body = body
-        self.credit = CreditGate()
-        self.task: asyncio.Task[None] | None = None
+    def lose(self) -> None:
+        """Let the calls know that their stream is gone."""
+        calls = list(self.calls.values())
+        self.calls.clear()
+        for call in calls:
+            if call.asker is self.stream:
+                call.asker = None
+            if call.stream is self.stream:
+                call.lose()
 
 
 class CallServer:
-    """Runs the calls of every incoming data stream."""
+    """Runs the calls of every incoming data stream.
 
-    def __init__(self, run: CallRunner) -> None:
+    `loads` returns the requests that each local target has in flight and
+    waiting; they go with the heartbeats. `was_paused` returns whether this
+    process was paused until just now.
+    """
+
+    def __init__(
+        self,
+        run: CallRunner,
+        n_runs_max: int,
+        heartbeat_ms: int,
+        clock_ms: Callable[[], int],
+    ) -> None:
         self._run = run
+        self._heartbeat_ms = heartbeat_ms
+        self._clock_ms = clock_ms
+        self._memory = RunMemory(n_runs_max)
+        self._fence = StreamFence()
+        self._streams: dict[Sender, _IncomingStream] = {}
+        self._running: dict[CallKey, IncomingCall] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self.loads: Callable[[], Loads] = lambda: ()
+        self.was_paused: Callable[[], bool] = lambda: False
         self.n_calls = 0
+        self.n_dropped_frames = 0
+
+    @property
+    def n_in_flight(self) -> int:
+        """Return the calls whose answers are not sent yet."""
+        return len(self._running)
 
     def take_stream(self, stream: FrameStream, hello: Hello) -> None:
-        """Serve the calls that arrive on a stream."""
-        calls: dict[int, _IncomingCall] = {}
+        """Serve the calls that arrive on a stream, in place of an earlier one."""
+        incoming = _IncomingStream(stream, hello, self._clock_ms())
+        if not self._fence.admit(incoming.sender, hello.sequence):
+            stream.close()
+            return
+        self._drop(incoming.sender)
+        self._streams[incoming.sender] = incoming
+        stream.may_read = lambda: not self.was_paused()
+        stream.on_frame = lambda frame: self._on_frame(incoming, frame)
+        stream.closed_callbacks.append(lambda reason: self._on_closed(incoming))
+        if self._timer is None:
+            self._schedule()
 
-        def on_frame(frame: Any) -> None:
-            if isinstance(frame, CallHead):
-                self._start(stream, calls, frame)
-                return
-            call = calls.get(getattr(frame, "call_id", 0))
-            if call is not None:
-                _take_frame(call, frame)
+    def reset_streams(self) -> None:
+        """Break every stream unread, after a pause of this process.
 
-        def on_closed(reason: str) -> None:
-            for call in calls.values():
-                call.task.cancel()
+        What the kernel kept meanwhile are calls whose callers have long given
+        up; run now, a booking would be made that its caller was told of as
+        unknown and has made elsewhere.
+        """
+        for sender in list(self._streams):
+            self._drop(sender)
 
-        stream.on_frame = on_frame
-        stream.closed_callbacks.append(on_closed)
+    def close(self) -> None:
+        """Stop the heartbeats."""
+        if self._timer is not None:
+            self._timer.cancel()
 
-    def _start(
-        self, stream: FrameStream, calls: dict[int, _IncomingCall], head: CallHead
-    ) -> None:
-        call_id = head.call_id
-        body = BodyBuffer(lambda n: stream.send(Credit(call_id, n)))
-        if not head.has_body:
-            body.finish()
-        call = _IncomingCall(body)
-        calls[call_id] = call
+    def _drop(self, sender: Sender) -> None:
+        incoming = self._streams.pop(sender, None)
+        if incoming is not None:
+            incoming.stream.close()
+            incoming.lose()
+
+    def _on_closed(self, incoming: _IncomingStream) -> None:
+        if self._streams.get(incoming.sender) is incoming:
+            del self._streams[incoming.sender]
+        incoming.lose()
+
+    def _on_frame(self, incoming: _IncomingStream, frame: Any) -> None:
+        if isinstance(frame, CallHead):
+            incoming.active_ms = self._clock_ms()
+            self._start(incoming, frame)
+        elif isinstance(frame, CallQuery):
+            incoming.active_ms = self._clock_ms()
+            self._answer_query(incoming, frame.call_id)
+        elif isinstance(frame, CallsDone):
+            for call_id in frame.call_ids:
+                self._memory.release(CallKey(incoming.sender, call_id))
+        elif (call_id := getattr(frame, "call_id", None)) is None:
+            raise FrameError(f"{type(frame).__name__} has no place on a data stream")
+        elif (call := incoming.calls.get(call_id)) is not None:
+            call.take(frame)
+        else:
+            self.n_dropped_frames += 1
+
+    def _start(self, incoming: _IncomingStream, head: CallHead) -> None:
+        key = CallKey(incoming.sender, head.call_id)
+        if not head.is_idempotent:
+            refusal = self._admit(key, head.time_left_ms)
+            if refusal is not None:
+                incoming.stream.send(failed(head.call_id, refusal))
+                return
+        call = IncomingCall(key, head, incoming.stream)
+        incoming.calls[head.call_id] = call
+        self._running[key] = call
         self.n_calls += 1
-        loop = asyncio.get_running_loop()
-        call.task = loop.create_task(self._answer(stream, head, call))
-        call.task.add_done_callback(lambda done: calls.pop(call_id, None))
+        call.task = asyncio.get_running_loop().create_task(self._answer(call))
+        # A callback, as a call that is reset before its task has taken the
+        # first step never enters the coroutine, and would be remembered as
+        # running for ever.
+        call.task.add_done_callback(lambda done: self._end(incoming, call))
 
-    async def _answer(
-        self, stream: FrameStream, head: CallHead, call: _IncomingCall
-    ) -> None:
-        call_id = head.call_id
+    def _admit(self, key: CallKey, time_left_ms: int) -> Failure | None:
+        """Remember a non-idempotent call, or say why it may not run."""
+        admission = self._memory.begin(key, time_left_ms, self._clock_ms())
+        if admission is Admission.TAKEN:
+            return None
+        if admission is Admission.FULL:
+            detail = "too many calls to remember"
+            return Failure(ErrorKind.OVERLOADED, detail, _RETRY_AFTER_MS, Run.NO)
+        return Failure(ErrorKind.OUTCOME_UNKNOWN, "the call came before")
+
+    def _end(self, incoming: _IncomingStream, call: IncomingCall) -> None:
+        """Keep the answer of a call that is over, and send it to who asked."""
+        call_id = call.head.call_id
+        incoming.calls.pop(call_id, None)
+        del self._running[call.key]
+        if not call.is_remembered:
+            return
+        kept = call.kept
+        if call.task.cancelled():
+            kept = KeptAnswer.of_failure(Failure(ErrorKind.CANCELLED))
+        self._memory.finish(call.key, kept)
+        if call.asker is not None:
+            self._streams[incoming.sender].calls.pop(call_id, None)
+            self._send_recalled(call.asker, call.key)
+
+    async def _answer(self, call: IncomingCall) -> None:
+        """Run a call and send its answer, or the failure that ended it."""
+        call.kept = await self._run_and_relay(call)
+
+    async def _run_and_relay(self, call: IncomingCall) -> KeptAnswer | None:
         try:
-            response = await self._run(head, call.body)
+            response = await self._run(call.head, call.body)
             try:
-                await self._send_response(stream, call_id, call, response)
+                return await call.relay(response)
             finally:
                 response.cancel()
         except PepperstairError as error:
-            stream.send(_failed(call_id, error.failure))
+            failure = error.failure
         except ConnectionLostError as error:
             failure = Failure(ErrorKind.TARGET_FAILED, str(error))
-            stream.send(_failed(call_id, failure))
-        except ConnectionResetError:
-            return
         except Exception:
-            log.exception(Event.INTERNAL_ERROR, call_id=call_id)
-            stream.send(_failed(call_id, Failure(ErrorKind.INTERNAL)))
+            log.exception(Event.INTERNAL_ERROR, call_id=call.head.call_id)
+            failure = Failure(ErrorKind.INTERNAL)
+        call.send(failed(call.head.call_id, failure))
+        return KeptAnswer.of_failure(failure)
 
-    async def _send_response(
-        self,
-        stream: FrameStream,
-        call_id: int,
-        call: _IncomingCall,
-        response: StreamedResponse,
-    ) -> None:
-        """Send the answer, in one write where its body is here already."""
-        head = AnswerHead(call_id, response.status, response.headers)
-        part = response.body.read_nowait()
-        if response.body.is_empty and call.credit.take_nowait(len(part)):
-            stream.send(head, BodyPart(call_id, part), BodyEnd(call_id))
+    def _answer_query(self, incoming: _IncomingStream, call_id: int) -> None:
+        key = CallKey(incoming.sender, call_id)
+        call = self._running.get(key)
+        if call is None:
+            self._send_recalled(incoming.stream, key)
             return
-        stream.send(head)
-        if part:
-            await call.credit.take(len(part))
-            stream.send(BodyPart(call_id, part))
-        await send_body(stream, call_id, response.body, call.credit)
+        call.asker = incoming.stream
+        incoming.calls[call_id] = call
 
+    def _send_recalled(self, stream: FrameStream, key: CallKey) -> None:
+        """Send what is known of a call that is over, or never was."""
+        recall = self._memory.look_up(key, self._clock_ms())
+        if recall.answer is not None:
+            send_kept(stream, key.call_id, recall.answer)
+        else:
+            stream.send(failed(key.call_id, _ANSWERS[recall.state]))
 
-def _take_frame(call: _IncomingCall, frame: Any) -> None:
-    if isinstance(frame, BodyPart):
-        call.body.feed(frame.data)
-    elif isinstance(frame, BodyEnd):
-        call.body.finish()
-    elif isinstance(frame, Credit):
-        call.credit.add(frame.n_bytes)
-    elif isinstance(frame, Reset):
-        call.task.cancel()
+    def _schedule(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._heartbeat_ms / 1000, self._beat)
 
+    def _beat(self) -> None:
+        """Say on each stream in use that this process lives, and how loaded it is.
 
-def _failed(call_id: int, failure: Failure) -> CallFailed:
-    return CallFailed(
-        call_id, failure.kind, failure.has_run, failure.detail, failure.retry_after_ms
-    )
+        Streams that carried no call lately get nothing, as each daemon may have
+        one to every other one.
+        """
+        now_ms = self._clock_ms()
+        heartbeat = Heartbeat(0, self.loads())
+        active_ms = _ACTIVE_HEARTBEATS * self._heartbeat_ms
+        abandoned_ms = _ABANDONED_HEARTBEATS * self._heartbeat_ms
+        for incoming in list(self._streams.values()):
+            idle_ms = now_ms - incoming.active_ms
+            if incoming.calls or idle_ms < active_ms:
+                incoming.stream.send(heartbeat)
+            elif idle_ms > abandoned_ms:
+                incoming.stream.close()
+        self._schedule()
 
 
-__all__ = ["CallRunner", "CallServer"]
+__all__ = ["CallRunner", "CallServer", "Loads"]
--- a/packages/pepperstair-peers/pepperstair_peers/dialling.py
+++ b/packages/pepperstair-peers/pepperstair_peers/dialling.py
@@ -10,6 +10,7 @@
 import structlog
 
 from pepperstair_core.config import parse_address
+from pepperstair_core.events import Event
 from pepperstair_core.wire import StreamKind, Welcome
 
 from .counters import FrameCounters
@@ -65,6 +66,9 @@
                 welcomed.set_result(None)
 
         def on_closed(reason: str) -> None:
+            if reason:
+                self.counters.n_rejected += 1
+                log.warning(Event.FRAME_REJECTED, reason=reason)
             if not welcomed.done():
                 welcomed.set_exception(ConnectionResetError("closed unwelcomed"))
 
--- a/packages/pepperstair-peers/pepperstair_peers/stream.py
+++ b/packages/pepperstair-peers/pepperstair_peers/stream.py
@@ -19,9 +19,11 @@
 class FrameStream(asyncio.Protocol):
     """Sends and receives frames; the owner sets the two callbacks.
 
-    `on_frame` is called for each frame. Every function in `closed_callbacks` is
-    called once, with the reason where the stream was closed for undecodable or
-    oversized frames.
+    `on_frame` is called for each frame, and may raise FrameError for one that
+    has no place on the stream. `may_read` is asked before bytes that arrived are
+    looked at; where it says no, its owner has closed the stream. Every function
+    in `closed_callbacks` is called once, with the reason where the stream was
+    closed for undecodable or oversized frames.
     """
 
     def __init__(
@@ -36,7 +38,7 @@
         self.on_frame: Callable[[Any], None] = lambda frame: None
         self.closed_callbacks: list[Callable[[str], None]] = []
         self.n_received_bytes = 0
-        self.last_heard_ms = 0
+        self.may_read: Callable[[], bool] = lambda: True
 
     @property
     def is_closed(self) -> bool:
@@ -48,6 +50,8 @@
         self._on_opened(self)
 
     def data_received(self, data: bytes) -> None:
+        if not self.may_read():
+            return
         self.n_received_bytes += len(data)
         try:
             for frame in self._decoder.feed(data):
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -72,8 +72,15 @@
             self.identity,
             settings.peers.frame_max_bytes,
             self.frame_counters[StreamKind.DATA],
+            settings.members.heartbeat_ms,
+            monotonic_ms,
+        )
+        self.call_server = CallServer(
+            self.runner.run,
+            settings.calls.n_remembered_runs_max,
+            settings.members.heartbeat_ms,
+            monotonic_ms,
         )
-        self.call_server = CallServer(self.runner.run)
         self.control = ControlPlane(
             self.identity,
             self.directory,
@@ -93,6 +100,8 @@
             },
             self.frame_counters,
         )
+        self.call_server.was_paused = self.control.check_pause
+        self.control.on_paused = self._on_paused
         self.proxy = Proxy(self._proxy_context())
         self.callers = HttpServer(
             self.proxy.handle,
@@ -118,8 +127,14 @@
 
     def is_ready(self) -> bool:
         """Return whether the daemon may carry calls."""
+        self.control.check_pause()
         return self.configuration.is_floor_known
 
+    def _on_paused(self) -> None:
+        """Stop carrying calls until the configuration has caught up."""
+        self.configuration.is_floor_known = False
+        self.call_server.reset_streams()
+
     def counters(self) -> dict[str, int]:
         """Return the counts that `status` and the metrics show."""
         return {
@@ -158,12 +173,13 @@
         self.callers.stop_listening()
         self.control.leave()
         deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
-        while self.runner.n_in_flight and monotonic_ms() < deadline_ms:
+        while self._is_busy() and monotonic_ms() < deadline_ms:
             await asyncio.sleep(0.02)
         self._lease_task.cancel()
         self.configuration.close()
         self.control.close()
         self.call_client.close()
+        self.call_server.close()
         self.listener.close()
         self.runner.close()
         self.callers.close()
@@ -171,6 +187,11 @@
         self.platform.close()
         log.info(Event.STOPPED)
 
+    def _is_busy(self) -> bool:
+        """Return whether calls are in flight, here or through this daemon."""
+        parts = (self.runner, self.call_server, self.call_client)
+        return any(part.n_in_flight for part in parts)
+
     def _proxy_context(self) -> ProxyContext:
         return ProxyContext(
             vm=self.settings.vm.name,
