--- a/packages/pepperstair-peers/pepperstair_peers/__init__.py
+++ b/packages/pepperstair-peers/pepperstair_peers/__init__.py
@@ -4,7 +4,7 @@
 
 from .control import ControlPlane
 from .counters import FrameCounters, SentFrames
-from .data import CallClient, CallRunner, CallServer, TargetLoad
+from .data import CallClient, CallRunner, CallServer
 from .identity import Identity
 from .listener import PeerListener
 from .stream import FrameStream, open_stream
@@ -19,6 +19,5 @@
     "Identity",
     "PeerListener",
     "SentFrames",
-    "TargetLoad",
     "open_stream",
 ]
--- a/packages/pepperstair-peers/pepperstair_peers/data/__init__.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/__init__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from .client import CallClient
-from .link import TargetLoad
 from .server import CallRunner, CallServer
 
-__all__ = ["CallClient", "CallRunner", "CallServer", "TargetLoad"]
+__all__ = ["CallClient", "CallRunner", "CallServer"]
--- a/packages/pepperstair-peers/pepperstair_peers/data/client.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/client.py
@@ -7,13 +7,14 @@
 
 import structlog
 
+from pepperstair_core.calls import Load
 from pepperstair_core.wire import CallHead, StreamKind
 from pepperstair_http import BodyBuffer, StreamedResponse
 
 from ..counters import FrameCounters
 from ..dialling import Dialler
 from ..identity import Identity
-from .link import PeerLink, TargetLoad
+from .link import PeerLink
 
 log = structlog.get_logger(__name__)
 
@@ -68,7 +69,7 @@
                 self._schedule()
         return await link.run(head, body)
 
-    def load_of(self, peer_address: str, target: str) -> TargetLoad | None:
+    def load_of(self, peer_address: str, target: str) -> Load | None:
         """Return what a daemon last said about one of its targets."""
         link = self._links.get(peer_address)
         return None if link is None else link.loads.get(target)
--- a/packages/pepperstair-peers/pepperstair_peers/data/link.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/link.py
@@ -4,11 +4,11 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, Final
 
 import structlog
 
+from pepperstair_core.calls import Load
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
 from pepperstair_core.wire import (
     CallHead,
@@ -33,15 +33,6 @@
 _IDS_MAX: Final = 4096
 
 
-@dataclass(frozen=True, slots=True)
-class TargetLoad:
-    """What a daemon last said about one of its targets, and when."""
-
-    n_in_flight: int
-    n_queued: int
-    heard_ms: int
-
-
 class PeerLink:
     """Sends calls to one daemon and recovers them when a stream is lost.
 
@@ -69,7 +60,7 @@
         self._n_heard_bytes = 0
         self._heard_ms = 0
         self._used_ms = clock_ms()
-        self.loads: dict[str, TargetLoad] = {}
+        self.loads: dict[str, Load] = {}
         self.n_dropped_frames = 0
         self.n_replaced_streams = 0
 
@@ -132,7 +123,7 @@
         for call in calls:
             call.fail(Failure(ErrorKind.OUTCOME_UNKNOWN, "this daemon is stopping"))
         if self._stream is not None:
-            self._stream.close()
+            self._stream.finish()
 
     @property
     def _is_open(self) -> bool:
@@ -212,9 +203,8 @@
                 self._done_ids.append(call_id)
 
     def _take_loads(self, frame: Heartbeat) -> None:
-        now_ms = self._clock_ms()
         self.loads = {
-            name: TargetLoad(n_in_flight, n_queued, now_ms)
+            name: Load(n_in_flight, n_queued)
             for name, n_in_flight, n_queued in frame.loads
         }
 
@@ -282,4 +272,4 @@
     return PepperstairError(Failure(ErrorKind.PEER_UNREACHABLE, detail, run=Run.NO))
 
 
-__all__ = ["PeerLink", "TargetLoad"]
+__all__ = ["PeerLink"]
--- a/packages/pepperstair-peers/pepperstair_peers/stream.py
+++ b/packages/pepperstair-peers/pepperstair_peers/stream.py
@@ -9,14 +9,14 @@
 import structlog
 
 from pepperstair_core.wire import FrameDecoder, FrameError, encode_frame
-from pepperstair_http import WriteGate
+from pepperstair_http import ReceivingProtocol, WriteGate
 
 from .counters import FrameCounters
 
 log = structlog.get_logger(__name__)
 
 
-class FrameStream(asyncio.Protocol):
+class FrameStream(ReceivingProtocol):
     """Sends and receives frames; the owner sets the two callbacks.
 
     `on_frame` is called for each frame, and may raise FrameError for one that
@@ -87,6 +87,11 @@
             self.counters.add(frame, len(data))
         self._transport.write(b"".join(encoded))
 
+    def finish(self) -> None:
+        """Close the stream once what was sent on it has left this process."""
+        if self._transport is not None:
+            self._transport.close()
+
     def close(self) -> None:
         """Break the stream."""
         if self._transport is not None:
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -10,12 +10,26 @@
 import structlog
 
 from pepperstair_callers import Proxy, ProxyContext
+from pepperstair_core.calls import Load, RetryBudget, TargetChooser
 from pepperstair_core.config import Settings, parse_address
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.events import Event
-from pepperstair_core.members import Member, MemberState, label_items
+from pepperstair_core.intent import Policy
+from pepperstair_core.members import (
+    Member,
+    MemberState,
+    Target,
+    TargetState,
+    label_items,
+)
 from pepperstair_core.membership import MemberDirectory
-from pepperstair_core.routing import CompiledRoute, Endpoint, EndpointTable
+from pepperstair_core.policies import DEFAULT_POLICY
+from pepperstair_core.routing import (
+    CompiledRoute,
+    Endpoint,
+    EndpointTable,
+    effective_labels,
+)
 from pepperstair_core.wire import CallHead, StreamKind
 from pepperstair_http import BodyBuffer, HttpServer, ServerLimits, StreamedResponse
 from pepperstair_operators import OperatorServer
@@ -30,7 +44,7 @@
 from pepperstair_platform import Platform
 from pepperstair_targets import TargetRegistry, TargetRunner
 
-from .clock import monotonic_ms, wall_ms
+from .clock import monotonic_ms, precise_ms, wall_ms
 from .configuration import ConfigurationAgent
 from .logs import configure_logs
 from .operations import add_operations
@@ -38,6 +52,9 @@
 log = structlog.get_logger(__name__)
 
 _LEASE_CHECK_S = 0.25
+_DRAIN_CHECK_S = 0.02
+_FLUSH_S = 0.1
+_NOTICE_S = 0.4
 
 
 class Daemon:
@@ -62,11 +79,12 @@
             )
         )
         self.platform = Platform(settings.platform)
-        self.configuration = ConfigurationAgent(
-            self.platform, settings.platform, settings.vm.labels
-        )
         self.registry = TargetRegistry(settings.members.target_lease_ms)
-        self.runner = TargetRunner(self.registry)
+        self.runner = TargetRunner(
+            self.registry, precise_ms, self._policy_of, self.decisions
+        )
+        self.chooser = TargetChooser(settings.vm.availability_zone, self.rng)
+        self.retry_budget = RetryBudget()
         self.frame_counters = {kind: FrameCounters() for kind in StreamKind}
         self.call_client = CallClient(
             self.identity,
@@ -91,6 +109,14 @@
             self.rng,
             monotonic_ms,
         )
+        self.configuration = ConfigurationAgent(
+            self.platform,
+            settings.platform,
+            self.control,
+            self.directory,
+            self.decisions,
+            self.rng,
+        )
         self.listener = PeerListener(
             self.identity,
             settings.peers.frame_max_bytes,
@@ -100,6 +126,7 @@
             },
             self.frame_counters,
         )
+        self.call_server.loads = self.runner.loads
         self.call_server.was_paused = self.control.check_pause
         self.control.on_paused = self._on_paused
         self.proxy = Proxy(self._proxy_context())
@@ -116,23 +143,26 @@
         self.operators = HttpServer(operators.handle, ServerLimits())
         self.endpoint_table = EndpointTable()
         self.registry.on_changed = self._publish_targets
-        self.control.on_members_changed = self._renew_endpoints
         self.configuration.on_changed = lambda snapshot: self._renew_endpoints()
         self._lease_task: asyncio.Task[None] | None = None
 
     @property
     def ready_by(self) -> str:
         """Return how the daemon became ready, or an empty string."""
-        return "platform" if self.is_ready() else ""
+        return self.configuration.reached_by
 
     def is_ready(self) -> bool:
         """Return whether the daemon may carry calls."""
         self.control.check_pause()
         return self.configuration.is_floor_known
 
+    def _on_members_changed(self) -> None:
+        self.configuration.members_changed()
+        self._renew_endpoints()
+
     def _on_paused(self) -> None:
         """Stop carrying calls until the configuration has caught up."""
-        self.configuration.is_floor_known = False
+        self.configuration.catch_up()
         self.call_server.reset_streams()
 
     def counters(self) -> dict[str, int]:
@@ -145,6 +175,7 @@
             "n_streams_rejected": self.listener.n_rejected,
             "n_platform_reads": self.platform.counters.n_reads,
             "n_platform_writes": self.platform.counters.n_writes,
+            **self.configuration.counters(),
             **self._frame_counts(),
         }
 
@@ -161,20 +192,20 @@
         await self.operators.listen(*parse_address(settings.operators.address))
         await self.listener.listen(*parse_address(settings.peers.address))
         await self.callers.listen(*parse_address(settings.callers.address))
-        self.control.start()
         self.configuration.start()
+        self.control.on_members_changed = self._on_members_changed
+        self.control.start()
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
 
     async def stop(self) -> None:
         """Finish what is in flight, refuse the rest as not run, then close."""
         log.info(Event.STOPPING)
-        self.runner.is_draining = True
-        self.callers.stop_listening()
+        self.runner.drain()
+        self._publish_targets()
+        self.callers.drain()
         self.control.leave()
-        deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
-        while self._is_busy() and monotonic_ms() < deadline_ms:
-            await asyncio.sleep(0.02)
+        await self._wait_for_calls()
         self._lease_task.cancel()
         self.configuration.close()
         self.control.close()
@@ -187,9 +218,26 @@
         self.platform.close()
         log.info(Event.STOPPED)
 
+    async def _wait_for_calls(self) -> None:
+        """Return once no call is in flight, or when the drain timeout ends.
+
+        Other daemons need a moment to hear that this one leaves. A call that
+        they send meanwhile is refused as not run; on a stream that is closed
+        already, its outcome would be unknown to its caller.
+        """
+        deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
+        await asyncio.sleep(min(_NOTICE_S, self.settings.calls.drain_timeout_ms / 1000))
+        while monotonic_ms() < deadline_ms:
+            if not self._is_busy():
+                # The last answers may still stand in the buffers of their
+                # connections; closing those now would cut them.
+                await asyncio.sleep(_FLUSH_S)
+                return
+            await asyncio.sleep(_DRAIN_CHECK_S)
+
     def _is_busy(self) -> bool:
         """Return whether calls are in flight, here or through this daemon."""
-        parts = (self.runner, self.call_server, self.call_client)
+        parts = (self.runner, self.proxy, self.call_server, self.call_client)
         return any(part.n_in_flight for part in parts)
 
     def _proxy_context(self) -> ProxyContext:
@@ -197,23 +245,46 @@
             vm=self.settings.vm.name,
             route_table=lambda: self.configuration.route_table,
             endpoints=self._endpoints,
-            choose=self._choose,
+            chooser=self.chooser,
+            load_of=self._load_of,
             carry=self._carry,
             is_ready=self.is_ready,
+            is_draining=lambda: self.runner.is_draining,
             on_outcome=lambda outcome: None,
+            decisions=self.decisions,
+            budget=self.retry_budget,
+            retry_budget_percent=self.settings.calls.retry_budget_percent,
+            now_ms=precise_ms,
+            rng=self.rng,
             body_max_bytes=self.settings.callers.body_max_bytes,
         )
 
     def _endpoints(self, compiled: CompiledRoute) -> tuple[Endpoint, ...]:
-        return self.endpoint_table.endpoints(compiled.target_selector)
+        return self.endpoint_table.endpoints(
+            compiled.target_selector, compiled.customer
+        )
 
     def _renew_endpoints(self) -> None:
         self.endpoint_table = EndpointTable(
-            self.directory.members(), self.configuration.overrides
+            self.directory.members(),
+            self.configuration.overrides,
+            self.configuration.route_table.policies,
         )
 
-    def _choose(self, endpoints: list[Endpoint]) -> Endpoint | None:
-        return self.rng.choice(endpoints) if endpoints else None
+    def _load_of(self, endpoint: Endpoint) -> Load | None:
+        """Return the load of a target: exact beside it, else as last reported."""
+        if endpoint.vm == self.settings.vm.name:
+            return self.runner.load_of(endpoint.target.name)
+        return self.call_client.load_of(endpoint.peer_address, endpoint.target.name)
+
+    def _policy_of(self, customer: str, target: Target) -> Policy:
+        policies = self.configuration.route_table.policies
+        if not policies.policies:
+            return DEFAULT_POLICY
+        labels = effective_labels(
+            self.settings.vm.name, target, self.configuration.overrides
+        )
+        return policies.find(customer, labels)
 
     async def _carry(
         self, endpoint: Endpoint, head: CallHead, body: BodyBuffer
@@ -223,10 +294,14 @@
         return await self.call_client.run(endpoint.peer_address, head, body)
 
     def _publish_targets(self) -> None:
+        self.runner.follow_registry()
+        targets = self.registry.targets()
+        if self.runner.is_draining:
+            targets = tuple(
+                replace(target, state=TargetState.DRAINING) for target in targets
+            )
         own = self.directory.own()
-        self.control.publish(
-            replace(own, sequence=own.sequence + 1, targets=self.registry.targets())
-        )
+        self.control.publish(replace(own, sequence=own.sequence + 1, targets=targets))
         self._renew_endpoints()
 
     async def _check_leases(self) -> None:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -81,6 +81,7 @@
         """Break every stream and stop listening, as the end of a process does."""
         self.listener.close()
         self.calls.close()
+        self.calls.reset_streams()
 
     async def _count_and_run(
         self, head: CallHead, body: BodyBuffer
