Send calls again that a lost stream never delivered

A call written to a stream that had fallen silent was answered 'not run', and with one target its caller got a 503 although the daemon was well. The link now sends it again itself where the whole request is at hand: not run and denied on this stream, or idempotent. The memory takes a denied id again on the stream it was asked for on or a later one, and refuses it on an earlier one.

Credit is now exact: a part waits for as much credit as it has bytes; before, a body of 400 KB that was whole already went out at once.

--- a/packages/pepperstair-core/pepperstair_core/calls/run_memory.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/run_memory.py
@@ -92,6 +92,7 @@
 @dataclass(slots=True)
 class _Run:
     state: RunState
+    sequence: int
     expires_ms: int
     answer: KeptAnswer | None = None
 
@@ -101,9 +102,9 @@
 
     >>> memory = RunMemory(n_runs_max=10)
     >>> key = CallKey(Sender("vm-1", 7), 1)
-    >>> memory.begin(key, time_left_ms=2000, now_ms=0)
+    >>> memory.begin(key, sequence=1, time_left_ms=2000, now_ms=0)
     <Admission.TAKEN: 'taken'>
-    >>> memory.look_up(key, now_ms=5).state
+    >>> memory.look_up(key, sequence=1, now_ms=5).state
     <RunState.RUNNING: 'running'>
     """
 
@@ -120,16 +121,28 @@
     def __len__(self) -> int:
         return len(self._runs)
 
-    def begin(self, key: CallKey, time_left_ms: int, now_ms: int) -> Admission:
-        """Take a call that arrived, unless it was here before or there is no room."""
+    def begin(
+        self, key: CallKey, sequence: int, time_left_ms: int, now_ms: int
+    ) -> Admission:
+        """Take a call that arrived, unless it was here before or there is no room.
+
+        `sequence` is that of the stream. A call that was said not to have run
+        may be sent again on the stream it was asked for on, or a later one; a
+        head on an earlier one is the lost one that comes late.
+        """
         self._forget(now_ms)
-        if key in self._runs or self._is_forgotten(key):
+        run = self._runs.get(key)
+        if run is not None:
+            if run.state is not RunState.NEVER_RUN or sequence < run.sequence:
+                return Admission.REPEATED
+        elif self._is_forgotten(key):
             return Admission.REPEATED
         if len(self._runs) >= self._n_runs_max:
             return Admission.FULL
         if self.n_kept_bytes >= self._kept_max_bytes:
             return Admission.FULL
-        self._add(key, RunState.RUNNING, now_ms + time_left_ms + FORGET_MARGIN_MS)
+        expires_ms = now_ms + time_left_ms + FORGET_MARGIN_MS
+        self._add(key, RunState.RUNNING, sequence, expires_ms)
         return Admission.TAKEN
 
     def finish(self, key: CallKey, answer: KeptAnswer | None) -> None:
@@ -149,7 +162,7 @@
             self._drop_answer(run)
             run.state = RunState.NOT_KEPT
 
-    def look_up(self, key: CallKey, now_ms: int) -> Recall:
+    def look_up(self, key: CallKey, sequence: int, now_ms: int) -> Recall:
         """Return what became of a call.
 
         A call that never arrived is marked on being asked for: its head may
@@ -159,25 +172,32 @@
         self._forget(now_ms)
         run = self._runs.get(key)
         if run is not None:
+            run.sequence = max(run.sequence, sequence)
             return Recall(run.state, run.answer)
         if self._is_forgotten(key) or len(self._runs) >= 2 * self._n_runs_max:
             return Recall(RunState.UNKNOWN)
-        self._add(key, RunState.NEVER_RUN, now_ms + FORGET_MARGIN_MS)
+        self._add(key, RunState.NEVER_RUN, sequence, now_ms + FORGET_MARGIN_MS)
         return Recall(RunState.NEVER_RUN)
 
-    def _add(self, key: CallKey, state: RunState, expires_ms: int) -> None:
-        self._runs[key] = _Run(state, expires_ms)
+    def _add(
+        self, key: CallKey, state: RunState, sequence: int, expires_ms: int
+    ) -> None:
+        self._runs[key] = _Run(state, sequence, expires_ms)
+        self._push_expiry(key, expires_ms)
+
+    def _push_expiry(self, key: CallKey, expires_ms: int) -> None:
         self._n_expiries += 1
         heapq.heappush(self._expiries, (expires_ms, self._n_expiries, key))
 
     def _forget(self, now_ms: int) -> None:
         """Forget the calls that are over and whose deadlines are long past."""
         for key in list(self._iter_expired(now_ms)):
-            run = self._runs[key]
+            run = self._runs.get(key)
+            if run is None or run.expires_ms > now_ms:
+                continue
             if run.state is RunState.RUNNING:
-                self._n_expiries += 1
-                later_ms = now_ms + FORGET_MARGIN_MS
-                heapq.heappush(self._expiries, (later_ms, self._n_expiries, key))
+                run.expires_ms = now_ms + FORGET_MARGIN_MS
+                self._push_expiry(key, run.expires_ms)
                 continue
             self._drop_answer(run)
             del self._runs[key]
--- a/packages/pepperstair-peers/pepperstair_peers/data/outgoing.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/outgoing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import structlog
@@ -31,8 +32,10 @@
     """Waits for the head of an answer, then feeds its body to the reader."""
 
     __slots__ = (
+        "_deadline_ms",
         "_n_received_bytes",
         "_n_skipped_bytes",
+        "_request",
         "_sender",
         "body",
         "credit",
@@ -43,16 +46,22 @@
     )
 
     def __init__(
-        self, head: CallHead, start_id: int, on_consumed: Callable[[int], None]
+        self,
+        head: CallHead,
+        start_id: int,
+        now_ms: int,
+        on_consumed: Callable[[int], None],
     ) -> None:
         loop = asyncio.get_running_loop()
         self.head = head
         self.start_id = start_id
+        self._deadline_ms = now_ms + head.time_left_ms
         self.stream: FrameStream | None = None
         self.answer: asyncio.Future[AnswerHead] = loop.create_future()
         self.body = BodyBuffer(on_consumed)
         self.credit = CreditGate()
         self._sender: asyncio.Task[None] | None = None
+        self._request: tuple[Any, ...] | None = None
         self._n_received_bytes = 0
         self._n_skipped_bytes = 0
 
@@ -61,12 +70,14 @@
         head = self.head
         self.stream = stream
         if not head.has_body:
+            self._request = ()
             stream.send(head)
             return
         part = body.read_nowait() if body.is_whole else b""
         if body.is_empty and self.credit.take_nowait(len(part)):
             parts = [BodyPart(head.call_id, data) for data in iter_parts(part)]
-            stream.send(head, *parts, BodyEnd(head.call_id))
+            self._request = (*parts, BodyEnd(head.call_id))
+            stream.send(head, *self._request)
             return
         stream.send(head)
         sending = self._send_body(stream, part, body)
@@ -93,6 +104,20 @@
             raise FrameError(f"{type(frame).__name__} is no part of an answer")
         return False
 
+    @property
+    def may_be_resent(self) -> bool:
+        """Return whether the whole request is here and no answer has begun."""
+        return self._request is not None and not self.answer.done()
+
+    def resend(self, stream: FrameStream, start_id: int, now_ms: int) -> None:
+        """Send the request once more, where it did not run or may run twice."""
+        self.stream = stream
+        self.start_id = start_id
+        self.credit = CreditGate()
+        time_left_ms = max(0, self._deadline_ms - now_ms)
+        self.head = replace(self.head, time_left_ms=time_left_ms)
+        stream.send(self.head, *self._request)
+
     def ask_again(self, stream: FrameStream) -> None:
         """Ask on another stream, and skip what of the answer is here already."""
         self.stream = stream
--- a/packages/pepperstair-peers/pepperstair_peers/data/sending.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/sending.py
@@ -41,8 +41,8 @@
         self._wake()
 
     def take_nowait(self, n_bytes: int) -> bool:
-        """Use up credit if there is any, and say whether there was."""
-        if self._n_bytes <= 0 or self._is_lost:
+        """Use up credit if there is enough, and say whether there was."""
+        if self._n_bytes < n_bytes or self._is_lost:
             return False
         self._n_bytes -= n_bytes
         return True
@@ -62,7 +62,7 @@
 
 def take_part(body: BodyBuffer, data: bytes) -> None:
     """Take a part that arrived, or raise FrameError where it exceeds the credit."""
-    if body.n_bytes + len(data) > INITIAL_CREDIT_BYTES + 2 * BODY_PART_MAX_BYTES:
+    if body.n_bytes + len(data) > INITIAL_CREDIT_BYTES:
         raise FrameError("body part beyond the credit")
     body.feed(data)
 
--- a/packages/pepperstair-peers/pepperstair_peers/data/server.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/server.py
@@ -58,6 +58,7 @@
     def __init__(self, stream: FrameStream, hello: Hello, now_ms: int) -> None:
         self.stream = stream
         self.sender = Sender(hello.vm, hello.start_id)
+        self.sequence = hello.sequence
         self.calls: dict[int, IncomingCall] = {}
         self.active_ms = now_ms
 
@@ -165,7 +166,7 @@
     def _start(self, incoming: _IncomingStream, head: CallHead) -> None:
         key = CallKey(incoming.sender, head.call_id)
         if not head.is_idempotent:
-            refusal = self._admit(key, head.time_left_ms)
+            refusal = self._admit(key, head.time_left_ms, incoming.sequence)
             if refusal is not None:
                 incoming.stream.send(failed(head.call_id, refusal))
                 return
@@ -179,9 +180,10 @@
         # running for ever.
         call.task.add_done_callback(lambda done: self._end(incoming, call))
 
-    def _admit(self, key: CallKey, time_left_ms: int) -> Failure | None:
+    def _admit(self, key: CallKey, time_left_ms: int, sequence: int) -> Failure | None:
         """Remember a non-idempotent call, or say why it may not run."""
-        admission = self._memory.begin(key, time_left_ms, self._clock_ms())
+        now_ms = self._clock_ms()
+        admission = self._memory.begin(key, sequence, time_left_ms, now_ms)
         if admission is Admission.TAKEN:
             return None
         if admission is Admission.FULL:
@@ -193,7 +195,9 @@
         """Keep the answer of a call that is over, and send it to who asked."""
         call_id = call.head.call_id
         incoming.calls.pop(call_id, None)
-        del self._running[call.key]
+        # An idempotent call that was sent again has taken the place already.
+        if self._running.get(call.key) is call:
+            del self._running[call.key]
         if not call.is_remembered:
             return
         kept = call.kept
@@ -202,7 +206,7 @@
         self._memory.finish(call.key, kept)
         if call.asker is not None:
             self._streams[incoming.sender].calls.pop(call_id, None)
-            self._send_recalled(call.asker, call.key)
+            self._send_recalled(self._streams[incoming.sender], call.key)
 
     async def _answer(self, call: IncomingCall) -> None:
         """Run a call and send its answer, or the failure that ended it."""
@@ -229,18 +233,18 @@
         key = CallKey(incoming.sender, call_id)
         call = self._running.get(key)
         if call is None:
-            self._send_recalled(incoming.stream, key)
+            self._send_recalled(incoming, key)
             return
         call.asker = incoming.stream
         incoming.calls[call_id] = call
 
-    def _send_recalled(self, stream: FrameStream, key: CallKey) -> None:
+    def _send_recalled(self, asker: _IncomingStream, key: CallKey) -> None:
         """Send what is known of a call that is over, or never was."""
-        recall = self._memory.look_up(key, self._clock_ms())
+        recall = self._memory.look_up(key, asker.sequence, self._clock_ms())
         if recall.answer is not None:
-            send_kept(stream, key.call_id, recall.answer)
+            send_kept(asker.stream, key.call_id, recall.answer)
         else:
-            stream.send(failed(key.call_id, _ANSWERS[recall.state]))
+            asker.stream.send(failed(key.call_id, _ANSWERS[recall.state]))
 
     def _schedule(self) -> None:
         loop = asyncio.get_running_loop()
