--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 PACKAGES := $(wildcard packages/*)
 TOOLS := pytest hypothesis ruff
 
-.PHONY: install test lint format demo clean bench-path bench-idle
+.PHONY: install test lint format demo docs clean bench-path bench-idle bench-burn \
+	bench-convergence bench-control-bytes bench-calls
 
 install: $(VENV)/installed
 
@@ -20,6 +21,7 @@
 	$(VENV)/bin/ruff check .
 
 format: install
+	$(VENV)/bin/ruff format --quiet .
 	$(VENV)/bin/ruff check --fix .
 	$(VENV)/bin/ruff format .
 
@@ -29,11 +31,37 @@
 demo: install
 	$(PYTHON) -m benchmarks.demo
 
+docs: install
+	$(PYTHON) -m pepperstair_core.config.reference > docs/user-guide/settings.md
+
 bench-path: install
 	$(PYTHON) -m benchmarks.path
 
 bench-idle: install
 	$(PYTHON) -m benchmarks.idle
 
+bench-burn: install
+	$(PYTHON) -m benchmarks.burn
+
+bench-convergence: SIZES ?= 5 10
+bench-convergence: CHANGES ?= 10
+bench-convergence: install
+	$(PYTHON) -m benchmarks.convergence --sizes "$(SIZES)" --changes $(CHANGES)
+
+bench-control-bytes: SIZES ?= 5 10
+bench-control-bytes: CHANGES ?= 10
+bench-control-bytes: PHASE_S ?= 10
+bench-control-bytes: install
+	$(PYTHON) -m benchmarks.control_bytes --sizes "$(SIZES)" \
+		--changes $(CHANGES) --phase-s $(PHASE_S)
+
+bench-calls: DEPLOYMENTS ?= lantern
+bench-calls: LOADS ?= 0.9 2
+bench-calls: SEGMENT_S ?= 6
+bench-calls: WORK_MS ?= 400
+bench-calls: install
+	$(PYTHON) -m benchmarks.calls --deployments "$(DEPLOYMENTS)" --loads "$(LOADS)" \
+		--segment-s $(SEGMENT_S) --work-ms $(WORK_MS)
+
 clean:
 	rm -rf $(VENV) build .pytest_cache .ruff_cache
