--- a/packages/pepperstair-core/pepperstair_core/membership/edges.py
+++ b/packages/pepperstair-core/pepperstair_core/membership/edges.py
@@ -23,7 +23,11 @@
     """
 
     def __init__(
-        self, directory: MemberDirectory, patience_ms: int, rng: Random
+        self,
+        directory: MemberDirectory,
+        seed_addresses: Iterable[str],
+        patience_ms: int,
+        rng: Random,
     ) -> None:
         self._directory = directory
         self._own_vm = directory.own().vm
@@ -35,7 +39,8 @@
         self._up: set[str] = set()
         self._unwanted_since_ms: dict[str, int] = {}
         self._dialling: set[str] = set()
-        self._entry_addresses: frozenset[str] = frozenset()
+        self._seed_addresses = frozenset(seed_addresses)
+        self._entry_addresses = self._seed_addresses
 
     @property
     def wanted(self) -> frozenset[str]:
@@ -48,8 +53,8 @@
         return frozenset(self._up)
 
     def enter_through(self, addresses: Iterable[str]) -> None:
-        """Add addresses through which the fleet may be reached."""
-        self._entry_addresses |= frozenset(addresses)
+        """Replace the found addresses through which the fleet may be reached."""
+        self._entry_addresses = self._seed_addresses | frozenset(addresses)
 
     def want(self, vms: frozenset[str], now_ms: int) -> None:
         """Replace the set of wanted neighbours."""
--- a/packages/pepperstair-core/pepperstair_core/membership/membership.py
+++ b/packages/pepperstair-core/pepperstair_core/membership/membership.py
@@ -51,8 +51,9 @@
         self._rng = rng
         self._heard = HeardTimes()
         self._suspicions = Suspicions(settings.suspicion_ms, rng)
-        self._edges = NeighbourEdges(directory, settings.heartbeat_ms, rng)
-        self._edges.enter_through(peers.seed_addresses)
+        self._edges = NeighbourEdges(
+            directory, peers.seed_addresses, settings.heartbeat_ms, rng
+        )
         self._outbox = MemberOutbox()
         self._gone_since_ms: dict[str, int] = {}
         self._is_stale = True
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -51,6 +51,7 @@
 from .configuration import ConfigurationAgent
 from .counters import DaemonCounters, DaemonGauges
 from .logs import configure_logs, log_loop_error
+from .member_rows import MemberRows
 from .metrics import MetricsSender
 from .operations import add_operations
 
@@ -128,6 +129,9 @@
             self.decisions,
             self.rng,
         )
+        self.member_rows = MemberRows(
+            self.platform, self.control, self.directory, self.rng
+        )
         self.listener = PeerListener(
             self.identity,
             settings.peers.frame_max_bytes,
@@ -219,6 +223,7 @@
         self.configuration.start()
         self.control.on_members_changed = self._on_members_changed
         self.control.start()
+        self.member_rows.start()
         self.metrics.start()
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
@@ -230,7 +235,7 @@
         self._publish_targets()
         self.callers.drain()
         self.control.leave()
-        await self._wait_for_calls()
+        await asyncio.gather(self.member_rows.remove_own(), self._wait_for_calls())
         self._lease_task.cancel()
         self.metrics.close()
         self.configuration.close()
--- /dev/null
+++ b/tests/test_member_rows.py
@@ -0,0 +1,71 @@
+"""Member rows in the platform's table."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+
+from result import Ok
+
+from pepperstair_core.members import Member, MemberState
+from pepperstair_core.membership import MemberDirectory
+from pepperstair_platform import Row
+from pepperstaird import member_rows
+from pepperstaird.member_rows import MemberRows
+
+
+class FakePlatform:
+    """Rows in memory."""
+
+    def __init__(self, *rows: Row) -> None:
+        self.rows = {row.key: row for row in rows}
+
+    async def read_rows(self, prefix: str):
+        """Return all rows."""
+        return Ok(tuple(self.rows.values()))
+
+    async def commit(self, compare, put):
+        """Write rows."""
+        self.rows.update((row.key, row) for row in put)
+        return Ok(True)
+
+    async def delete_row(self, key: str):
+        """Delete a row."""
+        self.rows.pop(key, None)
+        return Ok(True)
+
+
+class FakeControl:
+    """Takes the discovered addresses."""
+
+    neighbours = ()
+
+    def __init__(self) -> None:
+        self.addresses: set[str] = set()
+
+    def discover(self, addresses) -> None:
+        """Keep the addresses."""
+        self.addresses |= set(addresses)
+
+
+def test_daemon_finds_others_by_their_rows_and_removes_its_own(monkeypatch):
+    """The seeds of the settings were all replaced, and only the rows are left."""
+    monkeypatch.setattr(member_rows, "_JOIN_MAX_S", 0.0)
+    value = json.dumps({"peer_address": "127.0.0.1:9", "written_ms": 1})
+    platform = FakePlatform(Row("member/b", value), Row("member/c", "not JSON"))
+    own = Member("a", 1, 0, MemberState.ALIVE, "pos-a", "127.0.0.1:1", ())
+    control = FakeControl()
+
+    async def scenario() -> None:
+        rows = MemberRows(platform, control, MemberDirectory(own), random.Random(0))
+        rows.start()
+        async with asyncio.timeout(5):
+            while not control.addresses:
+                await asyncio.sleep(0.001)
+        assert control.addresses == {"127.0.0.1:1", "127.0.0.1:9"}
+        assert "member/a" in platform.rows
+        await rows.remove_own()
+
+    asyncio.run(scenario())
+    assert "member/a" not in platform.rows
