--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 TOOLS := pytest hypothesis ruff
 
 .PHONY: install test lint format demo docs clean bench-path bench-idle bench-burn \
+	bench-neighbours \
 	bench-convergence bench-control-bytes bench-calls
 
 install: $(VENV)/installed
@@ -40,6 +41,9 @@
 bench-idle: install
 	$(PYTHON) -m benchmarks.idle
 
+bench-neighbours: install
+	$(PYTHON) -m benchmarks.neighbours
+
 bench-burn: install
 	$(PYTHON) -m benchmarks.burn
 
--- a/packages/pepperstair-core/pepperstair_core/config/settings.py
+++ b/packages/pepperstair-core/pepperstair_core/config/settings.py
@@ -100,10 +100,12 @@
         "Largest frame on a stream.", default=262_144, minimum=4096
     )
     n_zone_neighbours: int = option(
-        "Neighbours kept in the own availability zone.", default=2, minimum=1
+        "Neighbours kept in the own availability zone; odd counts as the next even.",
+        default=2,
+        minimum=1,
     )
     n_remote_neighbours: int = option(
-        "Neighbours kept in the whole fleet, whatever their zone.",
+        "Neighbours kept in the whole fleet; odd counts as the next even.",
         default=2,
         minimum=1,
     )
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -40,7 +40,24 @@
 
 @pytest.mark.parametrize(
     "array",
-    [7, [], ["x"], [999, 1], [3], [3, "one", []], [3, 1, [["a", 1]]], [46, True]],
+    [
+        7,
+        [],
+        ["x"],
+        [999, 1],
+        [3],
+        [3, "one", []],
+        [3, 1, [["a", 1]]],
+        [3, 1, [["a", 1, True]]],
+        [46, True],
+        [44, 1, 200, [[b"name"]]],
+        [44, 1, 200, [[b"name", "text"]]],
+        [44, 1, 200, [b"ab"]],
+        [45, 1, "no kind", "no", "", 0],
+        [45, 1, 7, "no", "", 0],
+        [20, [["a", 1, 2, 0]]],
+        [20, ["ab"]],
+    ],
 )
 def test_malformed_frame_is_refused(array):
     with pytest.raises(FrameError):
