--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 PACKAGES := $(wildcard packages/*)
 TOOLS := pytest hypothesis ruff
 
-.PHONY: install test lint format demo docs clean bench-path bench-idle bench-http bench-burn \
+.PHONY: install test lint format demo docs clean bench-path bench-idle bench-http \
+	bench-burn bench-neighbours \
 	bench-convergence bench-control-bytes bench-calls
 
 install: $(VENV)/installed
@@ -43,6 +44,9 @@
 bench-http: install
 	$(PYTHON) -m benchmarks.http_exchange
 
+bench-neighbours: install
+	$(PYTHON) -m benchmarks.neighbours
+
 bench-burn: install
 	$(PYTHON) -m benchmarks.burn
 
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -49,6 +49,9 @@
     n_prunes: int = counted("Neighbours asked to announce instead of pushing.")
     n_in_force_alone: int = counted("Versions put in force without a second holder.")
     n_call_retries: int = counted("Attempts of callers' requests after the first.")
+    n_pauses: int = counted("Pauses of this process that outlasted its lease.")
+    n_streams_replaced: int = counted("Streams lost while calls waited on them.")
+    n_frames_dropped: int = counted("Frames that came for calls which were gone.")
     frames: tuple[tuple[str, int], ...] = ()
 
     def iter_named(self) -> Iterator[tuple[str, int]]:
