--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,77 @@
+"""`python -m benchmarks.decisions`: call decisions beside naive ones.
+
+The generated loads of the differential tests, in virtual time, on the slots of
+the two deployments of the brief. No sockets: what shows here is the decisions
+alone. The same load goes to both sides.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from random import Random
+
+from tests.call_load import Call, Decisions, Faults, Report, Simulation, poisson_calls
+from tests.naive.calls import EndlessQueue, RandomChooser, retry_blindly
+
+SEEDS = range(2)
+UNTIL_MS = 5_000.0
+LOADS = (0.9, 1.2, 2.0)
+MEAN_SERVICE_MS = 40.0
+NAIVE = Decisions(RandomChooser, EndlessQueue, retry_blindly)
+DEPLOYMENTS = {"ledger": 7, "aklatan": 4}
+FAULTS = {
+    "none": Faults(),
+    "one slow by ten": Faults(slowness=lambda index: 1.0 if index else 10.0),
+}
+
+
+def load_of(seed: int, load: float, n_targets: int) -> list[Call]:
+    """Return calls of which three in ten are urgent and not idempotent."""
+    rng = Random(seed)
+
+    def make(index: int, at_ms: float) -> Call:
+        priority = rng.choices(("urgent", "normal", "deferrable"), (3, 4, 3))[0]
+        service_ms = rng.uniform(0.5, 1.5) * MEAN_SERVICE_MS
+        timeout_ms = 5000 if priority == "deferrable" else 1000
+        return Call(
+            index, at_ms, "c", priority, service_ms, timeout_ms, priority != "urgent"
+        )
+
+    n_per_s = load * n_targets * 12 / MEAN_SERVICE_MS * 1000
+    return poisson_calls(rng, n_per_s, UNTIL_MS, make)
+
+
+def iter_rows() -> Iterator[str]:
+    """Yield the table, line by line: shares of the calls that came."""
+    yield "targets  fault            load  side    urgent  normal  deferrable  retries"
+    for service, n_targets in DEPLOYMENTS.items():
+        for fault, faults in FAULTS.items():
+            for load in LOADS:
+                for side, decisions in (("naive", NAIVE), ("chosen", Decisions())):
+                    shares = measure(decisions, faults, load, n_targets)
+                    columns = f"{service:<8} {fault:<16} {load:<5} {side:<7}"
+                    yield f"{columns} {shares}"
+
+
+def measure(decisions: Decisions, faults: Faults, load: float, n_targets: int) -> str:
+    """Return the shares answered in time by priority, and that of retries."""
+    came, good, n_retries = Counter(), Counter(), 0
+    for seed in SEEDS:
+        calls = load_of(seed, load, n_targets)
+        report: Report = Simulation(decisions, n_targets, faults, seed).run(calls)
+        came += Counter(call.priority for call in calls)
+        good += report.n_good
+        n_retries += report.n_retries
+    shares = (good[name] / came[name] for name in ("urgent", "normal", "deferrable"))
+    in_percent = "  ".join(f"{100 * share:6.1f}" for share in shares)
+    return f"{in_percent}      {100 * n_retries / came.total():6.1f}"
+
+
+if __name__ == "__main__":
+    print(
+        f"answered in time and retries, % of calls; seeds {SEEDS.start} to "
+        f"{SEEDS.stop - 1}, {UNTIL_MS / 1000:g} s of virtual time, 12 slots a target"
+    )
+    for row in iter_rows():
+        print(row)
--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -5,16 +5,24 @@
 import asyncio
 import itertools
 from collections.abc import Iterator
+from typing import Final
 
 import structlog
 
-from pepperstair_core.calls import Attempt, CallEnd, Ejection, GiveUp, decide_retry
+from pepperstair_core.calls import (
+    Attempt,
+    CallEnd,
+    Ejection,
+    EndKind,
+    GiveUp,
+    decide_retry,
+)
 from pepperstair_core.decisions import Decision, DecisionKind
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
 from pepperstair_core.events import Event
 from pepperstair_core.routing import CompiledRoute, Endpoint
 from pepperstair_core.wire import CallHead
-from pepperstair_http import Request, StreamedResponse
+from pepperstair_http import Request, StreamedResponse, header_value
 
 from .context import ProxyContext
 from .request_body import RequestBody
@@ -25,10 +33,13 @@
 # The daemon beside the target is given a little less time than is left here,
 # so that its exact answer (not run, or unknown) comes before the own timeout,
 # which can say `unknown` only.
-HOP_MARGIN_MS = 5
-HOP_MARGIN_SHARE = 0.1
+HOP_MARGIN_MS: Final = 5
+HOP_MARGIN_SHARE: Final = 0.1
+
+# Time that the call waited beside the target, told by the daemon there.
+WAITED_HEADER: Final = b"pepperstair-waited-ms"
 
-_REFUSALS = frozenset(
+_REFUSALS: Final = frozenset(
     {
         ErrorKind.BUSY,
         ErrorKind.DRAINING,
@@ -38,7 +49,7 @@
         ErrorKind.TOO_MANY_CONNECTIONS,
     }
 )
-_TARGET_ERRORS = frozenset(
+_TARGET_ERRORS: Final = frozenset(
     {
         ErrorKind.OUTCOME_UNKNOWN,
         ErrorKind.PEER_UNREACHABLE,
@@ -46,13 +57,14 @@
         ErrorKind.TARGET_UNREACHABLE,
     }
 )
-_SHEDDING_STATUSES = frozenset({429, 503})
+_SHEDDING_STATUSES: Final = frozenset({429, 503})
 
 
 class ProxiedCall:
     """One request on its way: its route, its deadline and its attempts."""
 
     __slots__ = (
+        "_attempted_ms",
         "_body",
         "_call_ids",
         "_context",
@@ -60,6 +72,7 @@
         "_excluded",
         "_head",
         "_is_idempotent",
+        "_latency_ms",
         "_request",
         "_timeout_ms",
         "compiled",
@@ -89,6 +102,8 @@
         self._excluded: frozenset[tuple[str, str]] = frozenset()
         self.compiled = compiled
         self.deadline_ms = context.now_ms() + self._timeout_ms
+        self._attempted_ms = 0.0
+        self._latency_ms = 0.0
         self.n_attempts = 0
         self.run = Run.NO
 
@@ -106,16 +121,19 @@
         while True:
             self._endpoint = self._choose()
             self.n_attempts += 1
+            self._attempted_ms = context.now_ms()
             try:
-                return await self._attempt(self._endpoint)
+                response = await self._attempt(self._endpoint)
+                self._latency_ms = context.now_ms() - self._attempted_ms
+                return response
             except PepperstairError as error:
                 await self._back_off(error.failure)
             except BaseException:
                 self.run = Run.UNKNOWN
-                self.end(CallEnd.ABANDONED)
+                self.abandon()
                 raise
 
-    def end(self, end: CallEnd, retry_after_ms: int = 0) -> None:
+    def end(self, end: CallEnd) -> None:
         """Tell the choice of targets how the last attempt ended, once."""
         endpoint = self._endpoint
         if endpoint is None:
@@ -127,7 +145,6 @@
             context.endpoints(self.compiled),
             end,
             context.now_ms(),
-            retry_after_ms,
         )
         if ejection is not None:
             self._report_ejection(ejection)
@@ -138,15 +155,18 @@
         What the target announced or says on a health endpoint plays no part:
         errors and cut answers count against it, whatever it says of itself.
         """
-        if not is_whole or response.status >= 500:
-            is_shedding = is_whole and response.status in _SHEDDING_STATUSES
-            self.end(CallEnd.REFUSED if is_shedding else CallEnd.ERROR)
-        else:
-            self.end(CallEnd.GOOD)
+        kind = EndKind.GOOD
+        if is_whole and response.status in _SHEDDING_STATUSES:
+            kind = EndKind.REFUSED
+        elif not is_whole or response.status >= 500:
+            kind = EndKind.ERROR
+        waited = header_value(response.headers, WAITED_HEADER)
+        waited_ms = int(waited) if waited.isdigit() else 0
+        self.end(CallEnd(kind, max(0.0, self._latency_ms - waited_ms)))
 
     def abandon(self) -> None:
         """Take the end of an answer that the caller did not wait for."""
-        self.end(CallEnd.ABANDONED)
+        self.end(CallEnd(EndKind.ABANDONED))
 
     async def _read_body(self) -> None:
         if not self._head.has_body or self._body.keep_nowait():
@@ -189,9 +209,12 @@
     async def _back_off(self, failure: Failure) -> None:
         """Wait before another attempt, or raise the failure at once."""
         failed = self._endpoint
-        self.end(self._end_of(failure), failure.retry_after_ms)
+        latency_ms = self._context.now_ms() - self._attempted_ms
+        kind = self._kind_of(failure)
+        self.end(CallEnd(kind, latency_ms, failure.retry_after_ms))
         attempt = Attempt(
             failure,
+            self.compiled.route.priority,
             self.n_attempts,
             self._is_idempotent,
             self._body.is_replayable,
@@ -214,17 +237,17 @@
         self._report_retry(failed, failure)
         await asyncio.sleep(decision.delay_ms / 1000)
 
-    def _end_of(self, failure: Failure) -> CallEnd:
+    def _kind_of(self, failure: Failure) -> EndKind:
         if failure.kind in _REFUSALS:
-            return CallEnd.REFUSED
+            return EndKind.REFUSED
         if failure.kind in _TARGET_ERRORS:
-            return CallEnd.ERROR
+            return EndKind.ERROR
         # A caller that allows less time than the route has learnt nothing of
         # the target: its short timeouts must not eject one that others use.
         is_whole_timeout = self._timeout_ms == self.compiled.route.timeout_ms
         if failure.kind is ErrorKind.TIMEOUT and is_whole_timeout:
-            return CallEnd.ERROR
-        return CallEnd.ABANDONED
+            return EndKind.ERROR
+        return EndKind.ABANDONED
 
     def _call_head(self, endpoint: Endpoint) -> CallHead:
         request = self._request
--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .admission import Admission, Admitted, RefusalCause, Refused, Verdict
-from .choice import CallEnd, Ejection, Load, TargetChooser
+from .choice import CallEnd, Ejection, EndKind, Load, TargetChooser
 from .fair_queue import WaitingCall
 from .outcome import CallOutcome
 from .retry import Attempt, GiveUp, Retry, RetryBudget, decide_retry
@@ -15,6 +15,7 @@
     "CallEnd",
     "CallOutcome",
     "Ejection",
+    "EndKind",
     "GiveUp",
     "Load",
     "RefusalCause",
--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -34,7 +34,7 @@
     n_queued: int
 
 
-class CallEnd(Enum):
+class EndKind(Enum):
     """How a call ended, as far as the choice of targets is concerned."""
 
     GOOD = auto()
@@ -43,6 +43,19 @@
     ABANDONED = auto()
 
 
+@dataclass(frozen=True, slots=True)
+class CallEnd:
+    """The end of a call.
+
+    `latency_ms` is the time to the head of its answer, without the wait for a
+    slot; `retry_after_ms` is what a refusal asks for, 0 for nothing.
+    """
+
+    kind: EndKind
+    latency_ms: float = 0.0
+    retry_after_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Ejection:
     """A target that was left out, with the figures of the decision."""
@@ -86,8 +99,9 @@
             return None
         chosen = self._probe(usable, now_ms)
         if chosen is None:
-            wait_of = _wait_of(known, load_of, now_ms)
-            chosen = self._pick(self._healthy(usable, endpoints, now_ms), wait_of)
+            healthy = self._healthy(usable, endpoints, now_ms)
+            wait_of = _wait_of(known, healthy, load_of, now_ms)
+            chosen = self._pick(healthy, wait_of)
         known[chosen.key].n_in_flight += 1
         return chosen
 
@@ -97,25 +111,28 @@
         endpoints: Sequence[Endpoint],
         end: CallEnd,
         now_ms: float,
-        retry_after_ms: int = 0,
     ) -> Ejection | None:
         """Take the end of a call; return the ejection that follows from it."""
         health = self._health.get(endpoint.key)
         if health is None:
             return None
         health.n_in_flight = max(0, health.n_in_flight - 1)
-        if end is CallEnd.GOOD:
+        if end.kind is EndKind.GOOD:
             health.succeed()
-        elif end is CallEnd.REFUSED:
+            health.see_latency(end.latency_ms, now_ms)
+        elif end.kind is EndKind.REFUSED:
             # A target that refuses at once has nothing in flight and so looks
             # idle: without this it would draw all calls and refuse them all.
-            avoided_ms = min(retry_after_ms or AVOIDED_MS, AVOIDED_MS)
+            avoided_ms = min(end.retry_after_ms or AVOIDED_MS, AVOIDED_MS)
             health.avoided_until_ms = now_ms + avoided_ms
             health.is_probed = False
-        elif end is CallEnd.ABANDONED:
+        elif end.kind is EndKind.ABANDONED:
             health.is_probed = False
         else:
             health.fail()
+            # A quick failure says nothing of speed, a timeout does.
+            if end.latency_ms > health.latency_ms(now_ms):
+                health.see_latency(end.latency_ms, now_ms)
             return self._eject_if_due(endpoint, endpoints, health, now_ms)
         return None
 
@@ -190,7 +207,7 @@
         if not near or len(near) == len(healthy):
             return self._better_of_two(healthy, wait_of)
         best = self._better_of_two(near, wait_of)
-        if wait_of(best) < 1.0:
+        if wait_of(best) <= 1.0:
             return best
         far = [item for item in healthy if item.availability_zone != zone]
         other = self._better_of_two(far, wait_of)
@@ -248,13 +265,20 @@
 
 
 def _wait_of(
-    known: dict[TargetKey, TargetHealth], load_of: LoadOf, now_ms: float
+    known: dict[TargetKey, TargetHealth],
+    healthy: Sequence[Endpoint],
+    load_of: LoadOf,
+    now_ms: float,
 ) -> Callable[[Endpoint], float]:
-    """Return the function from endpoint to expected wait, in calls per slot.
+    """Return the function from endpoint to expected wait.
 
-    Own calls are counted exactly; the report, which may be a second old, adds
-    those of other daemons. It is never taken to lower what is seen here.
+    It is counted in answer times of the fastest target; up to 1 a call finds a
+    slot free. Own calls are counted exactly; the report, which may be a second
+    old, adds those of other daemons and never lowers what is seen here. The
+    latency that was seen makes a queue before a slow target count for more.
     """
+    latencies_ms = [known[item.key].latency_ms(now_ms) for item in healthy]
+    fastest_ms = min(filter(None, latencies_ms), default=0.0)
 
     def wait_of(endpoint: Endpoint) -> float:
         health = known[endpoint.key]
@@ -264,9 +288,18 @@
             n_waiting = max(n_waiting, load.n_in_flight) + load.n_queued
         is_cold = endpoint.target.state is TargetState.COLD
         share = health.warmth(is_cold, now_ms)
-        return n_waiting / (endpoint.target.n_slots * share)
+        slowness = max(1.0, health.latency_ms(now_ms) / (fastest_ms or 1.0))
+        return slowness * (n_waiting + 1) / (endpoint.target.n_slots * share)
 
     return wait_of
 
 
-__all__ = ["CallEnd", "Ejection", "Load", "LoadOf", "TargetChooser", "TargetKey"]
+__all__ = [
+    "CallEnd",
+    "EndKind",
+    "Ejection",
+    "Load",
+    "LoadOf",
+    "TargetChooser",
+    "TargetKey",
+]
--- a/packages/pepperstair-core/pepperstair_core/calls/retry.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/retry.py
@@ -19,6 +19,9 @@
 BACKOFF_MAX_MS: Final = 250.0
 BUDGET_FIRST_PERCENT: Final = 1_000
 BUDGET_MAX_PERCENT: Final = 10_000
+# What less urgent calls leave in the budget: under overload their refusals
+# would else use all of it, and a refused booking could not go elsewhere.
+RESERVED_PERCENT: Final = {"urgent": 0, "normal": 500, "deferrable": 900}
 
 # What an idempotent call may be sent again after, though it may have run.
 _LOST_ANSWERS: Final = frozenset({ErrorKind.TARGET_FAILED, ErrorKind.OUTCOME_UNKNOWN})
@@ -42,6 +45,7 @@
     """
 
     failure: Failure
+    priority: str
     n_attempts: int
     is_idempotent: bool
     is_replayable: bool
@@ -78,7 +82,7 @@
     """A token bucket that each call fills a little and each retry takes from.
 
     >>> budget = RetryBudget()
-    >>> budget.take()
+    >>> budget.take("urgent")
     True
     """
 
@@ -91,9 +95,9 @@
         """Take note of a call, which permits this share of a retry."""
         self._percent = min(BUDGET_MAX_PERCENT, self._percent + percent)
 
-    def take(self) -> bool:
+    def take(self, priority: str) -> bool:
         """Use up one retry, and say whether there was one."""
-        if self._percent < 100:
+        if self._percent < 100 + RESERVED_PERCENT[priority]:
             return False
         self._percent -= 100
         return True
@@ -115,7 +119,7 @@
     delay_ms = rng.random() * longest_ms
     if delay_ms >= attempt.time_left_ms:
         return GiveUp(GiveUpCause.DEADLINE)
-    if not budget.take():
+    if not budget.take(attempt.priority):
         return GiveUp(GiveUpCause.BUDGET)
     return Retry(delay_ms)
 
--- a/packages/pepperstair-core/pepperstair_core/calls/target_health.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/target_health.py
@@ -14,6 +14,8 @@
 EJECTION_JITTER: Final = 0.25
 SLOW_START_MS: Final = 10_000
 SLOW_START_MIN_SHARE: Final = 0.1
+LATENCY_WEIGHT: Final = 0.2
+LATENCY_HALF_LIFE_MS: Final = 5_000
 # Successes in a row after which earlier ejections no longer lengthen the next.
 N_SUCCESSES_TO_FORGET: Final = 20
 
@@ -22,6 +24,8 @@
     """The state of one target as seen from here."""
 
     __slots__ = (
+        "_latency_ms",
+        "_latency_seen_ms",
         "_n_successes",
         "_warm_since_ms",
         "avoided_until_ms",
@@ -43,6 +47,8 @@
         self.is_ejected = False
         self.is_probed = False
         self.seen_ms = seen_ms
+        self._latency_ms = 0.0
+        self._latency_seen_ms = seen_ms
         self._n_successes = 0
         self._warm_since_ms = seen_ms if is_new else seen_ms - SLOW_START_MS
 
@@ -58,6 +64,24 @@
         share = (now_ms - self._warm_since_ms) / SLOW_START_MS
         return min(1.0, max(SLOW_START_MIN_SHARE, share))
 
+    def latency_ms(self, now_ms: float) -> float:
+        """Return how long the target's answers took of late, 0 if unknown.
+
+        What was seen counts half as much after each half-life: a target that
+        was slow gets few calls, and so has few chances to show that it is not.
+        """
+        age_ms = now_ms - self._latency_seen_ms
+        return self._latency_ms * 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
+
+    def see_latency(self, latency_ms: float, now_ms: float) -> None:
+        """Take the time that an answer took."""
+        if self._latency_ms == 0.0:
+            self._latency_ms = latency_ms
+        else:
+            change_ms = latency_ms - self._latency_ms
+            self._latency_ms += LATENCY_WEIGHT * change_ms
+        self._latency_seen_ms = now_ms
+
     def is_due_for_probe(self, now_ms: float) -> bool:
         """Return whether one call may try whether an ejected target is back."""
         return (
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import replace
+from typing import Final
 
 import structlog
 
@@ -21,7 +23,11 @@
 
 log = structlog.get_logger(__name__)
 
-_REFUSALS_LOGGED_EVERY_MS = 1000
+WAITED_HEADER: Final = b"pepperstair-waited-ms"
+
+_OWN_PREFIX: Final = b"pepperstair-"
+
+_REFUSALS_LOGGED_EVERY_MS: Final = 1000
 
 PolicyOf = Callable[[str, Target], Policy]
 
@@ -117,7 +123,8 @@
             local.gate.leave(head, service_ms)
 
         call = TargetCall(local.pool, head, body, leave)
-        return await call.run(deadline_ms - admitted_ms)
+        response = await call.run(deadline_ms - admitted_ms)
+        return _with_wait(response, int(admitted_ms - start_ms))
 
     def follow_registry(self) -> None:
         """Take what changed in the announced targets.
@@ -200,6 +207,24 @@
         self._decisions.add(decision)
 
 
+def _with_wait(response: StreamedResponse, waited_ms: int) -> StreamedResponse:
+    """Say how long the call waited for its slot, where it did.
+
+    The choice of targets needs the target's own speed: under overload the wait
+    depends on a call's priority and would hide which target is slow. What the
+    target itself says under such a name is left out, or it could tell a caller
+    that its request did not run.
+    """
+    headers = response.headers
+    if any(name.startswith(_OWN_PREFIX) for name, _ in headers):
+        headers = tuple(item for item in headers if not item[0].startswith(_OWN_PREFIX))
+    if waited_ms >= 1:
+        headers = (*headers, (WAITED_HEADER, b"%d" % waited_ms))
+    if headers is response.headers:
+        return response
+    return replace(response, headers=headers)
+
+
 def _n_running_max(target: Target) -> int:
     return min(target.n_slots, target.n_connections_max)
 
@@ -208,4 +233,4 @@
     return PepperstairError(Failure(kind, detail, run=Run.NO))
 
 
-__all__ = ["LocalTarget", "PolicyOf", "TargetRunner"]
+__all__ = ["WAITED_HEADER", "LocalTarget", "PolicyOf", "TargetRunner"]
--- a/tests/call_load.py
+++ b/tests/call_load.py
@@ -15,6 +15,7 @@
     Admitted,
     Attempt,
     CallEnd,
+    EndKind,
     GiveUp,
     Load,
     RetryBudget,
@@ -104,6 +105,7 @@
         self.retry = decisions.retry
         self.faults = faults
         self.endpoints = [endpoint(index) for index in range(n_targets)]
+        self.index_of = {item.key: i for i, item in enumerate(self.endpoints)}
         self.chooser = decisions.chooser("z", self.rng)
         self.admissions = [decisions.admission(12) for _ in self.endpoints]
         self.loads = [Load(0, 0)] * n_targets
@@ -136,12 +138,12 @@
         self._attempt(call, 1, frozenset(), Run.NO)
 
     def _attempt(self, call, n_attempts, excluded, run):
-        load_of = lambda item: self.loads[self.endpoints.index(item)]
+        load_of = lambda item: self.loads[self.index_of[item.key]]
         chosen = self.chooser.choose(self.endpoints, load_of, self.now_ms, excluded)
         if chosen is None:
             self._answer(call, run, is_good=False)
             return
-        index = self.endpoints.index(chosen)
+        index = self.index_of[chosen.key]
         ticket = next(self._ticket_ids)
         self._tickets[ticket] = (call, n_attempts, excluded, run, index)
         deadline_ms = call.at_ms + call.timeout_ms
@@ -150,7 +152,7 @@
         )
         if self.faults.error(index, self.now_ms) is ErrorKind.TARGET_UNREACHABLE:
             failure = Failure(ErrorKind.TARGET_UNREACHABLE)
-            self._fail(ticket, failure, CallEnd.ERROR)
+            self._fail(ticket, failure, EndKind.ERROR)
             return
         admission = self.admissions[index]
         self._apply(admission, admission.arrive(waiting, self.now_ms))
@@ -161,7 +163,7 @@
                 self._start(admission, verdict.ticket)
             else:
                 failure = Failure(ErrorKind.OVERLOADED, "", verdict.retry_after_ms)
-                self._fail(verdict.ticket, failure, CallEnd.REFUSED)
+                self._fail(verdict.ticket, failure, EndKind.REFUSED)
         expiry_ms = getattr(admission, "next_expiry_ms", None)
         if expiry_ms is not None:
             at_ms = max(self.now_ms, expiry_ms)
@@ -182,26 +184,31 @@
                 call.customer, call.priority, service_ms, self.now_ms
             )
             if self.faults.error(index, self.now_ms) is ErrorKind.TARGET_FAILED:
-                self._fail(ticket, Failure(ErrorKind.TARGET_FAILED), CallEnd.ERROR)
+                self._fail(ticket, Failure(ErrorKind.TARGET_FAILED), EndKind.ERROR)
             else:
-                self._end(ticket, CallEnd.GOOD)
+                self._end(ticket, EndKind.GOOD, service_ms)
                 is_good = self.now_ms <= call.at_ms + call.timeout_ms
                 self._answer(call, Run.YES, is_good)
             self._apply(admission, verdicts)
 
         self._at(self.now_ms + service_ms, end)
 
-    def _end(self, ticket, end, retry_after_ms=0):
+    def _end(self, ticket, kind, service_ms=0.0, retry_after_ms=0):
         call, n_attempts, excluded, run, index = self._tickets.pop(ticket)
         chosen = self.endpoints[index]
-        self.chooser.end(chosen, self.endpoints, end, self.now_ms, retry_after_ms)
+        end = CallEnd(kind, service_ms, retry_after_ms)
+        self.chooser.end(chosen, self.endpoints, end, self.now_ms)
         return call, n_attempts, excluded | {chosen.key}, run
 
-    def _fail(self, ticket, failure, end):
-        call, n_attempts, excluded, run = self._end(ticket, end, failure.retry_after_ms)
+    def _fail(self, ticket, failure, kind):
+        call, n_attempts, excluded, run = self._end(
+            ticket, kind, failure.retry_after_ms
+        )
         left_ms = call.at_ms + call.timeout_ms - self.now_ms
         is_safe = call.is_idempotent
-        attempt = Attempt(failure, n_attempts, is_safe, True, left_ms, run)
+        attempt = Attempt(
+            failure, call.priority, n_attempts, is_safe, True, left_ms, run
+        )
         decision = self.retry(attempt, self.budget, self.rng)
         if isinstance(decision, GiveUp):
             self._answer(call, attempt.has_run, is_good=False)
--- a/tests/naive/calls.py
+++ b/tests/naive/calls.py
@@ -21,7 +21,7 @@
         """Return any endpoint."""
         return self._rng.choice(endpoints)
 
-    def end(self, endpoint, endpoints, end, now_ms, retry_after_ms=0):
+    def end(self, endpoint, endpoints, end, now_ms):
         """Learn nothing."""
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -124,7 +124,9 @@
 def attempt(kind, run=None, is_idempotent=False, n=1, left_ms=500, **more):
     """Return a failed attempt."""
     failure = Failure(kind, run=run)
-    return Attempt(failure, n, is_idempotent, more.pop("replay", True), left_ms, **more)
+    priority = more.pop("priority", "urgent")
+    is_replayable = more.pop("replay", True)
+    return Attempt(failure, priority, n, is_idempotent, is_replayable, left_ms, **more)
 
 
 @pytest.mark.parametrize(
@@ -168,4 +170,8 @@
         decisions.append(decide_retry(attempt(ErrorKind.DRAINING), budget, rng))
     n_retries = sum(isinstance(decision, Retry) for decision in decisions)
     assert n_retries == 30
+    budget = RetryBudget()
+    while budget.take("deferrable") or budget.take("normal"):
+        pass
+    assert budget.take("urgent")
     assert decisions[-2] == GiveUp(GiveUpCause.BUDGET)
--- a/tests/test_call_decisions_against_naive.py
+++ b/tests/test_call_decisions_against_naive.py
@@ -148,6 +148,20 @@
     assert sums[0] > sums[1]
 
 
+def test_urgent_calls_get_past_a_slow_target_under_overload():
+    """One of four targets is slow by ten while more calls come than fit.
+
+    Judged by calls alone its queue looks as short as the others', and urgent
+    calls wait there until it is too late to go elsewhere.
+    """
+    for seed in SEEDS:
+        calls = mixed_load(seed, 1.5, 4)
+        report = Simulation(CHOSEN, 4, FAULTS["slow by ten"], seed).run(calls)
+        assert_invariants(report, calls)
+        n_urgent = sum(call.priority == "urgent" for call in calls)
+        assert report.n_good["urgent"] >= 0.97 * n_urgent
+
+
 def test_retries_are_no_worse_than_three_blind_ones():
     """All targets cut a third of their answers while load is near the limit.
 
--- a/tests/test_call_failures.py
+++ b/tests/test_call_failures.py
@@ -295,6 +295,26 @@
     within(scenario())
 
 
+def test_target_cannot_say_that_a_call_did_not_run():
+    """A target answers with headers that only daemons may set.
+
+    A caller that believed its `no` would send a booking again.
+    """
+
+    async def scenario():
+        async with Mesh() as mesh:
+            data = (
+                b"HTTP/1.1 200 OK\r\npepperstair-run: no\r\ncontent-length: 0\r\n\r\n"
+            )
+            await mesh.add("a", answering(data))
+            response = await mesh.call()
+            names = [name for name, _ in response.headers]
+            assert run_of(response) == (200, "yes")
+            assert names.count(b"pepperstair-run") == 1
+
+    within(scenario())
+
+
 def test_lease_that_lapsed_during_a_pause_refuses_calls_until_renewed():
     """The daemon beside a target is paused for longer than the lease.
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from pepperstair_core.calls import CallEnd, Load, TargetChooser
+from pepperstair_core.calls import CallEnd, EndKind, Load, TargetChooser
 from pepperstair_core.calls.target_health import EJECTION_BASE_MS, SLOW_START_MS
 from tests.call_load import endpoint
 
@@ -24,7 +24,7 @@
 def fail_until_ejected(choosing, item, among, now_ms=0.0):
     """Let calls to one target fail until it is ejected."""
     for _ in range(item.policy.ejection_errors):
-        ejection = choosing.end(item, among, CallEnd.ERROR, now_ms)
+        ejection = choosing.end(item, among, CallEnd(EndKind.ERROR), now_ms)
     return ejection
 
 
@@ -33,7 +33,7 @@
     found = Counter()
     for _ in range(n_calls):
         chosen = choosing.choose(among, load_of, now_ms)
-        choosing.end(chosen, among, CallEnd.GOOD, now_ms)
+        choosing.end(chosen, among, CallEnd(EndKind.GOOD), now_ms)
         found[chosen.target.name] += 1
     return found
 
@@ -82,12 +82,12 @@
     probe_ms = first.period_ms + 1
     probed = [choosing.choose(among, no_report, probe_ms) for _ in range(3)]
     assert [item.target.name for item in probed] == ["t1", "t2", "t2"]
-    second = choosing.end(among[0], among, CallEnd.ERROR, probe_ms)
+    second = choosing.end(among[0], among, CallEnd(EndKind.ERROR), probe_ms)
     assert second.period_ms > first.period_ms
     assert first.period_ms != EJECTION_BASE_MS
     back_ms = probe_ms + second.period_ms + 1
     assert choosing.choose(among, no_report, back_ms) is among[0]
-    choosing.end(among[0], among, CallEnd.GOOD, back_ms)
+    choosing.end(among[0], among, CallEnd(EndKind.GOOD), back_ms)
     assert counts(choosing, among, now_ms=back_ms)["t1"] > 0
 
 
@@ -117,7 +117,7 @@
     choosing = chooser()
     for _ in range(2):
         choosing.choose(among, no_report, 0.0)
-    choosing.end(among[0], among, CallEnd.REFUSED, 0.0, 300)
+    choosing.end(among[0], among, CallEnd(EndKind.REFUSED, 0.0, 300), 0.0)
     assert counts(choosing, among, now_ms=299.0) == {"t2": 200}
     assert choosing.choose(among, no_report, 0.0, {among[1].key}) is among[0]
     assert choosing.choose(among[:1], no_report, 0.0, {among[0].key}) is None
