--- a/packages/pepperstair-targets/pepperstair_targets/pool.py
+++ b/packages/pepperstair-targets/pepperstair_targets/pool.py
@@ -21,11 +21,12 @@
     """Connections to a target, reused where an answer was read to its end.
 
     A call opens a connection only when none is idle, and no more calls run than
-    the target takes connections: so the cap holds without counting it again.
+    the target takes connections: so the cap holds without counting those in use.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, n_connections_max: int) -> None:
         self._host, self._port = parse_address(address)
+        self._n_connections_max = n_connections_max
         self._idle: deque[ClientConnection] = deque()
         self._is_closed = False
 
@@ -53,11 +54,18 @@
         Closing one whose answer is not whole tells the target that nobody
         waits for the rest.
         """
-        if connection.is_reusable and not self._is_closed:
+        has_room = len(self._idle) < self._n_connections_max
+        if connection.is_reusable and has_room and not self._is_closed:
             self._idle.append(connection)
         else:
             connection.close()
 
+    def limit(self, n_connections_max: int) -> None:
+        """Take a changed cap, closing idle connections that are over it."""
+        self._n_connections_max = n_connections_max
+        while len(self._idle) > n_connections_max:
+            self._idle.popleft().close()
+
     def close(self) -> None:
         """Close the idle connections now and the others when they come back."""
         self._is_closed = True
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -42,7 +42,7 @@
         on_refused: Callable[[str, Refused], None],
     ) -> None:
         self.target = target
-        self.pool = ConnectionPool(target.address)
+        self.pool = ConnectionPool(target.address, target.n_connections_max)
         self.gate = SlotGate(
             _n_running_max(target),
             now_ms,
@@ -58,6 +58,7 @@
         """Take a renewed announcement at the same address."""
         self.target = target
         self.gate.resize(_n_running_max(target))
+        self.pool.limit(target.n_connections_max)
 
     def retire(self) -> None:
         """Refuse what waits and keep no connections; what runs goes on."""
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -48,6 +48,7 @@
     n_busy_sent: int = counted("Pulls declined for now.")
     n_prunes: int = counted("Neighbours asked to announce instead of pushing.")
     n_in_force_alone: int = counted("Versions put in force without a second holder.")
+    n_calls_refused: int = counted("Calls refused beside a target, as not run.")
     n_call_retries: int = counted("Attempts of callers' requests after the first.")
     frames: tuple[tuple[str, int], ...] = ()
 
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -169,6 +169,7 @@
             n_platform_writes=self.platform.counters.n_writes,
             n_metrics_sent=self.metrics.n_sent,
             n_metrics_dropped=self.metrics.n_dropped,
+            n_calls_refused=self.runner.n_refused,
             n_call_retries=self.proxy.n_retries,
             **self.configuration.counters(),
             frames=tuple(self._iter_frame_counts()),
