Notice a target that hangs before its first call times out

The age of the oldest urgent call without an answer now counts as latency. The new test of choice fails without the age.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -119,12 +119,13 @@
         context.budget.add_call(percent)
         await self._read_body()
         while True:
+            self._attempted_ms = context.now_ms()
             self._endpoint = self._choose()
             self.n_attempts += 1
-            self._attempted_ms = context.now_ms()
             try:
                 response = await self._attempt(self._endpoint)
                 self._latency_ms = context.now_ms() - self._attempted_ms
+                context.chooser.see_answer(self._endpoint, self._attempted_ms)
                 return response
             except PepperstairError as error:
                 await self._back_off(error.failure)
@@ -162,11 +163,13 @@
             kind = EndKind.ERROR
         waited = header_value(response.headers, WAITED_HEADER)
         waited_ms = int(waited) if waited.isdigit() else 0
-        self.end(CallEnd(kind, max(0.0, self._latency_ms - waited_ms)))
+        self.end(
+            CallEnd(kind, self._attempted_ms, max(0.0, self._latency_ms - waited_ms))
+        )
 
     def abandon(self) -> None:
         """Take the end of an answer that the caller did not wait for."""
-        self.end(CallEnd(EndKind.ABANDONED))
+        self.end(CallEnd(EndKind.ABANDONED, self._attempted_ms))
 
     async def _read_body(self) -> None:
         if not self._head.has_body or self._body.keep_nowait():
@@ -183,8 +186,9 @@
         chosen = context.chooser.choose(
             context.endpoints(self.compiled),
             context.load_of,
-            context.now_ms(),
+            self._attempted_ms,
             self._excluded,
+            is_urgent=self.compiled.route.priority == "urgent",
         )
         if chosen is None:
             failure = Failure(ErrorKind.NO_TARGET, self.compiled.service.name)
@@ -211,7 +215,7 @@
         failed = self._endpoint
         latency_ms = self._context.now_ms() - self._attempted_ms
         kind = self._kind_of(failure)
-        self.end(CallEnd(kind, latency_ms, failure.retry_after_ms))
+        self.end(CallEnd(kind, self._attempted_ms, latency_ms, failure.retry_after_ms))
         attempt = Attempt(
             failure,
             self.compiled.route.priority,
--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -45,13 +45,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CallEnd:
-    """The end of a call.
+    """The end of a call that was chosen a target for at `start_ms`.
 
     `latency_ms` is the time to the head of its answer, without the wait for a
     slot; `retry_after_ms` is what a refusal asks for, 0 for nothing.
     """
 
     kind: EndKind
+    start_ms: float
     latency_ms: float = 0.0
     retry_after_ms: int = 0
 
@@ -86,10 +87,14 @@
         load_of: LoadOf,
         now_ms: float,
         excluded: Collection[TargetKey] = (),
+        *,
+        is_urgent: bool = False,
     ) -> Endpoint | None:
         """Return the endpoint for one call, or None where none is left.
 
-        The call counts as in flight on it until `end` is called.
+        The call counts as in flight on it until `end` is called. Urgent calls
+        hardly wait for a slot, so that the time since their start is the time
+        that the target itself takes.
         """
         known = self._known(endpoints, now_ms)
         usable = endpoints
@@ -102,9 +107,15 @@
             healthy = self._healthy(usable, endpoints, now_ms)
             wait_of = _wait_of(known, healthy, load_of, now_ms)
             chosen = self._pick(healthy, wait_of)
-        known[chosen.key].n_in_flight += 1
+        known[chosen.key].begin(now_ms, is_timed=is_urgent)
         return chosen
 
+    def see_answer(self, endpoint: Endpoint, start_ms: float) -> None:
+        """Take the head of the answer to a call that was chosen at `start_ms`."""
+        health = self._health.get(endpoint.key)
+        if health is not None:
+            health.see_answer(start_ms)
+
     def end(
         self,
         endpoint: Endpoint,
@@ -117,6 +128,7 @@
         if health is None:
             return None
         health.n_in_flight = max(0, health.n_in_flight - 1)
+        health.see_answer(end.start_ms)
         if end.kind is EndKind.GOOD:
             health.succeed()
             health.see_latency(end.latency_ms, now_ms)
@@ -286,9 +298,10 @@
         n_waiting = health.n_in_flight
         if load is not None:
             n_waiting = max(n_waiting, load.n_in_flight) + load.n_queued
+        latency_ms = max(health.latency_ms(now_ms), health.oldest_age_ms(now_ms))
         is_cold = endpoint.target.state is TargetState.COLD
         share = health.warmth(is_cold, now_ms)
-        slowness = max(1.0, health.latency_ms(now_ms) / (fastest_ms or 1.0))
+        slowness = max(1.0, latency_ms / fastest_ms) if fastest_ms else 1.0
         return slowness * (n_waiting + 1) / (endpoint.target.n_slots * share)
 
     return wait_of
--- a/packages/pepperstair-core/pepperstair_core/calls/target_health.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/target_health.py
@@ -27,6 +27,7 @@
         "_latency_ms",
         "_latency_seen_ms",
         "_n_successes",
+        "_starts_ms",
         "_warm_since_ms",
         "avoided_until_ms",
         "ejected_until_ms",
@@ -50,6 +51,7 @@
         self._latency_ms = 0.0
         self._latency_seen_ms = seen_ms
         self._n_successes = 0
+        self._starts_ms: list[float] = []
         self._warm_since_ms = seen_ms if is_new else seen_ms - SLOW_START_MS
 
     def warmth(self, is_cold: bool, now_ms: float) -> float:
@@ -73,6 +75,25 @@
         age_ms = now_ms - self._latency_seen_ms
         return self._latency_ms * 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
 
+    def oldest_age_ms(self, now_ms: float) -> float:
+        """Return for how long the oldest timed call has waited for its answer.
+
+        A target that hangs gives no answer that could be timed. Without this
+        it would look as quick as ever until the first calls to it time out.
+        """
+        return now_ms - self._starts_ms[0] if self._starts_ms else 0.0
+
+    def begin(self, now_ms: float, *, is_timed: bool) -> None:
+        """Take the start of a call."""
+        self.n_in_flight += 1
+        if is_timed:
+            self._starts_ms.append(now_ms)
+
+    def see_answer(self, start_ms: float) -> None:
+        """Take the head of an answer, whose body may go on for long."""
+        if start_ms in self._starts_ms:
+            self._starts_ms.remove(start_ms)
+
     def see_latency(self, latency_ms: float, now_ms: float) -> None:
         """Take the time that an answer took."""
         if self._latency_ms == 0.0:
--- a/tests/call_load.py
+++ b/tests/call_load.py
@@ -139,13 +139,19 @@
 
     def _attempt(self, call, n_attempts, excluded, run):
         load_of = lambda item: self.loads[self.index_of[item.key]]
-        chosen = self.chooser.choose(self.endpoints, load_of, self.now_ms, excluded)
+        chosen = self.chooser.choose(
+            self.endpoints,
+            load_of,
+            self.now_ms,
+            excluded,
+            is_urgent=call.priority == "urgent",
+        )
         if chosen is None:
             self._answer(call, run, is_good=False)
             return
         index = self.index_of[chosen.key]
         ticket = next(self._ticket_ids)
-        self._tickets[ticket] = (call, n_attempts, excluded, run, index)
+        self._tickets[ticket] = (call, n_attempts, excluded, run, self.now_ms, index)
         deadline_ms = call.at_ms + call.timeout_ms
         waiting = WaitingCall(
             ticket, call.customer, call.priority, self.now_ms, deadline_ms, 256
@@ -194,9 +200,9 @@
         self._at(self.now_ms + service_ms, end)
 
     def _end(self, ticket, kind, service_ms=0.0, retry_after_ms=0):
-        call, n_attempts, excluded, run, index = self._tickets.pop(ticket)
+        call, n_attempts, excluded, run, start_ms, index = self._tickets.pop(ticket)
         chosen = self.endpoints[index]
-        end = CallEnd(kind, service_ms, retry_after_ms)
+        end = CallEnd(kind, start_ms, service_ms, retry_after_ms)
         self.chooser.end(chosen, self.endpoints, end, self.now_ms)
         return call, n_attempts, excluded | {chosen.key}, run
 
--- a/tests/naive/calls.py
+++ b/tests/naive/calls.py
@@ -17,7 +17,7 @@
     def __init__(self, availability_zone: str, rng: Random) -> None:
         self._rng = rng
 
-    def choose(self, endpoints, load_of, now_ms, excluded=()):
+    def choose(self, endpoints, load_of, now_ms, excluded=(), *, is_urgent=False):
         """Return any endpoint."""
         return self._rng.choice(endpoints)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -24,7 +24,7 @@
 def fail_until_ejected(choosing, item, among, now_ms=0.0):
     """Let calls to one target fail until it is ejected."""
     for _ in range(item.policy.ejection_errors):
-        ejection = choosing.end(item, among, CallEnd(EndKind.ERROR), now_ms)
+        ejection = choosing.end(item, among, CallEnd(EndKind.ERROR, 0.0), now_ms)
     return ejection
 
 
@@ -33,7 +33,7 @@
     found = Counter()
     for _ in range(n_calls):
         chosen = choosing.choose(among, load_of, now_ms)
-        choosing.end(chosen, among, CallEnd(EndKind.GOOD), now_ms)
+        choosing.end(chosen, among, CallEnd(EndKind.GOOD, now_ms), now_ms)
         found[chosen.target.name] += 1
     return found
 
@@ -72,6 +72,22 @@
     assert (sum(item.target.name == "t3" for item in late) >= 4) is is_warm
 
 
+def test_hanging_target_gets_no_more_calls_before_the_first_times_out():
+    """A target stops answering; its connections stay open.
+
+    Until the first call to it times out there is no answer to measure, and
+    each further call sent there is lost as well.
+    """
+    among = [endpoint(1), endpoint(2)]
+    choosing = chooser()
+    for _ in range(20):
+        answered = choosing.choose(among, no_report, 0.0)
+        choosing.end(answered, among, CallEnd(EndKind.GOOD, 0.0, 40.0), 0.0)
+    stuck = choosing.choose(among, no_report, 0.0, is_urgent=True)
+    chosen = [choosing.choose(among, no_report, 1000.0) for _ in range(20)]
+    assert stuck not in chosen
+
+
 def test_ejected_target_comes_back_by_one_probe():
     """A target answers with errors, though it says that it is healthy."""
     among = [endpoint(1), endpoint(2)]
@@ -82,12 +98,12 @@
     probe_ms = first.period_ms + 1
     probed = [choosing.choose(among, no_report, probe_ms) for _ in range(3)]
     assert [item.target.name for item in probed] == ["t1", "t2", "t2"]
-    second = choosing.end(among[0], among, CallEnd(EndKind.ERROR), probe_ms)
+    second = choosing.end(among[0], among, CallEnd(EndKind.ERROR, 0.0), probe_ms)
     assert second.period_ms > first.period_ms
     assert first.period_ms != EJECTION_BASE_MS
     back_ms = probe_ms + second.period_ms + 1
     assert choosing.choose(among, no_report, back_ms) is among[0]
-    choosing.end(among[0], among, CallEnd(EndKind.GOOD), back_ms)
+    choosing.end(among[0], among, CallEnd(EndKind.GOOD, back_ms), back_ms)
     assert counts(choosing, among, now_ms=back_ms)["t1"] > 0
 
 
@@ -117,7 +133,7 @@
     choosing = chooser()
     for _ in range(2):
         choosing.choose(among, no_report, 0.0)
-    choosing.end(among[0], among, CallEnd(EndKind.REFUSED, 0.0, 300), 0.0)
+    choosing.end(among[0], among, CallEnd(EndKind.REFUSED, 0.0, 0.0, 300), 0.0)
     assert counts(choosing, among, now_ms=299.0) == {"t2": 200}
     assert choosing.choose(among, no_report, 0.0, {among[1].key}) is among[0]
     assert choosing.choose(among[:1], no_report, 0.0, {among[0].key}) is None
