--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -195,6 +195,7 @@
             n_platform_writes=self.platform.counters.n_writes,
             n_metrics_sent=self.metrics.n_sent,
             n_metrics_dropped=self.metrics.n_dropped,
+            n_calls_refused=self.runner.n_refused,
             n_call_retries=self.proxy.n_retries,
             n_pauses=self.control.n_pauses,
             n_streams_replaced=self.call_client.n_replaced_streams,
--- a/tests/naive/calls.py
+++ b/tests/naive/calls.py
@@ -17,11 +17,11 @@
     def __init__(self, availability_zone: str, rng: Random) -> None:
         self._rng = rng
 
-    def choose(self, endpoints, load_of, now_ms, excluded=()):
+    def choose(self, endpoints, load_of, now_ms, excluded=(), *, is_urgent=False):
         """Return any endpoint."""
         return self._rng.choice(endpoints)
 
-    def end(self, endpoint, endpoints, end, now_ms, retry_after_ms=0):
+    def end(self, endpoint, endpoints, end, now_ms):
         """Learn nothing."""
 
 
