--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -35,6 +35,25 @@
     n_platform_writes: int = counted("Writes to the platform.")
     n_metrics_sent: int = counted("Metrics handed to the network.")
     n_metrics_dropped: int = counted("Metrics dropped, as the receiver was away.")
+    n_versions_ignored: int = counted(
+        "Versions that arrived and were no newer than the one held."
+    )
+    n_versions_rejected: int = counted(
+        "Versions that were not valid or did not match their digest."
+    )
+    n_deltas_applied: int = counted("Versions built from a difference.")
+    n_deltas_refused: int = counted(
+        "Differences that did not apply; the whole version was pulled."
+    )
+    n_full_pulls: int = counted("Whole versions asked for.")
+    n_full_pulls_served: int = counted("Whole versions sent to other daemons.")
+    n_busy_sent: int = counted("Pulls of other daemons declined for now.")
+    n_prunes: int = counted(
+        "Neighbours asked to announce a customer instead of pushing it."
+    )
+    n_in_force_alone: int = counted(
+        "Versions put in force without a second holder's acknowledgement."
+    )
     frames: tuple[tuple[str, int], ...] = ()
 
     def iter_named(self) -> Iterator[tuple[str, int]]:
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -74,9 +74,6 @@
             )
         )
         self.platform = Platform(settings.platform)
-        self.configuration = ConfigurationAgent(
-            self.platform, settings.platform, settings.vm.labels
-        )
         self.registry = TargetRegistry(settings.members.target_lease_ms)
         self.runner = TargetRunner(self.registry)
         self.frame_counters = {kind: FrameCounters() for kind in StreamKind}
@@ -90,8 +87,18 @@
             self.identity,
             self.directory,
             settings.members,
-            settings.peers.frame_max_bytes,
+            settings.peers,
             self.frame_counters[StreamKind.CONTROL],
+            self.decisions,
+            self.rng,
+            monotonic_ms,
+        )
+        self.configuration = ConfigurationAgent(
+            self.platform,
+            settings.platform,
+            self.control,
+            self.directory,
+            self.decisions,
             self.rng,
         )
         self.listener = PeerListener(
@@ -124,7 +131,7 @@
     @property
     def ready_by(self) -> str:
         """Return how the daemon became ready, or an empty string."""
-        return "platform" if self.is_ready() else ""
+        return self.configuration.reached_by
 
     def is_ready(self) -> bool:
         """Return whether the daemon may carry calls."""
@@ -142,6 +149,7 @@
             n_platform_writes=self.platform.counters.n_writes,
             n_metrics_sent=self.metrics.n_sent,
             n_metrics_dropped=self.metrics.n_dropped,
+            **self.configuration.counters(),
             frames=tuple(self._iter_frame_counts()),
         )
 
@@ -164,9 +172,9 @@
         await self.operators.listen(*parse_address(settings.operators.address))
         await self.listener.listen(*parse_address(settings.peers.address))
         await self.callers.listen(*parse_address(settings.callers.address))
-        self.control.start(settings.peers.seed_addresses)
         self.configuration.start()
         self.metrics.start()
+        self.control.start()
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
 
@@ -174,7 +182,8 @@
         """Finish what is in flight, refuse the rest as not run, then close."""
         log.info(Event.STOPPING)
         self.runner.is_draining = True
-        self.callers.stop_listening()
+        self.callers.drain()
+        self.control.leave()
         deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
         while self.runner.n_in_flight and monotonic_ms() < deadline_ms:
             await asyncio.sleep(0.02)
--- a/packages/pepperstaird/pepperstaird/operations.py
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -107,6 +107,7 @@
             }
             for member in daemon.directory.members()
         ],
+        "rejected": daemon.configuration.rejected(),
         "counters": dict(daemon.counters().iter_named()),
     }
 
@@ -154,7 +155,7 @@
         version=snapshot.head.version,
         change_id=change_id,
     )
-    daemon.configuration.apply(snapshot)
+    daemon.configuration.accepted(snapshot)
     return json_reply(
         {
             "customer": intent.customer,
