Counters and gauges read beside their declarations; burn proved with calls

Change: read_counters and read_gauges stand beside the data classes; a test brings about failed and served calls and reads them from the burn report.

--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -5,7 +5,10 @@
 import dataclasses
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
+
+if TYPE_CHECKING:
+    from .daemon import Daemon
 
 _DOC: Final = "doc"
 
@@ -28,11 +31,21 @@
 
     n_calls: int = counted("Requests of callers.")
     n_calls_failed: int = counted("Requests of callers answered with an error.")
+    n_retries: int = counted("Attempts at calls after the first.")
     n_calls_taken: int = counted("Calls taken from other daemons.")
+    n_calls_refused: int = counted("Calls refused beside a target as not run.")
+    n_connections: int = counted("Connections of callers.")
+    n_connections_refused: int = counted("Connections of callers over the cap.")
+    n_connections_stalled: int = counted("Connections of callers closed as stalled.")
     n_requests_malformed: int = counted("Requests of callers that were no HTTP.")
     n_streams_rejected: int = counted("Streams of other daemons that were refused.")
     n_platform_reads: int = counted("Reads from the platform.")
     n_platform_writes: int = counted("Writes to the platform.")
+    n_platform_failures: int = counted("Requests that the platform did not answer.")
+    n_platform_refused: int = counted(
+        "Requests to the platform whose turn did not come in time."
+    )
+    n_pauses: int = counted("Times that this process did not run for a while.")
     n_metrics_sent: int = counted("Metrics handed to the network.")
     n_metrics_dropped: int = counted("Metrics dropped, as the receiver was away.")
     n_versions_ignored: int = counted(
@@ -80,6 +93,48 @@
     n_targets: int = counted("Targets announced to this daemon.")
     n_customers: int = counted("Customers with a version in force.")
     n_calls_in_flight: int = counted("Calls that run on targets of this VM.")
+    n_requests_in_flight: int = counted("Requests of callers not yet answered.")
+
+
+def read_counters(daemon: Daemon) -> DaemonCounters:
+    """Collect the counts of all parts of a daemon."""
+    frames = (
+        named
+        for kind, counters in daemon.frame_counters.items()
+        for named in counters.iter_named(kind.value)
+    )
+    return DaemonCounters(
+        n_calls=daemon.proxy.n_calls,
+        n_calls_failed=daemon.proxy.n_failed,
+        n_retries=daemon.proxy.n_retries,
+        n_calls_taken=daemon.call_server.n_calls,
+        n_calls_refused=daemon.runner.n_refused,
+        n_connections=daemon.callers.counters.n_connections,
+        n_connections_refused=daemon.callers.counters.n_refused,
+        n_connections_stalled=daemon.callers.counters.n_stalled,
+        n_requests_malformed=daemon.callers.counters.n_malformed,
+        n_streams_rejected=daemon.listener.n_rejected,
+        n_platform_reads=daemon.platform.counters.n_reads,
+        n_platform_writes=daemon.platform.counters.n_writes,
+        n_platform_failures=daemon.platform.counters.n_failures,
+        n_platform_refused=daemon.platform.counters.n_refused,
+        n_pauses=daemon.control.n_pauses,
+        n_metrics_sent=daemon.metrics.n_sent,
+        n_metrics_dropped=daemon.metrics.n_dropped,
+        **daemon.configuration.counters(),
+        frames=tuple(frames),
+    )
+
+
+def read_gauges(daemon: Daemon) -> DaemonGauges:
+    """Collect what holds right now in all parts of a daemon."""
+    return DaemonGauges(
+        n_members=sum(member.is_usable for member in daemon.directory.members()),
+        n_targets=len(daemon.registry.targets()),
+        n_customers=len(daemon.configuration.versions()),
+        n_calls_in_flight=daemon.runner.n_in_flight,
+        n_requests_in_flight=daemon.proxy.n_in_flight,
+    )
 
 
 __all__ = [
@@ -88,4 +143,6 @@
     "DaemonGauges",
     "counted",
     "iter_docs",
+    "read_counters",
+    "read_gauges",
 ]
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import signal
-from collections.abc import Iterator
 from dataclasses import replace
 from typing import Final
 
@@ -49,7 +48,7 @@
 
 from .clock import monotonic_ms, precise_ms, wall_ms
 from .configuration import ConfigurationAgent
-from .counters import DaemonCounters, DaemonGauges
+from .counters import read_counters, read_gauges
 from .logs import configure_logs, log_loop_error
 from .metrics import MetricsSender
 from .operations import add_operations
@@ -72,7 +71,10 @@
         self.decisions = DecisionLog()
         self.burn = BurnCounts(monotonic_ms())
         self.metrics = MetricsSender(
-            settings.metrics, settings.vm.name, self.counters, self.gauges
+            settings.metrics,
+            settings.vm.name,
+            lambda: read_counters(self),
+            lambda: read_gauges(self),
         )
         start_id = wall_ms()
         peer_address = settings.peers.advertised_address or settings.peers.address
@@ -157,35 +159,6 @@
         """Return whether the daemon may carry calls."""
         return self.configuration.is_floor_known
 
-    def counters(self) -> DaemonCounters:
-        """Return the counts that `status` and the metrics show."""
-        return DaemonCounters(
-            n_calls=self.proxy.n_calls,
-            n_calls_failed=self.proxy.n_failed,
-            n_calls_taken=self.call_server.n_calls,
-            n_requests_malformed=self.callers.counters.n_malformed,
-            n_streams_rejected=self.listener.n_rejected,
-            n_platform_reads=self.platform.counters.n_reads,
-            n_platform_writes=self.platform.counters.n_writes,
-            n_metrics_sent=self.metrics.n_sent,
-            n_metrics_dropped=self.metrics.n_dropped,
-            **self.configuration.counters(),
-            frames=tuple(self._iter_frame_counts()),
-        )
-
-    def gauges(self) -> DaemonGauges:
-        """Return what holds right now, for the metrics."""
-        return DaemonGauges(
-            n_members=sum(member.is_usable for member in self.directory.members()),
-            n_targets=len(self.registry.targets()),
-            n_customers=len(self.configuration.versions()),
-            n_calls_in_flight=self.runner.n_in_flight,
-        )
-
-    def _iter_frame_counts(self) -> Iterator[tuple[str, int]]:
-        for kind, counters in self.frame_counters.items():
-            yield from counters.iter_named(kind.value)
-
     async def start(self) -> None:
         """Listen on every address and begin to join the fleet."""
         settings = self.settings
--- a/packages/pepperstaird/pepperstaird/operations.py
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -23,6 +23,7 @@
 from pepperstair_targets import handle_announcement
 
 from .clock import monotonic_ms, wall_ms
+from .counters import read_counters
 from .reports import burn_counts, explain_decisions, record_refusal
 
 if TYPE_CHECKING:
@@ -108,7 +109,7 @@
             for member in daemon.directory.members()
         ],
         "rejected": daemon.configuration.rejected(),
-        "counters": dict(daemon.counters().iter_named()),
+        "counters": dict(read_counters(daemon).iter_named()),
     }
 
 
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -192,6 +192,21 @@
     assert command("get", "a/b", "--at", at)[0] is ExitCode.DONE
 
 
+def test_burn_report_counts_served_and_failed_calls(command, fleet, at):
+    """Calls to a service without targets fail, and the report must show them."""
+    callers = fleet.daemons[0].callers
+    wait_until(lambda: fetch(callers, "POST", "/ledger/award")[0] == 503, "a failure")
+    fleet.start_target(fleet.daemons[0], "ledger", "--name", "ledger-1")
+    wait_until(lambda: fetch(callers, "POST", "/ledger/award")[0] == 200, "an answer")
+    report = json.loads(command("report", "burn", "--at", at, "--output", "json")[1])
+    (lantern,) = [c for c in report["customers"] if c["customer"] == "lantern"]
+    urgent = lantern["windows"][0]["urgent"]["counts"]
+    assert urgent["n_good"] == 1
+    assert urgent["n_failed"] >= 1
+    firing = [a["rule"]["name"] for a in lantern["alerts"] if a["is_firing"]]
+    assert firing == ["page-fast", "page-slow", "ticket"]
+
+
 def test_burn_report_names_members_that_do_not_answer(command, fleet, at):
     """A daemon freezes, then dies: its calls are missing from the sums.
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 import random
 import socket
@@ -16,6 +17,8 @@
 from pepperstaird.metrics import DATAGRAM_MAX_BYTES, MetricsSender
 from pepperstaird.timings import Timings
 
+N_GAUGES = len(dataclasses.fields(DaemonGauges))
+
 
 class Counts:
     """Counters that a test sets."""
@@ -84,7 +87,7 @@
 
     sender.replace_socket(FullSocket())
     sender.send()
-    assert (sender.n_sent, sender.n_dropped) == (0, 4)
+    assert (sender.n_sent, sender.n_dropped) == (0, N_GAUGES)
 
 
 def test_datagrams_stay_below_the_smallest_mtu(receiver):
@@ -93,7 +96,7 @@
     sender = open_sender(receiver, counts)
     sender.send()
     n_lines = 0
-    while n_lines < 204:
+    while n_lines < 200 + N_GAUGES:
         datagram = receiver.recv(65_536)
         assert len(datagram) <= DATAGRAM_MAX_BYTES
         n_lines += len(datagram.split(b"\n"))
