--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	$(VENV)/bin/ruff check .
 
 format: install
+	$(VENV)/bin/ruff format --quiet .
 	$(VENV)/bin/ruff check --fix .
 	$(VENV)/bin/ruff format .
 
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -31,7 +31,6 @@
 
     n_calls: int = counted("Requests of callers.")
     n_calls_failed: int = counted("Requests of callers answered with an error.")
-    n_retries: int = counted("Attempts at calls after the first.")
     n_calls_taken: int = counted("Calls taken from other daemons.")
     n_calls_refused: int = counted("Calls refused beside a target as not run.")
     n_connections: int = counted("Connections of callers.")
@@ -49,24 +48,19 @@
     n_metrics_sent: int = counted("Metrics handed to the network.")
     n_metrics_dropped: int = counted("Metrics dropped, as the receiver was away.")
     n_versions_ignored: int = counted(
-        "Versions that arrived and were no newer than the one held."
+        "Versions heard that were no newer than the held one."
     )
     n_versions_rejected: int = counted(
-        "Versions that were not valid or did not match their digest."
-    )
-    n_deltas_applied: int = counted("Versions built from a difference.")
-    n_deltas_refused: int = counted(
-        "Differences that did not apply; the whole version was pulled."
-    )
-    n_full_pulls: int = counted("Whole versions asked for.")
-    n_full_pulls_served: int = counted("Whole versions sent to other daemons.")
-    n_busy_sent: int = counted("Pulls of other daemons declined for now.")
-    n_prunes: int = counted(
-        "Neighbours asked to announce a customer instead of pushing it."
-    )
-    n_in_force_alone: int = counted(
-        "Versions put in force without a second holder's acknowledgement."
+        "Versions that failed their digest or validation."
     )
+    n_deltas_applied: int = counted("Deltas applied to the held version.")
+    n_deltas_refused: int = counted("Deltas whose base version was not held.")
+    n_full_pulls: int = counted("Whole snapshots asked for.")
+    n_full_pulls_served: int = counted("Whole snapshots sent to neighbours.")
+    n_busy_sent: int = counted("Pulls declined for now.")
+    n_prunes: int = counted("Neighbours asked to announce instead of pushing.")
+    n_in_force_alone: int = counted("Versions put in force without a second holder.")
+    n_call_retries: int = counted("Attempts of callers' requests after the first.")
     frames: tuple[tuple[str, int], ...] = ()
 
     def iter_named(self) -> Iterator[tuple[str, int]]:
@@ -106,7 +100,7 @@
     return DaemonCounters(
         n_calls=daemon.proxy.n_calls,
         n_calls_failed=daemon.proxy.n_failed,
-        n_retries=daemon.proxy.n_retries,
+        n_call_retries=daemon.proxy.n_retries,
         n_calls_taken=daemon.call_server.n_calls,
         n_calls_refused=daemon.runner.n_refused,
         n_connections=daemon.callers.counters.n_connections,
