A fault in one sending does not end the metrics

Cause: read_counters raised once while it was being written (a renamed count of another part) and the sending task ended unseen. Ruled out: a callback on the task's end, which would log but leave it ended. Change: the fault is logged as internal_error and the next interval is sent. Seen: the new test receives nothing within 5 s without the change.

--- a/packages/pepperstaird/pepperstaird/metrics.py
+++ b/packages/pepperstaird/pepperstaird/metrics.py
@@ -14,6 +14,7 @@
 
 from pepperstair_core.calls import CallOutcome
 from pepperstair_core.config import MetricsSettings, parse_address
+from pepperstair_core.events import Event
 from pepperstair_core.intent import PRIORITIES
 
 from .counters import FRAME_COUNTS, DaemonCounters, DaemonGauges, iter_docs
@@ -149,7 +150,12 @@
     async def _send_for_ever(self) -> None:
         while True:
             await asyncio.sleep(self._settings.interval_ms / 1000)
-            self.send()
+            try:
+                self.send()
+            except Exception:
+                # A fault in one part's counts would end this task unseen, and
+                # the graphs of the VM would stop as if it were gone.
+                log.exception(Event.INTERNAL_ERROR)
 
     def _write_counters(self) -> None:
         counts = dict(self._counters().iter_named())
--- a/packages/pepperstaird/pepperstaird/timings.py
+++ b/packages/pepperstaird/pepperstaird/timings.py
@@ -27,7 +27,7 @@
     """
 
     def __init__(self) -> None:
-        self._counts = array("L", bytes(array("L").itemsize * _N_BUCKETS))
+        self._counts = _no_counts()
         self._n_added = 0
 
     def add(self, duration_ms: float) -> None:
@@ -38,13 +38,17 @@
     def take(self) -> Iterator[tuple[int, float]]:
         """Yield each percentile with its time in ms, and start again from none."""
         counts, n_added = self._counts, self._n_added
-        self.__init__()
+        self._counts, self._n_added = _no_counts(), 0
         if not n_added:
             return
         for percentile in PERCENTILES:
             yield percentile, _time_at(counts, n_added * percentile / 100)
 
 
+def _no_counts() -> array:
+    return array("L", bytes(array("L").itemsize * _N_BUCKETS))
+
+
 def _bucket(duration_ms: float) -> int:
     if duration_ms <= _SMALLEST_MS:
         return 0
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import math
 import random
@@ -90,6 +91,30 @@
     assert (sender.n_sent, sender.n_dropped) == (0, N_GAUGES)
 
 
+def test_fault_in_one_sending_does_not_end_the_next(receiver):
+    """A part whose counts raise once must not silence the VM's metrics for good."""
+    faults = [AttributeError("n_gone")]
+
+    def read() -> DaemonCounters:
+        if faults:
+            raise faults.pop()
+        return DaemonCounters(n_calls=1)
+
+    async def send_until_received() -> bytes:
+        host, port = receiver.getsockname()
+        settings = MetricsSettings(f"{host}:{port}", interval_ms=10)
+        sender = MetricsSender(settings, "vm-1", read, DaemonGauges)
+        sender.start()
+        loop = asyncio.get_running_loop()
+        receiver.setblocking(False)
+        receiving = asyncio.ensure_future(loop.sock_recv(receiver, 65_536))
+        await asyncio.wait([receiving], timeout=5)
+        sender.close()
+        return receiving.result() if receiving.done() else b""
+
+    assert b"pepperstair.vm-1.calls:1|c" in asyncio.run(send_until_received())
+
+
 def test_datagrams_stay_below_the_smallest_mtu(receiver):
     counts = Counts()
     counts.frames = tuple((f"n_control_sent_frames_{i}", 1) for i in range(200))
