--- a/packages/pepperstaird/pepperstaird/configuration/agent.py
+++ b/packages/pepperstaird/pepperstaird/configuration/agent.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from typing import Any, Final
 
 import structlog
+from result import Result
 
 from pepperstair_core.config import PlatformSettings
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
@@ -34,13 +36,25 @@
     Work,
     collect,
 )
+from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_core.events import Event
 from pepperstair_core.labels import Labels
 from pepperstair_core.membership import MemberDirectory
-from pepperstair_core.routing import RouteTable, compile_routes, overrides_of
+from pepperstair_core.routing import (
+    RouteTable,
+    apply_override,
+    compile_routes,
+    overrides_of,
+)
 from pepperstair_core.versions import Snapshot
 from pepperstair_peers import ControlPlane
-from pepperstair_platform import Platform
+from pepperstair_platform import (
+    Accepted,
+    ChangeRequest,
+    Platform,
+    accept_change,
+    repeat_change,
+)
 
 from ..clock import monotonic_ms, wall_ms
 from .records import VersionRecord, VersionRecords
@@ -49,6 +63,7 @@
 log = structlog.get_logger(__name__)
 
 _TICK_S: Final = 0.05
+_N_UNKNOWN_CHANGES_MAX: Final = 1000
 
 
 class ConfigurationAgent:
@@ -67,8 +82,11 @@
         self._control = control
         self._directory = directory
         self._decisions = decisions
+        self._own_vm = own.vm
         self._proxy_labels: Labels = dict(own.labels)
         self._in_force: dict[str, Snapshot] = {}
+        self._platform = platform
+        self._unknown_changes: deque[str] = deque(maxlen=_N_UNKNOWN_CHANGES_MAX)
         self._outbox = Outbox()
         self._source = ConfigurationSource(platform, self._handle)
         self._tasks: list[asyncio.Task[None]] = []
@@ -79,6 +97,7 @@
         self.route_table = RouteTable()
         self.overrides: Mapping[str, Labels] = {}
         self.on_changed: Callable[[Snapshot], None] = lambda snapshot: None
+        self.on_converged: Callable[[str, int], None] = lambda customer, ms: None
 
     @property
     def is_floor_known(self) -> bool:
@@ -92,7 +111,6 @@
 
     def start(self) -> None:
         """Begin to listen to the neighbours and to the clock."""
-        self._control.on_members_changed = self.members_changed
         self._control.on_neighbour_up = lambda vm: self._handle(NeighbourUp(vm))
         self._control.on_neighbour_down = self._on_neighbour_down
         self._control.on_configuration_frame = lambda vm, frame: self._handle(
@@ -118,9 +136,30 @@
         """Learn the floor again after a pause, before calls are carried."""
         self._handle(Paused())
 
-    def accepted(self, snapshot: Snapshot) -> None:
-        """Spread a version that this daemon committed on the platform."""
-        self._handle(ChangeAccepted(snapshot))
+    async def accept(self, change: ChangeRequest) -> Result[Accepted, Failure]:
+        """Commit a change on the platform and spread it, or say why not.
+
+        A change that is in force here already is answered without the platform,
+        so asking again after a lost answer helps during an outage too.
+        """
+        repeated = self._find_repeated(change)
+        if repeated is not None:
+            return repeated
+        if change.change_id in self._unknown_changes:
+            change = replace(change, is_asked_again=True)
+        accepted = await accept_change(self._platform, change)
+        if accepted.is_ok():
+            self._handle(ChangeAccepted(accepted.unwrap().snapshot))
+        elif accepted.unwrap_err().kind is ErrorKind.CHANGE_OUTCOME_UNKNOWN:
+            self._unknown_changes.append(change.change_id)
+        return accepted
+
+    def _find_repeated(self, change: ChangeRequest) -> Result[Accepted, Failure] | None:
+        customer = change.intent.customer
+        record = self.records.find_change(customer, change.change_id)
+        if record is None:
+            return None
+        return repeat_change(record.head, change)
 
     def versions(self) -> dict[str, int]:
         """Return the version in force of each customer."""
@@ -145,6 +184,12 @@
             0,
         )
 
+    def proxy_labels(self) -> Labels:
+        """Return the labels of this proxy, as operators have overridden them."""
+        labels = dict(self._proxy_labels)
+        apply_override(labels, self.overrides.get(self._own_vm, {}))
+        return labels
+
     def counters(self) -> dict[str, int]:
         """Return the counts that `status` and the metrics show."""
         return asdict(self.distribution.state.counters)
@@ -159,8 +204,11 @@
         }
 
     def _handle(self, event: DistributionEvent) -> None:
+        was_floor_known = self.is_floor_known
         for action in self.distribution.handle(event, monotonic_ms()):
             self._carry_out(action)
+        if self.is_floor_known and not was_floor_known:
+            log.info(Event.READY, reached_by=self.reached_by)
         self._flush()
         if self.distribution.state.inbox:
             self._has_work.set()
@@ -194,8 +242,8 @@
     def _put_in_force(self, snapshot: Snapshot, learnt_from: str) -> None:
         head = snapshot.head
         self._in_force[head.customer] = snapshot
-        self.route_table = compile_routes(self._in_force.values(), self._proxy_labels)
         self.overrides = overrides_of(self._in_force.values())
+        self.route_table = compile_routes(self._in_force.values(), self.proxy_labels())
         self.records.add(VersionRecord(head, learnt_from, wall_ms()))
         log.info(
             Event.VERSION_IN_FORCE,
@@ -221,6 +269,9 @@
         self.records.note_convergence(
             action.customer, action.version, action.convergence_ms
         )
+        record = self.records.find(action.customer, action.version)
+        if record is not None and record.head.accepted_by == self._own_vm:
+            self.on_converged(action.customer, action.convergence_ms)
         log.info(
             Event.CHANGE_CONVERGED,
             customer=action.customer,
