Explain a customer's route in words; wait and history proved on the command line

Cause: explain printed the configuration as JSON to people, and wait and history were proved against nothing. Change: text for people, with the convergence time in history; tests wait for a change, for a version that never comes and with a version that can't be read.

--- a/packages/pepperstair-cli/pepperstair_cli/commands/explain.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/explain.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Iterator
 from typing import Any
 
@@ -48,10 +47,37 @@
 
 def _text(content: dict[str, Any]) -> str:
     if "configuration" in content:
-        return json.dumps(content["configuration"], indent=2)
+        return join_lines(_iter_configuration(content["configuration"]))
     return join_lines(_iter_decisions(content["decisions"])) or "no decision is known"
 
 
+def _iter_configuration(configuration: dict[str, Any]) -> Iterator[str]:
+    yield (
+        f"{configuration['customer']}: version {configuration['version']} in force, "
+        f"accepted {show_time(configuration['accepted_at_ms'])} by "
+        f"{configuration['accepted_by']} (change {configuration['change_id']})"
+    )
+    if configuration.get("learnt_from"):
+        yield f"  learnt from {configuration['learnt_from']}"
+    if configuration["rejected"]:
+        rejected = configuration["rejected"]
+        yield f"  version {rejected['version']} was rejected: {rejected['cause']}"
+    if "route" in configuration:
+        yield from _iter_route(configuration["route"])
+
+
+def _iter_route(route: dict[str, Any] | None) -> Iterator[str]:
+    if route is None:
+        yield "  that version has no such route"
+        return
+    labels = ", ".join(f"{key}={value}" for key, value in route["proxy_labels"].items())
+    verb = "carries" if route["is_carried"] else "does not carry"
+    selector = route["proxies"] or "every proxy"
+    yield f"  this proxy {verb} route {route['name']}: it is for {selector}"
+    yield f"  labels of this proxy: {labels or 'none'}"
+    yield f"  goes to service {route['service']}: {route['service_selector']}"
+
+
 def _iter_decisions(decisions: list[dict[str, Any]]) -> Iterator[str]:
     for decision in decisions:
         figures = ", ".join(
--- a/packages/pepperstair-cli/pepperstair_cli/commands/history.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/history.py
@@ -37,11 +37,14 @@
 
 def _iter_lines(changes: list[dict[str, Any]]) -> Iterator[str]:
     for change in changes:
-        accepted_at = show_time(change["accepted_at_ms"])
-        yield (
-            f"version {change['version']}  {accepted_at}  by {change['accepted_by']}"
-            f"  change {change['change_id']}"
+        line = (
+            f"version {change['version']}  {show_time(change['accepted_at_ms'])}  "
+            f"by {change['accepted_by']}  change {change['change_id']}"
         )
+        convergence_ms = change["convergence_ms"]
+        if convergence_ms is not None:
+            line = f"{line}  in force everywhere after {convergence_ms} ms"
+        yield line
 
 
 __all__ = ["run"]
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -192,6 +192,36 @@
     assert command("get", "a/b", "--at", at)[0] is ExitCode.DONE
 
 
+def test_change_is_awaited_listed_and_explained(command, fleet, at, tmp_path):
+    file = tmp_path / "awaited.toml"
+    file.write_text(EXAMPLE.read_text().replace("2000", "2200"))
+    change = ("--change-id", "awaited-1", "--wait")
+    code, out, _ = command("apply", file, *change, "--at", at)
+    assert code is ExitCode.DONE
+    assert "in force everywhere" in out
+    newest = version_of(command, at)
+    assert command("wait", "lantern", "--at", at)[0] is ExitCode.DONE
+    listed = command("history", "lantern", "--at", at)[1].splitlines()[-1]
+    assert listed.startswith(f"version {newest} ")
+    assert "change awaited-1" in listed
+    route = ("--customer", "lantern", "--route")
+    explained = command("explain", *route, "award", "--at", at)[1]
+    assert "this proxy carries route award: it is for customer=lantern" in explained
+    assert "no such route" in command("explain", *route, "nowhere", "--at", at)[1]
+
+
+def test_version_that_never_comes_is_an_unknown_outcome(command, at):
+    """An operator waits for a version that nobody has accepted."""
+    wanted = ("--version", "999", "--timeout-ms", "200")
+    code, _, err = command("wait", "lantern", *wanted, "--at", at)
+    assert code is ExitCode.OUTCOME_UNKNOWN
+    assert "version 999 is not in force on vm-1" in err
+
+
+def test_wait_refuses_a_version_that_can_not_be_read(at):
+    assert fetch(at, "GET", "/v1/wait/lantern?version=abc")[0] == 400
+
+
 def test_burn_report_counts_served_and_failed_calls(command, fleet, at):
     """Calls to a service without targets fail, and the report must show them."""
     callers = fleet.daemons[0].callers
