--- a/packages/pepperstair-peers/pepperstair_peers/listener.py
+++ b/packages/pepperstair-peers/pepperstair_peers/listener.py
@@ -53,11 +53,11 @@
         return self._server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
-        """Stop listening and break every stream that was taken."""
+        """Stop listening and close every stream once what it holds is sent."""
         if self._server is not None:
             self._server.close()
         for stream in list(self._streams):
-            stream.close()
+            stream.finish()
 
     def _on_opened(self, stream: FrameStream) -> None:
         self._streams.add(stream)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import dataclasses
 import math
 import random
 import socket
@@ -16,6 +18,8 @@
 from pepperstaird.metrics import DATAGRAM_MAX_BYTES, MetricsSender
 from pepperstaird.timings import Timings
 
+N_GAUGES = len(dataclasses.fields(DaemonGauges))
+
 
 class Counts:
     """Counters that a test sets."""
@@ -84,7 +88,31 @@
 
     sender.replace_socket(FullSocket())
     sender.send()
-    assert (sender.n_sent, sender.n_dropped) == (0, 4)
+    assert (sender.n_sent, sender.n_dropped) == (0, N_GAUGES)
+
+
+def test_fault_in_one_sending_does_not_end_the_next(receiver):
+    """A part whose counts raise once must not silence the VM's metrics for good."""
+    faults = [AttributeError("n_gone")]
+
+    def read() -> DaemonCounters:
+        if faults:
+            raise faults.pop()
+        return DaemonCounters(n_calls=1)
+
+    async def send_until_received() -> bytes:
+        host, port = receiver.getsockname()
+        settings = MetricsSettings(f"{host}:{port}", interval_ms=10)
+        sender = MetricsSender(settings, "vm-1", read, DaemonGauges)
+        sender.start()
+        loop = asyncio.get_running_loop()
+        receiver.setblocking(False)
+        receiving = asyncio.ensure_future(loop.sock_recv(receiver, 65_536))
+        await asyncio.wait([receiving], timeout=5)
+        sender.close()
+        return receiving.result() if receiving.done() else b""
+
+    assert b"pepperstair.vm-1.calls:1|c" in asyncio.run(send_until_received())
 
 
 def test_datagrams_stay_below_the_smallest_mtu(receiver):
@@ -93,7 +121,7 @@
     sender = open_sender(receiver, counts)
     sender.send()
     n_lines = 0
-    while n_lines < 204:
+    while n_lines < 200 + N_GAUGES:
         datagram = receiver.recv(65_536)
         assert len(datagram) <= DATAGRAM_MAX_BYTES
         n_lines += len(datagram.split(b"\n"))
