--- a/benchmarks/naive/daemon.py
+++ b/benchmarks/naive/daemon.py
@@ -58,10 +58,20 @@
         self.runner = NaiveRunner(self.registry)
         frame_max_bytes = settings.peers.frame_max_bytes
         self.frame_counters = {kind: FrameCounters() for kind in StreamKind}
+        heartbeat_ms = settings.members.heartbeat_ms
         self.call_client = CallClient(
-            identity, frame_max_bytes, self.frame_counters[StreamKind.DATA]
+            identity,
+            frame_max_bytes,
+            self.frame_counters[StreamKind.DATA],
+            heartbeat_ms,
+            monotonic_ms,
+        )
+        self.call_server = CallServer(
+            self.runner.run,
+            settings.calls.n_remembered_runs_max,
+            heartbeat_ms,
+            monotonic_ms,
         )
-        self.call_server = CallServer(self.runner.run)
         self.control = ControlPlane(
             identity,
             self.directory,
--- a/benchmarks/naive/runner.py
+++ b/benchmarks/naive/runner.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from pepperstair_core.config import parse_address
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
 from pepperstair_core.members import Target, TargetState
 from pepperstair_core.wire import CallHead
@@ -15,9 +16,9 @@
     ConnectionLostError,
     ResponseHead,
     StreamedResponse,
+    connect,
 )
 from pepperstair_targets import TargetRegistry
-from pepperstair_targets.pool import ConnectionPool
 from pepperstaird.clock import monotonic_ms
 
 log = structlog.get_logger(__name__)
@@ -28,10 +29,34 @@
 
     def __init__(self, target: Target) -> None:
         self.address = target.address
-        self.pool = ConnectionPool(target.address)
+        self._idle: list[ClientConnection] = []
         self.slots = asyncio.Semaphore(target.n_slots)
         self.n_in_flight = 0
 
+    async def take(self) -> ClientConnection:
+        """Return a connection that nobody uses, or a new one."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable:
+                return connection
+            connection.close()
+        try:
+            return await connect(*parse_address(self.address))
+        except OSError as error:
+            raise _not_run(ErrorKind.TARGET_UNREACHABLE, str(error)) from error
+
+    def give_back(self, connection: ClientConnection) -> None:
+        """Keep a connection whose answer was read to its end."""
+        if connection.is_reusable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+
 
 class NaiveRunner:
     """Carries a call to a local target, within the target's slots."""
@@ -67,7 +92,7 @@
     def close(self) -> None:
         """Close the idle connections to every target."""
         for local in self._targets.values():
-            local.pool.close()
+            local.close()
 
     def _local(self, target: Target) -> _LocalTarget:
         local = self._targets.get(target.name)
@@ -81,7 +106,7 @@
     ) -> StreamedResponse:
         """Send the request; the slot is held until the answer is read or dropped."""
         try:
-            connection = local.pool.take_idle() or await local.pool.open()
+            connection = await local.take()
         except PepperstairError:
             _release(local)
             raise
@@ -92,7 +117,7 @@
             if not is_ended:
                 is_ended = True
                 _release(local)
-                local.pool.give_back(connection)
+                local.give_back(connection)
 
         try:
             response = await _exchange(connection, head, body)
--- /dev/null
+++ b/tests/test_process_pause_both.py
@@ -0,0 +1,54 @@
+"""Real daemons at both ends of a call, frozen past their leases and woken."""
+
+from __future__ import annotations
+
+import asyncio
+
+from benchmarks.fleet import wait_until
+from tests.process_fleet import (
+    award_document,
+    call,
+    call_async,
+    put_in_force,
+    runs_of,
+    served_by,
+    start_daemons,
+    start_target,
+)
+
+
+def test_frozen_on_both_sides_runs_nothing_whose_deadline_passed(fleet):
+    """The daemons at both ends of a call are frozen, and one wakes far too late.
+
+    The daemon at the caller's side can't take the calls back, being frozen too, so
+    the one beside the target has to see by itself that they have been waiting.
+    """
+    daemons = start_daemons(fleet, 4)
+    target = start_target(fleet, daemons[0], "ledger")
+    put_in_force(fleet, award_document("ledger"), daemons[1])
+    assert served_by(call(daemons[1], "before")) == "ledger"
+    daemons[0].freeze()
+
+    async def call_and_freeze() -> None:
+        calls = [
+            asyncio.create_task(
+                call_async(
+                    daemons[1].callers,
+                    f"frozen-{index}",
+                    timeout_ms="500",
+                    give_up_ms=2000,
+                )
+            )
+            for index in range(20)
+        ]
+        await asyncio.sleep(0.2)
+        daemons[1].freeze()
+        await asyncio.gather(*calls)
+
+    asyncio.run(call_and_freeze())
+    daemons[0].wake()
+    wait_until(lambda: served_by(call(daemons[2], "after")) == "ledger", "ledger")
+    daemons[1].wake()
+    wait_until(lambda: served_by(call(daemons[1], "again")) == "ledger", "ledger")
+    ran = [name for name in runs_of(target) if name.startswith("frozen-")]
+    assert ran == []
