--- a/benchmarks/naive/daemon.py
+++ b/benchmarks/naive/daemon.py
@@ -59,9 +59,18 @@
         frame_max_bytes = settings.peers.frame_max_bytes
         self.frame_counters = {kind: FrameCounters() for kind in StreamKind}
         self.call_client = CallClient(
-            identity, frame_max_bytes, self.frame_counters[StreamKind.DATA]
+            identity,
+            frame_max_bytes,
+            self.frame_counters[StreamKind.DATA],
+            settings.members.heartbeat_ms,
+            monotonic_ms,
+        )
+        self.call_server = CallServer(
+            self.runner.run,
+            settings.calls.n_remembered_runs_max,
+            settings.members.heartbeat_ms,
+            monotonic_ms,
         )
-        self.call_server = CallServer(self.runner.run)
         self.control = ControlPlane(
             identity,
             self.directory,
