--- a/packages/pepperstair-peers/pepperstair_peers/control/plane.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/plane.py
@@ -104,7 +104,7 @@
         self._tick()
 
     def close(self) -> None:
-        """Break every stream and stop dialling."""
+        """Stop dialling and close every stream once what it holds is sent."""
         self._is_closed = True
         for timer in (self._tick_timer, self._flush_timer):
             if timer is not None:
@@ -112,7 +112,7 @@
         for task in self._tasks:
             task.cancel()
         for stream in self._links.streams():
-            stream.close()
+            stream.finish()
 
     def is_writable(self, vm: str) -> bool:
         """Return whether a neighbour is there and takes what is sent to it.
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import signal
-from collections.abc import Iterator
 from dataclasses import replace
 from typing import Final
 
@@ -50,8 +49,9 @@
 from .clock import monotonic_ms, precise_ms, wall_ms
 from .configuration import ConfigurationAgent
 from .configuration_operations import add_configuration_operations
-from .counters import DaemonCounters, DaemonGauges
+from .counters import read_counters, read_gauges
 from .logs import configure_logs, log_loop_error
+from .member_rows import MemberRows
 from .metrics import MetricsSender
 from .operations import add_operations
 
@@ -73,7 +73,10 @@
         self.decisions = DecisionLog()
         self.burn = BurnCounts(monotonic_ms())
         self.metrics = MetricsSender(
-            settings.metrics, settings.vm.name, self.counters, self.gauges
+            settings.metrics,
+            settings.vm.name,
+            lambda: read_counters(self),
+            lambda: read_gauges(self),
         )
         start_id = wall_ms()
         peer_address = settings.peers.advertised_address or settings.peers.address
@@ -102,8 +105,15 @@
             self.identity,
             settings.peers.frame_max_bytes,
             self.frame_counters[StreamKind.DATA],
+            settings.members.heartbeat_ms,
+            monotonic_ms,
+        )
+        self.call_server = CallServer(
+            self.runner.run,
+            settings.calls.n_remembered_runs_max,
+            settings.members.heartbeat_ms,
+            monotonic_ms,
         )
-        self.call_server = CallServer(self.runner.run)
         self.control = ControlPlane(
             self.identity,
             self.directory,
@@ -122,6 +132,9 @@
             self.decisions,
             self.rng,
         )
+        self.member_rows = MemberRows(
+            self.platform, self.control, self.directory, self.rng
+        )
         self.listener = PeerListener(
             self.identity,
             settings.peers.frame_max_bytes,
@@ -131,6 +144,9 @@
             },
             self.frame_counters,
         )
+        self.call_server.loads = self.runner.loads
+        self.call_server.was_paused = self.control.check_pause
+        self.control.on_paused = self._on_paused
         self.proxy = Proxy(self._proxy_context())
         self.callers = HttpServer(
             self.proxy.handle,
@@ -146,8 +162,6 @@
         self.operators = HttpServer(operators.handle, ServerLimits())
         self.endpoint_table = EndpointTable()
         self.registry.on_changed = self._publish_targets
-        self.control.on_members_changed = self._members_changed
-        self.control.on_paused = self.configuration.catch_up
         self.configuration.on_changed = lambda snapshot: self._renew_endpoints()
         self.configuration.on_converged = self._count_convergence
         self._lease_task: asyncio.Task[None] | None = None
@@ -159,37 +173,17 @@
 
     def is_ready(self) -> bool:
         """Return whether the daemon may carry calls."""
+        self.control.check_pause()
         return self.configuration.is_floor_known
 
-    def counters(self) -> DaemonCounters:
-        """Return the counts that `status` and the metrics show."""
-        return DaemonCounters(
-            n_calls=self.proxy.n_calls,
-            n_calls_failed=self.proxy.n_failed,
-            n_calls_taken=self.call_server.n_calls,
-            n_requests_malformed=self.callers.counters.n_malformed,
-            n_streams_rejected=self.listener.n_rejected,
-            n_platform_reads=self.platform.counters.n_reads,
-            n_platform_writes=self.platform.counters.n_writes,
-            n_metrics_sent=self.metrics.n_sent,
-            n_metrics_dropped=self.metrics.n_dropped,
-            n_call_retries=self.proxy.n_retries,
-            **self.configuration.counters(),
-            frames=tuple(self._iter_frame_counts()),
-        )
-
-    def gauges(self) -> DaemonGauges:
-        """Return what holds right now, for the metrics."""
-        return DaemonGauges(
-            n_members=sum(member.is_usable for member in self.directory.members()),
-            n_targets=len(self.registry.targets()),
-            n_customers=len(self.configuration.versions()),
-            n_calls_in_flight=self.runner.n_in_flight,
-        )
+    def _on_members_changed(self) -> None:
+        self.configuration.members_changed()
+        self._renew_endpoints()
 
-    def _iter_frame_counts(self) -> Iterator[tuple[str, int]]:
-        for kind, counters in self.frame_counters.items():
-            yield from counters.iter_named(kind.value)
+    def _on_paused(self) -> None:
+        """Stop carrying calls until the configuration has caught up."""
+        self.configuration.catch_up()
+        self.call_server.reset_streams()
 
     async def start(self) -> None:
         """Listen on every address and begin to join the fleet."""
@@ -198,7 +192,9 @@
         await self.listener.listen(*parse_address(settings.peers.address))
         await self.callers.listen(*parse_address(settings.callers.address))
         self.configuration.start()
+        self.control.on_members_changed = self._on_members_changed
         self.control.start()
+        self.member_rows.start()
         self.metrics.start()
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
@@ -210,12 +206,13 @@
         self._publish_targets()
         self.callers.drain()
         self.control.leave()
-        await self._wait_for_calls()
+        await asyncio.gather(self.member_rows.remove_own(), self._wait_for_calls())
         self._lease_task.cancel()
         self.metrics.close()
         self.configuration.close()
         self.control.close()
         self.call_client.close()
+        self.call_server.close()
         self.listener.close()
         self.runner.close()
         self.callers.close()
@@ -233,13 +230,18 @@
         deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
         await asyncio.sleep(min(_NOTICE_S, self.settings.calls.drain_timeout_ms / 1000))
         while monotonic_ms() < deadline_ms:
-            if not self.runner.n_in_flight and not self.proxy.n_in_flight:
+            if not self._is_busy():
                 # The last answers may still stand in the buffers of their
                 # connections; closing those now would cut them.
                 await asyncio.sleep(_FLUSH_S)
                 return
             await asyncio.sleep(_DRAIN_CHECK_S)
 
+    def _is_busy(self) -> bool:
+        """Return whether calls are in flight, here or through this daemon."""
+        parts = (self.runner, self.proxy, self.call_server, self.call_client)
+        return any(part.n_in_flight for part in parts)
+
     def _proxy_context(self) -> ProxyContext:
         return ProxyContext(
             vm=self.settings.vm.name,
@@ -249,8 +251,8 @@
             load_of=self._load_of,
             carry=self._carry,
             is_ready=self.is_ready,
-            is_draining=lambda: self.runner.is_draining,
             on_outcome=self._count_outcome,
+            is_draining=lambda: self.runner.is_draining,
             decisions=self.decisions,
             budget=self.retry_budget,
             retry_budget_percent=self.settings.calls.retry_budget_percent,
@@ -271,10 +273,6 @@
             compiled.target_selector, compiled.customer
         )
 
-    def _members_changed(self) -> None:
-        self.configuration.members_changed()
-        self._renew_endpoints()
-
     def _renew_endpoints(self) -> None:
         self.endpoint_table = EndpointTable(
             self.directory.members(),
@@ -286,11 +284,7 @@
         """Return the load of a target: exact beside it, else as last reported."""
         if endpoint.vm == self.settings.vm.name:
             return self.runner.load_of(endpoint.target.name)
-        load_of = getattr(self.call_client, "load_of", None)
-        if load_of is None:
-            return None
-        reported = load_of(endpoint.peer_address, endpoint.target.name)
-        return None if reported is None else Load(*reported)
+        return self.call_client.load_of(endpoint.peer_address, endpoint.target.name)
 
     def _policy_of(self, customer: str, target: Target) -> Policy:
         policies = self.configuration.route_table.policies
