--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,8 @@
 PACKAGES := $(wildcard packages/*)
 TOOLS := pytest hypothesis ruff
 
-.PHONY: install test lint format demo docs clean bench-path bench-idle bench-burn \
-	bench-neighbours \
+.PHONY: install test lint format demo docs clean bench-path bench-idle bench-http \
+	bench-burn bench-neighbours \
 	bench-convergence bench-control-bytes bench-calls
 
 install: $(VENV)/installed
@@ -44,6 +44,9 @@
 bench-neighbours: install
 	$(PYTHON) -m benchmarks.neighbours
 
+bench-http: install
+	$(PYTHON) -m benchmarks.http_exchange
+
 bench-burn: install
 	$(PYTHON) -m benchmarks.burn
 
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -49,6 +49,7 @@
 
 from .clock import monotonic_ms, precise_ms, wall_ms
 from .configuration import ConfigurationAgent
+from .configuration_operations import add_configuration_operations
 from .counters import DaemonCounters, DaemonGauges
 from .logs import configure_logs, log_loop_error
 from .member_rows import MemberRows
@@ -144,6 +145,7 @@
         self.call_server.loads = self.runner.loads
         self.call_server.was_paused = self.control.check_pause
         self.control.on_paused = self._on_paused
+        self.control.on_members_changed = self._members_changed
         self.proxy = Proxy(self._proxy_context())
         self.callers = HttpServer(
             self.proxy.handle,
@@ -155,10 +157,12 @@
         )
         operators = OperatorServer(settings.operators)
         add_operations(operators, self)
+        add_configuration_operations(operators, self)
         self.operators = HttpServer(operators.handle, ServerLimits())
         self.endpoint_table = EndpointTable()
         self.registry.on_changed = self._publish_targets
         self.configuration.on_changed = lambda snapshot: self._renew_endpoints()
+        self.configuration.on_converged = self._count_convergence
         self._lease_task: asyncio.Task[None] | None = None
 
     @property
@@ -171,10 +175,6 @@
         self.control.check_pause()
         return self.configuration.is_floor_known
 
-    def _on_members_changed(self) -> None:
-        self.configuration.members_changed()
-        self._renew_endpoints()
-
     def _on_paused(self) -> None:
         """Stop carrying calls until the configuration has caught up."""
         self.configuration.catch_up()
@@ -221,7 +221,6 @@
         await self.listener.listen(*parse_address(settings.peers.address))
         await self.callers.listen(*parse_address(settings.callers.address))
         self.configuration.start()
-        self.control.on_members_changed = self._on_members_changed
         self.control.start()
         self.member_rows.start()
         self.metrics.start()
@@ -294,11 +293,18 @@
         self.burn.add(outcome, monotonic_ms())
         self.metrics.add(outcome)
 
+    def _count_convergence(self, customer: str, convergence_ms: int) -> None:
+        self.burn.add_convergence(customer, monotonic_ms(), convergence_ms)
+
     def _endpoints(self, compiled: CompiledRoute) -> tuple[Endpoint, ...]:
         return self.endpoint_table.endpoints(
             compiled.target_selector, compiled.customer
         )
 
+    def _members_changed(self) -> None:
+        self.configuration.members_changed()
+        self._renew_endpoints()
+
     def _renew_endpoints(self) -> None:
         self.endpoint_table = EndpointTable(
             self.directory.members(),
--- a/packages/pepperstaird/pepperstaird/operations.py
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -19,11 +19,11 @@
     json_reply,
     query_version,
 )
-from pepperstair_platform import ChangeRequest, accept_change
+from pepperstair_platform import ChangeRequest
 from pepperstair_targets import handle_announcement
 
 from .clock import monotonic_ms, wall_ms
-from .reports import burn_counts, explain_decisions, record_refusal
+from .reports import burn_counts, record_refusal
 
 if TYPE_CHECKING:
     from .daemon import Daemon
@@ -52,9 +52,6 @@
     async def put_intent(request: OperatorRequest) -> OperatorReply:
         return await _put_intent(daemon, request)
 
-    async def explain(request: OperatorRequest) -> OperatorReply:
-        return explain_decisions(daemon, request)
-
     async def burn(request: OperatorRequest) -> OperatorReply:
         return await burn_counts(daemon)
 
@@ -79,7 +76,6 @@
     server.add("GET", "/v1/ready", ready)
     server.add("GET", "/v1/intent/", get_intent)
     server.add("PUT", "/v1/intent/", put_intent)
-    server.add("GET", "/v1/explain", explain)
     server.add("GET", "/v1/burn", burn)
     server.add("PUT", "/v1/targets/", put_target)
     server.add("DELETE", "/v1/targets/", delete_target)
@@ -136,8 +132,9 @@
         from_version.unwrap(),
         daemon.settings.vm.name,
         wall_ms(),
+        request.query.get("is_asked_again") == "true",
     )
-    accepted = await accept_change(daemon.platform, change)
+    accepted = await daemon.configuration.accept(change)
     if accepted.is_err():
         failure = accepted.unwrap_err()
         record_refusal(daemon, intent.customer, failure)
@@ -155,7 +152,6 @@
         version=snapshot.head.version,
         change_id=change_id,
     )
-    daemon.configuration.accepted(snapshot)
     return json_reply(
         {
             "customer": intent.customer,
