Leave time for the slower half of calls under overload

Every call ran as late as its deadline less the mean service time permits, and each that took longer than the mean was work for nobody. The margin is now the mean and three mean deviations, at least a quarter of the call's time.

--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -16,6 +16,8 @@
 
 FIRST_SERVICE_MS: Final = 10.0
 SERVICE_WEIGHT: Final = 0.1
+# As in the timeout of TCP (Jacobson 1988): the mean and some mean deviations.
+N_DEVIATIONS: Final = 3
 RETRY_AFTER_MIN_MS: Final = 10
 RETRY_AFTER_MAX_MS: Final = 5_000
 # Ageing: one grant in so many goes to a less urgent call that has waited for
@@ -71,6 +73,7 @@
         self.n_in_flight = 0
         self.service_ms = FIRST_SERVICE_MS
         self._service_ms_of = dict.fromkeys(PRIORITIES, FIRST_SERVICE_MS)
+        self._deviation_ms_of = dict.fromkeys(PRIORITIES, 0.0)
         self._queues = {priority: FairQueue() for priority in PRIORITIES}
         self._waiting: dict[int, WaitingCall] = {}
         self._latest_starts: list[tuple[float, int]] = []
@@ -114,8 +117,7 @@
             cost = service_ms / max(self.service_ms, 0.01) - 1.0
             self._queues[priority].charge(customer, cost)
             self.service_ms += SERVICE_WEIGHT * (service_ms - self.service_ms)
-            known_ms = self._service_ms_of[priority]
-            self._service_ms_of[priority] += SERVICE_WEIGHT * (service_ms - known_ms)
+            self._see_service(priority, service_ms)
         return self._grant(now_ms)
 
     def resize(self, n_slots: int, now_ms: float) -> list[Verdict]:
@@ -173,16 +175,31 @@
                 return queue.newest_of_longest()
         return None
 
+    def _see_service(self, priority: str, service_ms: float) -> None:
+        change_ms = service_ms - self._service_ms_of[priority]
+        self._service_ms_of[priority] += SERVICE_WEIGHT * change_ms
+        deviation_ms = self._deviation_ms_of[priority]
+        self._deviation_ms_of[priority] += SERVICE_WEIGHT * (
+            abs(change_ms) - deviation_ms
+        )
+
     def _latest_start_ms(self, call: WaitingCall) -> float:
         """Return until when it makes sense to run the call.
 
         Started later, it would be answered after its deadline, and its slot
-        lost to a call that is still wanted. The estimate is that of its own
-        priority, as one target may serve bookings and large files, and at most
-        half of its time, as an estimate can be wrong.
+        lost to a call that is still wanted. Under overload every call runs as
+        late as this permits: with the mean alone, each one that takes longer
+        than the mean is work for nobody, and goodput falls as load rises. The
+        estimate is that of its own priority, as one target may serve bookings
+        and large files; it counts for at least a quarter and at most half of
+        the call's time.
         """
-        half_ms = (call.deadline_ms - call.arrived_ms) / 2
-        return call.deadline_ms - min(half_ms, self._service_ms_of[call.priority])
+        total_ms = call.deadline_ms - call.arrived_ms
+        estimate_ms = (
+            self._service_ms_of[call.priority]
+            + N_DEVIATIONS * self._deviation_ms_of[call.priority]
+        )
+        return call.deadline_ms - min(total_ms / 2, max(total_ms / 4, estimate_ms))
 
     def _expected_start_ms(self, call: WaitingCall, now_ms: float) -> float:
         """Return when the call would run, if it had to wait."""
