--- a/packages/pepperstair-core/pepperstair_core/distribution/node.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/node.py
@@ -69,7 +69,12 @@
     def _(self, event: events.Tick, now_ms: int) -> Actions:
         yield from polling.poll_due(self.polling, self.state, now_ms)
         yield from pulling.ask_due(self.state, now_ms)
-        yield from anti_entropy.compare_due(self.state, self.floor.is_known, now_ms)
+        yield from anti_entropy.compare_due(
+            self.state, self.floor.has_been_known, now_ms
+        )
+        yield from anti_entropy.ask_holders_due(
+            self.state, self.floor.has_been_known, now_ms
+        )
         for customer in self.state.customers.values():
             if customer.candidates:
                 yield from in_force.advance(self.state, customer, now_ms)
@@ -84,7 +89,9 @@
         self.state.fleet.neighbours.add(event.vm)
         for customer in self.state.customers.values():
             customer.pruned.discard(event.vm)
-        return anti_entropy.ask_versions(event.vm, self.floor.is_known)
+        return anti_entropy.ask_versions(
+            event.vm, self.floor.has_been_known, self.floor.number
+        )
 
     @_decide.register
     def _(self, event: events.NeighbourDown, now_ms: int) -> Actions:
@@ -126,7 +133,7 @@
         if event.heads is None:
             return
         if event.bucket is None:
-            floor.note_platform_heads(self.floor, event.heads)
+            floor.note_platform_heads(self.floor, event.heads, event.number)
         yield from polling.on_heads(
             self.polling, self.state, event.bucket, event.heads, now_ms
         )
@@ -195,10 +202,9 @@
                 )
 
     def _on_heads_digest(self, sender: str, frame: HeadsDigest, now_ms: int) -> Actions:
-        if frame.is_answer and frame.is_floor_known:
-            floor.note_answer(self.floor, sender, frame.versions)
+        floor.note_answer(self.floor, sender, frame)
         yield from anti_entropy.on_heads_digest(
-            self.state, sender, frame, self.floor.is_known, now_ms
+            self.state, sender, frame, self.floor.has_been_known, now_ms
         )
 
     def _note_way_back(self, sender: str, head: Head) -> None:
