--- a/packages/pepperstair-cli/pepperstair_cli/commands/status.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/status.py
@@ -29,6 +29,8 @@
     yield "versions in force"
     for customer, version in content["versions"].items():
         yield f"  {customer} {version}"
+    for customer, rejected in content["rejected"].items():
+        yield f"  {customer} {rejected['version']} was rejected: {rejected['cause']}"
     yield "members"
     for member in content["members"]:
         yield f"  {member['vm']} {member['state']} in {member['availability_zone']}"
