--- a/benchmarks/daemon_logs.py
+++ b/benchmarks/daemon_logs.py
@@ -79,8 +79,24 @@
         whole = data[: data.rfind(b"\n") + 1]
         self._offsets[path] = offset + len(whole)
         for line in whole.splitlines():
-            if line.startswith(b"{"):
-                yield json.loads(line)
+            yield from _iter_entries(line.decode())
+
+
+def _iter_entries(line: str) -> Iterator[dict[str, Any]]:
+    """Yield the entries of a line.
+
+    A daemon that is killed between an entry and the end of its line leaves a line
+    on which its successor goes on, so that one line holds two entries.
+    """
+    decoder = json.JSONDecoder()
+    position = line.find("{")
+    while position >= 0:
+        try:
+            entry, position = decoder.raw_decode(line, position)
+        except ValueError:
+            return
+        yield entry
+        position = line.find("{", position)
 
 
 __all__ = ["FleetLogs"]
