--- a/Makefile
+++ b/Makefile
@@ -41,19 +41,21 @@
 bench-idle: install
 	$(PYTHON) -m benchmarks.idle
 
-bench-neighbours: install
-	$(PYTHON) -m benchmarks.neighbours
-
 bench-http: install
 	$(PYTHON) -m benchmarks.http_exchange
 
+bench-neighbours: install
+	$(PYTHON) -m benchmarks.neighbours
+
 bench-burn: install
 	$(PYTHON) -m benchmarks.burn
 
 bench-convergence: SIZES ?= 5 10
-bench-convergence: CHANGES ?= 10
+bench-convergence: CHANGES ?= 30
+bench-convergence: FAULTS ?= 5
 bench-convergence: install
-	$(PYTHON) -m benchmarks.convergence --sizes "$(SIZES)" --changes $(CHANGES)
+	$(PYTHON) -m benchmarks.convergence --sizes "$(SIZES)" \
+		--changes $(CHANGES) --faults $(FAULTS)
 
 bench-control-bytes: SIZES ?= 5 10
 bench-control-bytes: CHANGES ?= 10
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import signal
-from collections.abc import Iterator
 from dataclasses import replace
 from typing import Final
 
@@ -50,7 +49,7 @@
 from .clock import monotonic_ms, precise_ms, wall_ms
 from .configuration import ConfigurationAgent
 from .configuration_operations import add_configuration_operations
-from .counters import DaemonCounters, DaemonGauges
+from .counters import read_counters, read_gauges
 from .logs import configure_logs, log_loop_error
 from .member_rows import MemberRows
 from .metrics import MetricsSender
@@ -74,7 +73,10 @@
         self.decisions = DecisionLog()
         self.burn = BurnCounts(monotonic_ms())
         self.metrics = MetricsSender(
-            settings.metrics, settings.vm.name, self.counters, self.gauges
+            settings.metrics,
+            settings.vm.name,
+            lambda: read_counters(self),
+            lambda: read_gauges(self),
         )
         start_id = wall_ms()
         peer_address = settings.peers.advertised_address or settings.peers.address
@@ -175,45 +177,15 @@
         self.control.check_pause()
         return self.configuration.is_floor_known
 
+    def _members_changed(self) -> None:
+        self.configuration.members_changed()
+        self._renew_endpoints()
+
     def _on_paused(self) -> None:
         """Stop carrying calls until the configuration has caught up."""
         self.configuration.catch_up()
         self.call_server.reset_streams()
 
-    def counters(self) -> DaemonCounters:
-        """Return the counts that `status` and the metrics show."""
-        return DaemonCounters(
-            n_calls=self.proxy.n_calls,
-            n_calls_failed=self.proxy.n_failed,
-            n_calls_taken=self.call_server.n_calls,
-            n_requests_malformed=self.callers.counters.n_malformed,
-            n_streams_rejected=self.listener.n_rejected,
-            n_platform_reads=self.platform.counters.n_reads,
-            n_platform_writes=self.platform.counters.n_writes,
-            n_metrics_sent=self.metrics.n_sent,
-            n_metrics_dropped=self.metrics.n_dropped,
-            n_call_retries=self.proxy.n_retries,
-            n_pauses=self.control.n_pauses,
-            n_streams_replaced=self.call_client.n_replaced_streams,
-            n_frames_dropped=self.call_client.n_dropped_frames
-            + self.call_server.n_dropped_frames,
-            **self.configuration.counters(),
-            frames=tuple(self._iter_frame_counts()),
-        )
-
-    def gauges(self) -> DaemonGauges:
-        """Return what holds right now, for the metrics."""
-        return DaemonGauges(
-            n_members=sum(member.is_usable for member in self.directory.members()),
-            n_targets=len(self.registry.targets()),
-            n_customers=len(self.configuration.versions()),
-            n_calls_in_flight=self.runner.n_in_flight,
-        )
-
-    def _iter_frame_counts(self) -> Iterator[tuple[str, int]]:
-        for kind, counters in self.frame_counters.items():
-            yield from counters.iter_named(kind.value)
-
     async def start(self) -> None:
         """Listen on every address and begin to join the fleet."""
         settings = self.settings
@@ -279,8 +251,8 @@
             load_of=self._load_of,
             carry=self._carry,
             is_ready=self.is_ready,
-            is_draining=lambda: self.runner.is_draining,
             on_outcome=self._count_outcome,
+            is_draining=lambda: self.runner.is_draining,
             decisions=self.decisions,
             budget=self.retry_budget,
             retry_budget_percent=self.settings.calls.retry_budget_percent,
@@ -301,10 +273,6 @@
             compiled.target_selector, compiled.customer
         )
 
-    def _members_changed(self) -> None:
-        self.configuration.members_changed()
-        self._renew_endpoints()
-
     def _renew_endpoints(self) -> None:
         self.endpoint_table = EndpointTable(
             self.directory.members(),
