--- a/packages/pepperstaird/pepperstaird/configuration/agent.py
+++ b/packages/pepperstaird/pepperstaird/configuration/agent.py
@@ -233,7 +233,7 @@
     def _flush(self) -> None:
         """Send what waits, as long as each neighbour takes it."""
         for vm in list(self._outbox.waiting()):
-            while is_writable(self._control, vm):
+            while self._control.is_writable(vm):
                 frame = self._outbox.take(vm)
                 if frame is None:
                     break
@@ -313,10 +313,4 @@
                 await asyncio.sleep(0)
 
 
-def is_writable(control: ControlPlane, vm: str) -> bool:
-    """Return whether a neighbour's stream takes more frames now."""
-    ask = getattr(control, "is_writable", None)
-    return True if ask is None else ask(vm)
-
-
-__all__ = ["ConfigurationAgent", "is_writable"]
+__all__ = ["ConfigurationAgent"]
--- a/tests/test_process_configuration.py
+++ b/tests/test_process_configuration.py
@@ -12,6 +12,7 @@
     award_document,
     put_in_force,
     start_daemons,
+    wait_in_force,
 )
 
 
@@ -50,6 +51,7 @@
         'labels = { tier = "edge" }\n'
     )
     applied = apply_intent(daemons[0], CUSTOMER, document)
+    wait_in_force(daemons, 1)
     again = apply_intent(daemons[0], CUSTOMER, document, applied.change_id)
     assert again.version == applied.version == 1
     assert ask(daemons[0], f"/v1/wait/{CUSTOMER}?timeout_ms=9000")[1]["is_converged"]
