--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -147,6 +147,7 @@
         self.call_server.loads = self.runner.loads
         self.call_server.was_paused = self.control.check_pause
         self.control.on_paused = self._on_paused
+        self.control.on_members_changed = self._members_changed
         self.proxy = Proxy(self._proxy_context())
         self.callers = HttpServer(
             self.proxy.handle,
@@ -176,10 +177,6 @@
         self.control.check_pause()
         return self.configuration.is_floor_known
 
-    def _on_members_changed(self) -> None:
-        self.configuration.members_changed()
-        self._renew_endpoints()
-
     def _on_paused(self) -> None:
         """Stop carrying calls until the configuration has caught up."""
         self.configuration.catch_up()
@@ -192,7 +189,6 @@
         await self.listener.listen(*parse_address(settings.peers.address))
         await self.callers.listen(*parse_address(settings.callers.address))
         self.configuration.start()
-        self.control.on_members_changed = self._on_members_changed
         self.control.start()
         self.member_rows.start()
         self.metrics.start()
