--- a/benchmarks/naive/runner.py
+++ b/benchmarks/naive/runner.py
@@ -28,7 +28,7 @@
 
     def __init__(self, target: Target) -> None:
         self.address = target.address
-        self.pool = ConnectionPool(target.address)
+        self.pool = ConnectionPool(target.address, target.n_connections_max)
         self.slots = asyncio.Semaphore(target.n_slots)
         self.n_in_flight = 0
 
