--- a/packages/pepperstair-core/pepperstair_core/membership/outbox.py
+++ b/packages/pepperstair-core/pepperstair_core/membership/outbox.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable, Iterable, Iterator
 from typing import Final
 
@@ -10,6 +11,7 @@
 from .actions import Send
 
 UPDATE_MAX_RECORDS: Final = 32
+UPDATE_MAX_TARGETS: Final = 128
 FLUSH_MAX_RECORDS: Final = 256
 
 
@@ -68,7 +70,7 @@
             pending = self._pending[neighbour]
             if not pending or n_left <= 0 or not is_writable(neighbour):
                 continue
-            taken = list(pending)[: min(UPDATE_MAX_RECORDS, n_left)]
+            taken = list(_iter_round(pending, min(UPDATE_MAX_RECORDS, n_left)))
             n_left -= len(taken)
             # To the end of the line, for the next round to start with others.
             del self._pending[neighbour]
@@ -76,4 +78,18 @@
             yield Send(neighbour, MemberUpdate(tuple(pending.pop(vm) for vm in taken)))
 
 
+def _iter_round(pending: dict[str, Member], n_records_max: int) -> Iterator[str]:
+    """Yield the members whose records fit one update.
+
+    Records of VMs with many targets would together exceed the size of a frame:
+    the receiver would close the stream, and get the same frame on the next one.
+    """
+    n_targets = 0
+    for vm, member in itertools.islice(pending.items(), n_records_max):
+        n_targets += len(member.targets)
+        yield vm
+        if n_targets >= UPDATE_MAX_TARGETS:
+            return
+
+
 __all__ = ["FLUSH_MAX_RECORDS", "UPDATE_MAX_RECORDS", "MemberOutbox"]
