--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -273,10 +273,6 @@
             compiled.target_selector, compiled.customer
         )
 
-    def _members_changed(self) -> None:
-        self.configuration.members_changed()
-        self._renew_endpoints()
-
     def _renew_endpoints(self) -> None:
         self.endpoint_table = EndpointTable(
             self.directory.members(),
