--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -218,12 +218,12 @@
         self.end(CallEnd(kind, self._attempted_ms, latency_ms, failure.retry_after_ms))
         attempt = Attempt(
             failure,
+            self.compiled.route.priority,
             self.n_attempts,
             self._is_idempotent,
             self._body.is_replayable,
             self.time_left_ms,
             self.run,
-            self.compiled.route.priority,
         )
         self.run = attempt.has_run
         excluded = self._excluded | {failed.key}
--- a/packages/pepperstair-core/pepperstair_core/calls/retry.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/retry.py
@@ -45,12 +45,12 @@
     """
 
     failure: Failure
+    priority: str
     n_attempts: int
     is_idempotent: bool
     is_replayable: bool
     time_left_ms: float
     earlier_run: Run = Run.NO
-    priority: str = "normal"
 
     @property
     def has_run(self) -> Run:
--- a/tests/call_load.py
+++ b/tests/call_load.py
@@ -213,7 +213,7 @@
         left_ms = call.at_ms + call.timeout_ms - self.now_ms
         is_safe = call.is_idempotent
         attempt = Attempt(
-            failure, n_attempts, is_safe, True, left_ms, run, call.priority
+            failure, call.priority, n_attempts, is_safe, True, left_ms, run
         )
         decision = self.retry(attempt, self.budget, self.rng)
         if isinstance(decision, GiveUp):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -124,11 +124,9 @@
 def attempt(kind, run=None, is_idempotent=False, n=1, left_ms=500, **more):
     """Return a failed attempt."""
     failure = Failure(kind, run=run)
+    priority = more.pop("priority", "urgent")
     is_replayable = more.pop("replay", True)
-    priority = "urgent"
-    return Attempt(
-        failure, n, is_idempotent, is_replayable, left_ms, priority=priority, **more
-    )
+    return Attempt(failure, priority, n, is_idempotent, is_replayable, left_ms, **more)
 
 
 @pytest.mark.parametrize(
