--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,13 @@
 import pytest
 
 from pepperstair_core.config import MembersSettings, PeersSettings
-from pepperstair_core.members import Member, MemberState, accuse
+from pepperstair_core.members import (
+    Member,
+    MemberState,
+    Target,
+    TargetState,
+    accuse,
+)
 from pepperstair_core.membership import (
     Dial,
     MemberDirectory,
@@ -22,7 +28,7 @@
 )
 from pepperstair_core.membership.backoff import BACKOFF_MAX_MS, DialBackoff
 from pepperstair_core.membership.outbox import UPDATE_MAX_RECORDS, MemberOutbox
-from pepperstair_core.wire import MemberUpdate
+from pepperstair_core.wire import MemberUpdate, encode_frame
 
 
 def member(vm: str, zone: str = "pos-a", sequence: int = 0) -> Member:
@@ -163,6 +169,21 @@
     )
 
 
+def test_records_of_many_targets_fit_their_frames():
+    """VMs that run many targets join; their records go in frames below the cap."""
+    outbox = MemberOutbox()
+    outbox.open("b")
+    labels = tuple((f"label-{index}", "value" * 8) for index in range(8))
+    target = Target("ledger", "127.0.0.1:1", labels, 9, 120, TargetState.SERVING)
+    outbox.offer("b", [replace(m, targets=(target,) * 100) for m in fleet(40)])
+    n_sent = 0
+    while not outbox.is_empty:
+        for sent in outbox.flush(lambda vm: True):
+            n_sent += len(sent.frame.members)
+            assert len(encode_frame(sent.frame)) < PeersSettings("").frame_max_bytes
+    assert n_sent == 40
+
+
 def test_slow_neighbour_gets_the_newest_record_only():
     outbox = MemberOutbox()
     outbox.open("b")
