--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -177,6 +177,10 @@
         self.control.check_pause()
         return self.configuration.is_floor_known
 
+    def _members_changed(self) -> None:
+        self.configuration.members_changed()
+        self._renew_endpoints()
+
     def _on_paused(self) -> None:
         """Stop carrying calls until the configuration has caught up."""
         self.configuration.catch_up()
--- a/tests/test_data_streams.py
+++ b/tests/test_data_streams.py
@@ -200,7 +200,14 @@
             path.server.kill()
             failure = await failure_of(running)
             assert failure.has_run is Run.UNKNOWN
-            attempt = Attempt(failure, 1, is_idempotent, True, 5000)
+            attempt = Attempt(
+                failure=failure,
+                priority="normal",
+                n_attempts=1,
+                is_idempotent=is_idempotent,
+                is_replayable=True,
+                time_left_ms=5000,
+            )
             decision = decide_retry(attempt, RetryBudget(), Random(0))
             assert isinstance(decision, Retry) is is_idempotent
 
