Grant no credit for a request's body that is whole

Cause: the profile showed two reads from the peer for each call at the caller's daemon; the second was a credit for a body that had already come whole. Ruled out: joining the credit with the answer, which would delay large bodies. The test of a small call first failed, with one credit sent.

--- a/packages/pepperstair-peers/pepperstair_peers/data/incoming.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/incoming.py
@@ -133,6 +133,13 @@
         return KeptAnswer(response.status, response.headers, b"".join(parts))
 
     def _grant(self, n_bytes: int) -> None:
+        """Permit more of the request's body, unless all of it is here.
+
+        A credit that nobody needs would cost a write here and a wake-up of the
+        other daemon for each small call.
+        """
+        if self.body.is_whole:
+            return
         self.send(Credit(self.head.call_id, n_bytes))
 
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -64,6 +64,13 @@
     run: CallRunner
     address: str = ""
     runs: list[int] = field(default_factory=list)
+    frame_counters: dict[StreamKind, FrameCounters] = field(
+        default_factory=lambda: {kind: FrameCounters() for kind in StreamKind}
+    )
+
+    def sent_frames(self) -> dict[str, int]:
+        """Return how many frames and bytes of each kind were sent for calls."""
+        return dict(self.frame_counters[StreamKind.DATA].iter_named("data"))
 
     async def start(self, address: str = "127.0.0.1:0") -> None:
         """Listen, as a process of its own start id."""
@@ -72,7 +79,7 @@
             Identity("server", next(_start_ids), address),
             FRAME_MAX_BYTES,
             {StreamKind.DATA: self.calls.take_stream},
-            {kind: FrameCounters() for kind in StreamKind},
+            self.frame_counters,
         )
         host, port = parse_address(address)
         self.address = f"{host}:{await self.listener.listen(host, port)}"
--- a/tests/test_data_streams.py
+++ b/tests/test_data_streams.py
@@ -94,6 +94,9 @@
         async with open_path() as path:
             answer = await path.call(call_head(1, has_body=True), b"loot")
             assert await read_whole(answer) == b"done loot"
+            sent = path.server.sent_frames()
+            assert sent["n_data_sent_frames_answer_head"] == 1
+            assert "n_data_sent_frames_credit" not in sent
             assert path.client.n_in_flight == path.server.calls.n_in_flight == 0
 
     asyncio.run(scenario())
