--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -17,7 +17,7 @@
 IMPORTS = (
     ("interpreter", "pass"),
     ("libraries left out", LEFT_OUT),
-    ("cyclopts", "import cyclopts"),
+    ("argparse", "import argparse"),
     ("asyncio", "import asyncio"),
     ("msgpack", "import msgpack"),
     ("h11", "import h11"),
@@ -26,6 +26,7 @@
     ("the whole daemon", "import pepperstaird.daemon"),
 )
 ALONE = (
+    ("whole daemon and cyclopts", f"{LEFT_OUT}\nimport pepperstaird.daemon, cyclopts"),
     ("asyncio with ssl", "import asyncio"),
     ("nothing left out", "import asyncio, msgpack, h11, structlog"),
 )
--- a/packages/pepperstaird/pepperstaird/__main__.py
+++ b/packages/pepperstaird/pepperstaird/__main__.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+import argparse
 import sys
 from pathlib import Path
-from typing import Annotated, Final
+from typing import Final, NoReturn
 
-import cyclopts
 from result import Err, Result
 
 from pepperstair_core.config import Settings, parse_settings_toml
@@ -17,35 +17,40 @@
 EXIT_OK: Final = 0
 EXIT_BAD_INPUT: Final = 2
 
-app = cyclopts.App(
-    name="pepperstaird",
-    help="Run the pepperstair daemon on this VM.",
-    result_action="return_value",
-)
 
+class _Parser(argparse.ArgumentParser):
+    """Says what is wrong with the arguments on one line."""
 
-def main() -> None:
-    """Run the daemon, or only check its settings."""
-    try:
-        sys.exit(app(exit_on_error=False, print_error=False))
-    except cyclopts.CycloptsError as error:
-        print(" ".join(str(error).split()), file=sys.stderr)
+    def error(self, message: str) -> NoReturn:
+        print(f"{self.prog}: {message}", file=sys.stderr)
         sys.exit(EXIT_BAD_INPUT)
 
 
-@app.default
-def run(
-    *, settings: Path, check: Annotated[bool, cyclopts.Parameter(negative="")] = False
-) -> int:
-    """Read the settings and run until the daemon has stopped.
-
-    Parameters
-    ----------
-    settings
-        TOML file with the settings of this daemon.
-    check
-        Check the settings and exit.
-    """
+def main() -> None:
+    """Run the daemon, or only check its settings."""
+    # The operators' command line uses cyclopts. Here it would cost 3 of the
+    # 32 MB that the daemon may use, for two options.
+    parser = _Parser(
+        prog="pepperstaird",
+        description="Run the pepperstair daemon on this VM.",
+        allow_abbrev=False,
+    )
+    parser.add_argument(
+        "--settings",
+        type=Path,
+        required=True,
+        metavar="FILE",
+        help="TOML file with the settings of this daemon",
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    arguments = parser.parse_args()
+    sys.exit(run(arguments.settings, arguments.check))
+
+
+def run(settings: Path, check: bool) -> int:
+    """Read the settings and run until the daemon has stopped."""
     read = read_settings(settings)
     if read.is_err():
         for fault in read.unwrap_err():
