Never deny a named change without having looked

Cause: in an outage, a daemon asked for the first time with a change id answered "not accepted", although an earlier attempt at another daemon might have taken effect; the daemon had a query to be told so, which the command line never sent. Ruled out: assuming so for every change, as a new one can be denied for certain. Seen: the new test first got exit 1 (refused) in place of 3 (outcome unknown).

--- a/packages/pepperstair-cli/pepperstair_cli/changes.py
+++ b/packages/pepperstair-cli/pepperstair_cli/changes.py
@@ -50,6 +50,9 @@
         intent.customer,
         change_id=change_id,
         from_version=options.from_version,
+        # Who names a change may have sent it before, perhaps to another daemon.
+        # In an outage that daemon alone could tell "not accepted" for certain.
+        is_asked_again="true" if options.change_id else None,
     )
     body = intent_to_toml(intent).encode()
     asked = await ask(connection, "PUT", path, body)
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -109,6 +109,23 @@
     assert first[0] is ExitCode.DONE
 
 
+def test_named_change_is_never_denied_without_looking(command, fleet, at):
+    """An answer is lost and the platform goes out before the operator asks again.
+
+    At a daemon that knows nothing of the first attempt the change must be told
+    as unknown: after "not accepted" the operator would make it anew.
+    """
+    apply = ("apply", EXAMPLE, "--at", at)
+    fleet.set_platform_faults(mode="outage")
+    try:
+        first = command(*apply)
+        named = command(*apply, "--change-id", "sent-elsewhere")
+    finally:
+        fleet.set_platform_faults()
+    assert first[0] is ExitCode.REFUSED
+    assert named[0] is ExitCode.OUTCOME_UNKNOWN
+
+
 @pytest.mark.parametrize(
     "arguments",
     [
