Remove a function and a constant that nothing uses

Found in a read of the whole: frame_kind, whose counts go by class, and MAX_INTENT_BYTES, which no check read; the size of a document is bounded by operators.body_max_bytes. Behaviour is unchanged. Seen: lint, the demo and the tests of wire, documents, pages, imports, versions, streams, settings and the command line pass (139).

--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -19,7 +19,6 @@
 
 MAX_ROUTES: Final = 2_000
 MAX_SERVICES: Final = 500
-MAX_INTENT_BYTES: Final = 1_000_000
 PRIORITIES: Final = ("urgent", "normal", "deferrable")
 
 
@@ -222,7 +221,6 @@
 
 
 __all__ = [
-    "MAX_INTENT_BYTES",
     "MAX_ROUTES",
     "MAX_SERVICES",
     "PRIORITIES",
--- a/packages/pepperstair-core/pepperstair_core/wire/codec.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/codec.py
@@ -61,11 +61,6 @@
     return _PACKER.pack((_KINDS[type(message)], *_fields_of(message)))
 
 
-def frame_kind(message: Any) -> int:
-    """Return the kind number of a frame, as metrics by message kind need it."""
-    return _KINDS[type(message)]
-
-
 class FrameDecoder:
     """Cuts a stream of bytes into frames, within a cap on the size of each.
 
@@ -271,5 +266,4 @@
     "decode_frame",
     "encode_frame",
     "frame",
-    "frame_kind",
 ]
