--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -15,6 +15,7 @@
     Ejection,
     EndKind,
     GiveUp,
+    RetryBudget,
     decide_retry,
 )
 from pepperstair_core.decisions import Decision, DecisionKind
@@ -46,6 +47,7 @@
         ErrorKind.NOT_READY,
         ErrorKind.NO_TARGET,
         ErrorKind.OVERLOADED,
+        ErrorKind.TARGET_REFUSED,
         ErrorKind.TOO_MANY_CONNECTIONS,
     }
 )
@@ -57,6 +59,24 @@
         ErrorKind.TARGET_UNREACHABLE,
     }
 )
+# What a target answers where its work went wrong. A timeout of its own (504)
+# would only end the same elsewhere, with less time.
+_FAILED_STATUSES: Final = frozenset({500, 502})
+# With less of its time left, another attempt could rarely end in time.
+_RETRY_TIME_SHARE: Final = 0.25
+# Failures after which no target can have seen the call.
+_NOT_ARRIVED: Final = frozenset(
+    {
+        ErrorKind.BUSY,
+        ErrorKind.DRAINING,
+        ErrorKind.NOT_READY,
+        ErrorKind.NO_TARGET,
+        ErrorKind.OVERLOADED,
+        ErrorKind.PEER_UNREACHABLE,
+        ErrorKind.TARGET_UNREACHABLE,
+        ErrorKind.DEADLINE_BEFORE_RUN,
+    }
+)
 _SHEDDING_STATUSES: Final = frozenset({429, 503})
 
 
@@ -70,6 +90,7 @@
         "_context",
         "_endpoint",
         "_excluded",
+        "_has_arrived",
         "_head",
         "_is_idempotent",
         "_latency_ms",
@@ -100,6 +121,7 @@
         self._timeout_ms = min(head.timeout_ms or route_timeout_ms, route_timeout_ms)
         self._endpoint: Endpoint | None = None
         self._excluded: frozenset[tuple[str, str]] = frozenset()
+        self._has_arrived = False
         self.compiled = compiled
         self.deadline_ms = context.now_ms() + self._timeout_ms
         self._attempted_ms = 0.0
@@ -116,14 +138,21 @@
         """Return the first answer of a target, or raise the last failure."""
         context = self._context
         percent = min(context.retry_budget_percent, self._budget_percent())
-        context.budget.add_call(percent)
+        self._budget.add_call(percent)
         await self._read_body()
+        return await self.carry_on()
+
+    async def carry_on(self) -> StreamedResponse:
+        """Send the call to one target after the other until one answers."""
+        context = self._context
         while True:
             self._attempted_ms = context.now_ms()
             self._endpoint = self._choose()
             self.n_attempts += 1
             try:
                 response = await self._attempt(self._endpoint)
+                if self._may_end_better_elsewhere(response):
+                    return await self._answer_from_another(response)
                 self._latency_ms = context.now_ms() - self._attempted_ms
                 context.chooser.see_answer(self._endpoint, self._attempted_ms)
                 return response
@@ -134,6 +163,39 @@
                 self.abandon()
                 raise
 
+    @property
+    def _budget(self) -> RetryBudget:
+        return self._context.budget_of(self.compiled.service.name)
+
+    def _may_end_better_elsewhere(self, response: StreamedResponse) -> bool:
+        """Return whether a target's failure is worth asking another target.
+
+        A target that fails part of its requests looks healthy otherwise, and
+        its callers would see errors that no other target gives.
+        """
+        return (
+            response.status in _FAILED_STATUSES
+            and self._is_idempotent
+            and response.body.is_whole
+            and self.time_left_ms > self._timeout_ms * _RETRY_TIME_SHARE
+        )
+
+    async def _answer_from_another(self, failed: StreamedResponse) -> StreamedResponse:
+        """Return another target's answer, or the failed one where there is none."""
+        failed_endpoint = self._endpoint
+        failed.cancel()
+        self._has_arrived = True
+        self.run = Run.YES
+        failure = Failure(ErrorKind.TARGET_FAILED, f"status {failed.status}")
+        try:
+            await self._back_off(failure)
+            return await self.carry_on()
+        except PepperstairError:
+            # The target's own answer says more than that of the second try.
+            self._endpoint = None
+            self._excluded = self._excluded | {failed_endpoint.key}
+            return failed
+
     def end(self, end: CallEnd) -> None:
         """Tell the choice of targets how the last attempt ended, once."""
         endpoint = self._endpoint
@@ -215,6 +277,7 @@
         failed = self._endpoint
         latency_ms = self._context.now_ms() - self._attempted_ms
         kind = self._kind_of(failure)
+        self._has_arrived |= failure.kind not in _NOT_ARRIVED
         self.end(CallEnd(kind, self._attempted_ms, latency_ms, failure.retry_after_ms))
         attempt = Attempt(
             failure,
@@ -224,6 +287,8 @@
             self._body.is_replayable,
             self.time_left_ms,
             self.run,
+            self.compiled.route.n_attempts_max,
+            self._has_arrived,
         )
         self.run = attempt.has_run
         excluded = self._excluded | {failed.key}
@@ -234,7 +299,7 @@
         )
         if not has_other:
             raise PepperstairError(final)
-        decision = decide_retry(attempt, self._context.budget, self._context.rng)
+        decision = decide_retry(attempt, self._budget, self._context.rng)
         if isinstance(decision, GiveUp):
             raise PepperstairError(final)
         self._excluded = excluded
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -12,7 +12,12 @@
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.routing import CompiledRoute, Endpoint, RouteTable
 from pepperstair_core.wire import CallHead
-from pepperstair_http import BodyBuffer, StreamedResponse
+from pepperstair_http import (
+    PRODUCT_HEADERS,
+    BodyBuffer,
+    HeaderNames,
+    StreamedResponse,
+)
 
 log = structlog.get_logger(__name__)
 
@@ -23,8 +28,10 @@
 class ProxyContext:
     """The state and the functions that the proxy shares with the daemon.
 
-    `carry` runs one attempt, beside the target or through its daemon. `budget`
-    is shared by all routes. `now_ms` never goes back.
+    `carry` runs one attempt, beside the target or through its daemon.
+    `budget_of` gives the retry budget that a service's calls draw on. `now_ms`
+    never goes back. `service` is that of the target on the own VM, where one is
+    to be named to targets.
     """
 
     vm: str
@@ -37,11 +44,13 @@
     is_draining: Callable[[], bool]
     on_outcome: Callable[[CallOutcome], None]
     decisions: DecisionLog
-    budget: RetryBudget
+    budget_of: Callable[[str], RetryBudget]
     retry_budget_percent: int
     now_ms: Callable[[], float]
     rng: random.Random
-    body_max_bytes: int
+    body_max_bytes: Callable[[], int]
+    header_names: HeaderNames = PRODUCT_HEADERS
+    service: str = ""
 
 
 __all__ = ["CallCarrier", "ProxyContext"]
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -6,13 +6,14 @@
 
 from pepperstair_core.calls import CallOutcome
 from pepperstair_core.errors import ANSWERS, ErrorKind, Failure, PepperstairError, Run
+from pepperstair_core.routing import pick_part
 from pepperstair_http import ConnectionLostError, Exchange, StreamedResponse
 
 from .attempts import ProxiedCall, count_call_ids
 from .context import ProxyContext
 from .relay import answer_failure, relay
 from .request_body import RequestBody
-from .request_heads import read_head
+from .request_heads import make_head_reader
 
 log = structlog.get_logger(__name__)
 
@@ -23,6 +24,7 @@
     def __init__(self, context: ProxyContext) -> None:
         self._context = context
         self._call_ids = count_call_ids()
+        self._read_head = make_head_reader(context.header_names, context.service)
         self.n_calls = 0
         self.n_failed = 0
         self.n_retries = 0
@@ -46,7 +48,7 @@
                 status, error = failure.answer.status, failure.kind
                 if call is not None:
                     call.run = failure.has_run
-                await answer_failure(exchange, failure)
+                await answer_failure(exchange, failure, self._context.header_names)
                 return
             call.run = Run.YES
             is_whole = await self._pass_on(exchange, call, response)
@@ -71,10 +73,12 @@
         compiled = context.route_table().match(request.host, request.path)
         if compiled is None:
             raise PepperstairError(Failure(ErrorKind.NO_ROUTE, request.path))
-        head = read_head(request.headers)
-        if head.n_body_bytes > context.body_max_bytes:
+        compiled = pick_part(compiled, context.rng)
+        head = self._read_head(request.headers)
+        body_max_bytes = context.body_max_bytes()
+        if head.n_body_bytes > body_max_bytes:
             raise PepperstairError(Failure(ErrorKind.BODY_TOO_LARGE))
-        body = RequestBody(exchange.body, context.body_max_bytes)
+        body = RequestBody(exchange.body, body_max_bytes)
         return ProxiedCall(context, request, head, compiled, body, self._call_ids)
 
     async def _pass_on(
--- a/packages/pepperstair-callers/pepperstair_callers/relay.py
+++ b/packages/pepperstair-callers/pepperstair_callers/relay.py
@@ -6,10 +6,11 @@
 
 import structlog
 
-from pepperstair_core.errors import Failure, PepperstairError, Run
+from pepperstair_core.errors import ANSWERS, ErrorKind, Failure, PepperstairError, Run
 from pepperstair_http import (
     ConnectionLostError,
     Exchange,
+    HeaderNames,
     StreamedResponse,
     end_to_end_headers,
 )
@@ -24,6 +25,7 @@
 # its own, such as a target that leaves while another one starts.
 RETRY_AFTER_DEFAULT_MS: Final = 1_000
 
+_NOT_RUN_STATUSES: Final = frozenset({429, 503})
 _RAN: Final = (RUN_HEADER, Run.YES.encode())
 _TEXT: Final = (b"content-type", b"text/plain; charset=utf-8")
 
@@ -43,7 +45,9 @@
     return True
 
 
-async def answer_failure(exchange: Exchange, failure: Failure) -> None:
+async def answer_failure(
+    exchange: Exchange, failure: Failure, names: HeaderNames
+) -> None:
     """Answer with the table's answer to a failure."""
     answer = failure.answer
     headers = [
@@ -55,11 +59,28 @@
     if not retry_after_ms and answer.is_retryable:
         retry_after_ms = RETRY_AFTER_DEFAULT_MS
     if retry_after_ms:
-        seconds = -(-retry_after_ms // 1000)
-        headers.append((b"retry-after", b"%d" % seconds))
+        headers.append((b"retry-after", _retry_after(retry_after_ms, names)))
         headers.append((RETRY_AFTER_MS_HEADER, b"%d" % retry_after_ms))
     body = f"{failure.text}\n".encode()
-    await exchange.respond(answer.status, tuple(headers), body)
+    await exchange.respond(_status_of(failure), tuple(headers), body)
+
+
+def _status_of(failure: Failure) -> int:
+    """Return the status of a failure, which must not deny a run.
+
+    A refused second attempt says nothing of a first one whose answer was lost.
+    Callers take 429 and 503 as a promise that the request did not run.
+    """
+    status = failure.answer.status
+    if status in _NOT_RUN_STATUSES and failure.has_run is not Run.NO:
+        return ANSWERS[ErrorKind.OUTCOME_UNKNOWN].status
+    return status
+
+
+def _retry_after(retry_after_ms: int, names: HeaderNames) -> bytes:
+    if names.has_retry_after_fractions:
+        return b"%.3f" % (retry_after_ms / 1000)
+    return b"%d" % -(-retry_after_ms // 1000)
 
 
 __all__ = [
--- a/packages/pepperstair-callers/pepperstair_callers/request_heads.py
+++ b/packages/pepperstair-callers/pepperstair_callers/request_heads.py
@@ -2,20 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
 import structlog
 
-from pepperstair_http import Headers
+from pepperstair_http import HeaderNames, Headers
 from pepperstair_http.messages import HOP_BY_HOP
 
 log = structlog.get_logger(__name__)
 
-TIMEOUT_HEADER: Final = b"pepperstair-timeout-ms"
-IDEMPOTENT_HEADER: Final = b"pepperstair-idempotent"
-REQUEST_ID_HEADER: Final = b"x-request-id"
-
 _OWN_PREFIX: Final = b"pepperstair-"
 _CHUNKED: Final = (b"transfer-encoding", b"chunked")
 
@@ -41,27 +38,45 @@
         return self.is_chunked or self.n_body_bytes > 0
 
 
-def read_head(headers: Headers) -> RequestHead:
-    """Read the headers in one pass, as this is done for each call."""
-    known: dict[bytes, bytes] = {}
-    passed = []
-    for item in headers:
-        name, value = item
-        known.setdefault(name, value)
-        if name not in HOP_BY_HOP and not name.startswith(_OWN_PREFIX):
-            passed.append(item)
-    is_chunked = b"transfer-encoding" in known
-    if b"connection" in known or is_chunked:
-        passed = _without_connection_headers(passed, known)
-    timeout = known.get(TIMEOUT_HEADER, b"")
-    return RequestHead(
-        n_body_bytes=int(known.get(b"content-length", 0)),
-        is_chunked=is_chunked,
-        timeout_ms=int(timeout) if timeout.isdigit() else 0,
-        is_idempotent=known.get(IDEMPOTENT_HEADER, b"").lower() == b"true",
-        request_id=known.get(REQUEST_ID_HEADER, b"").decode("latin-1"),
-        passed=tuple(passed),
-    )
+HeadReader = Callable[[Headers], RequestHead]
+
+
+def make_head_reader(names: HeaderNames, service: str = "") -> HeadReader:
+    """Return the function that reads heads whose headers have these names.
+
+    `service` is that of the VM's own target; it goes with each request that is
+    passed on, where a header for it is in use.
+
+    >>> read_head = make_head_reader(HeaderNames())
+    >>> read_head(((b"pepperstair-timeout-ms", b"800"),)).timeout_ms
+    800
+    """
+    replaced = names.replaced | HOP_BY_HOP
+    caller = ((names.caller_service, service.encode()),)
+    added = caller if names.caller_service else ()
+
+    def read_head(headers: Headers) -> RequestHead:
+        known: dict[bytes, bytes] = {}
+        passed = []
+        for item in headers:
+            name, value = item
+            known.setdefault(name, value)
+            if name not in replaced and not name.startswith(_OWN_PREFIX):
+                passed.append(item)
+        is_chunked = b"transfer-encoding" in known
+        if b"connection" in known or is_chunked:
+            passed = _without_connection_headers(passed, known)
+        timeout = known.get(names.timeout_ms, b"")
+        return RequestHead(
+            n_body_bytes=int(known.get(b"content-length", 0)),
+            is_chunked=is_chunked,
+            timeout_ms=int(timeout) if timeout.isdigit() else 0,
+            is_idempotent=known.get(names.idempotent, b"").lower() == b"true",
+            request_id=known.get(names.request_id, b"").decode("latin-1"),
+            passed=(*passed, *added),
+        )
+
+    return read_head
 
 
 def _without_connection_headers(
@@ -81,10 +96,4 @@
     return [*kept, _CHUNKED] if is_chunked else kept
 
 
-__all__ = [
-    "IDEMPOTENT_HEADER",
-    "REQUEST_ID_HEADER",
-    "TIMEOUT_HEADER",
-    "RequestHead",
-    "read_head",
-]
+__all__ = ["HeadReader", "RequestHead", "make_head_reader"]
--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -5,6 +5,7 @@
 from .admission import Admission, Admitted, RefusalCause, Refused, Verdict
 from .choice import CallEnd, Ejection, EndKind, Load, TargetChooser
 from .fair_queue import WaitingCall
+from .fleet_budget import BudgetTerms, FleetRetryBudget
 from .outcome import CallOutcome
 from .retry import Attempt, GiveUp, Retry, RetryBudget, decide_retry
 
@@ -12,10 +13,12 @@
     "Admission",
     "Admitted",
     "Attempt",
+    "BudgetTerms",
     "CallEnd",
     "CallOutcome",
     "Ejection",
     "EndKind",
+    "FleetRetryBudget",
     "GiveUp",
     "Load",
     "RefusalCause",
--- a/packages/pepperstair-core/pepperstair_core/calls/retry.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/retry.py
@@ -41,7 +41,8 @@
 class Attempt:
     """A failed attempt: the failure and what it left to work with.
 
-    `earlier_run` is what the attempts before it say of whether the call ran.
+    `earlier_run` is what the attempts before it say of whether the call ran,
+    `has_arrived` whether it may have reached a target in any of them.
     """
 
     failure: Failure
@@ -51,6 +52,8 @@
     is_replayable: bool
     time_left_ms: float
     earlier_run: Run = Run.NO
+    n_attempts_max: int = N_ATTEMPTS_MAX
+    has_arrived: bool = True
 
     @property
     def has_run(self) -> Run:
@@ -95,8 +98,11 @@
         """Take note of a call, which permits this share of a retry."""
         self._percent = min(BUDGET_MAX_PERCENT, self._percent + percent)
 
-    def take(self, priority: str) -> bool:
-        """Use up one retry, and say whether there was one."""
+    def take(self, priority: str, has_arrived: bool = True) -> bool:
+        """Use up one retry, and say whether there was one.
+
+        Every retry counts here, whether or not a target has seen the call.
+        """
         if self._percent < 100 + RESERVED_PERCENT[priority]:
             return False
         self._percent -= 100
@@ -112,14 +118,14 @@
     is_refused = failure.answer.is_retryable and failure.has_run is Run.NO
     if not (is_refused or is_lost) or not attempt.is_replayable:
         return GiveUp(GiveUpCause.FINAL)
-    if attempt.n_attempts >= N_ATTEMPTS_MAX:
+    if attempt.n_attempts >= attempt.n_attempts_max:
         return GiveUp(GiveUpCause.ATTEMPTS)
     # Full jitter: callers that failed together must not come back together.
     longest_ms = min(BACKOFF_MAX_MS, BACKOFF_BASE_MS * 2 ** (attempt.n_attempts - 1))
     delay_ms = rng.random() * longest_ms
     if delay_ms >= attempt.time_left_ms:
         return GiveUp(GiveUpCause.DEADLINE)
-    if not budget.take(attempt.priority):
+    if not budget.take(attempt.priority, attempt.has_arrived):
         return GiveUp(GiveUpCause.BUDGET)
     return Retry(delay_ms)
 
--- a/packages/pepperstair-core/pepperstair_core/config/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/config/__init__.py
@@ -14,6 +14,7 @@
     VmSettings,
     parse_address,
     parse_settings_toml,
+    read_settings_table,
 )
 
 __all__ = [
@@ -28,4 +29,5 @@
     "VmSettings",
     "parse_address",
     "parse_settings_toml",
+    "read_settings_table",
 ]
--- a/packages/pepperstair-core/pepperstair_core/config/settings.py
+++ b/packages/pepperstair-core/pepperstair_core/config/settings.py
@@ -139,6 +139,11 @@
     drain_timeout_ms: int = option(
         "Time that calls in flight have after SIGTERM.", default=30_000, minimum=0
     )
+    stop_notice_ms: int = option(
+        "Time after SIGTERM in which callers are served as before.",
+        default=0,
+        minimum=0,
+    )
     retry_budget_percent: int = option(
         "Retries allowed for each hundred calls.", default=10, minimum=0, maximum=100
     )
@@ -197,6 +202,11 @@
         table = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         return Err([Fault("document", f"TOML ({error})")])
+    return read_settings_table(table)
+
+
+def read_settings_table(table: object) -> Result[Settings, list[Fault]]:
+    """Read settings from a parsed table and check them as a whole."""
     return read_document(Settings, table, _iter_settings_faults)
 
 
@@ -230,4 +240,5 @@
     "VmSettings",
     "parse_address",
     "parse_settings_toml",
+    "read_settings_table",
 ]
--- a/packages/pepperstair-core/pepperstair_core/errors.py
+++ b/packages/pepperstair-core/pepperstair_core/errors.py
@@ -38,6 +38,7 @@
     PEER_UNREACHABLE = "peer_unreachable"
     DEADLINE_BEFORE_RUN = "deadline_before_run"
     TIMEOUT = "timeout"
+    TARGET_REFUSED = "target_refused"
     TARGET_FAILED = "target_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
     CANCELLED = "cancelled"
@@ -47,6 +48,7 @@
     NOT_FOUND = "not_found"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     CHANGE_OUTCOME_UNKNOWN = "change_outcome_unknown"
+    WATCH_EXPIRED = "watch_expired"
     BUSY = "busy"
     INTERNAL = "internal"
 
@@ -82,6 +84,7 @@
     ErrorKind.PEER_UNREACHABLE: Answer(503, _NO, True, "the daemon is unreachable"),
     ErrorKind.DEADLINE_BEFORE_RUN: Answer(504, _NO, False, "too late to start it"),
     ErrorKind.TIMEOUT: Answer(504, _UNKNOWN, False, "no answer before the timeout"),
+    ErrorKind.TARGET_REFUSED: Answer(503, _NO, True, "the target refused it unrun"),
     ErrorKind.TARGET_FAILED: Answer(502, _UNKNOWN, False, "the target cut its answer"),
     ErrorKind.OUTCOME_UNKNOWN: Answer(502, _UNKNOWN, False, "the answer was lost"),
     ErrorKind.CANCELLED: Answer(499, _UNKNOWN, False, "the caller left"),
@@ -95,6 +98,9 @@
     ErrorKind.CHANGE_OUTCOME_UNKNOWN: Answer(
         504, _UNKNOWN, True, "outcome unknown, ask again with this change id"
     ),
+    ErrorKind.WATCH_EXPIRED: Answer(
+        410, _NO, False, "the history that was asked for is gone, read anew"
+    ),
     ErrorKind.BUSY: Answer(429, _NO, True, "too much is asked at once"),
     ErrorKind.INTERNAL: Answer(500, _UNKNOWN, False, "an unexpected error"),
 }
--- a/packages/pepperstair-core/pepperstair_core/events.py
+++ b/packages/pepperstair-core/pepperstair_core/events.py
@@ -30,6 +30,8 @@
     FRAME_REJECTED = "frame_rejected"
     MEMBER_CHANGED = "member_changed"
     PAUSE_DETECTED = "pause_detected"
+    RELOADED = "reloaded"
+    ANNOUNCEMENT_IGNORED = "announcement_ignored"
     TARGET_ANNOUNCED = "target_announced"
     TARGET_CHANGED = "target_changed"
     TARGET_LEASE_LAPSED = "target_lease_lapsed"
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/following.py
@@ -0,0 +1,95 @@
+"""Which versions of a document that is kept elsewhere are put in force.
+
+Operators write the whole configuration into one row of a store and number its
+versions themselves. A daemon follows that row; what it reads may come late, out
+of order, twice, or broken.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from result import Result
+
+from .intent import Intent
+from .schema import Fault
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send and how long they may take; sizes in bytes."""
+
+    header_max_bytes: int
+    body_max_bytes: int
+    header_timeout_ms: int
+    idle_timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class FollowedDocument:
+    """One whole version of the followed document, read and checked."""
+
+    version: int
+    intent: Intent
+    limits: CallerLimits
+    data: bytes
+
+
+DocumentReader = Callable[[bytes], Result[FollowedDocument, list[Fault]]]
+
+
+class Offer(Enum):
+    """What became of a document that was offered."""
+
+    IN_FORCE = auto()
+    OLDER = auto()
+    REJECTED = auto()
+    REJECTED_BEFORE = auto()
+
+
+class Following:
+    """The version in force, which only ever rises, and the last bad document.
+
+    A proxy that went back to an older version would send requests to services
+    that the operators have just moved them away from. A document that can't be
+    read leaves the last good one in force as a whole.
+    """
+
+    def __init__(self, read: DocumentReader) -> None:
+        self._read = read
+        self._rejected = b""
+        self.document: FollowedDocument | None = None
+        self.faults: list[Fault] = []
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 for none."""
+        return 0 if self.document is None else self.document.version
+
+    def offer(self, data: bytes) -> Offer:
+        """Take a document from wherever it came and say what became of it."""
+        if self.document is not None and data == self.document.data:
+            return Offer.OLDER
+        if data == self._rejected:
+            return Offer.REJECTED_BEFORE
+        read = self._read(data)
+        if read.is_err():
+            self._rejected = data
+            self.faults = read.unwrap_err()
+            return Offer.REJECTED
+        document = read.unwrap()
+        if document.version <= self.version:
+            return Offer.OLDER
+        self.document = document
+        return Offer.IN_FORCE
+
+
+__all__ = [
+    "CallerLimits",
+    "DocumentReader",
+    "FollowedDocument",
+    "Following",
+    "Offer",
+]
--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -30,13 +30,28 @@
     selector: str = option("Selector over target labels.")
 
 
+@dataclass(frozen=True, slots=True)
+class Split:
+    """A service that takes a share of a route's requests."""
+
+    service: str = option("Service of the same document.")
+    weight: int = option(
+        "Share of the requests, beside the weights of the other splits.",
+        minimum=0,
+        maximum=1_000_000,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Route:
     """Where requests with a host and path prefix go, and how they are treated."""
 
     name: str = option("Name of the route, unique in the document.")
     path_prefix: str = option("Path prefix that the route matches.")
-    service: str = option("Service of the same document that the requests go to.")
+    service: str = option(
+        "Service of the same document that the requests go to; empty with splits.",
+        default="",
+    )
     host: str = option("Host that the route matches; empty for all.", default="")
     proxies: str = option(
         "Selector over proxy labels; empty for every proxy.", default=""
@@ -52,6 +67,29 @@
     timeout_ms: int = option(
         "Time within which an answer is due.", default=2000, minimum=1, maximum=600_000
     )
+    splits: tuple[Split, ...] = option(
+        "Services that share the requests by weight, in place of one service.",
+        default=(),
+    )
+    n_attempts_max: int = option(
+        "Targets that one request may be sent to, one after the other.",
+        default=3,
+        minimum=1,
+        maximum=100,
+    )
+    objective_ms: int = option(
+        "Time within which callers want the answer; 0 for the timeout.",
+        default=0,
+        minimum=0,
+        maximum=600_000,
+    )
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return the services that requests of the route may go to."""
+        if self.splits:
+            return tuple(split.service for split in self.splits)
+        return (self.service,)
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,15 +189,27 @@
     known = {service.name for service in intent.services}
     for index, route in enumerate(intent.routes):
         where = f"routes[{index}]"
-        if route.service not in known:
-            wanted = f"a service of this document, not {route.service!r}"
-            yield Fault(f"{where}.service", wanted)
+        yield from _iter_destination_faults(where, route, known)
         if not route.path_prefix.startswith("/"):
             wanted = f"a path that starts with '/', not {route.path_prefix!r}"
             yield Fault(f"{where}.path_prefix", wanted)
     yield from _iter_override_faults(intent)
 
 
+def _iter_destination_faults(
+    where: str, route: Route, known: set[str]
+) -> Iterator[Fault]:
+    if route.splits and route.service:
+        yield Fault(f"{where}.service", "nothing, as the route has splits")
+    if route.splits and not any(split.weight for split in route.splits):
+        yield Fault(f"{where}.splits", "a weight over 0")
+    for service in route.services:
+        if service not in known:
+            wanted = f"a service of this document, not {service!r}"
+            key = "splits" if route.splits else "service"
+            yield Fault(f"{where}.{key}", wanted)
+
+
 def intent_to_table(intent: Intent) -> dict[str, object]:
     """Return the document as plain tables, ready for JSON or msgpack."""
     return _plain(dataclasses.asdict(intent))
@@ -230,6 +280,7 @@
     "Policy",
     "Route",
     "Service",
+    "Split",
     "intent_to_table",
     "iter_intent_faults",
     "parse_intent_toml",
--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from random import Random
 from typing import Final
 
 from .intent import Policy, Route, Service
@@ -22,13 +23,35 @@
 
 @dataclass(frozen=True, slots=True)
 class CompiledRoute:
-    """A route of this proxy with its service and the version it came from."""
+    """A route of this proxy with its service and the version it came from.
+
+    A route with splits has them in `parts`, each with its weight; its own
+    service is that of the first part.
+    """
 
     customer: str
     version: int
     route: Route
     service: Service
     target_selector: Selector
+    parts: tuple[tuple[int, CompiledRoute], ...] = ()
+
+
+def pick_part(compiled: CompiledRoute, rng: Random) -> CompiledRoute:
+    """Return the part of a route that a request goes to.
+
+    The weights alone decide: a part
+    without room refuses its requests, as an operator who tries a new version
+    on a tenth of the traffic must never find the rest of it there.
+    """
+    if not compiled.parts:
+        return compiled
+    left = rng.random() * sum(weight for weight, _ in compiled.parts)
+    for weight, part in compiled.parts:
+        left -= weight
+        if left < 0:
+            return part
+    return compiled.parts[-1][1]
 
 
 class RouteTable:
@@ -216,16 +239,26 @@
         services = {service.name: service for service in snapshot.intent.services}
         for route in snapshot.intent.routes:
             selector = parse_selector(route.proxies).unwrap()
-            if not selector.matches(proxy_labels):
-                continue
-            service = services[route.service]
-            yield CompiledRoute(
-                snapshot.head.customer,
-                snapshot.head.version,
-                route,
-                service,
-                parse_selector(service.selector).unwrap(),
-            )
+            if selector.matches(proxy_labels):
+                yield _compile(snapshot, route, services)
+
+
+def _compile(
+    snapshot: Snapshot, route: Route, services: Mapping[str, Service]
+) -> CompiledRoute:
+    head = snapshot.head
+    by_service = [
+        CompiledRoute(
+            head.customer,
+            head.version,
+            route,
+            services[name],
+            parse_selector(services[name].selector).unwrap(),
+        )
+        for name in route.services
+    ]
+    weights = [split.weight for split in route.splits]
+    return replace(by_service[0], parts=tuple(zip(weights, by_service, strict=False)))
 
 
 def _endpoint_order(endpoint: Endpoint) -> tuple[str, str]:
@@ -247,4 +280,5 @@
     "effective_labels",
     "iter_endpoints",
     "overrides_of",
+    "pick_part",
 ]
--- a/packages/pepperstair-core/pepperstair_core/schema.py
+++ b/packages/pepperstair-core/pepperstair_core/schema.py
@@ -144,6 +144,8 @@
         return f"list of {_type_name(typing.get_args(hint)[0])}s"
     if origin is dict:
         return "table of strings"
+    if dataclasses.is_dataclass(hint):
+        return f"{hint.__name__.lower()} table"
     return {str: "string", int: "integer", float: "number", bool: "boolean"}[hint]
 
 
--- a/packages/pepperstair-core/pepperstair_core/wire/control.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -219,6 +219,30 @@
     vms: tuple[str, ...]
 
 
+@frame(24)
+@dataclass(frozen=True, slots=True)
+class DocumentHave:
+    """Says which version of the followed document the sender has in force."""
+
+    version: int
+
+
+@frame(25)
+@dataclass(frozen=True, slots=True)
+class DocumentPull:
+    """Asks for the followed document, as the receiver's one is newer."""
+
+    held_version: int
+
+
+@frame(26)
+@dataclass(frozen=True, slots=True)
+class DocumentCopy:
+    """Carries the followed document as it stands in its source."""
+
+    data: bytes
+
+
 ControlFrame = (
     Hello
     | Welcome
@@ -237,6 +261,9 @@
     | MemberRanks
     | MembersPull
     | HeadsDigest
+    | DocumentHave
+    | DocumentPull
+    | DocumentCopy
 )
 
 __all__ = [
@@ -244,6 +271,9 @@
     "Acknowledge",
     "Busy",
     "ControlFrame",
+    "DocumentCopy",
+    "DocumentHave",
+    "DocumentPull",
     "DeltaPush",
     "Have",
     "Heartbeat",
--- a/packages/pepperstair-http/pepperstair_http/__init__.py
+++ b/packages/pepperstair-http/pepperstair_http/__init__.py
@@ -7,6 +7,7 @@
 from .connection import ServerConnection
 from .exchange import Exchange, Handler
 from .fetch import Fetcher
+from .header_names import PRODUCT_HEADERS, HeaderNames
 from .messages import (
     Headers,
     Request,
@@ -17,15 +18,18 @@
 )
 from .receiving import ReceivingProtocol
 from .server import HttpServer, ServerLimits
+from .sockets import notice_silence
 from .writing import WriteGate
 
 __all__ = [
+    "PRODUCT_HEADERS",
     "BodyBuffer",
     "ClientConnection",
     "ConnectionLostError",
     "Exchange",
     "Fetcher",
     "Handler",
+    "HeaderNames",
     "Headers",
     "HttpServer",
     "ReceivingProtocol",
@@ -39,4 +43,5 @@
     "connect",
     "end_to_end_headers",
     "header_value",
+    "notice_silence",
 ]
--- a/packages/pepperstair-http/pepperstair_http/body.py
+++ b/packages/pepperstair-http/pepperstair_http/body.py
@@ -118,6 +118,17 @@
             parts.append(part)
         return b"".join(parts)
 
+    async def gather(self, max_bytes: int) -> None:
+        """Wait until the body is whole or fills `max_bytes`; raise where it is cut.
+
+        Nothing is taken from the body, so that its reader still gets all of it.
+        """
+        while not self._is_whole and self.n_bytes < max_bytes:
+            if self._error is not None:
+                raise self._error
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+
     def _take(self) -> bytes:
         data = self._parts.popleft()
         self.n_bytes -= len(data)
--- a/packages/pepperstair-http/pepperstair_http/client.py
+++ b/packages/pepperstair-http/pepperstair_http/client.py
@@ -9,13 +9,15 @@
 import structlog
 
 from .body import HIGH_WATER_BYTES, BodyBuffer, ConnectionLostError
-from .messages import Headers, ResponseHead
+from .messages import Headers, ResponseHead, header_value
 from .receiving import ReceivingProtocol
+from .sockets import notice_silence
 from .writing import WriteGate, break_transport
 
 log = structlog.get_logger(__name__)
 
 _HEAD_MAX_BYTES: Final = 65_536
+_ANY_HOST: Final = [("host", "replayed")]
 
 
 class ClientConnection(ReceivingProtocol):
@@ -24,6 +26,10 @@
     `request` writes the head, `send_part` and `finish` the body, `read_head`
     waits for the answer, whose body arrives in `body`. After a whole answer
     `is_reusable` says whether another request may follow.
+
+    A peer may send more than it was asked for: a second answer, at once or
+    late, is no answer to the next request. A connection with surplus bytes is
+    never used again, and an answer that echoes another request's id is skipped.
     """
 
     def __init__(self) -> None:
@@ -33,7 +39,12 @@
         self._transport: asyncio.Transport | None = None
         self._gate = WriteGate()
         self._head: asyncio.Future[ResponseHead] | None = None
+        self._echo: tuple[bytes, bytes] | None = None
+        self._is_foreign = False
+        self._has_surplus = False
         self.body = BodyBuffer()
+        self.keep_alive_s: float | None = None
+        self.idle_since_s = 0.0
 
     @property
     def is_reusable(self) -> bool:
@@ -41,6 +52,7 @@
         return (
             self._transport is not None
             and not self._transport.is_closing()
+            and not self._has_surplus
             and self._h11.our_state in (h11.IDLE, h11.DONE)
             and self._h11.their_state in (h11.IDLE, h11.DONE)
         )
@@ -71,13 +83,23 @@
         self._gate.open()
 
     def start(
-        self, method: str, path: str, headers: Headers, body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes | None = None,
+        echo: tuple[bytes, bytes] | None = None,
     ) -> None:
-        """Write a request's head and, where it is whole already, its body."""
+        """Write a request's head and, where it is whole already, its body.
+
+        `echo` is a header that the answer has to repeat.
+        """
         if self._h11.our_state is h11.DONE:
             self._h11.start_next_cycle()
         self._head = asyncio.get_running_loop().create_future()
         self.body = BodyBuffer(self._on_body_consumed)
+        self._echo = echo
+        self._is_foreign = False
         request = h11.Request(method=method, target=path, headers=list(headers))
         data = self._h11.send(request)
         if body is not None:
@@ -100,6 +122,10 @@
         """Wait for the answer's head, or raise ConnectionLostError."""
         return await self._head
 
+    def notice_silence(self, unacknowledged_ms: int) -> None:
+        """Fail where the peer acknowledges nothing for so long."""
+        notice_silence(self._transport, unacknowledged_ms)
+
     def close(self) -> None:
         """Break the connection, which cancels a request in progress."""
         if self._transport is not None:
@@ -119,6 +145,9 @@
         except h11.RemoteProtocolError as error:
             self._fail(ConnectionLostError(f"a malformed answer: {error}"))
             self.close()
+            return
+        if self._h11.their_state is h11.DONE and self._h11.trailing_data[0]:
+            self._has_surplus = True
 
     def _take(self, event: object) -> bool:
         """Handle one event and return whether more may follow."""
@@ -126,10 +155,16 @@
             self._take_body_part(bytes(event.data))
             return True
         if isinstance(event, h11.EndOfMessage):
+            if self._is_foreign:
+                return self._skip_foreign()
             self.body.finish()
             return False
         if isinstance(event, h11.Response):
             head = ResponseHead(event.status_code, tuple(event.headers))
+            self._is_foreign = self._answers_another(head)
+            if self._is_foreign:
+                return True
+            self.keep_alive_s = _keep_alive_s(head.headers)
             if self._head is not None and not self._head.done():
                 self._head.set_result(head)
             return True
@@ -138,7 +173,46 @@
             return False
         return isinstance(event, h11.InformationalResponse)
 
+    def _answers_another(self, head: ResponseHead) -> bool:
+        """Return whether an answer is that to another request.
+
+        A refusal may come without an id; a success without one is nobody's.
+        """
+        if self._echo is None:
+            return False
+        name, expected = self._echo
+        found = header_value(head.headers, name)
+        if not found:
+            return 200 <= head.status < 300
+        return found != expected
+
+    def _skip_foreign(self) -> bool:
+        """Drop a whole answer that is not ours, and go on to the next one.
+
+        h11 takes one answer for each request, so the request is replayed into
+        a fresh state machine, without sending it, and fed what came behind.
+        """
+        surplus = self._h11.trailing_data[0]
+        is_sent = self._h11.our_state is h11.DONE
+        is_open = self._h11.their_state is h11.DONE
+        if not is_sent or not is_open:
+            self._fail(ConnectionLostError("an answer to another request"))
+            self.close()
+            return False
+        self._has_surplus = True
+        self._is_foreign = False
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_HEAD_MAX_BYTES
+        )
+        self._h11.send(h11.Request(method="GET", target="/", headers=_ANY_HOST))
+        self._h11.send(h11.EndOfMessage())
+        if surplus:
+            self._h11.receive_data(surplus)
+        return True
+
     def _take_body_part(self, data: bytes) -> None:
+        if self._is_foreign:
+            return
         self.body.feed(data)
         if self.body.n_bytes > HIGH_WATER_BYTES:
             self._transport.pause_reading()
@@ -156,6 +230,19 @@
         self.body.fail(error)
 
 
+def _keep_alive_s(headers: Headers) -> float | None:
+    """Return for how long the peer says that it keeps an idle connection.
+
+    >>> _keep_alive_s(((b"keep-alive", b"timeout=10, max=100"),))
+    10.0
+    """
+    for part in header_value(headers, b"keep-alive").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.strip().lower() == b"timeout" and value.strip().isdigit():
+            return float(value)
+    return None
+
+
 async def connect(host: str, port: int) -> ClientConnection:
     """Open a connection, or raise OSError."""
     loop = asyncio.get_running_loop()
--- a/packages/pepperstair-http/pepperstair_http/connection.py
+++ b/packages/pepperstair-http/pepperstair_http/connection.py
@@ -42,6 +42,7 @@
         self._n_pipelined_bytes = 0
         self._is_discarding = False
         self._waiting_since_s = self._loop.time()
+        self._head_since_s: float | None = None
 
     @property
     def is_last_exchange(self) -> bool:
@@ -67,7 +68,9 @@
     def data_received(self, data: bytes) -> None:
         if self._is_discarding:
             return
-        self._waiting_since_s = self._loop.time()
+        now_s = self._waiting_since_s = self._loop.time()
+        if self._task is None and self._head_since_s is None:
+            self._head_since_s = now_s
         self._h11.receive_data(data)
         if self._body is not None and self._body.is_whole:
             self._hold_pipelined(len(data))
@@ -102,22 +105,39 @@
         if self._transport is not None:
             break_transport(self._transport)
 
-    def close_if_stalled(self, before_s: float) -> bool:
-        """Break a connection whose client has done nothing since a time.
+    def close_if_stalled(self, now_s: float) -> bool:
+        """Close a connection whose client has done nothing for too long.
 
         Clients that vanish without closing, send a head byte by byte or stop
         reading would otherwise hold connections, and the slots of targets behind
         them, until the caps are reached and everybody else is refused. While
         the handler is at work nothing is expected of the client.
         """
+        limits = self._server.limits
+        if self._task is None and self._head_since_s is not None:
+            if now_s - self._head_since_s <= limits.head_limit_s:
+                return False
+            self._end_slow_head()
+            return True
         is_awaited = (
             self._task is None or not self._body.is_whole or not self._gate.is_open
         )
-        if not is_awaited or self._waiting_since_s > before_s:
+        silent_s = now_s - self._waiting_since_s
+        if not is_awaited or silent_s < limits.idle_timeout_ms / 1000:
             return False
-        self.abort()
+        if self._task is None:
+            self.close()
+        else:
+            self.abort()
         return True
 
+    def _end_slow_head(self) -> None:
+        """Say that the head took too long, where its time has a limit of its own."""
+        if self._server.limits.header_timeout_ms:
+            self._write_error(408, "the head of the request did not arrive in time")
+        else:
+            self.abort()
+
     async def send(self, *events: h11.Event) -> None:
         """Write events in one piece and wait while the client reads slowly."""
         data = b"".join([self._h11.send(event) or b"" for event in events])
@@ -139,7 +159,7 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             self._take(event)
-            if isinstance(event, h11.ConnectionClosed):
+            if isinstance(event, h11.ConnectionClosed) or self._is_discarding:
                 return
 
     def _take(self, event: object) -> None:
@@ -148,11 +168,16 @@
         elif isinstance(event, h11.EndOfMessage):
             self._body.finish()
         elif isinstance(event, h11.Request):
+            if _has_two_lengths(event):
+                self._server.counters.n_malformed += 1
+                self._write_error(400, "both a length and chunks")
+                return
             self._start_request(event)
         elif isinstance(event, h11.ConnectionClosed):
             self.close()
 
     def _start_request(self, event: h11.Request) -> None:
+        self._head_since_s = None
         request = Request(
             event.method.decode("ascii"),
             event.target.decode("latin-1"),
@@ -222,6 +247,8 @@
             self._transport.resume_reading()
         self._n_pipelined_bytes = 0
         self._h11.start_next_cycle()
+        if self._h11.trailing_data[0]:
+            self._head_since_s = self._loop.time()
         self._advance()
 
     def _close_discarding(self) -> None:
@@ -262,4 +289,14 @@
         self._close_discarding()
 
 
+def _has_two_lengths(event: h11.Request) -> bool:
+    """Return whether a head states both a length and chunks.
+
+    Two readers may take different ones for the end of the body, and what one
+    holds for the rest of it the other runs as a request (RFC 9112, section 6.1).
+    """
+    names = {name for name, _ in event.headers}
+    return b"content-length" in names and b"transfer-encoding" in names
+
+
 __all__ = ["ServerConnection"]
--- a/packages/pepperstair-http/pepperstair_http/fetch.py
+++ b/packages/pepperstair-http/pepperstair_http/fetch.py
@@ -32,11 +32,19 @@
         self._idle: deque[ClientConnection] = deque()
 
     async def fetch(
-        self, method: str, path: str, body: bytes = b"", headers: Headers = ()
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Headers = (),
+        timeout_ms: int = 0,
     ) -> Response:
-        """Send one request and return the whole answer."""
-        async with asyncio.timeout(self._timeout_ms / 1000):
-            connection = self._take_idle() or await connect(self._host, self._port)
+        """Send one request and return the whole answer.
+
+        `timeout_ms` replaces the usual timeout for this request.
+        """
+        async with asyncio.timeout((timeout_ms or self._timeout_ms) / 1000):
+            connection = self._take_idle() or await self._open()
             try:
                 response = await self._exchange(connection, method, path, body, headers)
             except BaseException:
@@ -70,6 +78,11 @@
             raise ConnectionLostError("the answer is too large")
         return Response(head.status, head.headers, content)
 
+    async def _open(self) -> ClientConnection:
+        connection = await connect(self._host, self._port)
+        connection.notice_silence(self._timeout_ms)
+        return connection
+
     def _take_idle(self) -> ClientConnection | None:
         while self._idle:
             connection = self._idle.pop()
--- a/packages/pepperstair-http/pepperstair_http/server.py
+++ b/packages/pepperstair-http/pepperstair_http/server.py
@@ -18,11 +18,27 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerLimits:
-    """What one server takes from its clients."""
+    """What one server takes from its clients.
+
+    The head of a request may take `header_timeout_ms`, or as long as a client
+    may stay silent where that is 0.
+    """
 
     n_connections_max: int = 1000
     header_max_bytes: int = 16_384
     idle_timeout_ms: int = 60_000
+    header_timeout_ms: int = 0
+
+    @property
+    def head_limit_s(self) -> float:
+        """Return how long the head of a request may take."""
+        return (self.header_timeout_ms or self.idle_timeout_ms) / 1000
+
+    @property
+    def sweep_interval_s(self) -> float:
+        """Return how often stalled connections are looked for."""
+        shortest_s = min(self.idle_timeout_ms / 1000, self.head_limit_s)
+        return shortest_s / _N_SWEEPS_PER_TIMEOUT
 
 
 @dataclass(slots=True)
@@ -56,6 +72,15 @@
         self._schedule_sweep()
         return self._server.sockets[0].getsockname()[1]
 
+    def ask_to_leave(self) -> None:
+        """Serve on, but ask the client of each answer to close its connection.
+
+        Clients are told elsewhere that this daemon leaves and need a while to
+        hear it. One whose connection was refused or closed meanwhile would
+        see an error for a request that could still be served.
+        """
+        self.is_draining = True
+
     def drain(self) -> None:
         """Take no further connections and close the open ones when they are idle.
 
@@ -86,14 +111,13 @@
         cancelled twice for each request.
         """
         loop = asyncio.get_running_loop()
-        delay_s = self.limits.idle_timeout_ms / 1000 / _N_SWEEPS_PER_TIMEOUT
+        delay_s = self.limits.sweep_interval_s
         self._sweep_timer = loop.call_later(delay_s, self._sweep)
 
     def _sweep(self) -> None:
-        before_s = asyncio.get_running_loop().time()
-        before_s -= self.limits.idle_timeout_ms / 1000
+        now_s = asyncio.get_running_loop().time()
         for connection in list(self.connections):
-            if connection.close_if_stalled(before_s):
+            if connection.close_if_stalled(now_s):
                 self.counters.n_stalled += 1
         self._schedule_sweep()
 
--- a/packages/pepperstair-platform/pepperstair_platform/__init__.py
+++ b/packages/pepperstair-platform/pepperstair_platform/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .acceptance import Accepted, ChangeRequest, accept_change, repeat_change
-from .platform import Compare, Platform, Row
+from .platform import Compare, Platform, PlatformCounters, Row
 from .rows import (
     N_BUCKETS,
     bells_prefix,
@@ -14,6 +14,7 @@
     head_prefix,
     head_row,
 )
+from .watching import RowTable, WatchedRow, WatchedRows, WatchedTable
 
 __all__ = [
     "N_BUCKETS",
@@ -21,7 +22,12 @@
     "ChangeRequest",
     "Compare",
     "Platform",
+    "PlatformCounters",
     "Row",
+    "RowTable",
+    "WatchedRow",
+    "WatchedRows",
+    "WatchedTable",
     "accept_change",
     "bells_prefix",
     "bucket_of",
--- a/packages/pepperstair-targets/pepperstair_targets/__init__.py
+++ b/packages/pepperstair-targets/pepperstair_targets/__init__.py
@@ -3,7 +3,16 @@
 from __future__ import annotations
 
 from .announcements import handle_announcement
+from .ordered import Announcement, OrderedAnnouncements
 from .registry import TargetRegistry
 from .runner import TargetRunner
+from .target_call import TargetOptions
 
-__all__ = ["TargetRegistry", "TargetRunner", "handle_announcement"]
+__all__ = [
+    "Announcement",
+    "OrderedAnnouncements",
+    "TargetOptions",
+    "TargetRegistry",
+    "TargetRunner",
+    "handle_announcement",
+]
--- a/packages/pepperstair-targets/pepperstair_targets/pool.py
+++ b/packages/pepperstair-targets/pepperstair_targets/pool.py
@@ -15,6 +15,16 @@
 log = structlog.get_logger(__name__)
 
 CONNECT_TIMEOUT_S: Final = 1.0
+# A target on the own VM acknowledges within a millisecond; half a second leaves
+# room for a pause of it and is still short beside the deadline of a call.
+UNACKNOWLEDGED_MS: Final = 500
+# A call that must not run twice is not sent on a connection that the target
+# may just be closing: its outcome would be unknown. Targets close theirs after
+# some seconds without use.
+FRESH_S: Final = 1.0
+# The target's timer and this one start at different moments.
+_CLOSE_MARGIN_S: Final = 1.0
+_IDLE_MAX_S: Final = 60.0
 
 
 class ConnectionPool:
@@ -30,23 +40,32 @@
         self._idle: deque[ClientConnection] = deque()
         self._is_closed = False
 
-    def take_idle(self) -> ClientConnection | None:
-        """Return a kept connection that is still open, or None."""
+    def take_idle(self, *, is_fresh_wanted: bool = False) -> ClientConnection | None:
+        """Return a kept connection that is still open, or None.
+
+        With `is_fresh_wanted` only one that was in use just now will do.
+        """
+        now_s = asyncio.get_running_loop().time()
         while self._idle:
-            connection = self._idle.pop()
-            if connection.is_reusable:
-                return connection
-            connection.close()
+            connection = self._idle[-1]
+            idle_s = now_s - connection.idle_since_s
+            if connection.is_reusable and idle_s <= _idle_max_s(connection):
+                if is_fresh_wanted and idle_s > FRESH_S:
+                    return None
+                return self._idle.pop()
+            self._idle.pop().close()
         return None
 
     async def open(self) -> ClientConnection:
         """Open a connection; a failure proves that nothing was sent."""
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                return await connect(self._host, self._port)
+                connection = await connect(self._host, self._port)
         except (OSError, TimeoutError) as error:
             failure = Failure(ErrorKind.TARGET_UNREACHABLE, str(error), run=Run.NO)
             raise PepperstairError(failure) from error
+        connection.notice_silence(UNACKNOWLEDGED_MS)
+        return connection
 
     def give_back(self, connection: ClientConnection) -> None:
         """Keep a connection for the next call, if it may carry one.
@@ -56,6 +75,7 @@
         """
         has_room = len(self._idle) < self._n_connections_max
         if connection.is_reusable and has_room and not self._is_closed:
+            connection.idle_since_s = asyncio.get_running_loop().time()
             self._idle.append(connection)
         else:
             connection.close()
@@ -73,4 +93,11 @@
             self._idle.pop().close()
 
 
+def _idle_max_s(connection: ClientConnection) -> float:
+    """Return for how long a connection may be kept without use."""
+    if connection.keep_alive_s is None:
+        return _IDLE_MAX_S
+    return max(0.0, connection.keep_alive_s - _CLOSE_MARGIN_S)
+
+
 __all__ = ["ConnectionPool"]
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -19,7 +19,7 @@
 from .pool import ConnectionPool
 from .registry import TargetRegistry
 from .slots import SlotGate
-from .target_call import TargetCall
+from .target_call import DEFAULT_OPTIONS, TargetCall, TargetOptions
 
 log = structlog.get_logger(__name__)
 
@@ -79,7 +79,9 @@
         now_ms: Callable[[], float],
         policy_of: PolicyOf,
         decisions: DecisionLog,
+        options: TargetOptions = DEFAULT_OPTIONS,
     ) -> None:
+        self._options = options
         self._registry = registry
         self._now_ms = now_ms
         self._policy_of = policy_of
@@ -123,7 +125,7 @@
             service_ms = self._now_ms() - admitted_ms if was_sent else None
             local.gate.leave(head, service_ms)
 
-        call = TargetCall(local.pool, head, body, leave)
+        call = TargetCall(local.pool, head, body, leave, self._options)
         response = await call.run(deadline_ms - admitted_ms)
         return _with_wait(response, int(admitted_ms - start_ms))
 
--- a/packages/pepperstair-targets/pepperstair_targets/target_call.py
+++ b/packages/pepperstair-targets/pepperstair_targets/target_call.py
@@ -4,18 +4,23 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
 
 import structlog
 
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
 from pepperstair_core.wire import CallHead
 from pepperstair_http import (
+    PRODUCT_HEADERS,
     BodyBuffer,
     ClientConnection,
     ConnectionLostError,
+    HeaderNames,
     Headers,
     ResponseHead,
     StreamedResponse,
+    header_value,
 )
 
 from .answer_body import AnswerBody
@@ -23,7 +28,22 @@
 
 log = structlog.get_logger(__name__)
 
-TIMEOUT_HEADER = b"pepperstair-timeout-ms"
+_MISDIRECTED: Final = 421
+
+
+@dataclass(frozen=True, slots=True)
+class TargetOptions:
+    """How every call on the targets of this VM is made.
+
+    Answers of up to `n_gathered_max_bytes` are read whole before any of it is
+    passed on, so that a cut one can still be fetched from another target.
+    """
+
+    names: HeaderNames = PRODUCT_HEADERS
+    n_gathered_max_bytes: int = 0
+
+
+DEFAULT_OPTIONS: Final = TargetOptions()
 
 
 class TargetCall:
@@ -39,6 +59,8 @@
         "_head",
         "_is_ended",
         "_is_sent",
+        "_n_gathered_max_bytes",
+        "_names",
         "_on_end",
         "_pool",
         "_sender",
@@ -50,7 +72,10 @@
         head: CallHead,
         body: BodyBuffer,
         on_end: Callable[[bool], None],
+        options: TargetOptions = DEFAULT_OPTIONS,
     ) -> None:
+        self._names = options.names
+        self._n_gathered_max_bytes = options.n_gathered_max_bytes
         self._pool = pool
         self._head = head
         self._body = body
@@ -66,6 +91,8 @@
         try:
             async with asyncio.timeout(max(0.0, time_left_ms) / 1000):
                 answer = await self._exchange(time_left_ms)
+                self._check(answer)
+                await self._gather(answer)
         except TimeoutError as error:
             self._break()
             raise self._timed_out() from error
@@ -89,8 +116,8 @@
         self._on_end(self._is_sent)
 
     async def _exchange(self, time_left_ms: float) -> ResponseHead:
-        headers = _with_timeout(self._head.headers, time_left_ms)
-        kept = self._pool.take_idle()
+        headers = self._headers(time_left_ms)
+        kept = self._pool.take_idle(is_fresh_wanted=not self._may_run_twice)
         if kept is not None:
             try:
                 return await self._send(kept, headers)
@@ -107,16 +134,59 @@
         except (ConnectionLostError, ConnectionResetError) as error:
             raise self._cut(error) from error
 
+    def _headers(self, time_left_ms: float) -> Headers:
+        """Return the request's headers with what the target is to be told."""
+        names = self._names
+        added = [(names.timeout_ms, b"%d" % max(1, time_left_ms))]
+        if names.expected_target:
+            added.append((names.expected_target, self._head.target.encode()))
+        return (*self._head.headers, *added)
+
+    def _check(self, answer: ResponseHead) -> None:
+        """Raise where the answer says that the request was not run, or is no answer.
+
+        An address may have gone to another target, which says so; what comes
+        without the target's signature, or in an encoding that nobody asked for,
+        is not what the target made.
+        """
+        names = self._names
+        if not names.signature:
+            return
+        if names.not_run and header_value(answer.headers, names.not_run):
+            failure = Failure(ErrorKind.TARGET_REFUSED, self._head.target, run=Run.NO)
+            raise PepperstairError(failure)
+        is_signed = bool(header_value(answer.headers, names.signature))
+        if answer.status == _MISDIRECTED and not is_signed:
+            failure = Failure(ErrorKind.NO_TARGET, self._head.target, run=Run.NO)
+            raise PepperstairError(failure)
+        is_encoded = bool(header_value(answer.headers, b"content-encoding"))
+        if answer.status < 300 and (is_encoded or not is_signed):
+            detail = "an answer that is not the target's own"
+            raise PepperstairError(Failure(ErrorKind.TARGET_FAILED, detail))
+
+    async def _gather(self, answer: ResponseHead) -> None:
+        """Wait for the whole of an answer that is small enough to hold."""
+        try:
+            await self._connection.body.gather(self._n_gathered_max_bytes)
+        except ConnectionLostError as error:
+            raise self._cut(error) from error
+
+    @property
+    def _may_run_twice(self) -> bool:
+        return self._head.is_idempotent
+
     def _may_resend(self) -> bool:
-        head = self._head
-        return not self._is_sent or (head.is_idempotent and not head.has_body)
+        return not self._is_sent or (self._may_run_twice and not self._head.has_body)
 
     async def _send(
         self, connection: ClientConnection, headers: Headers
     ) -> ResponseHead:
         self._connection = connection
         body = _whole_body(self._head, self._body)
-        connection.start(self._head.method, self._head.path, headers, body)
+        echo = None
+        if self._names.is_id_echoed:
+            echo = (self._names.request_id, self._head.request_id.encode("latin-1"))
+        connection.start(self._head.method, self._head.path, headers, body, echo)
         self._is_sent = True
         if body is None:
             loop = asyncio.get_running_loop()
@@ -171,8 +241,4 @@
     return b"".join(parts)
 
 
-def _with_timeout(headers: Headers, time_left_ms: float) -> Headers:
-    return (*headers, (TIMEOUT_HEADER, b"%d" % max(1, time_left_ms)))
-
-
-__all__ = ["TIMEOUT_HEADER", "TargetCall"]
+__all__ = ["DEFAULT_OPTIONS", "TargetCall", "TargetOptions"]
--- a/packages/pepperstaird/pepperstaird/__main__.py
+++ b/packages/pepperstaird/pepperstaird/__main__.py
@@ -63,8 +63,9 @@
     # Imported only now, since asyncio and structlog are what brings in the
     # libraries that have just been left out.
     from .daemon import run_daemon
+    from .product import product_edges
 
-    return run_daemon(read.unwrap())
+    return run_daemon(read.unwrap(), product_edges())
 
 
 def read_settings(path: Path) -> Result[Settings, list[Fault]]:
--- /dev/null
+++ b/packages/pepperstaird/pepperstaird/configuration/follower.py
@@ -0,0 +1,271 @@
+"""Follows a configuration document that operators keep in a table elsewhere."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from typing import Any, Final
+
+import structlog
+from result import Result
+
+from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
+from pepperstair_core.errors import ErrorKind, Failure
+from pepperstair_core.events import Event
+from pepperstair_core.following import (
+    DocumentReader,
+    FollowedDocument,
+    Following,
+    Offer,
+)
+from pepperstair_core.labels import Labels
+from pepperstair_core.routing import RouteTable, compile_routes, overrides_of
+from pepperstair_core.versions import Head, Snapshot
+from pepperstair_core.wire import DocumentCopy, DocumentHave, DocumentPull
+from pepperstair_peers import ControlPlane
+from pepperstair_platform import WatchedRows, WatchedTable
+
+from ..clock import wall_ms
+
+log = structlog.get_logger(__name__)
+
+# A watch that was lost in silence is renewed after this at the latest. The
+# waits are spread, so that of a dozen daemons one renews its watch about every
+# second and tells the others.
+_WAIT_MAX_MS: Final = 10_000
+_WAIT_MIN_SHARE: Final = 0.6
+# After a failure: first soon, then longer, so that a store that comes back is
+# not met by all daemons at once; with jitter.
+_BACKOFF_MIN_S: Final = 0.1
+_BACKOFF_MAX_S: Final = 1.0
+# How long the own watch may take to bring a version that a neighbour has
+# already: asking at once would carry each version once more to everyone.
+_PULL_DELAY_S: Final = 0.25
+
+
+class ConfigurationFollower:
+    """Keeps the newest document in force, from the table or from neighbours.
+
+    `key` names the row of the table that holds the document. `on_document` is
+    called after each version that was put in force, which `document` then is.
+    """
+
+    def __init__(
+        self,
+        table: WatchedTable,
+        key: str,
+        read: DocumentReader,
+        proxy_labels: Labels,
+        control: ControlPlane,
+        decisions: DecisionLog,
+        rng: random.Random,
+        on_document: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._on_document = on_document
+        self._table = table
+        self._key = key
+        self._following = Following(read)
+        self._proxy_labels = proxy_labels
+        self._control = control
+        self._decisions = decisions
+        self._rng = rng
+        self._snapshot: Snapshot | None = None
+        self._watching: asyncio.Task[None] | None = None
+        self._pull_timer: asyncio.TimerHandle | None = None
+        self._is_table_lost = False
+        self._learnt_from = ""
+        self.n_ignored = 0
+        self.n_rejected = 0
+        self.route_table = RouteTable()
+        self.overrides: Mapping[str, Labels] = {}
+        self.on_changed: Callable[[Snapshot], None] = lambda snapshot: None
+        self.on_converged: Callable[[str, int], None] = lambda customer, ms: None
+
+    @property
+    def document(self) -> FollowedDocument | None:
+        """Return the document in force."""
+        return self._following.document
+
+    @property
+    def is_floor_known(self) -> bool:
+        """Return whether any version is in force."""
+        return self.document is not None
+
+    @property
+    def reached_by(self) -> str:
+        """Return who told the version in force: the platform or a neighbour."""
+        return self._learnt_from
+
+    def start(self) -> None:
+        """Begin to follow the table and to listen to the neighbours."""
+        self._control.on_neighbour_up = self._tell
+        self._control.on_configuration_frame = self._on_frame
+        self.catch_up()
+
+    def close(self) -> None:
+        """Stop following."""
+        for handle in (self._watching, self._pull_timer):
+            if handle is not None:
+                handle.cancel()
+
+    def members_changed(self) -> None:
+        """Do nothing: versions go to the neighbours, whoever they are."""
+
+    def catch_up(self) -> None:
+        """Read the table anew at once.
+
+        After a pause of this process the answer to its watch may be lost, and
+        the routes of a minute ago would stay in force until the next one.
+        """
+        if self._watching is not None:
+            self._watching.cancel()
+        self._watching = asyncio.get_running_loop().create_task(self._watch())
+
+    def versions(self) -> dict[str, int]:
+        """Return the version in force by customer."""
+        if self._snapshot is None:
+            return {}
+        return {self._snapshot.head.customer: self._snapshot.head.version}
+
+    def get(self, customer: str) -> Snapshot | None:
+        """Return the snapshot in force of a customer."""
+        if self._snapshot is None or self._snapshot.head.customer != customer:
+            return None
+        return self._snapshot
+
+    def counters(self) -> dict[str, int]:
+        """Return the counts that `status` and the metrics show."""
+        return {
+            "n_versions_ignored": self.n_ignored,
+            "n_versions_rejected": self.n_rejected,
+        }
+
+    def rejected(self) -> dict[str, Any]:
+        """Return why the last document that was rejected was."""
+        faults = [str(fault) for fault in self._following.faults]
+        return {"document": {"cause": "; ".join(faults)}} if faults else {}
+
+    async def _watch(self) -> None:
+        position: int | None = None
+        backoff_s = _BACKOFF_MIN_S
+        while True:
+            read = await self._next(position)
+            if read.is_ok():
+                self._note_table(None)
+                self._take_rows(read.unwrap())
+                position = read.unwrap().position
+                backoff_s = _BACKOFF_MIN_S
+                continue
+            failure = read.unwrap_err()
+            position = None
+            if failure.kind is ErrorKind.WATCH_EXPIRED:
+                continue
+            self._note_table(failure)
+            await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+            backoff_s = min(_BACKOFF_MAX_S, 2 * backoff_s)
+
+    async def _next(self, position: int | None) -> Result[WatchedRows, Failure]:
+        if position is None:
+            return await self._table.read()
+        share = self._rng.uniform(_WAIT_MIN_SHARE, 1.0)
+        return await self._table.wait(position, int(_WAIT_MAX_MS * share))
+
+    def _note_table(self, failure: Failure | None) -> None:
+        """Log once when the table is lost and once when it is back."""
+        is_lost = failure is not None
+        if is_lost == self._is_table_lost:
+            return
+        self._is_table_lost = is_lost
+        if is_lost:
+            log.warning(Event.PLATFORM_UNAVAILABLE, reason=failure.text)
+        else:
+            log.info(Event.PLATFORM_RECOVERED, version=self._following.version)
+
+    def _take_rows(self, rows: WatchedRows) -> None:
+        for row in rows.rows:
+            # A removed row takes nothing out of force: the operators' routes
+            # would all be gone at once, and callers told that there is none.
+            if row.key == self._key and row.value is not None:
+                self._offer(row.value, "platform")
+
+    def _offer(self, data: bytes, learnt_from: str) -> None:
+        offer = self._following.offer(data)
+        if offer is Offer.IN_FORCE:
+            self._put_in_force(learnt_from)
+        elif offer is Offer.REJECTED:
+            self._report_rejected(learnt_from)
+        else:
+            self.n_ignored += 1
+
+    def _put_in_force(self, learnt_from: str) -> None:
+        document = self._following.document
+        was_known = bool(self._learnt_from)
+        self._learnt_from = learnt_from
+        customer = document.intent.customer
+        head = Head(customer, document.version, "", wall_ms(), learnt_from, "")
+        self._snapshot = Snapshot(head, document.data, document.intent)
+        self.overrides = overrides_of((self._snapshot,))
+        self.route_table = compile_routes((self._snapshot,), self._proxy_labels)
+        log.info(
+            Event.VERSION_IN_FORCE,
+            customer=customer,
+            version=document.version,
+            learnt_from=learnt_from,
+            n_routes=len(document.intent.routes),
+        )
+        if not was_known:
+            log.info(Event.READY, reached_by=learnt_from)
+        self._on_document()
+        self.on_changed(self._snapshot)
+        for vm in self._control.neighbours:
+            self._tell(vm)
+
+    def _report_rejected(self, learnt_from: str) -> None:
+        self.n_rejected += 1
+        cause = "; ".join(str(fault) for fault in self._following.faults[:3])
+        version = self._following.version
+        log.error(
+            Event.VERSION_REJECTED,
+            version=version,
+            learnt_from=learnt_from,
+            cause=cause,
+        )
+        decision = Decision(wall_ms(), DecisionKind.REJECTED, learnt_from, cause)
+        self._decisions.add(decision)
+
+    def _tell(self, vm: str) -> None:
+        if self._following.version:
+            self._control.send(vm, DocumentHave(self._following.version))
+
+    def _on_frame(self, vm: str, frame: Any) -> None:
+        """Spread versions among neighbours.
+
+        A daemon that the platform turns away, or whose watch hangs, would
+        otherwise route by an old version for as long as that lasts.
+        """
+        match frame:
+            case DocumentHave(version) if version > self._following.version:
+                self._pull_soon(vm)
+            case DocumentHave(version) if version < self._following.version:
+                self._tell(vm)
+            case DocumentPull(version) if version < self._following.version:
+                self._control.send(vm, DocumentCopy(self.document.data))
+            case DocumentCopy(data):
+                self._offer(data, vm)
+            case _:
+                pass
+
+    def _pull_soon(self, vm: str) -> None:
+        if self._pull_timer is not None:
+            return
+        delay_s = 0.0 if self.document is None else _PULL_DELAY_S
+        loop = asyncio.get_running_loop()
+        self._pull_timer = loop.call_later(delay_s, self._pull, vm)
+
+    def _pull(self, vm: str) -> None:
+        self._pull_timer = None
+        self._control.send(vm, DocumentPull(self._following.version))
+
+
+__all__ = ["ConfigurationFollower"]
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -12,7 +12,7 @@
 
 from pepperstair_callers import Proxy, ProxyContext
 from pepperstair_core.burn import BurnCounts
-from pepperstair_core.calls import CallOutcome, Load, RetryBudget, TargetChooser
+from pepperstair_core.calls import CallOutcome, Load, TargetChooser
 from pepperstair_core.config import Settings, parse_address
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.events import Event
@@ -43,17 +43,13 @@
     Identity,
     PeerListener,
 )
-from pepperstair_platform import Platform
 from pepperstair_targets import TargetRegistry, TargetRunner
 
 from .clock import monotonic_ms, precise_ms, wall_ms
-from .configuration import ConfigurationAgent
-from .configuration_operations import add_configuration_operations
 from .counters import read_counters, read_gauges
+from .edges import Edges
 from .logs import configure_logs, log_loop_error
-from .member_rows import MemberRows
 from .metrics import MetricsSender
-from .operations import add_operations
 
 log = structlog.get_logger(__name__)
 
@@ -67,8 +63,11 @@
 class Daemon:
     """One daemon: all its parts, and the functions that join them."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, edges: Edges) -> None:
         self.settings = settings
+        self.edges = edges
+        self.is_stopping = False
+        self.body_max_bytes = settings.callers.body_max_bytes
         self.rng = random.Random()
         self.decisions = DecisionLog()
         self.burn = BurnCounts(monotonic_ms())
@@ -93,13 +92,16 @@
                 operators_address=_operators_address(settings),
             )
         )
-        self.platform = Platform(settings.platform)
+        self.platform = edges.make_platform(settings)
         self.registry = TargetRegistry(settings.members.target_lease_ms)
         self.runner = TargetRunner(
-            self.registry, precise_ms, self._policy_of, self.decisions
+            self.registry,
+            precise_ms,
+            self._policy_of,
+            self.decisions,
+            edges.target_options,
         )
         self.chooser = TargetChooser(settings.vm.availability_zone, self.rng)
-        self.retry_budget = RetryBudget()
         self.frame_counters = {kind: FrameCounters() for kind in StreamKind}
         self.call_client = CallClient(
             self.identity,
@@ -124,17 +126,8 @@
             self.rng,
             monotonic_ms,
         )
-        self.configuration = ConfigurationAgent(
-            self.platform,
-            settings.platform,
-            self.control,
-            self.directory,
-            self.decisions,
-            self.rng,
-        )
-        self.member_rows = MemberRows(
-            self.platform, self.control, self.directory, self.rng
-        )
+        self.configuration = edges.make_configuration(self)
+        self.member_table = edges.make_member_table(self)
         self.listener = PeerListener(
             self.identity,
             settings.peers.frame_max_bytes,
@@ -158,9 +151,9 @@
             ),
         )
         operators = OperatorServer(settings.operators)
-        add_operations(operators, self)
-        add_configuration_operations(operators, self)
+        edges.add_operations(operators, self)
         self.operators = HttpServer(operators.handle, ServerLimits())
+        self.further_servers = tuple(edges.iter_servers(self))
         self.endpoint_table = EndpointTable()
         self.registry.on_changed = self._publish_targets
         self.configuration.on_changed = lambda snapshot: self._renew_endpoints()
@@ -177,6 +170,11 @@
         self.control.check_pause()
         return self.configuration.is_floor_known
 
+    @property
+    def is_welcoming(self) -> bool:
+        """Return whether callers should go on choosing this daemon."""
+        return self.is_ready() and not self.is_stopping
+
     def _members_changed(self) -> None:
         self.configuration.members_changed()
         self._renew_endpoints()
@@ -192,21 +190,30 @@
         await self.operators.listen(*parse_address(settings.operators.address))
         await self.listener.listen(*parse_address(settings.peers.address))
         await self.callers.listen(*parse_address(settings.callers.address))
+        for further in self.further_servers:
+            await further.server.listen(*parse_address(further.address))
         self.configuration.start()
         self.control.start()
-        self.member_rows.start()
+        self.member_table.start()
         self.metrics.start()
         self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
 
     async def stop(self) -> None:
-        """Finish what is in flight, refuse the rest as not run, then close."""
+        """Finish what is in flight, refuse the rest as not run, then close.
+
+        Whoever sends callers here, or calls of other daemons, hears of the stop
+        a moment later; until then they are served as before.
+        """
         log.info(Event.STOPPING)
-        self.runner.drain()
+        self.is_stopping = True
         self._publish_targets()
+        self.callers.ask_to_leave()
+        await asyncio.sleep(self.settings.calls.stop_notice_ms / 1000)
+        self.runner.drain()
         self.callers.drain()
         self.control.leave()
-        await asyncio.gather(self.member_rows.remove_own(), self._wait_for_calls())
+        await asyncio.gather(self.member_table.remove_own(), self._wait_for_calls())
         self._lease_task.cancel()
         self.metrics.close()
         self.configuration.close()
@@ -217,6 +224,8 @@
         self.runner.close()
         self.callers.close()
         self.operators.close()
+        for further in self.further_servers:
+            further.server.close()
         self.platform.close()
         log.info(Event.STOPPED)
 
@@ -254,11 +263,13 @@
             on_outcome=self._count_outcome,
             is_draining=lambda: self.runner.is_draining,
             decisions=self.decisions,
-            budget=self.retry_budget,
+            budget_of=self.edges.make_budget_of(self),
             retry_budget_percent=self.settings.calls.retry_budget_percent,
             now_ms=precise_ms,
             rng=self.rng,
-            body_max_bytes=self.settings.callers.body_max_bytes,
+            body_max_bytes=lambda: self.body_max_bytes,
+            header_names=self.edges.header_names,
+            service=self.edges.service,
         )
 
     def _count_outcome(self, outcome: CallOutcome) -> None:
@@ -305,7 +316,7 @@
     def _publish_targets(self) -> None:
         self.runner.follow_registry()
         targets = self.registry.targets()
-        if self.runner.is_draining:
+        if self.is_stopping:
             targets = tuple(
                 replace(target, state=TargetState.DRAINING) for target in targets
             )
@@ -323,19 +334,20 @@
     return settings.operators.advertised_address or settings.operators.address
 
 
-def run_daemon(settings: Settings) -> int:
+def run_daemon(settings: Settings, edges: Edges) -> int:
     """Run a daemon until SIGTERM or SIGINT and return its exit code."""
     configure_logs(settings.vm.name)
-    return asyncio.run(_run_until_signal(settings))
+    return asyncio.run(_run_until_signal(settings, edges))
 
 
-async def _run_until_signal(settings: Settings) -> int:
+async def _run_until_signal(settings: Settings, edges: Edges) -> int:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(log_loop_error)
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    daemon = Daemon(settings)
+    daemon = Daemon(settings, edges)
+    loop.add_signal_handler(signal.SIGHUP, lambda: edges.reload(daemon))
     try:
         await daemon.start()
     except OSError as error:
--- a/packages/pepperstaird/pepperstaird/member_rows.py
+++ b/packages/pepperstaird/pepperstaird/member_rows.py
@@ -22,7 +22,7 @@
     is_sweeper,
 )
 from pepperstair_peers import ControlPlane
-from pepperstair_platform import Platform, Row
+from pepperstair_platform import Row, RowTable
 
 from .clock import wall_ms
 
@@ -32,6 +32,10 @@
 _PREFIX: Final = "member/"
 _JOIN_MAX_S: Final = 2.0
 _N_DELETED_MAX: Final = 10
+# While the own row is not written, or no neighbour is known, the platform is
+# asked again after this; doubled each time, so that an outage is no storm.
+_RETRY_MIN_S: Final = 0.5
+_RETRY_MAX_S: Final = 8.0
 
 
 class MemberRows:
@@ -39,11 +43,13 @@
 
     def __init__(
         self,
-        platform: Platform,
+        platform: RowTable,
         control: ControlPlane,
         directory: MemberDirectory,
         rng: random.Random,
+        join_max_s: float | None = None,
     ) -> None:
+        self._join_max_s = _JOIN_MAX_S if join_max_s is None else join_max_s
         self._platform = platform
         self._control = control
         self._directory = directory
@@ -67,33 +73,41 @@
 
     async def _run(self) -> None:
         # A herd that starts together would read and write all rows at once.
-        await asyncio.sleep(self._rng.uniform(0, _JOIN_MAX_S))
+        await asyncio.sleep(self._rng.uniform(0, self._join_max_s))
+        retry_s = _RETRY_MIN_S
         while True:
-            await self._write_own()
+            is_done = await self._write_own()
             if self._is_reader():
-                await self._read()
-            await asyncio.sleep(ROW_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+                is_done = await self._read() and is_done
+            if is_done and self._control.neighbours:
+                retry_s = _RETRY_MIN_S
+                await asyncio.sleep(ROW_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+                continue
+            await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.0))
+            retry_s = min(_RETRY_MAX_S, 2 * retry_s)
 
     def _is_reader(self) -> bool:
         if not self._control.neighbours:
             return True
         return is_sweeper(self._directory.own(), self._directory.members())
 
-    async def _write_own(self) -> None:
+    async def _write_own(self) -> bool:
         own = self._directory.own()
         value = {"peer_address": own.peer_address, "written_ms": wall_ms()}
         row = Row(_key(own.vm), json.dumps(value, sort_keys=True))
-        await self._platform.commit((), (row,))
+        written = await self._platform.commit((), (row,))
+        return written.is_ok()
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
         read = await self._platform.read_rows(_PREFIX)
         if read.is_err():
-            return
+            return False
         rows = list(_iter_rows(read.unwrap()))
         self._control.discover(row.peer_address for row in rows)
         dead = list(self._sweep.iter_dead(self._directory, rows))
         for vm in dead[:_N_DELETED_MAX]:
             await self._platform.delete_row(_key(vm))
+        return True
 
 
 def _key(vm: str) -> str:
--- a/packages/pepperstaird/pepperstaird/operations.py
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import uuid
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import structlog
 
 from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_core.events import Event
-from pepperstair_core.intent import intent_to_table, parse_intent_toml
+from pepperstair_core.intent import parse_intent_toml
 from pepperstair_core.schema import Fault
 from pepperstair_operators import (
     OperatorReply,
@@ -24,8 +24,7 @@
 
 from .clock import monotonic_ms, wall_ms
 from .configuration import WAIT_MAX_MS, ChangeLines
-from .counters import read_counters
-from .reports import burn_counts, record_refusal
+from .reports import add_reports, record_refusal
 
 if TYPE_CHECKING:
     from .daemon import Daemon
@@ -34,24 +33,10 @@
 
 
 def add_operations(server: OperatorServer, daemon: Daemon) -> None:
-    """Serve every operation of a daemon."""
+    """Serve the reports, changes of intents and announcements of targets."""
+    add_reports(server, daemon)
     change_lines = ChangeLines()
 
-    async def status(request: OperatorRequest) -> OperatorReply:
-        return json_reply(status_content(daemon))
-
-    async def ready(request: OperatorRequest) -> OperatorReply:
-        is_ready = daemon.is_ready()
-        content = {"ready": is_ready, "reached_by": daemon.ready_by}
-        return json_reply(content, 200 if is_ready else 503)
-
-    async def get_intent(request: OperatorRequest) -> OperatorReply:
-        snapshot = daemon.configuration.get(request.name)
-        if snapshot is None:
-            return failure_reply(Failure(ErrorKind.NOT_FOUND, request.name))
-        intent = intent_to_table(snapshot.intent)
-        return json_reply({"version": snapshot.head.version, "intent": intent})
-
     async def put_intent(request: OperatorRequest) -> OperatorReply:
         async with change_lines.turn(request.name) as is_turn:
             if is_turn:
@@ -59,9 +44,6 @@
         detail = f"changes of {request.name} wait in line"
         return failure_reply(Failure(ErrorKind.BUSY, detail, WAIT_MAX_MS))
 
-    async def burn(request: OperatorRequest) -> OperatorReply:
-        return await burn_counts(daemon)
-
     async def put_target(request: OperatorRequest) -> OperatorReply:
         taken = handle_announcement(
             daemon.registry,
@@ -79,42 +61,11 @@
             return failure_reply(Failure(ErrorKind.NOT_FOUND, request.name))
         return json_reply({})
 
-    server.add("GET", "/v1/status", status)
-    server.add("GET", "/v1/ready", ready)
-    server.add("GET", "/v1/intent/", get_intent)
     server.add("PUT", "/v1/intent/", put_intent)
-    server.add("GET", "/v1/burn", burn)
     server.add("PUT", "/v1/targets/", put_target)
     server.add("DELETE", "/v1/targets/", delete_target)
 
 
-def status_content(daemon: Daemon) -> dict[str, Any]:
-    """Return what `GET /v1/status` tells."""
-    return {
-        "vm": daemon.settings.vm.name,
-        "availability_zone": daemon.settings.vm.availability_zone,
-        "ready": daemon.is_ready(),
-        "reached_by": daemon.ready_by,
-        "versions": daemon.configuration.versions(),
-        "members": [
-            {
-                "vm": member.vm,
-                "state": member.state.name.lower(),
-                "incarnation": member.incarnation,
-                "availability_zone": member.availability_zone,
-                "operators_address": member.operators_address,
-                "targets": [
-                    {"name": target.name, "state": target.state.value}
-                    for target in member.targets
-                ],
-            }
-            for member in daemon.directory.members()
-        ],
-        "rejected": daemon.configuration.rejected(),
-        "counters": dict(read_counters(daemon).iter_named()),
-    }
-
-
 async def _put_intent(daemon: Daemon, request: OperatorRequest) -> OperatorReply:
     """Accept a change, or refuse the whole of it."""
     from_version = query_version(request, "from_version")
@@ -174,4 +125,4 @@
     return failure_reply(Failure(kind, "; ".join(map(str, faults))), faults=shown)
 
 
-__all__ = ["add_operations", "status_content"]
+__all__ = ["add_operations"]
--- a/packages/pepperstaird/pepperstaird/reports.py
+++ b/packages/pepperstaird/pepperstaird/reports.py
@@ -1,4 +1,4 @@
-"""The operations by which a daemon reports on itself: decisions and burn."""
+"""The operations by which a daemon reports on itself: state, decisions and burn."""
 
 from __future__ import annotations
 
@@ -10,9 +10,17 @@
 
 from pepperstair_core.decisions import Decision, DecisionKind
 from pepperstair_core.errors import ErrorKind, Failure
-from pepperstair_operators import OperatorReply, OperatorRequest, json_reply
+from pepperstair_core.intent import intent_to_table
+from pepperstair_operators import (
+    OperatorReply,
+    OperatorRequest,
+    OperatorServer,
+    failure_reply,
+    json_reply,
+)
 
 from .clock import monotonic_ms, wall_ms
+from .counters import read_counters
 
 if TYPE_CHECKING:
     from .daemon import Daemon
@@ -20,6 +28,60 @@
 log = structlog.get_logger(__name__)
 
 
+def add_reports(server: OperatorServer, daemon: Daemon) -> None:
+    """Serve the operations that only tell what a daemon holds."""
+
+    async def status(request: OperatorRequest) -> OperatorReply:
+        return json_reply(status_content(daemon))
+
+    async def ready(request: OperatorRequest) -> OperatorReply:
+        is_ready = daemon.is_ready()
+        content = {"ready": is_ready, "reached_by": daemon.ready_by}
+        return json_reply(content, 200 if is_ready else 503)
+
+    async def get_intent(request: OperatorRequest) -> OperatorReply:
+        snapshot = daemon.configuration.get(request.name)
+        if snapshot is None:
+            return failure_reply(Failure(ErrorKind.NOT_FOUND, request.name))
+        intent = intent_to_table(snapshot.intent)
+        return json_reply({"version": snapshot.head.version, "intent": intent})
+
+    async def burn(request: OperatorRequest) -> OperatorReply:
+        return await burn_counts(daemon)
+
+    server.add("GET", "/v1/status", status)
+    server.add("GET", "/v1/ready", ready)
+    server.add("GET", "/v1/intent/", get_intent)
+    server.add("GET", "/v1/burn", burn)
+
+
+def status_content(daemon: Daemon) -> dict[str, Any]:
+    """Return what `GET /v1/status` tells."""
+    return {
+        "vm": daemon.settings.vm.name,
+        "availability_zone": daemon.settings.vm.availability_zone,
+        "ready": daemon.is_ready(),
+        "reached_by": daemon.ready_by,
+        "versions": daemon.configuration.versions(),
+        "members": [
+            {
+                "vm": member.vm,
+                "state": member.state.name.lower(),
+                "incarnation": member.incarnation,
+                "availability_zone": member.availability_zone,
+                "operators_address": member.operators_address,
+                "targets": [
+                    {"name": target.name, "state": target.state.value}
+                    for target in member.targets
+                ],
+            }
+            for member in daemon.directory.members()
+        ],
+        "rejected": daemon.configuration.rejected(),
+        "counters": dict(read_counters(daemon).iter_named()),
+    }
+
+
 def explain_decisions(daemon: Daemon, request: OperatorRequest) -> OperatorReply:
     """Answer with the decisions about a subject, or all, the oldest first."""
     found = daemon.decisions.find(request.query.get("subject", ""))
@@ -63,4 +125,10 @@
     }
 
 
-__all__ = ["burn_counts", "explain_decisions", "record_refusal"]
+__all__ = [
+    "add_reports",
+    "burn_counts",
+    "explain_decisions",
+    "record_refusal",
+    "status_content",
+]
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -170,6 +170,7 @@
 
     def _context(self, body_max_bytes: int) -> ProxyContext:
         rng = random.Random(4)
+        budget = RetryBudget()
         return ProxyContext(
             vm="front",
             route_table=lambda: self.table,
@@ -181,11 +182,11 @@
             is_draining=lambda: self.is_draining,
             on_outcome=self.outcomes.append,
             decisions=self.decisions,
-            budget=RetryBudget(),
+            budget_of=lambda service: budget,
             retry_budget_percent=10,
             now_ms=self.now_ms,
             rng=rng,
-            body_max_bytes=body_max_bytes,
+            body_max_bytes=lambda: body_max_bytes,
         )
 
 
