Serve in time those who can be, and tell the others at once

Inner calls shared that queue and failed their parents.

Ruled out: processor time (0.13 of 0.86 cores), unequal load of targets.

Change: a call states how long its answer is wanted most; the queue orders by the latest start that still leads to an answer in time, and refuses at once what can't be in time, with the age of the overload as the time to come back. Callers that come back go behind those that can still be in time. Loads travel with each answer; another target is asked after a refusal only if it has room; large answers stay in their zone; latencies are compared by route; targets that fail part of their calls get fewer.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -10,6 +10,7 @@
 import structlog
 
 from pepperstair_core.calls import (
+    FULL_AVOIDED_MS,
     Attempt,
     CallEnd,
     Ejection,
@@ -94,8 +95,10 @@
         "_head",
         "_is_idempotent",
         "_latency_ms",
+        "_refused",
         "_request",
         "_timeout_ms",
+        "_waited_before_ms",
         "compiled",
         "deadline_ms",
         "n_attempts",
@@ -119,9 +122,13 @@
         self._is_idempotent = compiled.route.is_idempotent or head.is_idempotent
         route_timeout_ms = compiled.route.timeout_ms
         self._timeout_ms = min(head.timeout_ms or route_timeout_ms, route_timeout_ms)
+        self._waited_before_ms = context.patience.waited_ms(
+            compiled.route.name, head.timeout_ms
+        )
         self._endpoint: Endpoint | None = None
         self._excluded: frozenset[tuple[str, str]] = frozenset()
         self._has_arrived = False
+        self._refused: Failure | None = None
         self.compiled = compiled
         self.deadline_ms = context.now_ms() + self._timeout_ms
         self._attempted_ms = 0.0
@@ -212,7 +219,13 @@
         if ejection is not None:
             self._report_ejection(ejection)
 
-    def end_answered(self, response: StreamedResponse, is_whole: bool) -> None:
+    def _end(self, kind: EndKind, latency_ms: float = 0.0, avoided_ms: int = 0) -> None:
+        route = self.compiled.route.name
+        self.end(CallEnd(kind, self._attempted_ms, latency_ms, avoided_ms, route))
+
+    def end_answered(
+        self, response: StreamedResponse, is_whole: bool, n_bytes: int
+    ) -> None:
         """Take the end of an answer that was passed on.
 
         What the target announced or says on a health endpoint plays no part:
@@ -225,13 +238,12 @@
             kind = EndKind.ERROR
         waited = header_value(response.headers, WAITED_HEADER)
         waited_ms = int(waited) if waited.isdigit() else 0
-        self.end(
-            CallEnd(kind, self._attempted_ms, max(0.0, self._latency_ms - waited_ms))
-        )
+        self._end(kind, max(0.0, self._latency_ms - waited_ms))
+        self._context.answer_sizes.see(self.compiled.route.name, n_bytes)
 
     def abandon(self) -> None:
         """Take the end of an answer that the caller did not wait for."""
-        self.end(CallEnd(EndKind.ABANDONED, self._attempted_ms))
+        self._end(EndKind.ABANDONED)
 
     async def _read_body(self) -> None:
         if not self._head.has_body or self._body.keep_nowait():
@@ -251,7 +263,13 @@
             self._attempted_ms,
             self._excluded,
             is_urgent=self.compiled.route.priority == "urgent",
+            route=self.compiled.route.name,
+            n_answer_bytes=context.answer_sizes.of(self.compiled.route.name),
+            is_wait_bounded=self.compiled.route.objective_ms > 0,
+            is_room_wanted=self._refused is not None,
         )
+        if chosen is None and self._refused is not None:
+            raise PepperstairError(self._refused)
         if chosen is None:
             failure = Failure(ErrorKind.NO_TARGET, self.compiled.service.name)
             raise PepperstairError(failure)
@@ -278,7 +296,10 @@
         latency_ms = self._context.now_ms() - self._attempted_ms
         kind = self._kind_of(failure)
         self._has_arrived |= failure.kind not in _NOT_ARRIVED
-        self.end(CallEnd(kind, self._attempted_ms, latency_ms, failure.retry_after_ms))
+        avoided_ms = failure.retry_after_ms
+        if failure.kind is ErrorKind.OVERLOADED:
+            avoided_ms = FULL_AVOIDED_MS
+        self._end(kind, latency_ms, avoided_ms)
         attempt = Attempt(
             failure,
             self.compiled.route.priority,
@@ -302,6 +323,9 @@
         decision = decide_retry(attempt, self._budget, self._context.rng)
         if isinstance(decision, GiveUp):
             raise PepperstairError(final)
+        # Where one target has no room, another one is asked only if it has: in an
+        # overload each call would otherwise be refused several times over.
+        self._refused = final if failure.kind is ErrorKind.OVERLOADED else None
         self._excluded = excluded
         self._report_retry(failed, failure)
         await asyncio.sleep(decision.delay_ms / 1000)
@@ -309,6 +333,8 @@
     def _kind_of(self, failure: Failure) -> EndKind:
         if failure.kind in _REFUSALS:
             return EndKind.REFUSED
+        if failure.kind is ErrorKind.PEER_UNREACHABLE:
+            return EndKind.UNREACHABLE
         if failure.kind in _TARGET_ERRORS:
             return EndKind.ERROR
         # A caller that allows less time than the route has learnt nothing of
@@ -333,8 +359,18 @@
             is_idempotent=self._is_idempotent,
             time_left_ms=self._time_for(endpoint),
             has_body=self._head.has_body,
+            route=self.compiled.route.name,
+            wanted_left_ms=self._wanted_left_ms(),
         )
 
+    def _wanted_left_ms(self) -> int:
+        """Return how long the answer is worth most, negative if that is unknown."""
+        objective_ms = self.compiled.route.objective_ms
+        if not objective_ms:
+            return -1
+        waited_ms = self._timeout_ms - self.time_left_ms + self._waited_before_ms
+        return max(0, int(objective_ms - waited_ms))
+
     def _time_for(self, endpoint: Endpoint) -> int:
         left_ms = self.time_left_ms
         if endpoint.vm != self._context.vm:
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -4,11 +4,18 @@
 
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
-from pepperstair_core.calls import CallOutcome, Load, RetryBudget, TargetChooser
+from pepperstair_core.calls import (
+    AnswerSizes,
+    CallOutcome,
+    Load,
+    Patience,
+    RetryBudget,
+    TargetChooser,
+)
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.routing import CompiledRoute, Endpoint, RouteTable
 from pepperstair_core.wire import CallHead
@@ -49,6 +56,8 @@
     now_ms: Callable[[], float]
     rng: random.Random
     body_max_bytes: Callable[[], int]
+    answer_sizes: AnswerSizes = field(default_factory=AnswerSizes)
+    patience: Patience = field(default_factory=Patience)
     header_names: HeaderNames = PRODUCT_HEADERS
     service: str = ""
 
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -92,7 +92,7 @@
         finally:
             response.cancel()
             if is_answered:
-                call.end_answered(response, is_whole)
+                call.end_answered(response, is_whole, response.body.n_read_bytes)
             else:
                 call.abandon()
         return is_whole
--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -3,15 +3,25 @@
 from __future__ import annotations
 
 from .admission import Admission, Admitted, RefusalCause, Refused, Verdict
-from .choice import CallEnd, Ejection, EndKind, Load, TargetChooser
+from .choice import (
+    FULL_AVOIDED_MS,
+    CallEnd,
+    Ejection,
+    EndKind,
+    Load,
+    TargetChooser,
+)
 from .fair_queue import WaitingCall
 from .fleet_budget import BudgetTerms, FleetRetryBudget
+from .habits import AnswerSizes, Patience
 from .outcome import CallOutcome
 from .retry import Attempt, GiveUp, Retry, RetryBudget, decide_retry
 
 __all__ = [
+    "FULL_AVOIDED_MS",
     "Admission",
     "Admitted",
+    "AnswerSizes",
     "Attempt",
     "BudgetTerms",
     "CallEnd",
@@ -21,6 +31,7 @@
     "FleetRetryBudget",
     "GiveUp",
     "Load",
+    "Patience",
     "RefusalCause",
     "Refused",
     "Retry",
--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import heapq
+import math
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
 
 from ..intent import PRIORITIES
-from .fair_queue import FairQueue, WaitingCall
+from .fair_queue import FairQueue, Order, WaitingCall
 
 FIRST_SERVICE_MS: Final = 10.0
 SERVICE_WEIGHT: Final = 0.1
@@ -25,6 +26,13 @@
 # call is old, and letting all of them pass first would turn priorities over.
 AGED_GRANT_INTERVAL: Final = 10
 AGED_AFTER_MS: Final = 500.0
+# Calls that can't be in time any more wait behind those that can, for at most
+# this share of the time they have left: told early, their callers can still go
+# elsewhere, and a third is what they would wait by themselves.
+LATE_WAIT_SHARE: Final = 1 / 3
+# An overload ends when no call was refused for so long.
+OVERLOAD_GAP_MS: Final = 1_000.0
+N_ROUTES_MAX: Final = 1_000
 
 
 class RefusalCause(StrEnum):
@@ -32,6 +40,7 @@
 
     QUEUE_FULL = "queue full"
     TOO_LATE = "no slot before its deadline"
+    NOT_IN_TIME = "no slot while its answer is still wanted"
     DISPLACED = "displaced by a more urgent call"
     OVER_SHARE = "displaced by a customer with fewer calls"
     DRAINING = "the target is leaving"
@@ -74,6 +83,10 @@
         self.service_ms = FIRST_SERVICE_MS
         self._service_ms_of = dict.fromkeys(PRIORITIES, FIRST_SERVICE_MS)
         self._deviation_ms_of = dict.fromkeys(PRIORITIES, 0.0)
+        self._service_ms_by_route: dict[str, float] = {}
+        self._late: set[int] = set()
+        self._refused_ms = -math.inf
+        self._overloaded_since_ms = 0.0
         self._queues = {priority: FairQueue() for priority in PRIORITIES}
         self._waiting: dict[int, WaitingCall] = {}
         self._latest_starts: list[tuple[float, int]] = []
@@ -97,15 +110,21 @@
         if self.n_in_flight < self.n_slots and not self._waiting:
             self.n_in_flight += 1
             return [Admitted(call.ticket)]
-        if self._expected_start_ms(call, now_ms) > self._latest_start_ms(call):
-            return [self._refuse(call, RefusalCause.TOO_LATE)]
+        cause = self._cause_to_refuse(call, now_ms)
+        if cause is not None:
+            return [self._refuse(call, cause, now_ms)]
         if len(self._waiting) < call.n_queued_max:
             self._push(call)
             return []
-        return self._arrive_at_full_queue(call)
+        return self._arrive_at_full_queue(call, now_ms)
 
     def finish(
-        self, customer: str, priority: str, service_ms: float | None, now_ms: float
+        self,
+        customer: str,
+        priority: str,
+        service_ms: float | None,
+        now_ms: float,
+        route: str = "",
     ) -> list[Verdict]:
         """Take the end of a running call and let the next ones in.
 
@@ -118,6 +137,7 @@
             self._queues[priority].charge(customer, cost)
             self.service_ms += SERVICE_WEIGHT * (service_ms - self.service_ms)
             self._see_service(priority, service_ms)
+            self._see_route(route, service_ms)
         return self._grant(now_ms)
 
     def resize(self, n_slots: int, now_ms: float) -> list[Verdict]:
@@ -133,9 +153,13 @@
         """
         verdicts: list[Verdict] = []
         while (expiry_ms := self.next_expiry_ms) is not None and expiry_ms <= now_ms:
-            call = self._waiting[self._latest_starts[0][1]]
+            _, ticket = heapq.heappop(self._latest_starts)
+            call = self._waiting[ticket]
             self._remove(call)
-            verdicts.append(self._refuse(call, RefusalCause.TOO_LATE))
+            if self._may_still_wait(call, now_ms):
+                self._push(call, is_late=True)
+                continue
+            verdicts.append(self._refuse(call, RefusalCause.TOO_LATE, now_ms))
         return verdicts
 
     def withdraw(self, ticket: int) -> None:
@@ -143,23 +167,72 @@
         call = self._waiting.get(ticket)
         if call is not None:
             self._remove(call)
+            self._late.discard(ticket)
 
     def drain(self) -> list[Verdict]:
         """Refuse every waiting call, as the target is leaving."""
         calls = list(self._waiting.values())
         for call in calls:
             self._remove(call)
+            self._late.discard(call.ticket)
         return [Refused(call.ticket, RefusalCause.DRAINING, 0) for call in calls]
 
-    def _arrive_at_full_queue(self, call: WaitingCall) -> list[Verdict]:
+    def _cause_to_refuse(self, call: WaitingCall, now_ms: float) -> RefusalCause | None:
+        """Return why a call should not wait, or None where it should.
+
+        More calls than slots means that some are refused. Were all let in up to
+        their deadlines, the queue would stand at that length, and every answer
+        would come when it is hardly wanted any more; with the queue held so
+        short that its calls are in time, the same slots serve as many callers,
+        and those at once.
+        """
+        is_late = self._is_late(call, now_ms)
+        start_ms = self._expected_start_ms(call, now_ms, is_late)
+        if start_ms > self._latest_start_ms(call):
+            return RefusalCause.TOO_LATE
+        if start_ms > self._give_up_ms(call, is_late):
+            return RefusalCause.NOT_IN_TIME
+        return None
+
+    def _is_late(self, call: WaitingCall, now_ms: float) -> bool:
+        """Return whether the answer can't come while it is wanted most."""
+        return self._latest_useful_start_ms(call) < now_ms
+
+    def _latest_useful_start_ms(self, call: WaitingCall) -> float:
+        """Return until when a start leads to an answer in time, by the mean."""
+        fallback_ms = self._service_ms_of[call.priority]
+        service_ms = self._service_ms_by_route.get(call.route, fallback_ms)
+        return call.wanted_ms - service_ms
+
+    def _give_up_ms(self, call: WaitingCall, is_late: bool) -> float:
+        """Return until when a call waits before it is refused."""
+        if call.wanted_ms == math.inf:
+            return self._latest_start_ms(call)
+        if not is_late:
+            useful_ms = self._latest_useful_start_ms(call)
+            return min(useful_ms, self._latest_start_ms(call))
+        total_ms = call.deadline_ms - call.arrived_ms
+        longest_ms = call.arrived_ms + total_ms * LATE_WAIT_SHARE
+        return min(longest_ms, self._latest_start_ms(call))
+
+    def _may_still_wait(self, call: WaitingCall, now_ms: float) -> bool:
+        """Return whether a call that is late from now on keeps its place.
+
+        With nothing else waiting, its slot is taken from nobody.
+        """
+        if call.ticket in self._late or self._waiting:
+            return False
+        return self._give_up_ms(call, True) > now_ms
+
+    def _arrive_at_full_queue(self, call: WaitingCall, now_ms: float) -> list[Verdict]:
         victim = self._victim(call)
         if victim is None:
-            return [self._refuse(call, RefusalCause.QUEUE_FULL)]
+            return [self._refuse(call, RefusalCause.QUEUE_FULL, now_ms)]
         is_less_urgent = victim.priority != call.priority
         cause = RefusalCause.DISPLACED if is_less_urgent else RefusalCause.OVER_SHARE
         self._remove(victim)
         self._push(call)
-        return [self._refuse(victim, cause)]
+        return [self._refuse(victim, cause, now_ms)]
 
     def _victim(self, call: WaitingCall) -> WaitingCall | None:
         """Return the waiting call that a new one displaces, if any.
@@ -183,6 +256,14 @@
             abs(change_ms) - deviation_ms
         )
 
+    def _see_route(self, route: str, service_ms: float) -> None:
+        known = self._service_ms_by_route
+        if len(known) >= N_ROUTES_MAX and route not in known:
+            # Routes come and go with each version; the mean is soon known again.
+            known.clear()
+        mean_ms = known.get(route, service_ms)
+        known[route] = mean_ms + SERVICE_WEIGHT * (service_ms - mean_ms)
+
     def _latest_start_ms(self, call: WaitingCall) -> float:
         """Return until when it makes sense to run the call.
 
@@ -201,13 +282,16 @@
         )
         return call.deadline_ms - min(total_ms / 2, max(total_ms / 4, estimate_ms))
 
-    def _expected_start_ms(self, call: WaitingCall, now_ms: float) -> float:
+    def _expected_start_ms(
+        self, call: WaitingCall, now_ms: float, is_late: bool
+    ) -> float:
         """Return when the call would run, if it had to wait."""
+        order = self._order(call, is_late)
         n_ahead = 0
         for priority in PRIORITIES:
             queue = self._queues[priority]
             if priority == call.priority:
-                n_ahead += queue.n_ahead(call.customer)
+                n_ahead += queue.n_ahead(call.customer, order)
                 break
             n_ahead += len(queue)
         n_turns = (n_ahead + 1) / max(1, self.n_slots)
@@ -218,6 +302,7 @@
         while self.n_in_flight < self.n_slots and self._waiting:
             call = self._next(now_ms)
             del self._waiting[call.ticket]
+            self._late.discard(call.ticket)
             self.n_in_flight += 1
             verdicts.append(Admitted(call.ticket))
         return verdicts
@@ -234,20 +319,47 @@
                 return oldest
         return filled[0].pop()
 
-    def _push(self, call: WaitingCall) -> None:
+    def _order(self, call: WaitingCall, is_late: bool) -> Order:
+        """Return the place of a call: those in time first, by how soon they start.
+
+        Calls without a wanted time keep the order of their arrival.
+        """
+        if call.wanted_ms == math.inf:
+            return (0, call.arrived_ms)
+        if is_late:
+            return (1, self._latest_start_ms(call))
+        return (0, self._latest_useful_start_ms(call))
+
+    def _push(self, call: WaitingCall, is_late: bool | None = None) -> None:
+        if is_late is None:
+            is_late = self._is_late(call, call.arrived_ms)
+        if is_late:
+            self._late.add(call.ticket)
         self._waiting[call.ticket] = call
-        self._queues[call.priority].push(call)
-        entry = (self._latest_start_ms(call), call.ticket)
+        self._queues[call.priority].push(call, self._order(call, is_late))
+        entry = (self._give_up_ms(call, is_late), call.ticket)
         heapq.heappush(self._latest_starts, entry)
 
     def _remove(self, call: WaitingCall) -> None:
         del self._waiting[call.ticket]
         self._queues[call.priority].remove(call)
 
-    def _refuse(self, call: WaitingCall, cause: RefusalCause) -> Refused:
-        """Refuse a call with the time until the queue should have run down."""
+    def _refuse(self, call: WaitingCall, cause: RefusalCause, now_ms: float) -> Refused:
+        """Refuse a call, with the time after which another try makes sense.
+
+        That is when the queue should have run down, or, where calls have been
+        refused for longer than that, once more as long as they have been: an
+        overload that has lasted for seconds won't be over in a few hundred
+        milliseconds, and a caller who is sent away twice is worse off than one
+        who knows.
+        """
+        self._late.discard(call.ticket)
+        if now_ms - self._refused_ms > OVERLOAD_GAP_MS:
+            self._overloaded_since_ms = now_ms
+        self._refused_ms = now_ms
         n_turns = (len(self._waiting) + 1) / max(1, self.n_slots)
-        retry_after_ms = int(n_turns * self.service_ms)
+        lasted_ms = now_ms - self._overloaded_since_ms
+        retry_after_ms = int(max(n_turns * self.service_ms, lasted_ms))
         bounded = min(RETRY_AFTER_MAX_MS, max(RETRY_AFTER_MIN_MS, retry_after_ms))
         return Refused(call.ticket, cause, bounded)
 
--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -20,11 +20,31 @@
     from ..routing import Endpoint
 
 AVOIDED_MS: Final = 1_000
+# A full target says so with its load, which is up to date with each answer.
+FULL_AVOIDED_MS: Final = 50
+# How much shorter the wait in another zone must be, in answer times, beside
+# what the bytes of an answer cost on the way: 100 KB count as one answer time.
+ZONE_MARGIN: Final = 0.25
+ZONE_MARGIN_PER_BYTE: Final = 1e-5
+# With more room than one free slot asks for, a call need not wait at all.
+ROOM_WAIT: Final = 1.0
+# Answers are timed against what is usual for their route, which follows slowly.
+USUAL_WEIGHT: Final = 0.05
+# The age of a call that may stand in a queue says little of its target.
+QUEUED_AGE_WEIGHT: Final = 0.25
+# How failures count against a target: one that fails a tenth of its calls more
+# than the best one is used like one that is half as quick and half full.
+FAILURE_FACTOR: Final = 8.0
+FAILURE_WAIT: Final = 4.0
+N_ROUTES_MAX: Final = 1_000
 FORGOTTEN_AFTER_MS: Final = 60_000
 N_REMEMBERED_MAX: Final = 2_000
 
 TargetKey = tuple[str, str]
 
+# One failure in a while is no sign of a broken target.
+_FAILING_MIN: Final = 0.02
+
 
 @dataclass(frozen=True, slots=True)
 class Load:
@@ -39,6 +59,7 @@
 
     GOOD = auto()
     ERROR = auto()
+    UNREACHABLE = auto()
     REFUSED = auto()
     ABANDONED = auto()
 
@@ -55,6 +76,7 @@
     start_ms: float
     latency_ms: float = 0.0
     retry_after_ms: int = 0
+    route: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +102,8 @@
         self._availability_zone = availability_zone
         self._rng = rng
         self._health: dict[TargetKey, TargetHealth] = {}
+        self._usual_ms: dict[str, float] = {}
+        self._usual_overall_ms = 0.0
 
     def choose(
         self,
@@ -89,12 +113,19 @@
         excluded: Collection[TargetKey] = (),
         *,
         is_urgent: bool = False,
+        route: str = "",
+        n_answer_bytes: float = 0.0,
+        is_wait_bounded: bool = False,
+        is_room_wanted: bool = False,
     ) -> Endpoint | None:
         """Return the endpoint for one call, or None where none is left.
 
         The call counts as in flight on it until `end` is called. Urgent calls
         hardly wait for a slot, so that the time since their start is the time
-        that the target itself takes.
+        that the target itself takes; with `is_wait_bounded` that wait is short, so
+        that a long time tells something too. `n_answer_bytes` is about what the answer
+        will bring across zones; with `is_room_wanted` none but a target with a
+        free slot will do.
         """
         known = self._known(endpoints, now_ms)
         usable = endpoints
@@ -106,10 +137,42 @@
         if chosen is None:
             healthy = self._healthy(usable, endpoints, now_ms)
             wait_of = _wait_of(known, healthy, load_of, now_ms)
-            chosen = self._pick(healthy, wait_of)
-        known[chosen.key].begin(now_ms, is_timed=is_urgent)
+            chosen = self._pick(healthy, wait_of, n_answer_bytes)
+            if is_room_wanted and wait_of(chosen) > ROOM_WAIT:
+                return None
+        known[chosen.key].begin(
+            now_ms, self._age_weight(route, is_urgent, is_wait_bounded)
+        )
         return chosen
 
+    def _age_weight(self, route: str, is_urgent: bool, is_wait_bounded: bool) -> float:
+        """Return what turns the age of a call into a latency that compares."""
+        if not is_urgent and not is_wait_bounded:
+            return 0.0
+        scale = self._scale(route)
+        return scale if is_urgent else scale * QUEUED_AGE_WEIGHT
+
+    def _scale(self, route: str) -> float:
+        """Return what makes latencies of a route compare with those of others.
+
+        A target that has just served a large archive is no slower than one that
+        served a short look-up.
+        """
+        usual_ms = self._usual_ms.get(route)
+        return 1.0 if usual_ms is None else self._usual_overall_ms / usual_ms
+
+    def _note_usual(self, route: str, latency_ms: float) -> None:
+        """Take a good answer's latency into what is usual."""
+        if latency_ms <= 0.0:
+            return
+        if len(self._usual_ms) >= N_ROUTES_MAX and route not in self._usual_ms:
+            self._usual_ms.clear()
+        usual_ms = self._usual_ms.get(route, latency_ms)
+        self._usual_ms[route] = usual_ms + USUAL_WEIGHT * (latency_ms - usual_ms)
+        overall_ms = self._usual_overall_ms or latency_ms
+        change_ms = latency_ms - overall_ms
+        self._usual_overall_ms = overall_ms + USUAL_WEIGHT * change_ms
+
     def see_answer(self, endpoint: Endpoint, start_ms: float) -> None:
         """Take the head of the answer to a call that was chosen at `start_ms`."""
         health = self._health.get(endpoint.key)
@@ -130,8 +193,9 @@
         health.n_in_flight = max(0, health.n_in_flight - 1)
         health.see_answer(end.start_ms)
         if end.kind is EndKind.GOOD:
-            health.succeed()
-            health.see_latency(end.latency_ms, now_ms)
+            health.succeed(now_ms)
+            self._note_usual(end.route, end.latency_ms)
+            health.see_latency(end.latency_ms * self._scale(end.route), now_ms)
         elif end.kind is EndKind.REFUSED:
             # A target that refuses at once has nothing in flight and so looks
             # idle: without this it would draw all calls and refuse them all.
@@ -141,10 +205,15 @@
         elif end.kind is EndKind.ABANDONED:
             health.is_probed = False
         else:
-            health.fail()
+            health.fail(now_ms)
+            if end.kind is EndKind.UNREACHABLE:
+                # Every call to a VM that can't be reached would be lost until
+                # the usual number of errors has been seen.
+                health.n_errors = max(health.n_errors, endpoint.policy.ejection_errors)
             # A quick failure says nothing of speed, a timeout does.
-            if end.latency_ms > health.latency_ms(now_ms):
-                health.see_latency(end.latency_ms, now_ms)
+            latency_ms = end.latency_ms * self._scale(end.route)
+            if latency_ms > health.latency_ms(now_ms):
+                health.see_latency(latency_ms, now_ms)
             return self._eject_if_due(endpoint, endpoints, health, now_ms)
         return None
 
@@ -211,19 +280,31 @@
         return welcome or usable
 
     def _pick(
-        self, healthy: Sequence[Endpoint], wait_of: Callable[[Endpoint], float]
+        self,
+        healthy: Sequence[Endpoint],
+        wait_of: Callable[[Endpoint], float],
+        n_answer_bytes: float,
     ) -> Endpoint:
-        """Return the better of two, from the own zone while it has room."""
+        """Return the better of two, from the own zone while it has room.
+
+        Bytes between zones are slow and paid for; a large answer goes there
+        only where a slot is free.
+        """
         zone = self._availability_zone
         near = [item for item in healthy if item.availability_zone == zone]
         if not near or len(near) == len(healthy):
             return self._better_of_two(healthy, wait_of)
         best = self._better_of_two(near, wait_of)
-        if wait_of(best) <= 1.0:
+        near_wait = wait_of(best)
+        if near_wait <= ROOM_WAIT:
             return best
         far = [item for item in healthy if item.availability_zone != zone]
         other = self._better_of_two(far, wait_of)
-        return other if wait_of(other) < wait_of(best) else best
+        far_wait = wait_of(other)
+        margin = n_answer_bytes * ZONE_MARGIN_PER_BYTE
+        if margin > ZONE_MARGIN and far_wait > ROOM_WAIT:
+            return best
+        return other if far_wait + margin + ZONE_MARGIN < near_wait else best
 
     def _better_of_two(
         self, endpoints: Sequence[Endpoint], wait_of: Callable[[Endpoint], float]
@@ -291,6 +372,9 @@
     """
     latencies_ms = [known[item.key].latency_ms(now_ms) for item in healthy]
     fastest_ms = min(filter(None, latencies_ms), default=0.0)
+    failure_rates = [known[item.key].failure_rate(now_ms) for item in healthy]
+    # What fails everywhere alike is no fault of one target.
+    least_failing = min(failure_rates, default=0.0)
 
     def wait_of(endpoint: Endpoint) -> float:
         health = known[endpoint.key]
@@ -302,7 +386,11 @@
         is_cold = endpoint.target.state is TargetState.COLD
         share = health.warmth(is_cold, now_ms)
         slowness = max(1.0, latency_ms / fastest_ms) if fastest_ms else 1.0
-        return slowness * (n_waiting + 1) / (endpoint.target.n_slots * share)
+        wait = slowness * (n_waiting + 1) / (endpoint.target.n_slots * share)
+        failing = max(0.0, health.failure_rate(now_ms) - least_failing)
+        if failing < _FAILING_MIN:
+            return wait
+        return wait * (1 + FAILURE_FACTOR * failing) + FAILURE_WAIT * failing
 
     return wait_of
 
--- a/packages/pepperstair-core/pepperstair_core/calls/fair_queue.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/fair_queue.py
@@ -7,16 +7,24 @@
 
 from __future__ import annotations
 
+import bisect
+import math
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 DEBT_MAX: Final = 20.0
 
+Order = tuple[int, float]
+
 
 @dataclass(frozen=True, slots=True)
 class WaitingCall:
-    """A call that asks for a slot; times are in milliseconds of one clock."""
+    """A call that asks for a slot; times are in milliseconds of one clock.
+
+    After `wanted_ms` its answer is worth less to the caller, after `deadline_ms`
+    nothing. Calls of one `route` take about as long as each other.
+    """
 
     ticket: int
     customer: str
@@ -24,13 +32,28 @@
     arrived_ms: float
     deadline_ms: float
     n_queued_max: int
+    wanted_ms: float = math.inf
+    route: str = ""
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class _Place:
+    """Where a call stands among those of its customer."""
+
+    order: Order
+    ticket: int
+    call: WaitingCall = field(compare=False)
 
 
 class FairQueue:
-    """The waiting calls of one priority."""
+    """The waiting calls of one priority.
+
+    Customers take turns; a customer's own calls go by the order that they are
+    pushed with, the lowest first.
+    """
 
     def __init__(self) -> None:
-        self._queues: dict[str, deque[WaitingCall]] = {}
+        self._queues: dict[str, list[_Place]] = {}
         self._deficits: dict[str, float] = {}
         self._turns: deque[str] = deque()
         self._n_calls = 0
@@ -38,22 +61,22 @@
     def __len__(self) -> int:
         return self._n_calls
 
-    def push(self, call: WaitingCall) -> None:
-        """Add a call behind the others of its customer.
+    def push(self, call: WaitingCall, order: Order = (0, 0.0)) -> None:
+        """Add a call in its place among the others of its customer.
 
         A customer that had nothing waiting has the next turn: it is using less
         than its share, and must not stand behind one that floods.
         """
         queue = self._queues.get(call.customer)
         if queue is None:
-            queue = self._queues[call.customer] = deque()
+            queue = self._queues[call.customer] = []
             self._deficits[call.customer] = 0.0
             self._turns.appendleft(call.customer)
-        queue.append(call)
+        bisect.insort(queue, _Place(order, call.ticket, call))
         self._n_calls += 1
 
     def pop(self) -> WaitingCall:
-        """Take the oldest call of the customer whose turn it is.
+        """Take the first call of the customer whose turn it is.
 
         A customer whose last call was taken keeps its place for one more round;
         else it could come back as a new one at once and pass all the others.
@@ -70,7 +93,7 @@
             if self._deficits[customer] >= 1.0:
                 self._deficits[customer] -= 1.0
                 self._n_calls -= 1
-                return queue.popleft()
+                return queue.pop(0).call
 
     def charge(self, customer: str, cost: float) -> None:
         """Charge a customer what its call cost beyond one mean service time."""
@@ -80,16 +103,18 @@
 
     def remove(self, call: WaitingCall) -> None:
         """Take a call out that no longer waits."""
-        self._queues[call.customer].remove(call)
+        queue = self._queues[call.customer]
+        queue[:] = [place for place in queue if place.ticket != call.ticket]
         self._n_calls -= 1
 
     def n_of(self, customer: str) -> int:
         """Return how many calls of a customer wait."""
         return len(self._queues.get(customer, ()))
 
-    def n_ahead(self, customer: str) -> int:
+    def n_ahead(self, customer: str, order: Order = (0, math.inf)) -> int:
         """Return how many calls come before a new one of a customer."""
-        n_own = self.n_of(customer)
+        own = self._queues.get(customer, ())
+        n_own = bisect.bisect_right(own, order, key=lambda place: place.order)
         return n_own + sum(
             min(len(queue), n_own + 1)
             for name, queue in self._queues.items()
@@ -97,12 +122,12 @@
         )
 
     def newest_of_longest(self) -> WaitingCall:
-        """Return the newest call of the customer with the most waiting."""
-        return max(self._queues.values(), key=len)[-1]
+        """Return the last call of the customer with the most waiting."""
+        return max(self._queues.values(), key=len)[-1].call
 
     def oldest(self) -> WaitingCall:
-        """Return the call that has waited longest."""
-        heads = (queue[0] for queue in self._queues.values() if queue)
+        """Return the call that has waited longest of those that come next."""
+        heads = (queue[0].call for queue in self._queues.values() if queue)
         return min(heads, key=lambda call: call.arrived_ms)
 
 
--- a/packages/pepperstair-core/pepperstair_core/calls/target_health.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/target_health.py
@@ -16,18 +16,27 @@
 SLOW_START_MIN_SHARE: Final = 0.1
 LATENCY_WEIGHT: Final = 0.2
 LATENCY_HALF_LIFE_MS: Final = 5_000
+# Share that the newest outcome has in the failure rate: about the last ten calls.
+FAILURE_WEIGHT: Final = 0.1
+# Fewer failures than this are left to the ejection of those that fail in a row.
+N_FAILURES_MIN: Final = 8
 # Successes in a row after which earlier ejections no longer lengthen the next.
 N_SUCCESSES_TO_FORGET: Final = 20
 
+_FORGOTTEN_RATE: Final = 0.01
+
 
 class TargetHealth:
     """The state of one target as seen from here."""
 
     __slots__ = (
+        "_failure_rate",
+        "_failure_seen_ms",
         "_latency_ms",
         "_latency_seen_ms",
+        "_n_failures",
         "_n_successes",
-        "_starts_ms",
+        "_starts",
         "_warm_since_ms",
         "avoided_until_ms",
         "ejected_until_ms",
@@ -51,7 +60,10 @@
         self._latency_ms = 0.0
         self._latency_seen_ms = seen_ms
         self._n_successes = 0
-        self._starts_ms: list[float] = []
+        self._starts: list[tuple[float, float]] = []
+        self._failure_rate = 0.0
+        self._failure_seen_ms = seen_ms
+        self._n_failures = 0
         self._warm_since_ms = seen_ms if is_new else seen_ms - SLOW_START_MS
 
     def warmth(self, is_cold: bool, now_ms: float) -> float:
@@ -76,23 +88,39 @@
         return self._latency_ms * 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
 
     def oldest_age_ms(self, now_ms: float) -> float:
-        """Return for how long the oldest timed call has waited for its answer.
+        """Return for how long the oldest timed call has waited, times its weight.
 
         A target that hangs gives no answer that could be timed. Without this
         it would look as quick as ever until the first calls to it time out.
         """
-        return now_ms - self._starts_ms[0] if self._starts_ms else 0.0
-
-    def begin(self, now_ms: float, *, is_timed: bool) -> None:
-        """Take the start of a call."""
+        if not self._starts:
+            return 0.0
+        start_ms, weight = self._starts[0]
+        return (now_ms - start_ms) * weight
+
+    def failure_rate(self, now_ms: float) -> float:
+        """Return the share of calls that failed of late, less as time passes."""
+        if self._n_failures < N_FAILURES_MIN:
+            return 0.0
+        age_ms = now_ms - self._failure_seen_ms
+        return self._failure_rate * 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
+
+    def begin(self, now_ms: float, weight: float) -> None:
+        """Take the start of a call.
+
+        `weight` turns its age into a latency that compares with those seen; 0
+        where its age says nothing of the target.
+        """
         self.n_in_flight += 1
-        if is_timed:
-            self._starts_ms.append(now_ms)
+        if weight:
+            self._starts.append((now_ms, weight))
 
     def see_answer(self, start_ms: float) -> None:
         """Take the head of an answer, whose body may go on for long."""
-        if start_ms in self._starts_ms:
-            self._starts_ms.remove(start_ms)
+        for index, (started_ms, _) in enumerate(self._starts):
+            if started_ms == start_ms:
+                del self._starts[index]
+                return
 
     def see_latency(self, latency_ms: float, now_ms: float) -> None:
         """Take the time that an answer took."""
@@ -109,8 +137,9 @@
             self.is_ejected and not self.is_probed and now_ms >= self.ejected_until_ms
         )
 
-    def succeed(self) -> None:
+    def succeed(self, now_ms: float) -> None:
         """Take a good answer: the target is back, or still there."""
+        self._see_outcome(0.0, now_ms)
         self.n_errors = 0
         self.is_ejected = False
         self.is_probed = False
@@ -118,11 +147,21 @@
         if self._n_successes >= N_SUCCESSES_TO_FORGET:
             self.n_ejections = 0
 
-    def fail(self) -> None:
+    def fail(self, now_ms: float) -> None:
         """Take an error that the target or its daemon caused."""
+        self._see_outcome(1.0, now_ms)
         self.n_errors += 1
         self._n_successes = 0
 
+    def _see_outcome(self, failed: float, now_ms: float) -> None:
+        age_ms = now_ms - self._failure_seen_ms
+        rate = self._failure_rate * 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
+        if rate < _FORGOTTEN_RATE:
+            self._n_failures = 0
+        self._n_failures += failed > 0.0
+        self._failure_rate = rate + FAILURE_WEIGHT * (failed - rate)
+        self._failure_seen_ms = now_ms
+
     def eject(self, now_ms: float, rng: Random) -> float:
         """Leave the target out for a while and return for how long, in ms.
 
@@ -134,6 +173,9 @@
         self.n_ejections += 1
         self.is_ejected = True
         self.is_probed = False
+        # The ejection answers for them; back in use, the target starts anew.
+        self._failure_rate = 0.0
+        self._n_failures = 0
         self.ejected_until_ms = now_ms + period_ms
         return period_ms
 
--- a/packages/pepperstair-core/pepperstair_core/wire/data.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/data.py
@@ -26,7 +26,8 @@
     """Opens a call: the request's head and how to treat it.
 
     `time_left_ms` is relative, as clocks of two VMs differ. `has_body` says
-    that body parts and an end follow.
+    that body parts and an end follow. `wanted_left_ms` is the time in which the
+    answer is worth most to the caller, negative where the route states none.
     """
 
     call_id: int
@@ -40,6 +41,8 @@
     is_idempotent: bool
     time_left_ms: int
     has_body: bool
+    route: str = ""
+    wanted_left_ms: int = -1
 
 
 @frame(41)
@@ -71,11 +74,16 @@
 @frame(44)
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Opens the target's answer to a call."""
+    """Opens the target's answer to a call.
+
+    `n_in_flight` and `n_queued` tell how loaded the target is.
+    """
 
     call_id: int
     status: int
     headers: Headers
+    n_in_flight: int = 0
+    n_queued: int = 0
 
 
 @frame(45)
@@ -88,6 +96,8 @@
     run: Run
     detail: str
     retry_after_ms: int
+    n_in_flight: int = 0
+    n_queued: int = 0
 
 
 @frame(46)
--- a/packages/pepperstair-http/pepperstair_http/body.py
+++ b/packages/pepperstair-http/pepperstair_http/body.py
@@ -38,6 +38,7 @@
         "_parts",
         "_waiter",
         "n_bytes",
+        "n_read_bytes",
     )
 
     def __init__(
@@ -52,6 +53,7 @@
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
         self.n_bytes = 0
+        self.n_read_bytes = 0
 
     @classmethod
     def of(cls, data: bytes) -> BodyBuffer:
@@ -132,6 +134,7 @@
     def _take(self) -> bytes:
         data = self._parts.popleft()
         self.n_bytes -= len(data)
+        self.n_read_bytes += len(data)
         if self._on_consumed is not None:
             self._on_consumed(len(data))
         return data
--- a/packages/pepperstair-peers/pepperstair_peers/data/incoming.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/incoming.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import structlog
@@ -31,6 +32,10 @@
 log = structlog.get_logger(__name__)
 
 
+TargetLoad = tuple[int, int]
+LoadOf = Callable[[str], TargetLoad]
+
+
 class IncomingCall:
     """A call that runs here.
 
@@ -39,9 +44,22 @@
     gets the whole answer when there is one.
     """
 
-    __slots__ = ("asker", "body", "credit", "head", "kept", "key", "stream", "task")
+    __slots__ = (
+        "_load_of",
+        "asker",
+        "body",
+        "credit",
+        "head",
+        "kept",
+        "key",
+        "stream",
+        "task",
+    )
 
-    def __init__(self, key: CallKey, head: CallHead, stream: FrameStream) -> None:
+    def __init__(
+        self, key: CallKey, head: CallHead, stream: FrameStream, load_of: LoadOf
+    ) -> None:
+        self._load_of = load_of
         self.key = key
         self.head = head
         self.stream: FrameStream | None = stream
@@ -86,7 +104,8 @@
 
     async def relay(self, response: StreamedResponse) -> KeptAnswer | None:
         """Send an answer as it comes, and return it where it is to be kept."""
-        head = AnswerHead(self.head.call_id, response.status, response.headers)
+        load = self._load_of(self.head.target)
+        head = AnswerHead(self.head.call_id, response.status, response.headers, *load)
         part = response.body.read_nowait()
         if response.body.is_empty and self.credit.take_nowait(len(part)):
             parts = [BodyPart(self.head.call_id, data) for data in iter_parts(part)]
@@ -97,6 +116,11 @@
         self.send(BodyEnd(self.head.call_id))
         return None if kept is None else self._keep(response, kept)
 
+    def fail(self, failure: Failure) -> None:
+        """Send the failure that ended the call."""
+        load = self._load_of(self.head.target)
+        self.send(failed(self.head.call_id, failure, load))
+
     def send(self, *frames: Any) -> None:
         """Send frames to the stream of the call, while there is one."""
         if self.stream is not None:
@@ -153,11 +177,16 @@
     stream.send(head, *parts, BodyEnd(call_id))
 
 
-def failed(call_id: int, failure: Failure) -> CallFailed:
+def failed(call_id: int, failure: Failure, load: TargetLoad = (0, 0)) -> CallFailed:
     """Return the frame that ends a call with a failure."""
     return CallFailed(
-        call_id, failure.kind, failure.has_run, failure.detail, failure.retry_after_ms
+        call_id,
+        failure.kind,
+        failure.has_run,
+        failure.detail,
+        failure.retry_after_ms,
+        *load,
     )
 
 
-__all__ = ["IncomingCall", "failed", "send_kept"]
+__all__ = ["IncomingCall", "LoadOf", "TargetLoad", "failed", "send_kept"]
--- a/packages/pepperstair-peers/pepperstair_peers/data/link.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/link.py
@@ -11,6 +11,7 @@
 from pepperstair_core.calls import Load
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
 from pepperstair_core.wire import (
+    AnswerHead,
     CallFailed,
     CallHead,
     CallsDone,
@@ -202,6 +203,11 @@
             # id keeps them from being taken for another call's answer.
             self.n_dropped_frames += 1
             return
+        if isinstance(frame, (AnswerHead, CallFailed)):
+            # Fresher than the heartbeat: a choice made on a load of a second
+            # ago sends a burst where there was room before it.
+            load = Load(frame.n_in_flight, frame.n_queued)
+            self.loads[call.head.target] = load
         if self._resend_denied(call, frame):
             return
         if call.take(frame):
--- a/packages/pepperstair-peers/pepperstair_peers/data/server.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/server.py
@@ -30,7 +30,7 @@
 
 from ..stream import FrameStream
 from .fence import StreamFence
-from .incoming import IncomingCall, failed, send_kept
+from .incoming import IncomingCall, TargetLoad, failed, send_kept
 
 log = structlog.get_logger(__name__)
 
@@ -170,7 +170,7 @@
             if refusal is not None:
                 incoming.stream.send(failed(head.call_id, refusal))
                 return
-        call = IncomingCall(key, head, incoming.stream)
+        call = IncomingCall(key, head, incoming.stream, self._load_of)
         incoming.calls[head.call_id] = call
         self._running[key] = call
         self.n_calls += 1
@@ -226,9 +226,15 @@
         except Exception:
             log.exception(Event.INTERNAL_ERROR, call_id=call.head.call_id)
             failure = Failure(ErrorKind.INTERNAL)
-        call.send(failed(call.head.call_id, failure))
+        call.fail(failure)
         return KeptAnswer.of_failure(failure)
 
+    def _load_of(self, target: str) -> TargetLoad:
+        for name, n_in_flight, n_queued in self.loads():
+            if name == target:
+                return n_in_flight, n_queued
+        return 0, 0
+
     def _answer_query(self, incoming: _IncomingStream, call_id: int) -> None:
         key = CallKey(incoming.sender, call_id)
         call = self._running.get(key)
--- a/packages/pepperstair-targets/pepperstair_targets/slots.py
+++ b/packages/pepperstair-targets/pepperstair_targets/slots.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -56,13 +57,16 @@
         self, head: CallHead, deadline_ms: float, n_queued_max: int
     ) -> None:
         """Return once the call holds a slot, or raise that it does not run."""
+        arrived_ms = self._now_ms()
         call = WaitingCall(
             next(self._tickets),
             head.customer,
             head.priority,
-            self._now_ms(),
+            arrived_ms,
             deadline_ms,
             n_queued_max,
+            _wanted_ms(head, arrived_ms),
+            head.route,
         )
         verdicts = self.admission.arrive(call, call.arrived_ms)
         for verdict in verdicts:
@@ -78,7 +82,7 @@
     def leave(self, head: CallHead, service_ms: float | None) -> None:
         """Free the slot of a call that has ended."""
         verdicts = self.admission.finish(
-            head.customer, head.priority, service_ms, self._now_ms()
+            head.customer, head.priority, service_ms, self._now_ms(), head.route
         )
         self._carry_out(verdicts)
 
@@ -150,6 +154,10 @@
         self._carry_out(self.admission.expire(self._now_ms()))
 
 
+def _wanted_ms(head: CallHead, now_ms: float) -> float:
+    return now_ms + head.wanted_left_ms if head.wanted_left_ms >= 0 else math.inf
+
+
 def _raise_if_refused(verdict: Verdict, target: str) -> None:
     if isinstance(verdict, Admitted):
         return
--- a/packages/pepperstaird/pepperstaird/configuration/follower.py
+++ b/packages/pepperstaird/pepperstaird/configuration/follower.py
@@ -39,6 +39,9 @@
 # not met by all daemons at once; with jitter.
 _BACKOFF_MIN_S: Final = 0.1
 _BACKOFF_MAX_S: Final = 1.0
+# Pause after each answer: of versions that come in quick succession only the
+# newest counts, and each read of each daemon costs the store.
+_SETTLE_S: Final = 0.4
 # How long the own watch may take to bring a version that a neighbour has
 # already: asking at once would carry each version once more to everyone.
 _PULL_DELAY_S: Final = 0.25
@@ -156,6 +159,8 @@
                 self._take_rows(read.unwrap())
                 position = read.unwrap().position
                 backoff_s = _BACKOFF_MIN_S
+                if read.unwrap().rows:
+                    await asyncio.sleep(_SETTLE_S)
                 continue
             failure = read.unwrap_err()
             position = None
