--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every target makes what it needs: `make test` on a fresh machine is enough.
 VENV := .venv
 PYTHON := $(VENV)/bin/python
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 TOOLS := pytest hypothesis ruff
 
 .PHONY: install test lint format demo docs clean bench-path bench-idle bench-http \
@@ -10,7 +10,7 @@
 
 install: $(VENV)/installed
 
-$(VENV)/installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/installed: constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt flit_core $(TOOLS)
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt \
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -129,7 +129,10 @@
         """Start a daemon process on settings; its log goes beside them."""
         with settings.with_suffix(".log").open("ab") as log:
             process = subprocess.Popen(
-                [*self.daemon_command, "--settings", settings], cwd=ROOT, stderr=log
+                [*self.daemon_command, "--settings", settings],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
             )
         self.processes.append(process)
         return process
--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -97,12 +97,13 @@
         "_latency_ms",
         "_refused",
         "_request",
-        "_timeout_ms",
         "_waited_before_ms",
         "compiled",
         "deadline_ms",
         "n_attempts",
         "run",
+        "timeout_ms",
+        "tried",
     )
 
     def __init__(
@@ -121,7 +122,7 @@
         self._head = head
         self._is_idempotent = compiled.route.is_idempotent or head.is_idempotent
         route_timeout_ms = compiled.route.timeout_ms
-        self._timeout_ms = min(head.timeout_ms or route_timeout_ms, route_timeout_ms)
+        self.timeout_ms = min(head.timeout_ms or route_timeout_ms, route_timeout_ms)
         self._waited_before_ms = context.patience.waited_ms(
             compiled.route.name, head.timeout_ms
         )
@@ -130,11 +131,18 @@
         self._has_arrived = False
         self._refused: Failure | None = None
         self.compiled = compiled
-        self.deadline_ms = context.now_ms() + self._timeout_ms
+        self.deadline_ms = context.now_ms() + self.timeout_ms
         self._attempted_ms = 0.0
         self._latency_ms = 0.0
         self.n_attempts = 0
         self.run = Run.NO
+        # Each attempt as the log shows it: where, how it ended, after how long.
+        self.tried: list[tuple[str, str, str, float]] = []
+
+    @property
+    def request_id(self) -> str:
+        """Return the id that the caller gave its request, or an empty string."""
+        return self._head.request_id
 
     @property
     def time_left_ms(self) -> float:
@@ -184,7 +192,7 @@
             response.status in _FAILED_STATUSES
             and self._is_idempotent
             and response.body.is_whole
-            and self.time_left_ms > self._timeout_ms * _RETRY_TIME_SHARE
+            and self.time_left_ms > self.timeout_ms * _RETRY_TIME_SHARE
         )
 
     async def _answer_from_another(self, failed: StreamedResponse) -> StreamedResponse:
@@ -219,6 +227,12 @@
         if ejection is not None:
             self._report_ejection(ejection)
 
+    def _note_tried(self, ended: str, latency_ms: float) -> None:
+        endpoint = self._endpoint
+        if endpoint is not None:
+            target = endpoint.target.name
+            self.tried.append((endpoint.vm, target, ended, round(latency_ms, 1)))
+
     def _end(self, kind: EndKind, latency_ms: float = 0.0, avoided_ms: int = 0) -> None:
         route = self.compiled.route.name
         self.end(CallEnd(kind, self._attempted_ms, latency_ms, avoided_ms, route))
@@ -236,6 +250,7 @@
             kind = EndKind.REFUSED
         elif not is_whole or response.status >= 500:
             kind = EndKind.ERROR
+        self._note_tried(str(response.status), self._latency_ms)
         waited = header_value(response.headers, WAITED_HEADER)
         waited_ms = int(waited) if waited.isdigit() else 0
         self._end(kind, max(0.0, self._latency_ms - waited_ms))
@@ -299,6 +314,7 @@
         avoided_ms = failure.retry_after_ms
         if failure.kind is ErrorKind.OVERLOADED:
             avoided_ms = FULL_AVOIDED_MS
+        self._note_tried(failure.kind, latency_ms)
         self._end(kind, latency_ms, avoided_ms)
         attempt = Attempt(
             failure,
@@ -339,7 +355,7 @@
             return EndKind.ERROR
         # A caller that allows less time than the route has learnt nothing of
         # the target: its short timeouts must not eject one that others use.
-        is_whole_timeout = self._timeout_ms == self.compiled.route.timeout_ms
+        is_whole_timeout = self.timeout_ms == self.compiled.route.timeout_ms
         if failure.kind is ErrorKind.TIMEOUT and is_whole_timeout:
             return EndKind.ERROR
         return EndKind.ABANDONED
@@ -368,7 +384,7 @@
         objective_ms = self.compiled.route.objective_ms
         if not objective_ms:
             return -1
-        waited_ms = self._timeout_ms - self.time_left_ms + self._waited_before_ms
+        waited_ms = self.timeout_ms - self.time_left_ms + self._waited_before_ms
         return max(0, int(objective_ms - waited_ms))
 
     def _time_for(self, endpoint: Endpoint) -> int:
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -4,8 +4,9 @@
 
 import structlog
 
-from pepperstair_core.calls import CallOutcome
+from pepperstair_core.calls import CallOutcome, is_sampled
 from pepperstair_core.errors import ANSWERS, ErrorKind, Failure, PepperstairError, Run
+from pepperstair_core.events import Event
 from pepperstair_core.routing import pick_part
 from pepperstair_http import ConnectionLostError, Exchange, StreamedResponse
 
@@ -119,6 +120,31 @@
             n_retries=n_retries,
         )
         self._context.on_outcome(outcome)
+        if call is not None:
+            self._log(call, outcome)
+
+    def _log(self, call: ProxiedCall, outcome: CallOutcome) -> None:
+        """Log what became of a request and on what grounds.
+
+        Every request that did not go smoothly has a line, and a few others.
+        """
+        is_routine = outcome.error is None and outcome.status < 500
+        is_routine = is_routine and not outcome.n_retries
+        if is_routine and not is_sampled(call.request_id):
+            return
+        log.info(
+            Event.REQUEST_ANSWERED,
+            request_id=call.request_id,
+            route=outcome.route,
+            service=call.compiled.service.name,
+            version=call.compiled.version,
+            status=outcome.status,
+            error=outcome.error,
+            run=outcome.run,
+            duration_ms=round(outcome.duration_ms, 1),
+            timeout_ms=call.timeout_ms,
+            tried=call.tried,
+        )
 
 
 __all__ = ["Proxy"]
--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -16,6 +16,7 @@
 from .habits import AnswerSizes, Patience
 from .outcome import CallOutcome
 from .retry import Attempt, GiveUp, Retry, RetryBudget, decide_retry
+from .sampling import is_sampled
 
 __all__ = [
     "FULL_AVOIDED_MS",
@@ -40,4 +41,5 @@
     "Verdict",
     "WaitingCall",
     "decide_retry",
+    "is_sampled",
 ]
--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -32,8 +32,12 @@
 USUAL_WEIGHT: Final = 0.05
 # The age of a call that may stand in a queue says little of its target.
 QUEUED_AGE_WEIGHT: Final = 0.25
+# Up to which failure rate a target is used like any other, beside the mean of
+# all: a rate over the last ten calls strays by a third of itself and more.
+BLAMELESS_FACTOR: Final = 1.5
+BLAMELESS_RATE: Final = 0.05
 # How failures count against a target: one that fails a tenth of its calls more
-# than the best one is used like one that is half as quick and half full.
+# than that is used like one that is half as quick and half full.
 FAILURE_FACTOR: Final = 8.0
 FAILURE_WAIT: Final = 4.0
 N_ROUTES_MAX: Final = 1_000
@@ -42,9 +46,6 @@
 
 TargetKey = tuple[str, str]
 
-# One failure in a while is no sign of a broken target.
-_FAILING_MIN: Final = 0.02
-
 
 @dataclass(frozen=True, slots=True)
 class Load:
@@ -173,6 +174,12 @@
         change_ms = latency_ms - overall_ms
         self._usual_overall_ms = overall_ms + USUAL_WEIGHT * change_ms
 
+    def forgive(self, vm: str) -> None:
+        """Use the targets of a VM again that were ejected."""
+        for (known_vm, _), health in self._health.items():
+            if known_vm == vm:
+                health.forgive()
+
     def see_answer(self, endpoint: Endpoint, start_ms: float) -> None:
         """Take the head of the answer to a call that was chosen at `start_ms`."""
         health = self._health.get(endpoint.key)
@@ -374,7 +381,8 @@
     fastest_ms = min(filter(None, latencies_ms), default=0.0)
     failure_rates = [known[item.key].failure_rate(now_ms) for item in healthy]
     # What fails everywhere alike is no fault of one target.
-    least_failing = min(failure_rates, default=0.0)
+    mean_rate = sum(failure_rates) / max(1, len(failure_rates))
+    blameless_rate = BLAMELESS_FACTOR * mean_rate + BLAMELESS_RATE
 
     def wait_of(endpoint: Endpoint) -> float:
         health = known[endpoint.key]
@@ -387,8 +395,8 @@
         share = health.warmth(is_cold, now_ms)
         slowness = max(1.0, latency_ms / fastest_ms) if fastest_ms else 1.0
         wait = slowness * (n_waiting + 1) / (endpoint.target.n_slots * share)
-        failing = max(0.0, health.failure_rate(now_ms) - least_failing)
-        if failing < _FAILING_MIN:
+        failing = health.failure_rate(now_ms) - blameless_rate
+        if failing <= 0.0:
             return wait
         return wait * (1 + FAILURE_FACTOR * failing) + FAILURE_WAIT * failing
 
--- a/packages/pepperstair-core/pepperstair_core/calls/target_health.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/target_health.py
@@ -153,6 +153,14 @@
         self.n_errors += 1
         self._n_successes = 0
 
+    def forgive(self) -> None:
+        """End an ejection, as the target's VM has come back."""
+        self.is_ejected = False
+        self.is_probed = False
+        self.n_errors = 0
+        self.n_ejections = 0
+        self.avoided_until_ms = 0.0
+
     def _see_outcome(self, failed: float, now_ms: float) -> None:
         age_ms = now_ms - self._failure_seen_ms
         rate = self._failure_rate * 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
--- a/packages/pepperstair-core/pepperstair_core/config/settings.py
+++ b/packages/pepperstair-core/pepperstair_core/config/settings.py
@@ -139,6 +139,11 @@
     drain_timeout_ms: int = option(
         "Time that calls in flight have after SIGTERM.", default=30_000, minimum=0
     )
+    stream_heartbeat_ms: int = option(
+        "Time between heartbeats on streams that carry calls; 0 for that of members.",
+        default=0,
+        minimum=0,
+    )
     stop_notice_ms: int = option(
         "Time after SIGTERM in which callers are served as before.",
         default=0,
@@ -180,6 +185,11 @@
     interval_ms: int = option(
         "Time between two sendings of the counters.", default=1000, minimum=50
     )
+    prometheus_address: str = option(
+        "Address and port to serve metrics on, for Prometheus; empty for none.",
+        default="",
+        form=_OPTIONAL_ADDRESS,
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pepperstair-core/pepperstair_core/events.py
+++ b/packages/pepperstair-core/pepperstair_core/events.py
@@ -36,6 +36,10 @@
     TARGET_CHANGED = "target_changed"
     TARGET_LEASE_LAPSED = "target_lease_lapsed"
     TARGET_EJECTED = "target_ejected"
+    REQUEST_ANSWERED = "request_answered"
+    REQUEST_REFUSED = "request_refused"
+    TARGET_CALL_FAILED = "target_call_failed"
+    LINES_DROPPED = "lines_dropped"
     REQUEST_MALFORMED = "request_malformed"
     INTERNAL_ERROR = "internal_error"
 
--- a/packages/pepperstair-peers/pepperstair_peers/control/plane.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/plane.py
@@ -55,7 +55,11 @@
 
 
 class ControlPlane:
-    """Keeps control streams to the neighbours and member records up to date."""
+    """Keeps control streams to the neighbours and member records up to date.
+
+    `boot_clock_ms` also counts the time in which the VM was suspended; without
+    one, pauses are told from the steady clock.
+    """
 
     def __init__(
         self,
@@ -67,9 +71,11 @@
         decisions: DecisionLog,
         rng: random.Random,
         clock_ms: Callable[[], int],
+        boot_clock_ms: Callable[[], int] | None = None,
     ) -> None:
         now_ms = clock_ms()
         self._clock_ms = clock_ms
+        self._boot_clock_ms = boot_clock_ms or clock_ms
         self._decisions = decisions
         self._heartbeat_ms = members.heartbeat_ms
         self._dialler = Dialler(
@@ -81,7 +87,7 @@
         )
         self._membership = Membership(directory, members, peers, rng, now_ms)
         lease_ms = members.heartbeat_ms * members.n_heartbeats_missed
-        self._pauses = PauseDetector(lease_ms, now_ms)
+        self._pauses = PauseDetector(lease_ms, self._boot_clock_ms())
         self._links = ControlLinks(identity.vm, members.heartbeat_ms)
         self._tasks: set[asyncio.Task[None]] = set()
         self._tick_timer: asyncio.TimerHandle | None = None
@@ -150,7 +156,7 @@
         Returns True where the pause was noticed just now: what the kernel has
         kept since is then stale, and must not be read.
         """
-        pause_ms = self._pauses.check(self._clock_ms())
+        pause_ms = self._pauses.check(self._boot_clock_ms())
         if not pause_ms:
             return False
         self.n_pauses += 1
--- a/packages/pepperstair-peers/pepperstair_peers/data/link.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/link.py
@@ -33,6 +33,9 @@
 _SILENT_HEARTBEATS: Final = 2
 _IDLE_HEARTBEATS: Final = 60
 _IDS_MAX: Final = 4096
+# Three dials with their pauses take four to five heartbeats. A call is asked for
+# again where that is less than a quarter of the time that it came with.
+_GIVEN_BACK_HEARTBEATS: Final = 20
 
 
 class PeerLink:
@@ -145,8 +148,21 @@
         limit_ms = _SILENT_HEARTBEATS * self._heartbeat_ms
         if now_ms - self._heard_ms >= limit_ms:
             self._stream.close()
+            self._give_back_urgent()
             self._on_lost(self._stream)
 
+    def _give_back_urgent(self) -> None:
+        """Give the calls back that may run twice and can't wait for this daemon.
+
+        It may be frozen or cut off. Asking it again takes several heartbeats, in
+        which another target could have answered.
+        """
+        limit_ms = _GIVEN_BACK_HEARTBEATS * self._heartbeat_ms
+        for call_id, call in list(self._calls.items()):
+            if call.head.is_idempotent and call.head.time_left_ms <= limit_ms:
+                del self._calls[call_id]
+                call.fail(Failure(ErrorKind.OUTCOME_UNKNOWN, "the stream is silent"))
+
     async def _open_once(self) -> None:
         """Open a stream, sharing one attempt between the calls that need it."""
         if self._opening is None:
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -11,6 +11,7 @@
 from pepperstair_core.calls import Load, Refused
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
+from pepperstair_core.events import Event
 from pepperstair_core.intent import Policy
 from pepperstair_core.members import Target, TargetState
 from pepperstair_core.wire import CallHead
@@ -118,7 +119,11 @@
         target = self._usable_target(head, start_ms)
         local = self._local(target)
         policy = self._policy_of(head.customer, target)
-        await local.gate.enter(head, deadline_ms, policy.n_queued_max)
+        try:
+            await local.gate.enter(head, deadline_ms, policy.n_queued_max)
+        except PepperstairError as error:
+            _log_refused(head, local, error.failure, self._now_ms() - start_ms)
+            raise
         admitted_ms = self._now_ms()
 
         def leave(was_sent: bool) -> None:
@@ -126,7 +131,11 @@
             local.gate.leave(head, service_ms)
 
         call = TargetCall(local.pool, head, body, leave, self._options)
-        response = await call.run(deadline_ms - admitted_ms)
+        try:
+            response = await call.run(deadline_ms - admitted_ms)
+        except PepperstairError as error:
+            _log_failed(head, error.failure, self._now_ms() - admitted_ms)
+            raise
         return _with_wait(response, int(admitted_ms - start_ms))
 
     def follow_registry(self) -> None:
@@ -210,6 +219,38 @@
         self._decisions.add(decision)
 
 
+def _log_refused(
+    head: CallHead, local: LocalTarget, failure: Failure, waited_ms: float
+) -> None:
+    log.info(
+        Event.REQUEST_REFUSED,
+        request_id=head.request_id,
+        route=head.route,
+        target=head.target,
+        cause=failure.detail,
+        waited_ms=round(waited_ms, 1),
+        time_left_ms=head.time_left_ms,
+        wanted_left_ms=head.wanted_left_ms,
+        n_in_flight=local.n_in_flight,
+        n_slots=local.gate.admission.n_slots,
+        n_queued=local.gate.admission.n_queued,
+        retry_after_ms=failure.retry_after_ms,
+    )
+
+
+def _log_failed(head: CallHead, failure: Failure, lasted_ms: float) -> None:
+    log.info(
+        Event.TARGET_CALL_FAILED,
+        request_id=head.request_id,
+        route=head.route,
+        target=head.target,
+        kind=failure.kind,
+        cause=failure.detail,
+        run=failure.has_run,
+        lasted_ms=round(lasted_ms, 1),
+    )
+
+
 def _with_wait(response: StreamedResponse, waited_ms: int) -> StreamedResponse:
     """Say how long the call waited for its slot, where it did.
 
--- a/packages/pepperstaird/pepperstaird/clock.py
+++ b/packages/pepperstaird/pepperstaird/clock.py
@@ -10,6 +10,15 @@
     return time.monotonic_ns() // 1_000_000
 
 
+def boot_ms() -> int:
+    """Return a time that also counts while the VM is suspended.
+
+    A suspended VM goes on with a steady clock that has not moved; only the time
+    since boot shows that others have waited for it.
+    """
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
 def precise_ms() -> float:
     """Return the same time with its fractions, for calls shorter than 1 ms."""
     return time.monotonic_ns() / 1_000_000
@@ -20,4 +29,4 @@
     return time.time_ns() // 1_000_000
 
 
-__all__ = ["monotonic_ms", "precise_ms", "wall_ms"]
+__all__ = ["boot_ms", "monotonic_ms", "precise_ms", "wall_ms"]
--- a/packages/pepperstaird/pepperstaird/configuration/follower.py
+++ b/packages/pepperstaird/pepperstaird/configuration/follower.py
@@ -46,6 +46,8 @@
 # already: asking at once would carry each version once more to everyone.
 _PULL_DELAY_S: Final = 0.25
 
+_BAD: Final = (Offer.REJECTED, Offer.REJECTED_BEFORE)
+
 
 class ConfigurationFollower:
     """Keeps the newest document in force, from the table or from neighbours.
@@ -188,13 +190,15 @@
             log.info(Event.PLATFORM_RECOVERED, version=self._following.version)
 
     def _take_rows(self, rows: WatchedRows) -> None:
-        for row in rows.rows:
-            # A removed row takes nothing out of force: the operators' routes
-            # would all be gone at once, and callers told that there is none.
-            if row.key == self._key and row.value is not None:
-                self._offer(row.value, "platform")
-
-    def _offer(self, data: bytes, learnt_from: str) -> None:
+        # A removed row takes nothing out of force: the operators' routes would
+        # all be gone at once, and callers told that there is none. An answer may
+        # hold several versions, of which only the last good one still counts.
+        found = [row.value for row in rows.rows if row.key == self._key]
+        for value in reversed(found):
+            if value is not None and self._offer(value, "platform") not in _BAD:
+                return
+
+    def _offer(self, data: bytes, learnt_from: str) -> Offer:
         offer = self._following.offer(data)
         if offer is Offer.IN_FORCE:
             self._put_in_force(learnt_from)
@@ -202,6 +206,7 @@
             self._report_rejected(learnt_from)
         else:
             self.n_ignored += 1
+        return offer
 
     def _put_in_force(self, learnt_from: str) -> None:
         document = self._following.document
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+from collections.abc import Iterator
 from dataclasses import replace
 from typing import Final
 
@@ -45,9 +46,10 @@
 )
 from pepperstair_targets import TargetRegistry, TargetRunner
 
-from .clock import monotonic_ms, precise_ms, wall_ms
+from .clock import boot_ms, monotonic_ms, precise_ms, wall_ms
 from .counters import read_counters, read_gauges
-from .edges import Edges
+from .edges import Edges, FurtherServer
+from .exposition import Exposition
 from .logs import configure_logs, log_loop_error
 from .metrics import MetricsSender
 
@@ -67,6 +69,7 @@
         self.settings = settings
         self.edges = edges
         self.is_stopping = False
+        self._alive: dict[str, int] = {}
         self.body_max_bytes = settings.callers.body_max_bytes
         self.rng = random.Random()
         self.decisions = DecisionLog()
@@ -77,6 +80,9 @@
             lambda: read_counters(self),
             lambda: read_gauges(self),
         )
+        self.exposition = Exposition(
+            lambda: read_counters(self), lambda: read_gauges(self)
+        )
         start_id = wall_ms()
         peer_address = settings.peers.advertised_address or settings.peers.address
         self.identity = Identity(settings.vm.name, start_id, peer_address)
@@ -103,17 +109,19 @@
         )
         self.chooser = TargetChooser(settings.vm.availability_zone, self.rng)
         self.frame_counters = {kind: FrameCounters() for kind in StreamKind}
+        stream_heartbeat_ms = settings.calls.stream_heartbeat_ms
+        stream_heartbeat_ms = stream_heartbeat_ms or settings.members.heartbeat_ms
         self.call_client = CallClient(
             self.identity,
             settings.peers.frame_max_bytes,
             self.frame_counters[StreamKind.DATA],
-            settings.members.heartbeat_ms,
+            stream_heartbeat_ms,
             monotonic_ms,
         )
         self.call_server = CallServer(
             self.runner.run,
             settings.calls.n_remembered_runs_max,
-            settings.members.heartbeat_ms,
+            stream_heartbeat_ms,
             monotonic_ms,
         )
         self.control = ControlPlane(
@@ -125,6 +133,7 @@
             self.decisions,
             self.rng,
             monotonic_ms,
+            boot_ms,
         )
         self.configuration = edges.make_configuration(self)
         self.member_table = edges.make_member_table(self)
@@ -153,7 +162,7 @@
         operators = OperatorServer(settings.operators)
         edges.add_operations(operators, self)
         self.operators = HttpServer(operators.handle, ServerLimits())
-        self.further_servers = tuple(edges.iter_servers(self))
+        self.further_servers = (*edges.iter_servers(self), *self._iter_metrics_server())
         self.endpoint_table = EndpointTable()
         self.registry.on_changed = self._publish_targets
         self.configuration.on_changed = lambda snapshot: self._renew_endpoints()
@@ -177,8 +186,25 @@
 
     def _members_changed(self) -> None:
         self.configuration.members_changed()
+        self._forgive_returned()
         self._renew_endpoints()
 
+    def _forgive_returned(self) -> None:
+        """Use targets again whose VM has come back since they were ejected.
+
+        The ejection of a target that nobody could reach may last for half a
+        minute, while its VM says that it is here again.
+        """
+        returned = {
+            member.vm: member.incarnation
+            for member in self.directory.members()
+            if member.state is MemberState.ALIVE
+        }
+        for vm, incarnation in returned.items():
+            if self._alive.get(vm) != incarnation:
+                self.chooser.forgive(vm)
+        self._alive = returned
+
     def _on_paused(self) -> None:
         """Stop carrying calls until the configuration has caught up."""
         self.configuration.catch_up()
@@ -275,6 +301,13 @@
     def _count_outcome(self, outcome: CallOutcome) -> None:
         self.burn.add(outcome, monotonic_ms())
         self.metrics.add(outcome)
+        self.exposition.add(outcome)
+
+    def _iter_metrics_server(self) -> Iterator[FurtherServer]:
+        address = self.settings.metrics.prometheus_address
+        if address:
+            server = HttpServer(self.exposition.handle, ServerLimits())
+            yield FurtherServer(server, address)
 
     def _count_convergence(self, customer: str, convergence_ms: int) -> None:
         self.burn.add_convergence(customer, monotonic_ms(), convergence_ms)
--- a/packages/pepperstaird/pepperstaird/light_imports.py
+++ b/packages/pepperstaird/pepperstaird/light_imports.py
@@ -22,4 +22,14 @@
         sys.modules.setdefault(name, None)
 
 
-__all__ = ["ABSENT_MODULES", "leave_out"]
+def bring_back() -> None:
+    """Let these modules be imported again, for a library that needs them.
+
+    What has done without them so far goes on doing so.
+    """
+    for name in ABSENT_MODULES:
+        if sys.modules.get(name, sys) is None:
+            del sys.modules[name]
+
+
+__all__ = ["ABSENT_MODULES", "bring_back", "leave_out"]
--- /dev/null
+++ b/tests/adapter/store_stand_in.py
@@ -0,0 +1,131 @@
+"""A stand-in for the platform's store: rows, conditions, a watch, and faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+from pepperstair_http import Exchange, HttpServer, ServerLimits
+
+_JSON = ((b"content-type", b"application/json"),)
+_SILENCE_S = 3600.0
+
+
+class StoreStandIn:
+    """Keeps rows in memory and speaks the part of the protocol that is used.
+
+    `status` makes every call fail with it, `is_silent` lets none be answered,
+    and `forget_history` makes watches fail as those of a store that has
+    dropped what they ask for.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
+        self.raw: list[Any] = []
+        self.version = 0
+        self.first_version = 0
+        self.status = 200
+        self.is_silent = False
+        self.n_reads = 0
+        self.page = 500
+        self._changed = asyncio.Event()
+        self._server = HttpServer(self._handle, ServerLimits(n_connections_max=100))
+
+    async def listen(self) -> str:
+        """Start and return the address."""
+        port = await self._server.listen("127.0.0.1", 0)
+        return f"127.0.0.1:{port}"
+
+    def close(self) -> None:
+        """Stop."""
+        self._server.close()
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Write a row as the operator would."""
+        self.version += 1
+        self.rows[table, key] = (value, self.version)
+        self._wake()
+
+    def forget_history(self) -> None:
+        """Forget all changes up to now and cut every watch."""
+        self.first_version = self.version
+        self._wake()
+
+    def keys(self, table: str) -> list[str]:
+        """Return the keys of a table."""
+        return sorted(key for name, key in self.rows if name == table)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(self, exchange: Exchange) -> None:
+        body = await exchange.body.read_all(1_000_000)
+        if self.is_silent:
+            await asyncio.sleep(_SILENCE_S)
+        if self.status != 200:
+            await exchange.respond(self.status, _JSON, b"{}")
+            return
+        url = urlsplit(exchange.request.path)
+        query = dict(parse_qsl(url.query, keep_blank_values=True))
+        if url.path == "/rows-tx":
+            status, content = self._transact(json.loads(body))
+        elif url.path == "/rows-get":
+            status, content = self._get(query)
+        else:
+            status, content = await self._feed(query)
+        content = {**content, "resource_version": self.version, "now_ms": 0}
+        await exchange.respond(status, _JSON, json.dumps(content).encode())
+
+    def _transact(self, sent: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for row in sent["upserts"]:
+            value = base64.b64decode(row["value"])
+            self.put(row["table"], row["key"], value)
+        for row in sent["deletes"]:
+            self.rows.pop((row["table"], row["key"]), None)
+            self.version += 1
+        return 200, {}
+
+    def _get(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        self.n_reads += 1
+        start = query.get("range_start", "")
+        names = [
+            name
+            for name in sorted(self.rows)
+            if name[0] == query["table"] and name[1] >= start
+        ]
+        rows = [self._row(name) for name in names[: self.page]]
+        return 200, {"rows": [*rows, *self.raw], "has_more": len(names) > self.page}
+
+    async def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after = int(query["after"])
+        deadline_s = asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
+        while True:
+            if after < self.first_version:
+                return 410, {}
+            rows = [
+                self._row(name)
+                for name, (_, version) in self.rows.items()
+                if name[0] == query["table"] and version > after
+            ]
+            left_s = deadline_s - asyncio.get_running_loop().time()
+            if rows or left_s <= 0:
+                return 200, {"rows": rows}
+            waiting = self._changed.wait()
+            try:
+                await asyncio.wait_for(waiting, left_s)
+            except TimeoutError:
+                continue
+
+    def _row(self, name: tuple[str, str]) -> dict[str, Any]:
+        value, version = self.rows[name]
+        return {
+            "table": name[0],
+            "part": "",
+            "key": name[1],
+            "value": base64.b64encode(value).decode(),
+            "resource_version": version,
+        }
--- /dev/null
+++ b/tests/adapter/test_heartbeats.py
@@ -0,0 +1,84 @@
+"""Heartbeats of the VM's instance, and those of others."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from pepperstair_adapter.heartbeats import read_heartbeat
+from pepperstair_adapter.settings import AdapterSettings, Bounds
+from pepperstair_core.members import TargetState
+
+SETTINGS = AdapterSettings(
+    readiness_address="127.0.0.1:1",
+    heartbeat_address="127.0.0.1:2",
+    target_address="127.0.0.1:8080",
+    service="ledger",
+    bounds=Bounds(0.2, 64, 10_000, 6000),
+)
+GOOD = {
+    "service": "ledger",
+    "address": "127.0.0.1:8080",
+    "zone": "pos-a",
+    "version": "v1",
+    "slots": 12,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+    "born": 1_782_411_004_000,
+}
+
+
+def read(**changes):
+    """Read a heartbeat with some fields changed; None leaves one out."""
+    table = {**GOOD, **changes}
+    sent = {key: value for key, value in table.items() if value is not None}
+    return read_heartbeat("i-1", json.dumps(sent).encode(), SETTINGS)
+
+
+def test_heartbeat_becomes_an_announcement():
+    announcement = read().unwrap()
+    target = announcement.target
+    assert (target.name, target.n_slots) == ("i-1", 12)
+    assert target.state is TargetState.SERVING
+    assert dict(target.labels) == {"service": "ledger"}
+    assert (announcement.start_ms, announcement.sequence) == (GOOD["born"], 4)
+
+
+def test_instance_that_just_started_is_cold_and_a_leaving_one_drains():
+    assert read(cold_remaining_ms=900).unwrap().target.state is TargetState.COLD
+    leaving = read(state="draining", cold_remaining_ms=900).unwrap()
+    assert leaving.target.state is TargetState.DRAINING
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": "vault"},
+        {"address": "127.0.0.1:8081"},
+        {"state": "sleeping"},
+        {"slots": "12"},
+        {"slots": 0},
+        {"slots": True},
+        {"sequence": None},
+        {"sequence": -1},
+        {"sequence": 1.5},
+        {"cold_remaining_ms": None},
+        {"born": "yesterday"},
+        {"born": 1.5},
+        {"zone": 7},
+    ],
+)
+def test_heartbeat_that_is_not_right_in_every_field_names_no_instance(changes):
+    """Another program writes heartbeats, by mistake or in bad faith.
+
+    Taken as it is, it would send requests to an address where nobody, or
+    somebody else, listens.
+    """
+    assert read(**changes).is_err()
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff", b"[]", b"7", b'{"service":'])
+def test_bytes_that_can_not_be_read_name_no_instance(body):
+    assert read_heartbeat("i-1", body, SETTINGS).is_err()
--- /dev/null
+++ b/tests/adapter/test_settings.py
@@ -0,0 +1,70 @@
+"""The settings file that the platform fills from the template."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from pepperstair_adapter.settings import parse_all_settings
+
+TEMPLATE = Path(__file__).parent.parent.parent / "deploy" / "daemon.toml"
+FIELDS = {
+    "node": "sidecar-a-1",
+    "zone": "pos-a",
+    "region": "pos",
+    "service": "ledger",
+    "ip": "10.1.0.38",
+    "listen.outbound": "10.1.0.38:8147",
+    "listen.ready": "10.1.0.38:8141",
+    "listen.control_plane": "10.1.0.38:8144",
+    "port_range.0": "7380",
+    "port_range.1": "7395",
+    "platform.address": "10.200.1.7:8142",
+    "app_addr": "10.1.0.38:8145",
+    "heartbeat_ms": "1500",
+}
+BOUNDS = "retry_budget_ratio = 0.3\nbudget_min_retries = 9\nnew_bound = true\n"
+
+
+def filled(bounds: str = BOUNDS, **changes: str) -> str:
+    """Return the template as the platform would fill it."""
+    fields = {**FIELDS, **changes}
+    text = re.sub(
+        r"\{\{#bounds\}\}.*?\{\{/bounds\}\}", bounds, TEMPLATE.read_text(), flags=re.S
+    )
+    return re.sub(r"\{\{([a-z_.0-9]+)\}\}", lambda match: fields[match[1]], text)
+
+
+def test_template_gives_settings_of_product_and_adapter():
+    settings = parse_all_settings(filled()).unwrap()
+    assert settings.product.vm.name == "sidecar-a-1"
+    assert settings.product.members.target_lease_ms == 4 * 1500
+    assert settings.adapter.target_address == "10.1.0.38:8145"
+    bounds = settings.adapter.bounds
+    assert (bounds.retry_ratio, bounds.n_retries_min) == (0.3, 9)
+    # A bound that is not stated has the platform's usual figure.
+    assert bounds.retry_window_ms == 10_000
+
+
+def test_notice_and_drain_end_before_the_process_is_killed():
+    settings = parse_all_settings(filled()).unwrap()
+    calls = settings.product.calls
+    grace_ms = settings.adapter.bounds.grace_ms
+    assert calls.stop_notice_ms + calls.drain_timeout_ms < grace_ms * 5 / 6 + 200
+
+
+@pytest.mark.parametrize(
+    ("text", "where"),
+    [
+        (filled()[:-40] + "=", "document"),
+        (filled().replace("[adapter]", "[other]"), "other"),
+        (filled(app_addr="nowhere"), "adapter.target_address"),
+        (filled(zone='"'), "document"),
+        (filled().replace("10.1.0.38:8147", "nowhere"), "callers.address"),
+    ],
+)
+def test_fault_of_the_settings_is_named(text, where):
+    faults = parse_all_settings(text).unwrap_err()
+    assert any(fault.where == where for fault in faults)
--- /dev/null
+++ b/tests/adapter/test_store.py
@@ -0,0 +1,120 @@
+"""The client of the platform's store, against a stand-in that fails."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import inspect
+
+import pytest
+
+from pepperstair_adapter.store import MemberTableRows, Store, StoreTable
+from pepperstair_core.config import PlatformSettings
+from pepperstair_core.errors import ErrorKind
+from pepperstair_platform import Row
+from tests.adapter.store_stand_in import StoreStandIn
+
+
+def with_store(test):
+    """Run a test with a stand-in and a client of it."""
+
+    @functools.wraps(test)
+    def run(*arguments, **named):
+        async def scenario():
+            stand_in = StoreStandIn()
+            settings = PlatformSettings(await stand_in.listen(), timeout_ms=300)
+            store = Store(settings)
+            try:
+                async with asyncio.timeout(10):
+                    await test(stand_in, store, *arguments, **named)
+            finally:
+                store.close()
+                stand_in.close()
+
+        asyncio.run(scenario())
+
+    # pytest gives only what it knows of; the other two come from here.
+    signature = inspect.signature(test)
+    own = list(signature.parameters.values())[2:]
+    run.__signature__ = signature.replace(parameters=own)
+    return run
+
+
+@with_store
+async def test_table_is_read_page_by_page(stand_in, store):
+    stand_in.page = 2
+    for index in range(5):
+        stand_in.put("t", f"k{index}", b"%d" % index)
+    read = (await store.read("t")).unwrap()
+    assert [row.value for row in read.rows] == [b"0", b"1", b"2", b"3", b"4"]
+    assert read.position == 5
+
+
+@with_store
+async def test_watch_returns_with_the_change(stand_in, store):
+    table = StoreTable(store, "op")
+    position = (await table.read()).unwrap().position
+    waiting = asyncio.create_task(table.wait(position, 5000))
+    await asyncio.sleep(0.05)
+    stand_in.put("op", "config", b"new")
+    changed = (await waiting).unwrap()
+    assert [(row.key, row.value) for row in changed.rows] == [("config", b"new")]
+    assert (await table.wait(changed.position, 10)).unwrap().rows == ()
+
+
+@with_store
+async def test_watch_of_a_history_that_is_gone_says_so(stand_in, store):
+    """The store drops its history while a daemon was away.
+
+    A daemon that went on from where it was would never hear of what it missed.
+    """
+    stand_in.put("op", "config", b"new")
+    stand_in.forget_history()
+    failure = (await store.wait("op", 0, 1000)).unwrap_err()
+    assert failure.kind is ErrorKind.WATCH_EXPIRED
+
+
+@pytest.mark.parametrize("status", [403, 429, 500, 503, 507])
+@with_store
+async def test_refused_call_is_a_failure_and_not_an_empty_table(
+    stand_in, store, status
+):
+    """The store turns this VM away.
+
+    An answer without rows taken for an empty table would take every other
+    daemon out of the fleet.
+    """
+    stand_in.put("t", "k", b"1")
+    stand_in.status = status
+    assert (await store.read("t")).unwrap_err().kind is ErrorKind.PLATFORM_UNAVAILABLE
+    assert (await store.transact([], [])).is_err()
+
+
+@with_store
+async def test_silent_store_is_given_up_in_time(stand_in, store):
+    """The store takes the connection and never answers; the row may be written."""
+    stand_in.is_silent = True
+    failure = (await store.transact([], [])).unwrap_err()
+    assert failure.kind is ErrorKind.CHANGE_OUTCOME_UNKNOWN
+
+
+@with_store
+async def test_rows_that_others_wrote_badly_are_left_out(stand_in, store):
+    stand_in.put("members", "member/a", b"{}")
+    stand_in.raw = [
+        {"key": "member/b", "value": "no base64!"},
+        {"key": "member/c"},
+        {"value": "AAAA"},
+        7,
+    ]
+    rows = (await MemberTableRows(store).read_rows("member/")).unwrap()
+    assert rows == (Row("member/a", "{}"),)
+
+
+@with_store
+async def test_member_row_is_written_and_deleted(stand_in, store):
+    members = MemberTableRows(store)
+    assert (await members.commit((), (Row("member/a", "here"),))).is_ok()
+    assert stand_in.keys("members") == ["member/a"]
+    assert (await members.delete_row("member/a")).is_ok()
+    assert stand_in.keys("members") == []
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -22,7 +22,7 @@
     ServerLimits,
     header_value,
 )
-from pepperstair_targets import TargetRegistry, TargetRunner
+from pepperstair_targets import TargetOptions, TargetRegistry, TargetRunner
 
 LEASE_MS = 6000
 Answer = Callable[["RawTarget", asyncio.StreamWriter, bytes], Awaitable[None]]
@@ -100,7 +100,16 @@
 class Mesh:
     """One route to one service whose targets stand on VMs of their own."""
 
-    def __init__(self, policy: Policy | None = None, body_max_bytes=500_000, **route):
+    def __init__(
+        self,
+        policy: Policy | None = None,
+        body_max_bytes=500_000,
+        options: TargetOptions | None = None,
+        service="",
+        **route,
+    ):
+        self.options = options or TargetOptions()
+        self.service = service
         self.policy = policy or Policy("p", "")
         service = Service("s", "app=s")
         self.route = Route("r", "/", "s", **{"timeout_ms": 1500, **route})
@@ -140,7 +149,11 @@
         target = Target(name, address, (("app", "s"),), n_slots, 9, serving)
         registry = TargetRegistry(LEASE_MS)
         runner = TargetRunner(
-            registry, self.now_ms, lambda customer, target: self.policy, self.decisions
+            registry,
+            self.now_ms,
+            lambda customer, target: self.policy,
+            self.decisions,
+            self.options,
         )
         registry.on_changed = runner.follow_registry
         self.nodes[name] = Node(runner, registry, target)
@@ -187,6 +200,8 @@
             now_ms=self.now_ms,
             rng=rng,
             body_max_bytes=lambda: body_max_bytes,
+            header_names=self.options.names,
+            service=self.service,
         )
 
 
--- a/tests/test_daemon_start.py
+++ b/tests/test_daemon_start.py
@@ -59,7 +59,7 @@
         text = EXAMPLE.read_text().replace("127.0.0.1:8001", f"127.0.0.1:{port}")
         file.write_text(text)
         done = run_daemon("--settings", file)
-    (line,) = done.stderr.splitlines()
+    (line,) = done.stdout.splitlines()
     assert done.returncode == 1
     assert json.loads(line)["event"] == "start_failed"
     assert str(port) in json.loads(line)["reason"]
@@ -81,7 +81,7 @@
     done = subprocess.run(
         [SCRIPTS / "python", "-c", program], capture_output=True, text=True, check=True
     )
-    (line,) = done.stderr.splitlines()
+    (line,) = done.stdout.splitlines()
     logged = json.loads(line)
     assert (logged["event"], logged["vm"]) == ("internal_error", "vm-1")
     assert "ZeroDivisionError" in logged["exception"]
--- /dev/null
+++ b/tests/test_fleet_budget.py
@@ -0,0 +1,57 @@
+"""The retry budget of all daemons together."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from pepperstair_core.calls import BudgetTerms, FleetRetryBudget
+
+TERMS = BudgetTerms(ratio=0.2, n_min=64, window_ms=10_000)
+
+
+@pytest.mark.parametrize("n_daemons", [1, 5, 12])
+@pytest.mark.parametrize("n_per_s", [2, 50])
+def test_no_window_holds_more_retries_than_all_may_send(n_daemons, n_per_s):
+    """Every call to a service fails for a while, at every daemon.
+
+    With a budget that each daemon has for itself, twelve of them would send the
+    service twelve times what it can bear.
+    """
+    clock = {"ms": 0.0}
+    budgets = [
+        FleetRetryBudget(TERMS, lambda: clock["ms"], lambda: n_daemons)
+        for _ in range(n_daemons)
+    ]
+    rng = Random(1)
+    calls_ms, retries_ms = [], []
+    while clock["ms"] < 40_000:
+        clock["ms"] += rng.expovariate(n_per_s * n_daemons / 1000)
+        budget = rng.choice(budgets)
+        budget.add_call(10)
+        calls_ms.append(clock["ms"])
+        if budget.take("urgent"):
+            retries_ms.append(clock["ms"])
+    for end_ms in range(10_000, 40_000, 250):
+        window = lambda times, end_ms=end_ms: sum(
+            end_ms - TERMS.window_ms < at_ms <= end_ms for at_ms in times
+        )
+        assert window(retries_ms) <= 0.2 * window(calls_ms) + 64
+    assert retries_ms
+
+
+def test_call_that_no_target_has_seen_is_sent_on_for_nothing():
+    budget = FleetRetryBudget(BudgetTerms(0.0, 0, 10_000), lambda: 0.0, lambda: 3)
+    assert not budget.take("urgent")
+    assert all(budget.take("deferrable", has_arrived=False) for _ in range(100))
+
+
+def test_less_urgent_calls_leave_something_to_the_others():
+    budget = FleetRetryBudget(BudgetTerms(0.0, 100, 10_000), lambda: 0.0, lambda: 1)
+    while budget.take("deferrable"):
+        pass
+    assert budget.take("normal")
+    while budget.take("normal"):
+        pass
+    assert budget.take("urgent")
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,169 @@
+"""Following a document: never back, never in part; spread among neighbours."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from result import Err, Ok
+
+from pepperstair_core.decisions import DecisionLog
+from pepperstair_core.errors import ErrorKind, Failure
+from pepperstair_core.following import (
+    CallerLimits,
+    FollowedDocument,
+    Following,
+    Offer,
+)
+from pepperstair_core.intent import Intent
+from pepperstair_core.schema import Fault
+from pepperstair_core.wire import DocumentCopy, DocumentHave, DocumentPull
+from pepperstair_platform import WatchedRow, WatchedRows
+from pepperstaird.configuration import follower
+from pepperstaird.configuration.follower import ConfigurationFollower
+
+LIMITS = CallerLimits(1, 1, 1, 1)
+
+
+def read(data: bytes):
+    """Read a document that is only its version."""
+    if not data.isdigit():
+        return Err([Fault("document", "digits")])
+    return Ok(FollowedDocument(int(data), Intent("platform"), LIMITS, data))
+
+
+def test_version_never_goes_back():
+    """Two answers of the store cross; the older version arrives last."""
+    following = Following(read)
+    offers = [following.offer(data) for data in (b"5", b"7", b"6", b"7", b"5")]
+    assert offers == [Offer.IN_FORCE, Offer.IN_FORCE, *[Offer.OLDER] * 3]
+    assert following.version == 7
+
+
+def test_document_that_can_not_be_read_leaves_the_last_good_one():
+    """The row holds bytes that are no document, read again with each answer.
+
+    It is said once why; the routes in force stay.
+    """
+    following = Following(read)
+    offers = [following.offer(data) for data in (b"5", b"bad", b"bad", b"6")]
+    assert offers == [
+        Offer.IN_FORCE,
+        Offer.REJECTED,
+        Offer.REJECTED_BEFORE,
+        Offer.IN_FORCE,
+    ]
+
+
+class FakeTable:
+    """Gives answers in turn, then waits for ever."""
+
+    def __init__(self, *answers) -> None:
+        self.answers = list(answers)
+        self.calls: list[int | None] = []
+
+    async def read(self):
+        """Answer a read of the whole table."""
+        return await self._next(None)
+
+    async def wait(self, position, wait_ms):
+        """Answer a watch."""
+        return await self._next(position)
+
+    async def _next(self, position):
+        self.calls.append(position)
+        if not self.answers:
+            await asyncio.Event().wait()
+        return self.answers.pop(0)
+
+
+class FakeControl:
+    """Keeps what is sent to each neighbour."""
+
+    def __init__(self, *neighbours: str) -> None:
+        self.neighbours = neighbours
+        self.sent: list[tuple[str, object]] = []
+
+    def send(self, vm, *frames):
+        """Keep the frames."""
+        self.sent += [(vm, frame) for frame in frames]
+
+
+def rows(position: int, *values: bytes) -> Ok:
+    """Return an answer with versions of the document."""
+    found = tuple(WatchedRow("config", value) for value in values)
+    return Ok(WatchedRows(found, position))
+
+
+def follow(table, control, frames=(), monkeypatch=None, for_s=0.05):
+    """Let a follower run for a moment and return it."""
+
+    async def scenario() -> ConfigurationFollower:
+        following = ConfigurationFollower(
+            table, "config", read, {}, control, DecisionLog(), random.Random(1)
+        )
+        following.start()
+        await asyncio.sleep(0.01)
+        for vm, frame in frames:
+            control.on_configuration_frame(vm, frame)
+        await asyncio.sleep(for_s)
+        following.close()
+        return following
+
+    return asyncio.run(scenario())
+
+
+def test_table_is_read_anew_when_the_watch_has_lost_its_history(monkeypatch):
+    """The store forgets its history; the watch can't be continued."""
+    monkeypatch.setattr(follower, "_SETTLE_S", 0.0)
+    table = FakeTable(
+        rows(3, b"5"), Err(Failure(ErrorKind.WATCH_EXPIRED)), rows(9, b"7")
+    )
+    following = follow(table, FakeControl())
+    assert following.versions() == {"platform": 7}
+    assert table.calls == [None, 3, None, 9]
+
+
+def test_only_the_newest_good_version_of_an_answer_is_put_in_force():
+    """Versions come in quick succession, and the last one is no document."""
+    following = follow(FakeTable(rows(3, b"5", b"6", b"7", b"bad")), FakeControl())
+    assert following.versions() == {"platform": 7}
+    assert (following.n_rejected, following.n_ignored) == (1, 0)
+
+
+def test_removed_row_leaves_the_routes_in_force():
+    table = FakeTable(rows(3, b"5"), Ok(WatchedRows((WatchedRow("config", None),), 4)))
+    assert follow(table, FakeControl(), for_s=0.5).versions() == {"platform": 5}
+
+
+def test_daemon_that_the_store_turns_away_learns_from_a_neighbour():
+    """The store refuses this VM only; a neighbour has a version in force.
+
+    Without the neighbour this daemon would refuse every request as not ready.
+    """
+    refused = Err(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
+    control = FakeControl("vm-2", "vm-3")
+    frames = [("vm-2", DocumentHave(5)), ("vm-2", DocumentCopy(b"5"))]
+    following = follow(FakeTable(*[refused] * 9), control, frames)
+    assert following.versions() == {"platform": 5}
+    assert following.is_floor_known
+    # It tells the others; the one that it has it from knows by itself.
+    assert ("vm-3", DocumentHave(5)) in control.sent
+
+
+def test_neighbour_that_is_behind_gets_the_document_when_it_asks():
+    control = FakeControl("vm-2")
+    frames = [("vm-2", DocumentHave(4)), ("vm-2", DocumentPull(4))]
+    follow(FakeTable(rows(3, b"5")), control, frames)
+    assert control.sent == [
+        ("vm-2", DocumentHave(5)),
+        ("vm-2", DocumentHave(5)),
+        ("vm-2", DocumentCopy(b"5")),
+    ]
+
+
+def test_daemon_without_any_version_asks_at_once():
+    control = FakeControl("vm-2")
+    refused = Err(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
+    follow(FakeTable(*[refused] * 9), control, [("vm-2", DocumentHave(4))])
+    assert ("vm-2", DocumentPull(0)) in control.sent
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -50,7 +50,8 @@
     assert sorted(str(fault) for fault in faults) == [
         "callers.address: expected an IP number and port, not 'localhost:8000'",
         "callers.n_connections_max: expected an integer of at least 1, not 0",
-        "metrics.interval: expected one of the keys interval_ms, statsd_address",
+        "metrics.interval: expected one of the keys interval_ms, "
+        "prometheus_address, statsd_address",
         "operators.token: expected a token, as the address is not loopback",
         "peers.address: expected a string, not 8002",
         "peers.seed_addresses[1]: expected an IP number and port, not 'nowhere'",
