--- a/tests/test_choice_of_better.py
+++ b/tests/test_choice_of_better.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from random import Random
 
 from pepperstair_core.calls import CallEnd, EndKind, Load, TargetChooser
@@ -84,13 +85,15 @@
 
 
 def test_failures_everywhere_single_out_nobody():
-    """Every call fails alike, as a service behind all of them is away."""
+    """Each target fails every third of its calls, as a service behind is away."""
     among = [endpoint(1), endpoint(2)]
     choosing = chooser()
-    rng = Random(3)
+    n_calls = Counter()
     for _ in range(400):
         chosen = choosing.choose(among, no_report, 0.0)
-        kind = EndKind.ERROR if rng.random() < 0.3 else EndKind.GOOD
+        n_calls[chosen.target.name] += 1
+        is_good = n_calls[chosen.target.name] % 3
+        kind = EndKind.GOOD if is_good else EndKind.ERROR
         choosing.end(chosen, among, CallEnd(kind, 0.0, 50.0), 0.0)
     assert 0.2 < held_share(choosing, among, "t1") < 0.8
 
