Let urgent calls wait till their deadline while less urgent ones come

Change: the wanted time turns nobody away who is more urgent than other calls that come; it still orders the queue.

--- a/packages/pepperstair-cli/pepperstair_cli/commands/explain.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/explain.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 from result import Result
@@ -11,20 +12,26 @@
 from ..asking import ask, path_of
 from ..connection import Connection
 from ..output import ExitCode, Refusal, Report, finish, join_lines, refuse_input
+from ..request_path import follow_request
 from ..showing import show_time
 
 
 def run(
+    files: tuple[Path, ...] = (),
+    /,
     *,
     subject: str = "",
     customer: str = "",
     route: str = "",
-    connection: Connection,
+    request: str = "",
+    connection: Connection | None = None,
 ) -> ExitCode:
-    """Show a daemon's decisions, or where a customer's route leads.
+    """Show a daemon's decisions, where a route leads, or what a request met.
 
     Parameters
     ----------
+    files
+        Logs of daemons, with `--request`.
     subject
         VM, target, customer or route that the decisions are about; without it,
         all that the daemon remembers.
@@ -32,7 +39,14 @@
         Customer whose configuration to explain instead.
     route
         Route of that customer; without it, all routes.
+    request
+        Id of a request whose way through the logs to show instead; no daemon is
+        asked.
     """
+    if request or files:
+        return _explain_request(request, files, subject or customer or route)
+    if connection is None:
+        return finish(refuse_input("expected --at, or --request with logs"), "text")
     if route and not customer or subject and customer:
         line = "expected --subject alone, or --customer with or without --route"
         return finish(refuse_input(line), connection.output)
@@ -40,6 +54,13 @@
     return finish(asyncio.run(_explain(path, connection)), connection.output)
 
 
+def _explain_request(request: str, files: tuple[Path, ...], other: str) -> ExitCode:
+    if not request or not files or other:
+        line = "expected --request with at least one log, and no other option"
+        return finish(refuse_input(line), "text")
+    return finish(follow_request(request, files), "text")
+
+
 async def _explain(path: str, connection: Connection) -> Result[Report, Refusal]:
     asked = await ask(connection, "GET", path)
     return asked.map(lambda content: Report(content, _text(content)))
--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -32,6 +32,8 @@
 LATE_WAIT_SHARE: Final = 1 / 3
 # An overload ends when no call was refused for so long.
 OVERLOAD_GAP_MS: Final = 1_000.0
+# For how long a less urgent call shows that there are such calls.
+LESS_URGENT_SEEN_MS: Final = 1_000.0
 N_ROUTES_MAX: Final = 1_000
 
 
@@ -85,6 +87,7 @@
         self._deviation_ms_of = dict.fromkeys(PRIORITIES, 0.0)
         self._service_ms_by_route: dict[str, float] = {}
         self._late: set[int] = set()
+        self._arrived_ms_of = dict.fromkeys(PRIORITIES, -math.inf)
         self._refused_ms = -math.inf
         self._overloaded_since_ms = 0.0
         self._queues = {priority: FairQueue() for priority in PRIORITIES}
@@ -107,6 +110,7 @@
 
     def arrive(self, call: WaitingCall, now_ms: float) -> list[Verdict]:
         """Take a new call: run it, let it wait, or refuse it or another."""
+        self._arrived_ms_of[call.priority] = now_ms
         if self.n_in_flight < self.n_slots and not self._waiting:
             self.n_in_flight += 1
             return [Admitted(call.ticket)]
@@ -194,6 +198,20 @@
             return RefusalCause.NOT_IN_TIME
         return None
 
+    def _waits_till_deadline(self, call: WaitingCall) -> bool:
+        """Return whether a call may wait for longer than its answer is wanted most.
+
+        That is so while less urgent calls come, which is how other requests
+        depend on it: the look-up of a page that a service builds is worth as
+        much late as in time, and refused it takes the whole page with it. The
+        slots that it waits for are those of the less urgent calls.
+        """
+        place = PRIORITIES.index(call.priority)
+        return any(
+            call.arrived_ms - self._arrived_ms_of[less_urgent] < LESS_URGENT_SEEN_MS
+            for less_urgent in PRIORITIES[place + 1 :]
+        )
+
     def _is_late(self, call: WaitingCall, now_ms: float) -> bool:
         """Return whether the answer can't come while it is wanted most."""
         return self._latest_useful_start_ms(call) < now_ms
@@ -206,7 +224,7 @@
 
     def _give_up_ms(self, call: WaitingCall, is_late: bool) -> float:
         """Return until when a call waits before it is refused."""
-        if call.wanted_ms == math.inf:
+        if call.wanted_ms == math.inf or self._waits_till_deadline(call):
             return self._latest_start_ms(call)
         if not is_late:
             useful_ms = self._latest_useful_start_ms(call)
@@ -326,7 +344,7 @@
         """
         if call.wanted_ms == math.inf:
             return (0, call.arrived_ms)
-        if is_late:
+        if is_late and not self._waits_till_deadline(call):
             return (1, self._latest_start_ms(call))
         return (0, self._latest_useful_start_ms(call))
 
--- a/tests/test_admission_in_time.py
+++ b/tests/test_admission_in_time.py
@@ -104,6 +104,21 @@
     assert verdicts[-1].retry_after_ms >= 1500
 
 
+def test_look_up_that_others_wait_for_is_not_refused_for_being_late():
+    """Long archive calls hold every slot, and look-ups of other services come.
+
+    Refused after their wanted time, they would fail the pages that need them,
+    while the archive calls behind them get the slots.
+    """
+    admission = busy(service_ms=600.0)
+    archive = {"priority": "deferrable", "wanted_ms": 2500, "deadline_ms": 8000}
+    admission.arrive(call(1, **archive), 0.0)
+    look_up = call(2, wanted_ms=100, deadline_ms=2500, route="look-up")
+    assert admission.arrive(look_up, 0.0) == []
+    assert admission.expire(500.0) == []
+    assert admission.finish("c", "deferrable", 600.0, 500.0, "r") == [Admitted(2)]
+
+
 @dataclass
 class Served:
     """What the callers of one run got."""
