Eject hanging targets also by callers a millisecond short of the route's timeout

Cause: callers state what they have left in whole milliseconds, 799 of 800; such a timeout counted as that of an impatient caller, and a target that hung was never ejected by it.

Also, without a change of behaviour: the ends of attempts and the expected wait are modules of their own, and the distribution's queue by customer has a name of its own.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -26,6 +26,14 @@
 from pepperstair_core.wire import CallHead
 from pepperstair_http import Request, StreamedResponse, header_value
 
+from .attempt_ends import (
+    FAILED_STATUSES,
+    RETRY_TIME_SHARE,
+    WHOLE_TIMEOUT_SHARE,
+    end_of_answer,
+    end_of_failure,
+    may_have_arrived,
+)
 from .context import ProxyContext
 from .request_body import RequestBody
 from .request_heads import RequestHead
@@ -41,45 +49,6 @@
 # Time that the call waited beside the target, told by the daemon there.
 WAITED_HEADER: Final = b"pepperstair-waited-ms"
 
-_REFUSALS: Final = frozenset(
-    {
-        ErrorKind.BUSY,
-        ErrorKind.DRAINING,
-        ErrorKind.NOT_READY,
-        ErrorKind.NO_TARGET,
-        ErrorKind.OVERLOADED,
-        ErrorKind.TARGET_REFUSED,
-        ErrorKind.TOO_MANY_CONNECTIONS,
-    }
-)
-_TARGET_ERRORS: Final = frozenset(
-    {
-        ErrorKind.OUTCOME_UNKNOWN,
-        ErrorKind.PEER_UNREACHABLE,
-        ErrorKind.TARGET_FAILED,
-        ErrorKind.TARGET_UNREACHABLE,
-    }
-)
-# What a target answers where its work went wrong. A timeout of its own (504)
-# would only end the same elsewhere, with less time.
-_FAILED_STATUSES: Final = frozenset({500, 502})
-# With less of its time left, another attempt could rarely end in time.
-_RETRY_TIME_SHARE: Final = 0.25
-# Failures after which no target can have seen the call.
-_NOT_ARRIVED: Final = frozenset(
-    {
-        ErrorKind.BUSY,
-        ErrorKind.DRAINING,
-        ErrorKind.NOT_READY,
-        ErrorKind.NO_TARGET,
-        ErrorKind.OVERLOADED,
-        ErrorKind.PEER_UNREACHABLE,
-        ErrorKind.TARGET_UNREACHABLE,
-        ErrorKind.DEADLINE_BEFORE_RUN,
-    }
-)
-_SHEDDING_STATUSES: Final = frozenset({429, 503})
-
 
 class ProxiedCall:
     """One request on its way: its route, its deadline and its attempts."""
@@ -182,6 +151,16 @@
     def _budget(self) -> RetryBudget:
         return self._context.budget_of(self.compiled.service.name)
 
+    @property
+    def _is_whole_timeout(self) -> bool:
+        """Return whether the caller allows about as much time as the route.
+
+        One that allows less has learnt nothing of the target when that is over:
+        its short timeouts must not eject a target that others use.
+        """
+        whole_ms = self.compiled.route.timeout_ms * WHOLE_TIMEOUT_SHARE
+        return self.timeout_ms >= whole_ms
+
     def _may_end_better_elsewhere(self, response: StreamedResponse) -> bool:
         """Return whether a target's failure is worth asking another target.
 
@@ -189,10 +168,10 @@
         its callers would see errors that no other target gives.
         """
         return (
-            response.status in _FAILED_STATUSES
+            response.status in FAILED_STATUSES
             and self._is_idempotent
             and response.body.is_whole
-            and self.time_left_ms > self.timeout_ms * _RETRY_TIME_SHARE
+            and self.time_left_ms > self.timeout_ms * RETRY_TIME_SHARE
         )
 
     async def _answer_from_another(self, failed: StreamedResponse) -> StreamedResponse:
@@ -245,11 +224,7 @@
         What the target announced or says on a health endpoint plays no part:
         errors and cut answers count against it, whatever it says of itself.
         """
-        kind = EndKind.GOOD
-        if is_whole and response.status in _SHEDDING_STATUSES:
-            kind = EndKind.REFUSED
-        elif not is_whole or response.status >= 500:
-            kind = EndKind.ERROR
+        kind = end_of_answer(response.status, is_whole)
         self._note_tried(str(response.status), self._latency_ms)
         waited = header_value(response.headers, WAITED_HEADER)
         waited_ms = int(waited) if waited.isdigit() else 0
@@ -309,8 +284,8 @@
         """Wait before another attempt, or raise the failure at once."""
         failed = self._endpoint
         latency_ms = self._context.now_ms() - self._attempted_ms
-        kind = self._kind_of(failure)
-        self._has_arrived |= failure.kind not in _NOT_ARRIVED
+        kind = end_of_failure(failure, self._is_whole_timeout)
+        self._has_arrived |= may_have_arrived(failure)
         avoided_ms = failure.retry_after_ms
         if failure.kind is ErrorKind.OVERLOADED:
             avoided_ms = FULL_AVOIDED_MS
@@ -346,20 +321,6 @@
         self._report_retry(failed, failure)
         await asyncio.sleep(decision.delay_ms / 1000)
 
-    def _kind_of(self, failure: Failure) -> EndKind:
-        if failure.kind in _REFUSALS:
-            return EndKind.REFUSED
-        if failure.kind is ErrorKind.PEER_UNREACHABLE:
-            return EndKind.UNREACHABLE
-        if failure.kind in _TARGET_ERRORS:
-            return EndKind.ERROR
-        # A caller that allows less time than the route has learnt nothing of
-        # the target: its short timeouts must not eject one that others use.
-        is_whole_timeout = self.timeout_ms == self.compiled.route.timeout_ms
-        if failure.kind is ErrorKind.TIMEOUT and is_whole_timeout:
-            return EndKind.ERROR
-        return EndKind.ABANDONED
-
     def _call_head(self, endpoint: Endpoint) -> CallHead:
         request = self._request
         call_id = next(self._call_ids)
--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -13,7 +13,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
-from ..members import TargetState
+from .expected_wait import Load, LoadOf, TargetKey, make_wait_of
 from .target_health import TargetHealth
 
 if TYPE_CHECKING:
@@ -32,28 +32,10 @@
 USUAL_WEIGHT: Final = 0.05
 # The age of a call that may stand in a queue says little of its target.
 QUEUED_AGE_WEIGHT: Final = 0.25
-# Up to which failure rate a target is used like any other, beside the mean of
-# all: a rate over the last ten calls strays by a third of itself and more.
-BLAMELESS_FACTOR: Final = 1.5
-BLAMELESS_RATE: Final = 0.05
-# How failures count against a target: one that fails a tenth of its calls more
-# than that is used like one that is half as quick and half full.
-FAILURE_FACTOR: Final = 8.0
-FAILURE_WAIT: Final = 4.0
 N_ROUTES_MAX: Final = 1_000
 FORGOTTEN_AFTER_MS: Final = 60_000
 N_REMEMBERED_MAX: Final = 2_000
 
-TargetKey = tuple[str, str]
-
-
-@dataclass(frozen=True, slots=True)
-class Load:
-    """What the daemon beside a target last reported of it."""
-
-    n_in_flight: int
-    n_queued: int
-
 
 class EndKind(Enum):
     """How a call ended, as far as the choice of targets is concerned."""
@@ -89,9 +71,6 @@
     period_ms: float
 
 
-LoadOf = Callable[["Endpoint"], "Load | None"]
-
-
 class TargetChooser:
     """Chooses targets and learns from how the calls to them ended.
 
@@ -137,7 +116,7 @@
         chosen = self._probe(usable, now_ms)
         if chosen is None:
             healthy = self._healthy(usable, endpoints, now_ms)
-            wait_of = _wait_of(known, healthy, load_of, now_ms)
+            wait_of = make_wait_of(known, healthy, load_of, now_ms)
             chosen = self._pick(healthy, wait_of, n_answer_bytes)
             if is_room_wanted and wait_of(chosen) > ROOM_WAIT:
                 return None
@@ -364,45 +343,6 @@
     return min(allowed, len(endpoints) - 1)
 
 
-def _wait_of(
-    known: dict[TargetKey, TargetHealth],
-    healthy: Sequence[Endpoint],
-    load_of: LoadOf,
-    now_ms: float,
-) -> Callable[[Endpoint], float]:
-    """Return the function from endpoint to expected wait.
-
-    It is counted in answer times of the fastest target; up to 1 a call finds a
-    slot free. Own calls are counted exactly; the report, which may be a second
-    old, adds those of other daemons and never lowers what is seen here. The
-    latency that was seen makes a queue before a slow target count for more.
-    """
-    latencies_ms = [known[item.key].latency_ms(now_ms) for item in healthy]
-    fastest_ms = min(filter(None, latencies_ms), default=0.0)
-    failure_rates = [known[item.key].failure_rate(now_ms) for item in healthy]
-    # What fails everywhere alike is no fault of one target.
-    mean_rate = sum(failure_rates) / max(1, len(failure_rates))
-    blameless_rate = BLAMELESS_FACTOR * mean_rate + BLAMELESS_RATE
-
-    def wait_of(endpoint: Endpoint) -> float:
-        health = known[endpoint.key]
-        load = load_of(endpoint)
-        n_waiting = health.n_in_flight
-        if load is not None:
-            n_waiting = max(n_waiting, load.n_in_flight) + load.n_queued
-        latency_ms = max(health.latency_ms(now_ms), health.oldest_age_ms(now_ms))
-        is_cold = endpoint.target.state is TargetState.COLD
-        share = health.warmth(is_cold, now_ms)
-        slowness = max(1.0, latency_ms / fastest_ms) if fastest_ms else 1.0
-        wait = slowness * (n_waiting + 1) / (endpoint.target.n_slots * share)
-        failing = health.failure_rate(now_ms) - blameless_rate
-        if failing <= 0.0:
-            return wait
-        return wait * (1 + FAILURE_FACTOR * failing) + FAILURE_WAIT * failing
-
-    return wait_of
-
-
 __all__ = [
     "CallEnd",
     "EndKind",
--- a/packages/pepperstair-core/pepperstair_core/distribution/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/__init__.py
@@ -15,6 +15,7 @@
     Send,
 )
 from .convergence import Collection, collect, missing_vms
+from .customer_lines import CustomerLines, TokenBucket
 from .events import (
     BellsRead,
     ChangeAccepted,
@@ -30,7 +31,6 @@
     Tick,
     Work,
 )
-from .fair_queue import FairQueue, TokenBucket
 from .floor import ReachedBy
 from .node import Distribution
 from .outbox import Outbox
@@ -45,7 +45,7 @@
     "Converged",
     "Distribution",
     "DistributionEvent",
-    "FairQueue",
+    "CustomerLines",
     "FetchObject",
     "FrameReceived",
     "HeadRead",
--- a/packages/pepperstair-core/pepperstair_core/distribution/fair_queue.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/customer_lines.py
@@ -4,11 +4,11 @@
 item is taken after at most one turn of each other customer (Shreedhar and
 Varghese 1995).
 
->>> queue = FairQueue(quantum=10)
+>>> lines = CustomerLines(quantum=10)
 >>> for number in range(3):
-...     queue.put("sayaw", f"sayaw {number}", 10)
->>> queue.put("lantern", "lantern 0", 10)
->>> [queue.take() for _ in range(2)]
+...     lines.put("sayaw", f"sayaw {number}", 10)
+>>> lines.put("lantern", "lantern 0", 10)
+>>> [lines.take() for _ in range(2)]
 ['sayaw 0', 'lantern 0']
 """
 
@@ -20,7 +20,7 @@
 Item = TypeVar("Item")
 
 
-class FairQueue(Generic[Item]):
+class CustomerLines(Generic[Item]):
     """Lines of items by customer, taken in turns of equal cost."""
 
     def __init__(self, quantum: int) -> None:
@@ -101,4 +101,4 @@
         return int((1 - self._n_tokens) * 1000 / self._n_per_s) + 1
 
 
-__all__ = ["FairQueue", "TokenBucket"]
+__all__ = ["CustomerLines", "TokenBucket"]
--- a/packages/pepperstair-core/pepperstair_core/distribution/outbox.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/outbox.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from ..wire import ControlFrame, DeltaPush, Have, SnapshotPart
-from .fair_queue import FairQueue
+from .customer_lines import CustomerLines
 from .state import PART_MAX_BYTES
 
 BACKLOG_MAX_BYTES: Final = 262_144
@@ -17,7 +17,7 @@
     """One fair queue for each neighbour, with a bound on queued deltas."""
 
     def __init__(self) -> None:
-        self._queues: dict[str, FairQueue[ControlFrame]] = {}
+        self._queues: dict[str, CustomerLines[ControlFrame]] = {}
 
     def put(self, vm: str, customer: str, frame: ControlFrame) -> None:
         """Queue a frame in a customer's line to a neighbour.
@@ -28,7 +28,7 @@
         """
         queue = self._queues.get(vm)
         if queue is None:
-            queue = self._queues[vm] = FairQueue(PART_MAX_BYTES)
+            queue = self._queues[vm] = CustomerLines(PART_MAX_BYTES)
         is_delta = isinstance(frame, DeltaPush)
         if is_delta and queue.cost_of(customer) > BACKLOG_MAX_BYTES:
             for waiting in queue.drop(customer):
--- a/packages/pepperstair-core/pepperstair_core/distribution/state.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/state.py
@@ -12,7 +12,7 @@
 from ..intent import Intent
 from ..members import Member, MemberState
 from ..versions import Delta, Head, Snapshot, digest_of, encode_intent
-from .fair_queue import FairQueue
+from .customer_lines import CustomerLines
 
 PLATFORM: Final = "platform"
 PART_MAX_BYTES: Final = 65_536
@@ -184,8 +184,8 @@
     rng: Random
     timing: Timing = field(default_factory=Timing)
     customers: dict[str, CustomerState] = field(default_factory=dict)
-    inbox: FairQueue[ReceivedDelta | ReceivedBody] = field(
-        default_factory=lambda: FairQueue(PART_MAX_BYTES)
+    inbox: CustomerLines[ReceivedDelta | ReceivedBody] = field(
+        default_factory=lambda: CustomerLines(PART_MAX_BYTES)
     )
     served: dict[tuple[str, str], int] = field(default_factory=dict)
     anti_entropy_due_ms: int = 0
--- a/packages/pepperstair-platform/pepperstair_platform/turns.py
+++ b/packages/pepperstair-platform/pepperstair_platform/turns.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from pepperstair_core.distribution import FairQueue, TokenBucket
+from pepperstair_core.distribution import CustomerLines, TokenBucket
 
 log = structlog.get_logger(__name__)
 
@@ -26,7 +26,7 @@
 
     def __init__(self, n_per_s: int) -> None:
         self._bucket = TokenBucket(n_per_s, 0)
-        self._queue: FairQueue[asyncio.Future[None]] = FairQueue(quantum=1)
+        self._queue: CustomerLines[asyncio.Future[None]] = CustomerLines(quantum=1)
         self._n_waiting: dict[str, int] = {}
         self._task: asyncio.Task[None] | None = None
         self.n_refused = 0
