--- a/tests/test_ordered_announcements.py
+++ b/tests/test_ordered_announcements.py
@@ -5,6 +5,7 @@
 from pepperstair_core.members import Target, TargetState
 from pepperstair_targets import Announcement, OrderedAnnouncements, TargetRegistry
 
+WALL_MS = 500
 SERVING, DRAINING = TargetState.SERVING, TargetState.DRAINING
 
 
@@ -13,7 +14,9 @@
 
     def __init__(self) -> None:
         self.registry = TargetRegistry(6000)
-        self.announcements = OrderedAnnouncements(self.registry, lambda: 0)
+        self.announcements = OrderedAnnouncements(
+            self.registry, lambda: 0, lambda: WALL_MS
+        )
 
     def take(self, name, start_ms, sequence, state=SERVING) -> bool:
         """Announce a target."""
@@ -68,3 +71,19 @@
     assert not fixture.take("i-1", 100, 6)
     assert fixture.states() == {}
     assert fixture.take("i-1", 900, 1)
+
+
+def test_farewell_that_comes_first_is_remembered():
+    """A daemon restarts, and the first it hears of its instance is the farewell.
+
+    What the instance said before was held up and arrives two seconds later. Taken
+    for news, it would bring requests to an instance that is about to end.
+    """
+    fixture = Fixture()
+    fixture.announcements.leave("i-1")
+    assert not fixture.take("i-1", 100, 6)
+    assert not fixture.take("i-1", 0, 7)
+    assert fixture.states() == {}
+    # Started again under its name, it is a new one.
+    assert fixture.take("i-1", WALL_MS + 1, 1)
+    assert fixture.states() == {"i-1": SERVING}
