Give the turns at the platform a clock, and their test one that it sets itself

Cause: the token bucket fills by real time. The test counted how many of the large customer's changes had passed, then the machine paused, and the 16 tokens of that pause let 16 more of them pass before the small customer had even asked. That is right behaviour, so the test was wrong. Shown by a pause of 80 ms at that place: the old test fails each time, with place 218. Ruled out: the order of the queue, which takes customers in turn from then on.

RequestTurns takes its clock as a value, and both tests set theirs: the first now also asserts that exactly 200 pass at once. With all customers in one line the new test fails as well, as it should.

--- a/packages/pepperstair-platform/pepperstair_platform/turns.py
+++ b/packages/pepperstair-platform/pepperstair_platform/turns.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from collections.abc import Callable
 from typing import Final
 
 import structlog
@@ -21,11 +23,13 @@
     Without it one customer's bulk would use up the platform's capacity, and a
     small customer's change would time out behind it. A turn is one request, or
     one for each 64 KB that it carries: the rate is counted in requests, so a
-    turn of many small ones would hold the others up for seconds.
+    turn of many small ones would hold the others up for seconds. `now_ms` is a
+    clock that never goes back.
     """
 
-    def __init__(self, n_per_s: int) -> None:
-        self._bucket = TokenBucket(n_per_s, 0)
+    def __init__(self, n_per_s: int, now_ms: Callable[[], int] | None = None) -> None:
+        self._now_ms = now_ms or _monotonic_ms
+        self._bucket = TokenBucket(n_per_s, self._now_ms())
         self._queue: CustomerLines[asyncio.Future[None]] = CustomerLines(quantum=1)
         self._n_waiting: dict[str, int] = {}
         self._task: asyncio.Task[None] | None = None
@@ -34,7 +38,7 @@
     async def take(self, customer: str, n_bytes: int, timeout_ms: int) -> bool:
         """Wait for a turn; False where too many wait or none came in time."""
         loop = asyncio.get_running_loop()
-        if not self._queue and not self._bucket.take(_loop_ms(loop)):
+        if not self._queue and not self._bucket.take(self._now_ms()):
             return True
         if self._n_waiting.get(customer, 0) >= N_WAITING_MAX:
             self.n_refused += 1
@@ -65,9 +69,8 @@
             del self._n_waiting[customer]
 
     async def _give_turns(self) -> None:
-        loop = asyncio.get_running_loop()
         while (turn := self._next_turn()) is not None:
-            while wait_ms := self._bucket.take(_loop_ms(loop)):
+            while wait_ms := self._bucket.take(self._now_ms()):
                 await asyncio.sleep(wait_ms / 1000)
             if turn.done():
                 continue
@@ -82,8 +85,8 @@
         return None
 
 
-def _loop_ms(loop: asyncio.AbstractEventLoop) -> int:
-    return int(loop.time() * 1000)
+def _monotonic_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
 
 
 __all__ = ["N_WAITING_MAX", "RequestTurns"]
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -7,6 +7,17 @@
 from pepperstair_platform.turns import N_WAITING_MAX, RequestTurns
 
 
+class SetClock:
+    """A clock that moves only when it is told to."""
+
+    def __init__(self) -> None:
+        self.ms = 0
+
+    def __call__(self) -> int:
+        """Return the time."""
+        return self.ms
+
+
 def test_bulk_of_one_customer_leaves_the_other_its_turn():
     """A large customer sends hundreds of changes at once through one daemon.
 
@@ -14,25 +25,29 @@
     """
 
     async def order() -> tuple[list[str], int]:
-        turns = RequestTurns(200)
+        # With the machine's own clock a pause of it before the small customer
+        # asks would let more of the large one's changes pass, and rightly so.
+        clock = SetClock()
+        turns = RequestTurns(200, clock)
         taken: list[str] = []
 
         async def take(customer: str) -> None:
-            if await turns.take(customer, 0, 5000):
+            if await turns.take(customer, 0, 60_000):
                 taken.append(customer)
 
         large = [asyncio.create_task(take("lantern")) for _ in range(260)]
         await asyncio.sleep(0)
-        # How many went before at once depends on how long that took, as the
-        # bucket fills meanwhile; what counts is who waits longer from here on.
         n_before = len(taken)
-        small = asyncio.create_task(take("sayaw"))
-        await asyncio.gather(*large, small)
+        tasks = [*large, asyncio.create_task(take("sayaw"))]
+        await asyncio.sleep(0)
+        while not all(task.done() for task in tasks):
+            clock.ms += 5
+            await asyncio.sleep(0.001)
         return taken, n_before
 
     taken, n_before = asyncio.run(order())
     assert len(taken) == 261
-    assert n_before < 260
+    assert n_before == 200
     assert taken.index("sayaw") <= n_before + 2
 
 
@@ -44,7 +59,7 @@
     """
 
     async def run() -> bool:
-        turns = RequestTurns(1)
+        turns = RequestTurns(1, SetClock())
         waiting = [
             asyncio.create_task(turns.take("lantern", 0, 60_000))
             for _ in range(N_WAITING_MAX + 1)
