Keep acknowledged farewells in the store, so that they outlive the process

Cause: the daemon kept in memory which instance had said that it leaves. Killed right after its acknowledgement, the next process took a heartbeat from before the farewell for news and sent requests to the instance again.

Ruled out: the neighbours' records, which hold the target's last state but not up to which sequence that state counts; holding announcements back for a while after each start, which would cost every restart some seconds of capacity.

Where targets don't tell when they started, a second name at the address is taken only after the first was silent for two heartbeats: a held-up word of a crashed instance would else replace the one that lives.

Before: tests/adapter/test_process_platform.py::test_acknowledged_farewell_outlives_the_daemon fails, all 20 requests reach the instance that said farewell. After: none does.

--- a/packages/pepperstair-core/pepperstair_core/events.py
+++ b/packages/pepperstair-core/pepperstair_core/events.py
@@ -32,6 +32,7 @@
     PAUSE_DETECTED = "pause_detected"
     RELOADED = "reloaded"
     ANNOUNCEMENT_IGNORED = "announcement_ignored"
+    DEPARTURES_RESTORED = "departures_restored"
     TARGET_ANNOUNCED = "target_announced"
     TARGET_CHANGED = "target_changed"
     TARGET_LEASE_LAPSED = "target_lease_lapsed"
--- a/packages/pepperstair-targets/pepperstair_targets/__init__.py
+++ b/packages/pepperstair-targets/pepperstair_targets/__init__.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 from .announcements import handle_announcement
-from .ordered import Announcement, OrderedAnnouncements
+from .ordered import (
+    LAST_SEQUENCE,
+    Announcement,
+    Departure,
+    OrderedAnnouncements,
+)
 from .registry import TargetRegistry
 from .runner import TargetRunner
 from .target_call import TargetOptions
 
 __all__ = [
+    "LAST_SEQUENCE",
     "Announcement",
+    "Departure",
     "OrderedAnnouncements",
     "TargetOptions",
     "TargetRegistry",
--- a/packages/pepperstair-targets/pepperstair_targets/ordered.py
+++ b/packages/pepperstair-targets/pepperstair_targets/ordered.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final
 
 import structlog
 
 from pepperstair_core.events import Event
-from pepperstair_core.members import Target
+from pepperstair_core.members import Target, TargetState
 
 from .registry import TargetRegistry
 
@@ -17,21 +17,46 @@
 
 # One target lives beside a daemon at a time; a held-up word of the last dozens
 # of them is more than ever comes.
-N_FAREWELLS_MAX: Final = 64
+N_DEPARTURES_MAX: Final = 64
+# Stands for the last of all sequence numbers: nothing of that start counts any more.
+LAST_SEQUENCE: Final = 2**63 - 1
 
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
     """What a target says of itself, and where it stands among its words.
 
-    `start_ms` is when the target was started, in Unix milliseconds, `sequence`
-    rises with each announcement since.
+    `start_ms` is when the target was started, in Unix milliseconds, 0 where that
+    is not told; `sequence` rises with each announcement since.
     """
 
     target: Target
     start_ms: int
     sequence: int
 
+    @property
+    def place(self) -> tuple[int, int]:
+        """Return where it stands among the words of one target."""
+        return self.start_ms, self.sequence
+
+
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """That a target leaves, said at `noted_ms` in Unix milliseconds.
+
+    What it said up to this start and sequence counts no more.
+    """
+
+    name: str
+    start_ms: int
+    sequence: int
+    noted_ms: int
+
+    @property
+    def place(self) -> tuple[int, int]:
+        """Return the place of the last word that counts no more."""
+        return self.start_ms, self.sequence
+
 
 class OrderedAnnouncements:
     """Takes the announcements for the one target of a VM in their true order.
@@ -39,6 +64,9 @@
     An announcement can be held up for seconds. By then its sender may have
     crashed and another target may have started at its address; a call sent to
     the earlier one would reach the wrong process, or nobody.
+
+    Where targets don't tell when they started, a second name is taken for the
+    next target only after the first was silent for `silent_ms`.
     """
 
     def __init__(
@@ -46,13 +74,15 @@
         registry: TargetRegistry,
         now_ms: Callable[[], int],
         wall_ms: Callable[[], int],
+        silent_ms: int = 0,
     ) -> None:
         self._registry = registry
         self._now_ms = now_ms
         self._wall_ms = wall_ms
+        self._silent_ms = silent_ms
         self._newest: Announcement | None = None
-        # Names that said farewell, each with the latest start that it holds for.
-        self._farewells_ms: dict[str, int] = {}
+        self._newest_seen_ms = 0
+        self._departures: dict[str, Departure] = {}
 
     def take(self, announcement: Announcement) -> bool:
         """Take an announcement, and return whether it changed or renewed anything."""
@@ -69,7 +99,10 @@
         if newest is not None and newest.target.name != target.name:
             self._registry.leave(newest.target.name)
         self._newest = announcement
-        self._registry.announce(target, self._now_ms())
+        self._newest_seen_ms = self._now_ms()
+        if target.state is TargetState.DRAINING:
+            self._note_departure(target.name, *announcement.place)
+        self._registry.announce(target, self._newest_seen_ms)
         return True
 
     def leave(self, name: str) -> bool:
@@ -81,15 +114,34 @@
         """
         newest = self._newest
         is_newest = newest is not None and newest.target.name == name
-        self._farewells_ms.pop(name, None)
-        self._farewells_ms[name] = newest.start_ms if is_newest else self._wall_ms()
-        if len(self._farewells_ms) > N_FAREWELLS_MAX:
-            del self._farewells_ms[next(iter(self._farewells_ms))]
+        start_ms = newest.start_ms if is_newest else self._wall_ms()
+        self._note_departure(name, start_ms, LAST_SEQUENCE)
         return is_newest and self._registry.leave(name)
 
+    def departures(self) -> tuple[Departure, ...]:
+        """Return who has said that it leaves, the last one last."""
+        return tuple(self._departures.values())
+
+    def restore(self, departures: Iterable[Departure]) -> None:
+        """Take what an earlier process of this daemon has acknowledged."""
+        for departure in departures:
+            known = self._departures.get(departure.name)
+            if known is None or known.place < departure.place:
+                self._departures[departure.name] = departure
+
+    def _note_departure(self, name: str, start_ms: int, sequence: int) -> None:
+        known = self._departures.pop(name, None)
+        departure = Departure(name, start_ms, sequence, self._wall_ms())
+        if known is not None and known.place > departure.place:
+            departure = known
+        self._departures[name] = departure
+        if len(self._departures) > N_DEPARTURES_MAX:
+            del self._departures[next(iter(self._departures))]
+
     def _is_newer(self, announcement: Announcement) -> bool:
         name = announcement.target.name
-        if announcement.start_ms <= self._farewells_ms.get(name, -1):
+        departure = self._departures.get(name)
+        if departure is not None and announcement.place <= departure.place:
             return False
         newest = self._newest
         if newest is None:
@@ -97,8 +149,19 @@
         if announcement.start_ms != newest.start_ms:
             return announcement.start_ms > newest.start_ms
         if name != newest.target.name:
-            return True
+            return self._has_ended(newest)
         return announcement.sequence > newest.sequence
 
+    def _has_ended(self, newest: Announcement) -> bool:
+        """Return whether the target of now has left, or seems to have crashed.
+
+        A held-up word of an earlier target would else put it in the place of the
+        one that lives, which refuses all calls that are meant for the other.
+        """
+        departure = self._departures.get(newest.target.name)
+        if departure is not None and departure.sequence == LAST_SEQUENCE:
+            return True
+        return self._now_ms() - self._newest_seen_ms >= self._silent_ms
+
 
-__all__ = ["Announcement", "OrderedAnnouncements"]
+__all__ = ["LAST_SEQUENCE", "Announcement", "Departure", "OrderedAnnouncements"]
--- a/tests/adapter/store_stand_in.py
+++ b/tests/adapter/store_stand_in.py
@@ -92,10 +92,11 @@
     def _get(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         self.n_reads += 1
         start = query.get("range_start", "")
+        end = query.get("target", "\U0010ffff")
         names = [
             name
             for name in sorted(self.rows)
-            if name[0] == query["table"] and name[1] >= start
+            if name[0] == query["table"] and start <= name[1] < end
         ]
         rows = [self._row(name) for name in names[: self.page]]
         return 200, {"rows": [*rows, *self.raw], "has_more": len(names) > self.page}
--- a/tests/adapter/test_process_platform.py
+++ b/tests/adapter/test_process_platform.py
@@ -306,6 +306,34 @@
     assert len(leaving.heads) == n_before
 
 
+@on_platform
+async def test_acknowledged_farewell_outlives_the_daemon(mesh):
+    """An instance says farewell and the daemon beside it is killed. A heartbeat that
+    was held up arrives at the next process.
+
+    Its callers would be sent to the instance until it ends under them.
+    """
+    mesh.store.put("op", "config", document(7))
+    leaving = await mesh.add("vm-1", "ledger")
+    await mesh.add("vm-2", "ledger")
+    await mesh.ready()
+    path = "/Instances.Deregister/i-vm-1"
+    assert (await leaving.fetch("control_plane", "POST", path))[0] == 200
+    leaving.process.kill()
+    leaving.process.wait()
+    leaving.start_daemon()
+
+    async def is_acknowledged() -> bool:
+        return await leaving.heartbeat() == 200
+
+    await until(is_acknowledged, "the new process takes heartbeats")
+    await until(lambda: is_ready(leaving), "the new process is ready")
+    n_before = len(leaving.heads)
+    answered = [await leaving.call(request_id=f"r{index}") for index in range(20)]
+    assert {body for status, body in answered if status == 200} <= {b"vm-2"}
+    assert len(leaving.heads) == n_before
+
+
 @pytest.mark.parametrize("on_side", ["caller", "instance"])
 def test_stopped_daemon_finishes_what_it_has(tmp_path, on_side):
     """The platform stops a daemon while requests run through it.
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from pepperstair_adapter.store import MemberTableRows, Store, StoreTable
+from pepperstair_adapter.store import MEMBERS_TABLE, Store, StoreTable, TableRows
 from pepperstair_core.config import PlatformSettings
 from pepperstair_core.errors import ErrorKind
 from pepperstair_platform import Row
@@ -107,13 +107,13 @@
         {"value": "AAAA"},
         7,
     ]
-    rows = (await MemberTableRows(store).read_rows("member/")).unwrap()
+    rows = (await TableRows(store, MEMBERS_TABLE).read_rows("member/")).unwrap()
     assert rows == (Row("member/a", "{}"),)
 
 
 @with_store
 async def test_member_row_is_written_and_deleted(stand_in, store):
-    members = MemberTableRows(store)
+    members = TableRows(store, MEMBERS_TABLE)
     assert (await members.commit((), (Row("member/a", "here"),))).is_ok()
     assert stand_in.keys("members") == ["member/a"]
     assert (await members.delete_row("member/a")).is_ok()
--- /dev/null
+++ b/tests/test_departure_rows.py
@@ -0,0 +1,155 @@
+"""Departures of targets that a daemon has acknowledged and keeps in the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from result import Err, Ok
+
+from pepperstair_core.errors import ErrorKind, Failure
+from pepperstair_core.members import Target, TargetState
+from pepperstair_platform import Row
+from pepperstair_targets import Announcement, OrderedAnnouncements, TargetRegistry
+from pepperstaird import departure_rows
+from pepperstaird.departure_rows import KEPT_MS, DepartureRows
+
+WALL_MS = 10_000_000
+SERVING, DRAINING = TargetState.SERVING, TargetState.DRAINING
+
+
+class FakeTable:
+    """Rows in memory, which a test can take away."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.is_away = False
+        self.n_writes = 0
+
+    async def read_rows(self, prefix: str):
+        """Return the rows with a prefix."""
+        if self.is_away:
+            return Err(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
+        return Ok(tuple(row for key, row in self.rows.items() if key[:9] == prefix[:9]))
+
+    async def commit(self, compare, put):
+        """Write rows."""
+        if self.is_away:
+            return Err(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
+        self.n_writes += 1
+        self.rows.update((row.key, row) for row in put)
+        return Ok(True)
+
+    async def delete_row(self, key: str):
+        """Delete a row."""
+        self.rows.pop(key, None)
+        return Ok(True)
+
+
+class Process:
+    """One process of the daemon of a VM: what it believes and what it keeps."""
+
+    def __init__(self, table: FakeTable) -> None:
+        self.registry = TargetRegistry(6000)
+        self.announcements = OrderedAnnouncements(
+            self.registry, lambda: 0, lambda: WALL_MS, 3000
+        )
+        self.rows = DepartureRows(table, "vm-1", self.announcements, lambda: WALL_MS)
+
+    async def take(self, sequence: int, state: TargetState = SERVING) -> bool:
+        """Take an announcement and acknowledge it."""
+        await self.rows.restored()
+        target = Target("i-1", "127.0.0.1:1", (), 12, 99, state)
+        is_taken = self.announcements.take(Announcement(target, 0, sequence))
+        await self.rows.save()
+        return is_taken
+
+    async def leave(self) -> None:
+        """Take the farewell of the target and acknowledge it."""
+        self.announcements.leave("i-1")
+        await self.rows.save()
+
+    def states(self) -> list[TargetState]:
+        """Return the states of the targets in use."""
+        return [target.state for target in self.registry.targets()]
+
+
+def test_restarted_daemon_remembers_the_farewell_that_it_acknowledged():
+    """An instance says farewell, the daemon acknowledges it and is killed; what the
+    instance said before was held up and arrives at the new process.
+
+    Taken for news, it would bring requests to an instance that is about to end.
+    """
+
+    async def scenario() -> None:
+        table = FakeTable()
+        first = Process(table)
+        await first.take(5)
+        await first.leave()
+        second = Process(table)
+        assert not await second.take(6)
+        assert second.states() == []
+
+    asyncio.run(scenario())
+
+
+def test_restarted_daemon_remembers_that_its_target_drains():
+    """The daemon is killed after it acknowledged that its instance drains. A word
+    from before that comes first, and only then the next one from after it.
+    """
+
+    async def scenario() -> None:
+        table = FakeTable()
+        first = Process(table)
+        await first.take(5)
+        await first.take(7, DRAINING)
+        await first.take(8, DRAINING)
+        assert table.n_writes == 1
+        second = Process(table)
+        assert not await second.take(6)
+        assert await second.take(9, DRAINING)
+        assert second.states() == [DRAINING]
+        assert table.n_writes == 1
+
+    asyncio.run(scenario())
+
+
+def test_store_that_is_away_delays_no_answer_for_long(monkeypatch):
+    """The store is down while an instance announces itself and then leaves.
+
+    It asks the next daemon after a second, and there is none; with the store back,
+    what was acknowledged is kept after all.
+    """
+    monkeypatch.setattr(departure_rows, "WAIT_MAX_S", 0.01)
+
+    async def scenario() -> None:
+        table = FakeTable()
+        table.is_away = True
+        first = Process(table)
+        async with asyncio.timeout(5):
+            assert await first.take(5)
+            await first.leave()
+            assert not table.rows
+            table.is_away = False
+            while not table.rows:
+                await asyncio.sleep(0.01)
+        second = Process(table)
+        assert not await second.take(6)
+
+    asyncio.run(scenario())
+
+
+def test_old_and_unreadable_rows_count_for_nothing_and_go():
+    """VMs that are gone for good, and other releases, leave rows behind."""
+
+    async def scenario() -> None:
+        table = FakeTable()
+        old = [["i-1", 0, 9, WALL_MS - KEPT_MS - 1]]
+        for vm, text in (("vm-1", json.dumps(old)), ("vm-2", "not JSON")):
+            table.rows[f"departure/{vm}"] = Row(f"departure/{vm}", text)
+        process = Process(table)
+        assert await process.take(1)
+        await process.leave()
+        assert list(table.rows) == ["departure/vm-1"]
+
+    asyncio.run(scenario())
--- a/tests/test_ordered_announcements.py
+++ b/tests/test_ordered_announcements.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from pepperstair_core.members import Target, TargetState
-from pepperstair_targets import Announcement, OrderedAnnouncements, TargetRegistry
+from pepperstair_targets import (
+    Announcement,
+    Departure,
+    OrderedAnnouncements,
+    TargetRegistry,
+)
 
 WALL_MS = 500
 SERVING, DRAINING = TargetState.SERVING, TargetState.DRAINING
@@ -12,10 +17,11 @@
 class Fixture:
     """A registry and the announcements that go into it."""
 
-    def __init__(self) -> None:
+    def __init__(self, silent_ms: int = 0) -> None:
+        self.now_ms = 0
         self.registry = TargetRegistry(6000)
         self.announcements = OrderedAnnouncements(
-            self.registry, lambda: 0, lambda: WALL_MS
+            self.registry, lambda: self.now_ms, lambda: WALL_MS, silent_ms
         )
 
     def take(self, name, start_ms, sequence, state=SERVING) -> bool:
@@ -87,3 +93,37 @@
     # Started again under its name, it is a new one.
     assert fixture.take("i-1", WALL_MS + 1, 1)
     assert fixture.states() == {"i-1": SERVING}
+
+
+def test_held_up_word_of_an_earlier_target_does_not_replace_the_one_that_lives():
+    """Targets here don't tell when they started. One has crashed, another lives at
+    its address, and a word of the first arrives late.
+
+    The daemon would send calls for the first one, which the second refuses.
+    """
+    fixture = Fixture(silent_ms=3000)
+    fixture.take("i-2", 0, 1)
+    fixture.now_ms = 1400
+    assert not fixture.take("i-1", 0, 9)
+    assert fixture.states() == {"i-2": SERVING}
+    # After a long silence the one that was known has ended.
+    fixture.now_ms = 3000
+    assert fixture.take("i-1", 0, 10)
+    assert fixture.states() == {"i-1": SERVING}
+
+
+def test_successor_of_a_target_that_said_farewell_is_taken_at_once():
+    fixture = Fixture(silent_ms=3000)
+    fixture.take("i-1", 0, 1)
+    fixture.announcements.leave("i-1")
+    assert fixture.take("i-2", 0, 1)
+    assert fixture.states() == {"i-2": SERVING}
+
+
+def test_restored_departure_does_not_lower_what_is_known():
+    """What was kept is read after the target has said more."""
+    fixture = Fixture()
+    fixture.take("i-1", 100, 8, DRAINING)
+    fixture.announcements.restore([Departure("i-1", 100, 4, 0)])
+    assert not fixture.take("i-1", 100, 7)
+    assert fixture.states() == {"i-1": DRAINING}
