Soak real daemons under drawn faults; check and diff take the platform's documents

pepperstair check FILE.json and diff FILE.json read a document in the form of the platform, through a reader that the adapter's package names; explain answers with the daemon's decisions on the platform too.

--- a/packages/pepperstair-cli/pepperstair_cli/commands/check.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/check.py
@@ -11,7 +11,7 @@
 from pepperstair_core.intent import parse_intent_toml
 
 from ..connection import Output
-from ..documents import read_text
+from ..documents import is_foreign, read_intent_file, read_text
 from ..output import ExitCode, Refusal, Report, finish, refuse_faults
 
 
@@ -21,12 +21,15 @@
     Parameters
     ----------
     file
-        Settings of a daemon or an intent document, in TOML.
+        Settings of a daemon or an intent document in TOML, or a document of the
+        platform in JSON.
     """
     return finish(_check(file), output)
 
 
 def _check(file: Path) -> Result[Report, Refusal]:
+    if is_foreign(file):
+        return read_intent_file(file).map(lambda _: _valid(file, "intent"))
     read = read_text(file)
     if read.is_err():
         return read
@@ -36,8 +39,12 @@
     if parsed.is_err():
         return refuse_faults(str(file), parsed.unwrap_err())
     kind = "settings" if is_settings else "intent"
+    return Ok(_valid(file, kind))
+
+
+def _valid(file: Path, kind: str) -> Report:
     content = {"file": str(file), "kind": kind, "is_valid": True}
-    return Ok(Report(content, f"{file}: valid {kind}"))
+    return Report(content, f"{file}: valid {kind}")
 
 
 def _is_settings(text: str) -> bool:
--- a/packages/pepperstair-cli/pepperstair_cli/commands/diff.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/diff.py
@@ -26,7 +26,7 @@
     Parameters
     ----------
     file
-        TOML intent document.
+        TOML intent document, or a document of the platform in JSON.
     """
     return finish(asyncio.run(_diff(file, connection)), connection.output)
 
--- a/packages/pepperstair-cli/pepperstair_cli/documents.py
+++ b/packages/pepperstair-cli/pepperstair_cli/documents.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from importlib.metadata import entry_points
+from typing import TYPE_CHECKING, Final
 
 import tomli_w
 from result import Ok, Result
 
 from pepperstair_core.errors import ErrorKind
+from pepperstair_core.following import FollowedDocument
 from pepperstair_core.intent import (
     Intent,
     intent_to_table,
     parse_intent_toml,
     read_intent,
 )
+from pepperstair_core.schema import Fault
 
 from .asking import ask, path_of
 from .output import refuse_faults, refuse_input
@@ -26,6 +30,13 @@
     from .output import Refusal
 
 
+# Packages that know the documents of a platform name their reader in this group.
+READERS_GROUP: Final = "pepperstair.document_readers"
+_FOREIGN_SUFFIX: Final = ".json"
+
+DocumentReader = Callable[[bytes], Result[FollowedDocument, list[Fault]]]
+
+
 @dataclass(frozen=True, slots=True)
 class HeldIntent:
     """A customer's intent in force at a daemon; version 0 is none yet."""
@@ -42,17 +53,43 @@
         return refuse_input(f"{file}: expected a readable TOML file ({error})")
 
 
+def is_foreign(file: Path) -> bool:
+    """Return whether a file holds a document in the form of a platform."""
+    return file.suffix == _FOREIGN_SUFFIX
+
+
 def read_intent_file(file: Path) -> Result[Intent, Refusal]:
-    """Read an intent document, or name every fault in it."""
+    """Read an intent document, or name every fault in it.
+
+    A JSON file is one in the form of the platform that the daemons run on.
+    """
     text = read_text(file)
     if text.is_err():
         return text
+    if is_foreign(file):
+        return _read_foreign(file, text.unwrap().encode())
     parsed = parse_intent_toml(text.unwrap())
     if parsed.is_err():
         return refuse_faults(str(file), parsed.unwrap_err())
     return Ok(parsed.unwrap())
 
 
+def _read_foreign(file: Path, data: bytes) -> Result[Intent, Refusal]:
+    """Read a platform's document with the first reader that is installed."""
+    reader = next(_iter_readers(), None)
+    if reader is None:
+        return refuse_input(f"{file}: no reader of such documents is installed")
+    read = reader(data)
+    if read.is_err():
+        return refuse_faults(str(file), read.unwrap_err())
+    return Ok(read.unwrap().intent)
+
+
+def _iter_readers() -> Iterator[DocumentReader]:
+    for found in entry_points(group=READERS_GROUP):
+        yield found.load()
+
+
 def intent_to_toml(intent: Intent) -> str:
     """Return a document that `parse_intent_toml` reads back unchanged."""
     return tomli_w.dumps(intent_to_table(intent))
@@ -86,6 +123,7 @@
     "HeldIntent",
     "fetch_intent",
     "fetch_intent_or_empty",
+    "is_foreign",
     "intent_to_toml",
     "read_intent_file",
     "read_text",
--- a/packages/pepperstaird/pepperstaird/reports.py
+++ b/packages/pepperstaird/pepperstaird/reports.py
@@ -46,6 +46,9 @@
         intent = intent_to_table(snapshot.intent)
         return json_reply({"version": snapshot.head.version, "intent": intent})
 
+    async def explain(request: OperatorRequest) -> OperatorReply:
+        return explain_decisions(daemon, request)
+
     async def burn(request: OperatorRequest) -> OperatorReply:
         return await burn_counts(daemon)
 
@@ -53,6 +56,7 @@
     server.add("GET", "/v1/ready", ready)
     server.add("GET", "/v1/intent/", get_intent)
     server.add("GET", "/v1/burn", burn)
+    server.add("GET", "/v1/explain", explain)
 
 
 def status_content(daemon: Daemon) -> dict[str, Any]:
--- /dev/null
+++ b/tests/adapter/mesh.py
@@ -0,0 +1,229 @@
+"""Real daemons on a stand-in of the platform, for tests: VMs, instances, the store."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from benchmarks.fleet import free_port
+from pepperstair_http import (
+    ConnectionLostError,
+    Exchange,
+    Fetcher,
+    HttpServer,
+    ServerLimits,
+    header_value,
+)
+from tests.adapter.store_stand_in import StoreStandIn
+from tests.adapter.test_settings import filled
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+@dataclass
+class Vm:
+    """One VM: its instance, the daemon beside it and their ports."""
+
+    name: str
+    service: str
+    folder: Path
+    store: str
+    n_slots: int = 4
+    ports: dict[str, int] = field(default_factory=dict)
+    heads: list = field(default_factory=list)
+    sequence: int = 0
+    process: subprocess.Popen | None = None
+    work_s: float = 0.0
+
+    def settings_text(self) -> str:
+        """Return the settings that the platform would place."""
+        names = ("outbound", "ready", "control_plane")
+        for name in (*names, "peers", "operators", "metrics"):
+            self.ports.setdefault(name, free_port())
+        return filled(
+            node=self.name,
+            service=self.service,
+            ip="127.0.0.1",
+            **{f"listen.{name}": f"127.0.0.1:{self.ports[name]}" for name in names},
+            **{
+                "port_range.0": str(self.ports["peers"]),
+                "port_range.1": str(self.ports["operators"]),
+                "platform.address": self.store,
+                "app_addr": f"127.0.0.1:{self.ports['app']}",
+            },
+        ).replace(":9464", f":{self.ports['metrics']}")
+
+    def command(self) -> list[str]:
+        """Return the command that starts the daemon."""
+        return [sys.executable, "-m", "pepperstair_adapter"]
+
+    def start_daemon(self) -> None:
+        """Start the daemon on its settings; its log goes on in the same file."""
+        settings = self.folder / f"{self.name}.toml"
+        settings.write_text(self.settings_text())
+        environment = {**os.environ, "PEPPERSTAIR_BOOT": str(settings)}
+        with settings.with_suffix(".log").open("ab") as log:
+            self.process = subprocess.Popen(
+                self.command(),
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def serve(self) -> HttpServer:
+        """Run the instance."""
+        server = HttpServer(self._handle, ServerLimits())
+        self.ports["app"] = await server.listen("127.0.0.1", 0)
+        return server
+
+    async def heartbeat(self, state: str = "ready") -> int:
+        """Announce the instance and return the status of the answer."""
+        self.sequence += 1
+        beat = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.ports['app']}",
+            "zone": "pos-a",
+            "version": "v1",
+            "slots": self.n_slots,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": self.sequence,
+            "born": 1,
+        }
+        path = f"/Instances.Heartbeat/i-{self.name}"
+        body = json.dumps(beat).encode()
+        return (await self.fetch("control_plane", "POST", path, body))[0]
+
+    async def fetch(self, port, method, path, body=b"", headers=()):
+        """Send one request to a port and return status, headers and body."""
+        fetcher = Fetcher("127.0.0.1", self.ports[port], 5000)
+        try:
+            got = await fetcher.fetch(method, path, body, headers)
+        except (OSError, TimeoutError, ConnectionLostError):
+            return 0, (), b""
+        finally:
+            fetcher.close()
+        return got.status, got.headers, got.body
+
+    async def call(self, path="/logs/1", request_id="call-1", timeout_ms=3000):
+        """Send one request of a client of this VM."""
+        headers = (
+            (b"host", b"maps.example"),
+            (b"x-request-id", request_id.encode()),
+            (b"x-request-timeout-ms", b"%d" % timeout_ms),
+            (b"x-caller-service", b"forged"),
+        )
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.ports["outbound"]
+        )
+        lines = [f"GET {path} HTTP/1.1".encode()]
+        lines += [name + b": " + value for name, value in headers]
+        lines += [b"connection: close", b"", b""]
+        writer.write(b"\r\n".join(lines))
+        try:
+            answered = await reader.read()
+        except ConnectionError:
+            return 0, b""
+        finally:
+            writer.close()
+        head, _, content = answered.partition(b"\r\n\r\n")
+        return (int(head.split()[1]) if head else 0), content
+
+    async def _handle(self, exchange: Exchange) -> None:
+        headers = exchange.request.headers
+        self.heads.append(headers)
+        await exchange.body.read_all(1_000_000)
+        await asyncio.sleep(self.work_s)
+        answer = (
+            (b"x-request-id", header_value(headers, b"x-request-id")),
+            (b"x-response-signature", b"s"),
+        )
+        await exchange.respond(200, answer, self.name.encode())
+
+
+class Mesh:
+    """A store stand-in and some VMs."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.store = StoreStandIn()
+        self.address = ""
+        self.vms: list[Vm] = []
+        self.servers: list[HttpServer] = []
+
+    async def add(self, name: str, service: str) -> Vm:
+        """Start a VM whose instance has announced itself."""
+        vm = Vm(name, service, self.folder, self.address)
+        self.servers.append(await vm.serve())
+        self.vms.append(vm)
+        vm.start_daemon()
+        await until(lambda: self._announce(vm), f"{name} takes heartbeats")
+        return vm
+
+    async def ready(self) -> None:
+        """Wait until every daemon is ready and knows every instance."""
+        for vm in self.vms:
+            await until(lambda vm=vm: is_ready(vm), f"{vm.name} is ready")
+            await until(lambda vm=vm: self._knows_all(vm), f"{vm.name} knows all")
+
+    async def _announce(self, vm: Vm) -> bool:
+        return await vm.heartbeat() == 200
+
+    async def _knows_all(self, vm: Vm) -> bool:
+        _, _, body = await vm.fetch("operators", "GET", "/v1/status")
+        members = json.loads(body)["members"]
+        known = {target["name"] for each in members for target in each["targets"]}
+        return known >= {f"i-{each.name}" for each in self.vms}
+
+    def close(self) -> None:
+        """Stop everything that was started."""
+        for vm in self.vms:
+            with contextlib.suppress(ProcessLookupError):
+                vm.process.kill()
+            vm.process.wait()
+        for server in self.servers:
+            server.close()
+        self.store.close()
+
+
+async def until(condition, what: str) -> None:
+    """Wait for a condition, or raise TimeoutError that names it."""
+    deadline_s = asyncio.get_running_loop().time() + 20
+    while not await condition():
+        if asyncio.get_running_loop().time() > deadline_s:
+            raise TimeoutError(what)
+        await asyncio.sleep(0.05)
+
+
+async def is_ready(vm: Vm) -> bool:
+    """Return whether a daemon tells the platform that it is ready."""
+    return (await vm.fetch("ready", "GET", "/readiness"))[0] == 200
+
+
+def on_platform(test):
+    """Run a test with an empty mesh on a stand-in store."""
+
+    def run(tmp_path):
+        async def scenario():
+            mesh = Mesh(tmp_path)
+            mesh.address = await mesh.store.listen()
+            try:
+                async with asyncio.timeout(60):
+                    await test(mesh)
+            finally:
+                mesh.close()
+
+        asyncio.run(scenario())
+
+    run.__name__, run.__doc__ = test.__name__, test.__doc__
+    return run
+
+
+__all__ = ["Mesh", "Vm", "is_ready", "on_platform", "until"]
--- /dev/null
+++ b/tests/soak/link.py
@@ -0,0 +1,129 @@
+"""A TCP relay on loopback that stands for a link, and can go wrong like one."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import StrEnum
+
+from pepperstair_core.config import parse_address
+
+_CHUNK_BYTES = 65_536
+
+
+class LinkFault(StrEnum):
+    """What may happen to a link."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    CUT = "cut"
+    CUT_ONE_WAY = "cut_one_way"
+    SILENCE = "silence"
+
+
+class Link:
+    """Carries connections to one address.
+
+    A cut holds back what is sent until it is healed, as the network's own
+    retransmission would. Silence is for good, but only for the connections of
+    that moment: both ends stay open, and new ones work.
+    """
+
+    def __init__(self, target: str) -> None:
+        self._target = parse_address(target)
+        self._server: asyncio.Server | None = None
+        self._transports: set[asyncio.WriteTransport] = set()
+        self._fault = LinkFault.NONE
+        self._healed = asyncio.Event()
+        self._healed.set()
+        self._n_silenced = 0
+        self._n_connections = 0
+        self.delay_s = 0.0
+        self.address = ""
+
+    async def listen(self) -> str:
+        """Begin to take connections and return the address."""
+        self._server = await asyncio.start_server(self._carry, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self.address
+
+    def close(self) -> None:
+        """Break every connection and stop listening."""
+        self._server.close()
+        self._reset()
+
+    def fail(self, fault: LinkFault, delay_s: float = 0.0) -> None:
+        """Let something go wrong from now on."""
+        self._fault = fault
+        if fault is LinkFault.RESET:
+            self._reset()
+        elif fault is LinkFault.SILENCE:
+            self._n_silenced = self._n_connections
+        elif fault is LinkFault.DELAY:
+            self.delay_s = delay_s
+        else:
+            self._healed.clear()
+
+    def heal(self) -> None:
+        """Carry everything again, also what a cut has held back."""
+        self._fault = LinkFault.NONE
+        self.delay_s = 0.0
+        self._healed.set()
+
+    def _reset(self) -> None:
+        for transport in list(self._transports):
+            transport.abort()
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._n_connections += 1
+        number = self._n_connections
+        if self._fault in (LinkFault.CUT, LinkFault.CUT_ONE_WAY):
+            await self._healed.wait()
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        transports = {writer.transport, far_writer.transport}
+        self._transports |= transports
+        try:
+            await asyncio.gather(
+                self._copy(number, reader, far_writer, is_inward=True),
+                self._copy(number, far_reader, writer, is_inward=False),
+            )
+        except asyncio.CancelledError:
+            # The run is over. Passed on, this would be logged for each connection.
+            return
+        except OSError:
+            # One end is gone; the other is to see a connection that broke.
+            for transport in transports:
+                transport.abort()
+        finally:
+            self._transports -= transports
+
+    async def _copy(
+        self,
+        number: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_inward: bool,
+    ) -> None:
+        while data := await reader.read(_CHUNK_BYTES):
+            if self._fault is LinkFault.CUT or (
+                self._fault is LinkFault.CUT_ONE_WAY and is_inward
+            ):
+                await self._healed.wait()
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            if number > self._n_silenced:
+                writer.write(data)
+                await writer.drain()
+        if number > self._n_silenced:
+            writer.close()
+
+
+__all__ = ["Link", "LinkFault"]
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -10,8 +10,10 @@
 import pytest
 
 from benchmarks.fleet import SCRIPTS, fetch, free_port, running_fleet, wait_until
+from pepperstair_cli import documents
 from pepperstair_cli.__main__ import run
 from pepperstair_cli.output import ExitCode
+from tests.adapter.documents import document, rule
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "lantern.toml"
 
@@ -158,6 +160,29 @@
     ]
 
 
+def test_check_reads_the_document_of_the_platform(command, tmp_path):
+    """An operator checks what is about to be written to the platform's store."""
+    file = tmp_path / "config.json"
+    file.write_bytes(document(7))
+    assert command("check", file)[0] is ExitCode.DONE
+    broken = rule("logs", "/logs", "ledger", action={"timeout_ms": 0})
+    file.write_bytes(document(7, broken))
+    code, _, err = command("check", file)
+    assert code is ExitCode.BAD_INPUT
+    assert err.startswith(f"{file}: listeners[0].policy[0]")
+
+
+def test_check_says_when_no_reader_of_the_document_is_installed(
+    command, tmp_path, monkeypatch
+):
+    monkeypatch.setattr(documents, "READERS_GROUP", "pepperstair.nothing")
+    file = tmp_path / "config.json"
+    file.write_bytes(document(7))
+    code, _, err = command("check", file)
+    assert code is ExitCode.BAD_INPUT
+    assert err == f"{file}: no reader of such documents is installed\n"
+
+
 def test_daemon_that_is_away_refuses_reads_and_leaves_changes_unsent(command):
     address = f"127.0.0.1:{free_port()}"
     for arguments in (("status",), ("apply", EXAMPLE)):
