One type for retry budgets, header names in one place, one decay of what was seen

What earlier work left unclear: the edges were annotated with the token bucket where the fleet's budget stands as well (now a protocol, RetryBudget, and two classes), header names were given to the edges twice, and target health worked out the same decay in two places. Behaviour stays as it is.

--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -15,7 +15,14 @@
 from .fleet_budget import BudgetTerms, FleetRetryBudget
 from .habits import AnswerSizes, Patience
 from .outcome import CallOutcome
-from .retry import Attempt, GiveUp, Retry, RetryBudget, decide_retry
+from .retry import (
+    Attempt,
+    GiveUp,
+    Retry,
+    RetryBudget,
+    TokenRetryBudget,
+    decide_retry,
+)
 from .sampling import is_sampled
 
 __all__ = [
@@ -38,6 +45,7 @@
     "Retry",
     "RetryBudget",
     "TargetChooser",
+    "TokenRetryBudget",
     "Verdict",
     "WaitingCall",
     "decide_retry",
--- a/packages/pepperstair-core/pepperstair_core/calls/retry.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/retry.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
-from typing import Final
+from typing import Final, Protocol
 
 from ..errors import ErrorKind, Failure, Run
 
@@ -81,10 +81,23 @@
     cause: GiveUpCause
 
 
-class RetryBudget:
+class RetryBudget(Protocol):
+    """What may be sent again, in whatever way it is counted."""
+
+    def add_call(self, percent: int) -> None:
+        """Take note of a call, which permits this share of a retry."""
+
+    def take(self, priority: str, has_arrived: bool = True) -> bool:
+        """Use up one retry, and say whether there was one.
+
+        `has_arrived` says whether a target may have seen the call before.
+        """
+
+
+class TokenRetryBudget:
     """A token bucket that each call fills a little and each retry takes from.
 
-    >>> budget = RetryBudget()
+    >>> budget = TokenRetryBudget()
     >>> budget.take("urgent")
     True
     """
@@ -136,5 +149,6 @@
     "GiveUpCause",
     "Retry",
     "RetryBudget",
+    "TokenRetryBudget",
     "decide_retry",
 ]
--- a/packages/pepperstair-core/pepperstair_core/calls/target_health.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/target_health.py
@@ -84,8 +84,7 @@
         What was seen counts half as much after each half-life: a target that
         was slow gets few calls, and so has few chances to show that it is not.
         """
-        age_ms = now_ms - self._latency_seen_ms
-        return self._latency_ms * 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
+        return _faded(self._latency_ms, now_ms - self._latency_seen_ms)
 
     def oldest_age_ms(self, now_ms: float) -> float:
         """Return for how long the oldest timed call has waited, times its weight.
@@ -102,8 +101,7 @@
         """Return the share of calls that failed of late, less as time passes."""
         if self._n_failures < N_FAILURES_MIN:
             return 0.0
-        age_ms = now_ms - self._failure_seen_ms
-        return self._failure_rate * 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
+        return _faded(self._failure_rate, now_ms - self._failure_seen_ms)
 
     def begin(self, now_ms: float, weight: float) -> None:
         """Take the start of a call.
@@ -162,8 +160,7 @@
         self.avoided_until_ms = 0.0
 
     def _see_outcome(self, failed: float, now_ms: float) -> None:
-        age_ms = now_ms - self._failure_seen_ms
-        rate = self._failure_rate * 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
+        rate = _faded(self._failure_rate, now_ms - self._failure_seen_ms)
         if rate < _FORGOTTEN_RATE:
             self._n_failures = 0
         self._n_failures += failed > 0.0
@@ -188,6 +185,11 @@
         return period_ms
 
 
+def _faded(seen: float, age_ms: float) -> float:
+    """Return what something that was seen so long ago still counts for."""
+    return seen * 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
+
+
 __all__ = [
     "EJECTION_BASE_MS",
     "EJECTION_MAX_MS",
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -296,7 +296,7 @@
             now_ms=precise_ms,
             rng=self.rng,
             body_max_bytes=lambda: self.body_max_bytes,
-            header_names=self.edges.header_names,
+            header_names=self.edges.target_options.names,
             service=self.edges.service,
         )
 
--- a/packages/pepperstaird/pepperstaird/edges.py
+++ b/packages/pepperstaird/pepperstaird/edges.py
@@ -15,7 +15,7 @@
 from pepperstair_core.config import Settings
 from pepperstair_core.routing import RouteTable
 from pepperstair_core.versions import Snapshot
-from pepperstair_http import PRODUCT_HEADERS, HeaderNames, HttpServer
+from pepperstair_http import HttpServer
 from pepperstair_operators import OperatorServer
 from pepperstair_platform import PlatformCounters
 from pepperstair_targets import TargetOptions
@@ -97,7 +97,6 @@
     make_budget_of: Callable[[Daemon], Callable[[str], RetryBudget]]
     iter_servers: Callable[[Daemon], Iterator[FurtherServer]] = lambda daemon: iter(())
     reload: Callable[[Daemon], None] = lambda daemon: None
-    header_names: HeaderNames = PRODUCT_HEADERS
     target_options: TargetOptions = TargetOptions()
     service: str = ""
 
--- a/packages/pepperstaird/pepperstaird/product.py
+++ b/packages/pepperstaird/pepperstaird/product.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pepperstair_core.calls import RetryBudget
+from pepperstair_core.calls import RetryBudget, TokenRetryBudget
 from pepperstair_operators import OperatorServer
 from pepperstair_platform import Platform
 
@@ -51,7 +51,7 @@
 
 def _one_budget(daemon: Daemon) -> Callable[[str], RetryBudget]:
     """Return one budget for all services of a daemon."""
-    budget = RetryBudget()
+    budget = TokenRetryBudget()
     return lambda service: budget
 
 
--- a/tests/call_load.py
+++ b/tests/call_load.py
@@ -18,8 +18,8 @@
     EndKind,
     GiveUp,
     Load,
-    RetryBudget,
     TargetChooser,
+    TokenRetryBudget,
     WaitingCall,
     decide_retry,
 )
@@ -109,7 +109,7 @@
         self.chooser = decisions.chooser("z", self.rng)
         self.admissions = [decisions.admission(12) for _ in self.endpoints]
         self.loads = [Load(0, 0)] * n_targets
-        self.budget = RetryBudget()
+        self.budget = TokenRetryBudget()
         self.report = Report()
         self.now_ms = 0.0
         self._events, self._order = [], itertools.count()
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, replace
 
 from pepperstair_callers import Proxy, ProxyContext
-from pepperstair_core.calls import CallOutcome, RetryBudget, TargetChooser
+from pepperstair_core.calls import CallOutcome, TargetChooser, TokenRetryBudget
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.intent import Policy, Route, Service
 from pepperstair_core.labels import parse_selector
@@ -183,7 +183,7 @@
 
     def _context(self, body_max_bytes: int) -> ProxyContext:
         rng = random.Random(4)
-        budget = RetryBudget()
+        budget = TokenRetryBudget()
         return ProxyContext(
             vm="front",
             route_table=lambda: self.table,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -13,7 +13,7 @@
     GiveUp,
     RefusalCause,
     Retry,
-    RetryBudget,
+    TokenRetryBudget,
     WaitingCall,
     decide_retry,
 )
@@ -148,7 +148,7 @@
     ],
 )
 def test_only_what_cannot_run_twice_is_sent_again(failed, cause):
-    decision = decide_retry(failed, RetryBudget(), Random(1))
+    decision = decide_retry(failed, TokenRetryBudget(), Random(1))
     assert isinstance(decision, Retry) if cause is None else decision == GiveUp(cause)
 
 
@@ -163,14 +163,14 @@
 
 
 def test_budget_ends_retries_during_an_outage():
-    budget, rng = RetryBudget(), Random(2)
+    budget, rng = TokenRetryBudget(), Random(2)
     decisions = []
     for _ in range(200):
         budget.add_call(10)
         decisions.append(decide_retry(attempt(ErrorKind.DRAINING), budget, rng))
     n_retries = sum(isinstance(decision, Retry) for decision in decisions)
     assert n_retries == 30
-    budget = RetryBudget()
+    budget = TokenRetryBudget()
     while budget.take("deferrable") or budget.take("normal"):
         pass
     assert budget.take("urgent")
--- a/tests/test_data_streams.py
+++ b/tests/test_data_streams.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from pepperstair_core.calls import Attempt, Retry, RetryBudget, decide_retry
+from pepperstair_core.calls import Attempt, Retry, TokenRetryBudget, decide_retry
 from pepperstair_core.errors import ErrorKind, PepperstairError, Run
 from pepperstair_core.wire import (
     AnswerHead,
@@ -211,7 +211,7 @@
                 is_replayable=True,
                 time_left_ms=5000,
             )
-            decision = decide_retry(attempt, RetryBudget(), Random(0))
+            decision = decide_retry(attempt, TokenRetryBudget(), Random(0))
             assert isinstance(decision, Retry) is is_idempotent
 
     asyncio.run(scenario())
