Ignore SIGHUP until the daemon handles it

Cause: SIGHUP came 0.5 s after its start, while it was importing modules; the default action of an unhandled SIGHUP is to end the process. Ruled out: a fault of the handler itself (the process had logged nothing yet).

--- a/packages/pepperstaird/pepperstaird/__main__.py
+++ b/packages/pepperstaird/pepperstaird/__main__.py
@@ -13,6 +13,7 @@
 from pepperstair_core.schema import Fault
 
 from . import light_imports
+from .hangup import ignore_hangup
 
 EXIT_OK: Final = 0
 EXIT_BAD_INPUT: Final = 2
@@ -28,6 +29,7 @@
 
 def main() -> None:
     """Run the daemon, or only check its settings."""
+    ignore_hangup()
     # The operators' command line uses cyclopts. Here it would cost 3 of the
     # 32 MB that the daemon may use, for two options.
     parser = _Parser(
