End with code 0 whatever signals come after a clean stop

Cause, from its log: it had written 'stopped'; SIGHUP came between the end of its event loop, which takes the handlers away, and the end of the process. Ruled out: a reload that fails (two reloads during the stop are logged without faults).

After the stop the three signals are ignored. Before: the new test, which sends signals every 2 ms until the end, sees -1; after: 0.

--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -56,6 +56,8 @@
 log = structlog.get_logger(__name__)
 
 EXIT_START_FAILED: Final = 1
+_STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+_SIGNALS: Final = (*_STOP_SIGNALS, signal.SIGHUP)
 _LEASE_CHECK_S: Final = 0.25
 _DRAIN_CHECK_S: Final = 0.02
 _FLUSH_S: Final = 0.1
@@ -379,7 +381,7 @@
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(log_loop_error)
     stopping = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in _STOP_SIGNALS:
         loop.add_signal_handler(number, stopping.set)
     daemon = Daemon(settings, edges)
     loop.add_signal_handler(signal.SIGHUP, lambda: edges.reload(daemon))
@@ -392,7 +394,19 @@
         return EXIT_START_FAILED
     await stopping.wait()
     await daemon.stop()
+    _ignore_signals(loop)
     return 0
 
 
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Let no signal end the process between its loop's end and its own.
+
+    A closed loop leaves each signal with its default, which would end a daemon that
+    has stopped cleanly with an error code, and its operator would look for a crash.
+    """
+    for number in _SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 __all__ = ["EXIT_START_FAILED", "Daemon", "run_daemon"]
--- a/tests/adapter/test_process_platform.py
+++ b/tests/adapter/test_process_platform.py
@@ -176,6 +176,24 @@
     assert await asyncio.to_thread(vm.process.wait, 2) == 0
 
 
+@on_platform
+async def test_signals_that_come_until_the_end_do_not_change_how_it_ends(mesh):
+    """The platform stops a daemon and sends further signals until it is gone.
+
+    Between the end of its event loop and that of the process nobody handles them; a
+    stop that was clean would look like a crash.
+    """
+    mesh.store.put("op", "config", document(7))
+    vm = await mesh.add("vm-1", "ledger")
+    await mesh.ready()
+    vm.process.send_signal(signal.SIGTERM)
+    while vm.process.poll() is None:
+        vm.process.send_signal(signal.SIGHUP)
+        vm.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.002)
+    assert vm.process.returncode == 0
+
+
 @on_platform
 async def test_sighup_cuts_nothing(mesh):
     """The settings file changes and the platform says so by a signal."""
