Take changed settings while the daemon runs, also without a signal

The fleet's retry budget asks for its terms at each call, so that what was used before a change still counts.

--- a/packages/pepperstair-core/pepperstair_core/calls/fleet_budget.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/fleet_budget.py
@@ -35,70 +35,72 @@
 
     Blind retries multiply the load on a service just when it can bear it least,
     and a budget for each daemon adds up to any number of them. A retry of a
-    call that no target has seen adds nothing to the load and is free.
+    call that no target has seen adds nothing to the load and is free. `terms` is asked
+    for each call, as operators may change them.
 
-    >>> budget = FleetRetryBudget(BudgetTerms(0.0, 8, 10_000), lambda: 0.0, lambda: 3)
+    >>> terms = BudgetTerms(0.0, 8, 10_000)
+    >>> budget = FleetRetryBudget(lambda: terms, lambda: 0.0, lambda: 3)
     >>> budget.take("urgent"), budget.take("urgent"), budget.take("urgent")
     (True, True, False)
     """
 
     def __init__(
         self,
-        terms: BudgetTerms,
+        terms: Callable[[], BudgetTerms],
         now_ms: Callable[[], float],
         n_daemons: Callable[[], int],
     ) -> None:
         self._terms = terms
         self._now_ms = now_ms
         self._n_daemons = n_daemons
-        self._n_calls = _Window(terms.window_ms)
-        self._n_retries = _Window(terms.window_ms)
+        self._n_calls = _Window()
+        self._n_retries = _Window()
 
     def add_call(self, percent: int) -> None:
         """Take note of a call."""
-        self._n_calls.add(self._now_ms())
+        self._n_calls.add(self._now_ms(), self._terms().window_ms)
 
     def take(self, priority: str, has_arrived: bool = True) -> bool:
         """Use up one retry, and say whether there was one."""
         if not has_arrived:
             return True
         now_ms = self._now_ms()
-        terms = self._terms
-        allowed = terms.ratio * self._n_calls.sum(now_ms)
+        terms = self._terms()
+        window_ms = terms.window_ms
+        allowed = terms.ratio * self._n_calls.sum(now_ms, window_ms)
         allowed += terms.n_min / max(1, self._n_daemons())
         allowed *= USED_SHARE * SHARE_OF_PRIORITY[priority]
-        if self._n_retries.sum(now_ms) + 1 > allowed:
+        if self._n_retries.sum(now_ms, window_ms) + 1 > allowed:
             return False
-        self._n_retries.add(now_ms)
+        self._n_retries.add(now_ms, window_ms)
         return True
 
 
 class _Window:
     """A count over the last while, kept in a few buckets."""
 
-    __slots__ = ("_bucket_ms", "_buckets", "_n_total", "_window_ms")
+    __slots__ = ("_buckets", "_n_total")
 
-    def __init__(self, window_ms: int) -> None:
-        self._window_ms = window_ms
-        self._bucket_ms = window_ms / _N_BUCKETS
+    def __init__(self) -> None:
         self._buckets: deque[list[float]] = deque()
         self._n_total = 0
 
-    def add(self, now_ms: float) -> None:
+    def add(self, now_ms: float, window_ms: int) -> None:
         """Count one."""
-        self._expire(now_ms)
-        if not self._buckets or now_ms - self._buckets[-1][0] >= self._bucket_ms:
+        self._expire(now_ms, window_ms)
+        bucket_ms = window_ms / _N_BUCKETS
+        if not self._buckets or now_ms - self._buckets[-1][0] >= bucket_ms:
             self._buckets.append([now_ms, 0])
         self._buckets[-1][1] += 1
         self._n_total += 1
 
-    def sum(self, now_ms: float) -> int:
+    def sum(self, now_ms: float, window_ms: int) -> int:
         """Return the count of the window that ends now."""
-        self._expire(now_ms)
+        self._expire(now_ms, window_ms)
         return self._n_total
 
-    def _expire(self, now_ms: float) -> None:
-        kept_ms = self._window_ms + self._bucket_ms
+    def _expire(self, now_ms: float, window_ms: int) -> None:
+        kept_ms = window_ms + window_ms / _N_BUCKETS
         while self._buckets and now_ms - self._buckets[0][0] > kept_ms:
             self._n_total -= self._buckets.popleft()[1]
 
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -170,6 +170,7 @@
         self.configuration.on_changed = lambda snapshot: self._renew_endpoints()
         self.configuration.on_converged = self._count_convergence
         self._lease_task: asyncio.Task[None] | None = None
+        self._settings_task: asyncio.Task[None] | None = None
 
     @property
     def ready_by(self) -> str:
@@ -224,7 +225,11 @@
         self.control.start()
         self.member_table.start()
         self.metrics.start()
-        self._lease_task = asyncio.get_running_loop().create_task(self._check_leases())
+        loop = asyncio.get_running_loop()
+        self._lease_task = loop.create_task(self._check_leases())
+        if self.edges.follow_settings is not None:
+            following = self.edges.follow_settings(self)
+            self._settings_task = loop.create_task(following)
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
 
     async def stop(self) -> None:
@@ -243,6 +248,8 @@
         self.control.leave()
         await asyncio.gather(self.member_table.remove_own(), self._wait_for_calls())
         self._lease_task.cancel()
+        if self._settings_task is not None:
+            self._settings_task.cancel()
         self.metrics.close()
         self.configuration.close()
         self.control.close()
--- a/packages/pepperstaird/pepperstaird/edges.py
+++ b/packages/pepperstaird/pepperstaird/edges.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -97,6 +97,7 @@
     make_budget_of: Callable[[Daemon], Callable[[str], RetryBudget]]
     iter_servers: Callable[[Daemon], Iterator[FurtherServer]] = lambda daemon: iter(())
     reload: Callable[[Daemon], None] = lambda daemon: None
+    follow_settings: Callable[[Daemon], Coroutine[Any, Any, None]] | None = None
     target_options: TargetOptions = TargetOptions()
     service: str = ""
 
--- a/tests/test_fleet_budget.py
+++ b/tests/test_fleet_budget.py
@@ -21,7 +21,7 @@
     """
     clock = {"ms": 0.0}
     budgets = [
-        FleetRetryBudget(TERMS, lambda: clock["ms"], lambda: n_daemons)
+        FleetRetryBudget(lambda: TERMS, lambda: clock["ms"], lambda: n_daemons)
         for _ in range(n_daemons)
     ]
     rng = Random(1)
@@ -42,13 +42,17 @@
 
 
 def test_call_that_no_target_has_seen_is_sent_on_for_nothing():
-    budget = FleetRetryBudget(BudgetTerms(0.0, 0, 10_000), lambda: 0.0, lambda: 3)
+    budget = FleetRetryBudget(
+        lambda: BudgetTerms(0.0, 0, 10_000), lambda: 0.0, lambda: 3
+    )
     assert not budget.take("urgent")
     assert all(budget.take("deferrable", has_arrived=False) for _ in range(100))
 
 
 def test_less_urgent_calls_leave_something_to_the_others():
-    budget = FleetRetryBudget(BudgetTerms(0.0, 100, 10_000), lambda: 0.0, lambda: 1)
+    budget = FleetRetryBudget(
+        lambda: BudgetTerms(0.0, 100, 10_000), lambda: 0.0, lambda: 1
+    )
     while budget.take("deferrable"):
         pass
     assert budget.take("normal")
