--- a/tests/soak/link.py
+++ b/tests/link.py
@@ -26,11 +26,13 @@
 
     A cut holds back what is sent until it is healed, as the network's own
     retransmission would. Silence is for good, but only for the connections of
-    that moment: both ends stay open, and new ones work.
+    that moment: both ends stay open, and new ones work. Without a port the system
+    chooses one, and `address` is known once it listens.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, port: int = 0) -> None:
         self._target = parse_address(target)
+        self._port = port
         self._server: asyncio.Server | None = None
         self._transports: set[asyncio.WriteTransport] = set()
         self._fault = LinkFault.NONE
@@ -39,11 +41,11 @@
         self._n_silenced = 0
         self._n_connections = 0
         self.delay_s = 0.0
-        self.address = ""
+        self.address = f"127.0.0.1:{port}" if port else ""
 
     async def listen(self) -> str:
         """Begin to take connections and return the address."""
-        self._server = await asyncio.start_server(self._carry, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._carry, "127.0.0.1", self._port)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
         return self.address
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -12,7 +12,6 @@
     Fleet,
     fetch,
     fetch_async,
-    free_port,
     status_of,
     wait_until,
 )
@@ -193,71 +192,3 @@
     await wait_for_runs(targets, N_SLOW_CALLS)
     await leave()
     return await asyncio.gather(*calls)
-
-
-class Relay:
-    """A TCP relay in the test that can forget the connections it carries.
-
-    A forgotten connection stays open at both ends and carries nothing any more,
-    as when a firewall between them has lost its state; new ones work.
-    """
-
-    def __init__(self, target: str) -> None:
-        self.port = free_port()
-        self._target = parse_address(target)
-        self._server: asyncio.Server | None = None
-        self._writers: list[asyncio.StreamWriter] = []
-        self._n_forgotten = 0
-        self.n_connections = 0
-
-    @property
-    def address(self) -> str:
-        """Return the address that the relay listens on."""
-        return f"127.0.0.1:{self.port}"
-
-    async def start(self) -> None:
-        """Begin to take connections."""
-        self._server = await asyncio.start_server(
-            self._carry, "127.0.0.1", self.port, limit=2**20
-        )
-
-    def forget_all(self) -> None:
-        """Carry nothing more on the connections of now, without closing them."""
-        self._n_forgotten = self.n_connections
-
-    async def close(self) -> None:
-        """Break every connection and stop listening."""
-        self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
-        await asyncio.sleep(0)
-
-    async def _carry(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.n_connections += 1
-        number = self.n_connections
-        try:
-            other_reader, other_writer = await asyncio.open_connection(*self._target)
-        except OSError:
-            writer.transport.abort()
-            return
-        self._writers.extend((writer, other_writer))
-        await asyncio.gather(
-            self._copy(number, reader, other_writer),
-            self._copy(number, other_reader, writer),
-            return_exceptions=True,
-        )
-
-    async def _copy(
-        self,
-        number: int,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        while data := await reader.read(65_536):
-            if number > self._n_forgotten:
-                writer.write(data)
-                await writer.drain()
-        if number > self._n_forgotten:
-            writer.close()
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -11,10 +11,10 @@
 from pathlib import Path
 
 from tests.adapter.mesh import Vm
+from tests.link import Link
 
 from .history import Disturbance, History
 from .instance import HEARTBEAT_S, Instance
-from .link import Link
 
 _RESTART_S = 0.3
 _LOOK_S = 0.02
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from .link import LinkFault
+from tests.link import LinkFault
 
 
 class FaultKind(StrEnum):
--- a/tests/test_process_silence.py
+++ b/tests/test_process_silence.py
@@ -5,9 +5,9 @@
 import asyncio
 
 from benchmarks.fleet import DaemonProcess, Fleet, free_port, wait_until
+from tests.link import Link, LinkFault
 from tests.process_fleet import (
     FAST_MEMBERS,
-    Relay,
     award_document,
     call_async,
     is_ready,
@@ -20,11 +20,11 @@
 N_CALLS = 40
 
 
-def start_behind_relay(fleet: Fleet) -> tuple[DaemonProcess, DaemonProcess, Relay]:
+def start_behind_relay(fleet: Fleet) -> tuple[DaemonProcess, DaemonProcess, Link]:
     """Start two daemons, the second of which others reach through a relay."""
     caller_side = fleet.start_daemon("vm-0", "pos-a", "{}", FAST_MEMBERS)
     address = f"127.0.0.1:{free_port()}"
-    relay = Relay(address)
+    relay = Link(address, free_port())
     target_side = fleet.start_daemon(
         "vm-1", "pos-b", "{}", FAST_MEMBERS, address, relay.address
     )
@@ -40,7 +40,7 @@
 
     async def run() -> None:
         caller_side, target_side, relay = start_behind_relay(fleet)
-        await relay.start()
+        await relay.listen()
         # The relay uses plain streams, so the loop of the other thread shares no
         # buffer with it.
         await asyncio.to_thread(prepare, caller_side, target_side)
@@ -58,7 +58,7 @@
             for index in range(8)
         ]
         await wait_for_runs(targets, 9)
-        relay.forget_all()
+        relay.fail(LinkFault.SILENCE)
         later = [
             asyncio.create_task(
                 call_async(caller_side.callers, f"later-{index}", timeout_ms="9000")
@@ -66,7 +66,7 @@
             for index in range(N_CALLS)
         ]
         told = await asyncio.gather(*slow, *later)
-        await relay.close()
+        relay.close()
         assert {answer.status for answer in told} == {200}
 
     targets: list[str] = []
