Daemons on slow links take versions as packed copies and hold no watch

Ruled out: longer rests alone (the neighbours' copies keep a daemon within the bound, so that its own reading only repeats them); a copy of the document in a row of our own (one more writer that can be lost at the wrong moment).

Where the document takes the link over 0.2 s the daemon looks at the table for a moment every 6 to 10 s, and asks a neighbour at once when it hears of a version. Daemons on fast links, one of each zone, and those with fewer than two neighbours watch as before; at 1,000 Mbit/s nothing changes.

--- a/packages/pepperstaird/pepperstaird/configuration/follower.py
+++ b/packages/pepperstaird/pepperstaird/configuration/follower.py
@@ -58,6 +58,13 @@
 # meanwhile, packed. Bounded, as a neighbour may be cut off.
 _SETTLE_LINK_SHARES: Final = 2.0
 _SETTLE_MAX_S: Final = 1.5
+# Where the document takes the VM's link longer than this, the daemon holds no watch:
+# it looks now and then, and otherwise takes the packed copies of its neighbours. A
+# watch would bring the whole document with each version, in the way of all calls.
+_WATCHED_MAX_S: Final = 0.2
+_LOOK_STEP_S: Final = 0.5
+# A neighbour that was asked for a copy has this long before another one is.
+_PULL_AGAIN_S: Final = 0.5
 # How long the own watch may take to bring a version that a neighbour has
 # already: asking at once would carry each version once more to everyone.
 _PULL_DELAY_S: Final = 0.25
@@ -70,7 +77,8 @@
 
     `key` names the row of the table that holds the document. `on_document` is
     called after each version that was put in force, which `document` then is.
-    `carry_s` tells for how long the VM's link carries so many bytes of a document.
+    `carry_s` tells for how long the VM's link carries so many bytes of a document,
+    `is_source` whether others may depend on this daemon's watch, or it on its own.
     """
 
     def __init__(
@@ -84,8 +92,12 @@
         rng: random.Random,
         on_document: Callable[[], None] = lambda: None,
         carry_s: Callable[[int], float] = lambda n_bytes: 0.0,
+        is_source: Callable[[], bool] = lambda: True,
     ) -> None:
         self._carry_s = carry_s
+        self._is_source = is_source
+        self._asked_version = 0
+        self._asked_s = 0.0
         self._on_document = on_document
         self._table = table
         self._key = key
@@ -201,9 +213,31 @@
         if position is None:
             return await self._table.read()
         least = _FIRST_WAIT_MIN_SHARE if is_first else _WAIT_MIN_SHARE
-        share = self._rng.uniform(least, 1.0)
+        wait_ms = int(_WAIT_MAX_MS * self._rng.uniform(least, 1.0))
+        if not self._holds_watch():
+            wait_ms = await self._rest_unless_source(wait_ms)
         known = max(position, self._position)
-        return await self._table.wait(known, int(_WAIT_MAX_MS * share))
+        return await self._table.wait(known, wait_ms)
+
+    def _holds_watch(self) -> bool:
+        """Return whether the table is watched all the time.
+
+        Daemons on fast links are, and one of each availability zone; between them
+        and all the others, who look at different moments, a version is found at once.
+        """
+        if self.document is None or self._is_source():
+            return True
+        return self._carry_s(len(self.document.data)) <= _WATCHED_MAX_S
+
+    async def _rest_unless_source(self, rest_ms: int) -> int:
+        """Leave the table alone for a while, and return how long to watch it then."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + rest_ms / 1000
+        while loop.time() < ends_s:
+            await asyncio.sleep(min(_LOOK_STEP_S, rest_ms / 1000))
+            if self._holds_watch():
+                return rest_ms
+        return 0
 
     def _settle_s(self, rows: WatchedRows) -> float:
         """Return how long to leave the table alone after an answer."""
@@ -320,12 +354,19 @@
     def _pull_soon(self, vm: str) -> None:
         if self._pull_timer is not None:
             return
-        delay_s = 0.0 if self.document is None else _PULL_DELAY_S
         loop = asyncio.get_running_loop()
+        delay_s = _PULL_DELAY_S
+        if self.document is None or not self._holds_watch():
+            # Nothing else will bring it.
+            delay_s = 0.0
+        if self._asked_version == self._following.version:
+            delay_s = max(delay_s, self._asked_s + _PULL_AGAIN_S - loop.time())
         self._pull_timer = loop.call_later(delay_s, self._pull, vm)
 
     def _pull(self, vm: str) -> None:
         self._pull_timer = None
+        self._asked_version = self._following.version
+        self._asked_s = asyncio.get_running_loop().time()
         self._control.send(vm, DocumentPull(self._following.version))
 
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -108,12 +108,19 @@
     return Ok(WatchedRows(found, position))
 
 
-def follow(table, control, frames=(), for_s=0.05, seed=1):
+def follow(table, control, frames=(), for_s=0.05, seed=1, **more):
     """Let a follower run for a moment and return it."""
 
     async def scenario() -> ConfigurationFollower:
         following = ConfigurationFollower(
-            table, "config", read, {}, control, DecisionLog(), random.Random(seed)
+            table,
+            "config",
+            read,
+            {},
+            control,
+            DecisionLog(),
+            random.Random(seed),
+            **more,
         )
         following.start()
         await asyncio.sleep(0.01)
@@ -258,21 +265,44 @@
     """
     monkeypatch.setattr(follower, "_SETTLE_S", 0.0)
     table = FakeTable(rows(3, b"5"), rows(4, b"6"), rows(5, b"7"))
+    slow = {"carry_s": lambda n_bytes: 0.1 * n_bytes}
+    follow(table, FakeControl(), for_s=0.09, **slow)
+    assert len(table.calls) == 1
+
+
+def test_daemon_on_a_slow_link_takes_versions_from_its_neighbours(monkeypatch):
+    """The document takes the VM's link a second. Its watch would bring it with each
+    version, and all calls would wait behind it.
+    """
+    monkeypatch.setattr(follower, "_SETTLE_S", 0.0)
+    monkeypatch.setattr(follower, "_SETTLE_MAX_S", 0.0)
+    table = FakeTable(rows(3, b"5"))
+    control = FakeControl("vm-2", "vm-3")
+    frames = [("vm-2", DocumentHave(7)), ("vm-3", DocumentHave(7))]
+    slow = {"carry_s": lambda n_bytes: 1.0, "is_source": lambda: False}
+    follow(table, control, frames, **slow)
+    assert table.calls == [None]
+    # It asks one of them at once, and no second one for the same version.
+    assert [sent for sent in control.sent if sent[1] == DocumentPull(5)] == [
+        ("vm-2", DocumentPull(5))
+    ]
 
-    async def scenario() -> int:
-        following = ConfigurationFollower(
-            table,
-            "config",
-            read,
-            {},
-            FakeControl(),
-            DecisionLog(),
-            random.Random(1),
-            carry_s=lambda n_bytes: 0.1 * n_bytes,
-        )
-        following.start()
-        await asyncio.sleep(0.1)
-        following.close()
-        return len(table.calls)
 
-    assert asyncio.run(scenario()) == 1
+def test_daemon_on_a_slow_link_watches_where_others_depend_on_it(monkeypatch):
+    """The last neighbour of a daemon on a slow link is gone, or it is the one of its
+    zone that finds versions for the others.
+    """
+    monkeypatch.setattr(follower, "_SETTLE_S", 0.0)
+    monkeypatch.setattr(follower, "_SETTLE_MAX_S", 0.0)
+    monkeypatch.setattr(follower, "_LOOK_STEP_S", 0.01)
+    table = FakeTable(rows(3, b"5"))
+    is_source = [False]
+    slow = {"carry_s": lambda n_bytes: 1.0, "is_source": lambda: is_source[0]}
+    control = FakeControl()
+    frames = [("vm-2", DocumentHave(5))]
+    follow(table, control, frames, **slow)
+    assert table.calls == [None]
+    is_source[0] = True
+    table = FakeTable(rows(3, b"5"))
+    follow(table, control, frames, **slow)
+    assert table.calls == [None, 3] and table.waits_ms[0] > 0
