--- a/packages/pepperstair-targets/pepperstair_targets/ordered.py
+++ b/packages/pepperstair-targets/pepperstair_targets/ordered.py
@@ -15,10 +15,10 @@
 
 log = structlog.get_logger(__name__)
 
-# One target lives beside a daemon at a time; a held-up word of the last dozens
-# of them is more than ever comes.
+# One target lives beside a daemon at a time; a delayed announcement of the last
+# dozens of them is more than ever comes.
 N_DEPARTURES_MAX: Final = 64
-# How long a word may be held up on its way; the platform speaks of seconds.
+# How long an announcement may be delayed on its way; the platform speaks of seconds.
 HELD_UP_MAX_MS: Final = 30_000
 # Stands for the last of all sequence numbers: nothing of that start counts any more.
 LAST_SEQUENCE: Final = 2**63 - 1
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """What a target says of itself, and where it stands among its words.
+    """What a target says of itself, and its place among its announcements.
 
     `start_ms` is when the target was started, in Unix milliseconds, 0 where that
     is not told; `sequence` rises with each announcement since.
@@ -38,7 +38,7 @@
 
     @property
     def place(self) -> tuple[int, int]:
-        """Return where it stands among the words of one target."""
+        """Return what orders the announcements of one target."""
         return self.start_ms, self.sequence
 
 
@@ -46,7 +46,7 @@
 class Departure:
     """That a target leaves, said at `noted_ms` in Unix milliseconds.
 
-    What it said up to this start and sequence counts no more.
+    Its announcements up to this start and sequence count no more.
     """
 
     name: str
@@ -56,7 +56,7 @@
 
     @property
     def place(self) -> tuple[int, int]:
-        """Return the place of the last word that counts no more."""
+        """Return the place of the last announcement that counts no more."""
         return self.start_ms, self.sequence
 
 
@@ -69,7 +69,7 @@
 
     Where targets don't tell when they started, another name, or a count that
     begins anew, is taken for the next target only after the one that is known was
-    silent for `silent_ms`, and a name that said farewell may come back after
+    silent for `silent_ms`, and a name that deregistered may come back after
     `HELD_UP_MAX_MS`.
     """
 
@@ -110,7 +110,7 @@
         return True
 
     def leave(self, name: str) -> bool:
-        """Take the farewell of a target; that of an earlier one changes nothing.
+        """Take the deregistration of a target; that of an earlier one changes nothing.
 
         It is remembered also where the target is not known: after a restart of
         this daemon it may be the first that is heard of it, and what the target
@@ -167,8 +167,8 @@
     def _has_ended(self, newest: Announcement) -> bool:
         """Return whether the target of now has left, or seems to have crashed.
 
-        A held-up word of an earlier target would else put it in the place of the
-        one that lives, which refuses all calls that are meant for the other.
+        A delayed announcement of an earlier target would else put that in the place
+        of the one that lives, which refuses all calls that are meant for the other.
         """
         departure = self._departures.get(newest.target.name)
         if departure is not None and departure.sequence == LAST_SEQUENCE:
--- a/packages/pepperstaird/pepperstaird/departure_rows.py
+++ b/packages/pepperstaird/pepperstaird/departure_rows.py
@@ -62,7 +62,7 @@
         """Return once the row was read, or after a while without it.
 
         With the platform away the daemon can't know; a target that serves is
-        worth more than the rare word that was held up.
+        worth more than what a rare delayed announcement costs.
         """
         if not self._reading().done():
             await asyncio.wait([self._reading()], timeout=WAIT_MAX_S)
--- a/tests/adapter/test_process_platform.py
+++ b/tests/adapter/test_process_platform.py
@@ -97,8 +97,8 @@
 
 
 @on_platform
-async def test_acknowledged_farewell_outlives_the_daemon(mesh):
-    """An instance says farewell and the daemon beside it is killed. A heartbeat that
+async def test_acknowledged_deregistration_outlives_the_daemon(mesh):
+    """An instance deregisters and the daemon beside it is killed. A heartbeat that
     was held up arrives at the next process.
 
     Its callers would be sent to the instance until it ends under them.
--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -86,7 +86,7 @@
         self._n_running = 0
 
     async def crash(self, for_s: float) -> None:
-        """Die without a word, and start again under another name."""
+        """Crash without a sign, and start again under another name."""
         if self._is_changing:
             return
         self._is_changing = True
@@ -97,7 +97,7 @@
     async def leave(self, *, is_abrupt: bool) -> None:
         """Say that it leaves, serve on for a while and end; another one follows.
 
-        One word from before arrives late, as if it had been held up.
+        One heartbeat from before arrives late, as if it had been delayed.
         """
         if self._is_changing:
             return
--- a/tests/test_departure_rows.py
+++ b/tests/test_departure_rows.py
@@ -65,7 +65,7 @@
         return is_taken
 
     async def leave(self) -> None:
-        """Take the farewell of the target and acknowledge it."""
+        """Take the deregistration of the target and acknowledge it."""
         self.announcements.leave("i-1")
         await self.rows.save()
 
@@ -74,8 +74,8 @@
         return [target.state for target in self.registry.targets()]
 
 
-def test_restarted_daemon_remembers_the_farewell_that_it_acknowledged():
-    """An instance says farewell, the daemon acknowledges it and is killed; what the
+def test_restarted_daemon_remembers_the_deregistration_that_it_acknowledged():
+    """An instance deregisters, the daemon acknowledges it and is killed; what the
     instance said before was held up and arrives at the new process.
 
     Taken for news, it would bring requests to an instance that is about to end.
@@ -94,8 +94,8 @@
 
 
 def test_restarted_daemon_remembers_that_its_target_drains():
-    """The daemon is killed after it acknowledged that its instance drains. A word
-    from before that comes first, and only then the next one from after it.
+    """The daemon is killed after it acknowledged that its instance drains. A
+    heartbeat from before that comes first, and only then the next one from after it.
     """
 
     async def scenario() -> None:
--- a/tests/test_ordered_announcements.py
+++ b/tests/test_ordered_announcements.py
@@ -50,7 +50,7 @@
 
 
 def test_successor_at_the_address_replaces_the_crashed_one():
-    """An instance crashes; its last word is delayed and arrives after that of the
+    """An instance crashes; its last heartbeat is delayed and arrives after that of the
     next one at the same address.
 
     Requests for the crashed one would reach a process that never heard of them.
@@ -71,8 +71,8 @@
     assert not fixture.take("i-1", 100, 51)
 
 
-def test_announcement_after_the_farewell_changes_nothing():
-    """An instance says farewell; a delayed announcement of it arrives."""
+def test_announcement_after_the_deregistration_changes_nothing():
+    """An instance deregisters; a delayed announcement of it arrives."""
     fixture = Fixture()
     fixture.take("i-1", 100, 5)
     assert fixture.announcements.leave("i-1")
@@ -81,8 +81,8 @@
     assert fixture.take("i-1", 900, 1)
 
 
-def test_farewell_that_comes_first_is_remembered():
-    """A daemon restarts, and the first it hears of its instance is the farewell.
+def test_deregistration_that_comes_first_is_remembered():
+    """A daemon restarts, and the first it hears of its instance is the deregistration.
 
     What the instance said before was held up and arrives two seconds later. Taken
     for news, it would bring requests to an instance that is about to end.
@@ -97,9 +97,9 @@
     assert fixture.states() == {"i-1": SERVING}
 
 
-def test_held_up_word_of_an_earlier_target_does_not_replace_the_one_that_lives():
+def test_delayed_announcement_does_not_replace_the_target_that_lives():
     """Targets here don't tell when they started. One has crashed, another lives at
-    its address, and a word of the first arrives late.
+    its address, and an announcement of the first arrives late.
 
     The daemon would send calls for the first one, which the second refuses.
     """
@@ -114,7 +114,7 @@
     assert fixture.states() == {"i-1": SERVING}
 
 
-def test_successor_of_a_target_that_said_farewell_is_taken_at_once():
+def test_successor_of_a_target_that_deregistered_is_taken_at_once():
     fixture = Fixture(silent_ms=3000)
     fixture.take("i-1", 0, 1)
     fixture.announcements.leave("i-1")
@@ -146,7 +146,7 @@
     assert fixture.take("i-1", 0, 3)
 
 
-def test_name_that_said_farewell_long_ago_may_come_back_without_telling_when():
+def test_name_that_deregistered_long_ago_may_come_back_without_telling_when():
     """What a target said can be held up for seconds, not for half a minute."""
     fixture = Fixture()
     fixture.take("i-1", 0, 5)
