Read again: the process around the daemon on its own, one loop that reads bodies, no doubled explain

Fetcher read a body in a loop of its own beside BodyBuffer.read_all, which now tells of each part. reports registered 'explain' that the product's own operations then silently replaced; add_decisions is called where it is wanted. The soak had a caller's pause in four places and two constants that nobody used outside their module.

--- a/packages/pepperstair-cli/pepperstair_cli/documents.py
+++ b/packages/pepperstair-cli/pepperstair_cli/documents.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from importlib.metadata import entry_points
 from typing import TYPE_CHECKING, Final
@@ -11,14 +10,13 @@
 from result import Ok, Result
 
 from pepperstair_core.errors import ErrorKind
-from pepperstair_core.following import FollowedDocument
+from pepperstair_core.following import DocumentReader
 from pepperstair_core.intent import (
     Intent,
     intent_to_table,
     parse_intent_toml,
     read_intent,
 )
-from pepperstair_core.schema import Fault
 
 from .asking import ask, path_of
 from .output import refuse_faults, refuse_input
@@ -34,8 +32,6 @@
 READERS_GROUP: Final = "pepperstair.document_readers"
 _FOREIGN_SUFFIX: Final = ".json"
 
-DocumentReader = Callable[[bytes], Result[FollowedDocument, list[Fault]]]
-
 
 @dataclass(frozen=True, slots=True)
 class HeldIntent:
@@ -76,20 +72,16 @@
 
 def _read_foreign(file: Path, data: bytes) -> Result[Intent, Refusal]:
     """Read a platform's document with the first reader that is installed."""
-    reader = next(_iter_readers(), None)
-    if reader is None:
+    found = next(iter(entry_points(group=READERS_GROUP)), None)
+    if found is None:
         return refuse_input(f"{file}: no reader of such documents is installed")
+    reader: DocumentReader = found.load()
     read = reader(data)
     if read.is_err():
         return refuse_faults(str(file), read.unwrap_err())
     return Ok(read.unwrap().intent)
 
 
-def _iter_readers() -> Iterator[DocumentReader]:
-    for found in entry_points(group=READERS_GROUP):
-        yield found.load()
-
-
 def intent_to_toml(intent: Intent) -> str:
     """Return a document that `parse_intent_toml` reads back unchanged."""
     return tomli_w.dumps(intent_to_table(intent))
--- a/packages/pepperstair-http/pepperstair_http/body.py
+++ b/packages/pepperstair-http/pepperstair_http/body.py
@@ -109,14 +109,21 @@
         """Return the next part that is here already, or b""."""
         return self._take() if self._parts else b""
 
-    async def read_all(self, max_bytes: int) -> bytes | None:
-        """Return the whole body, or None once it exceeds the limit."""
+    async def read_all(
+        self, max_bytes: int, on_part: Callable[[], None] | None = None
+    ) -> bytes | None:
+        """Return the whole body, or None once it exceeds the limit.
+
+        `on_part` is called for each part that has arrived.
+        """
         parts = []
         n_bytes = 0
         while part := await self.read():
             n_bytes += len(part)
             if n_bytes > max_bytes:
                 return None
+            if on_part is not None:
+                on_part()
             parts.append(part)
         return b"".join(parts)
 
--- a/packages/pepperstair-http/pepperstair_http/fetch.py
+++ b/packages/pepperstair-http/pepperstair_http/fetch.py
@@ -81,17 +81,15 @@
         self, connection: ClientConnection, scope: asyncio.Timeout
     ) -> bytes:
         loop = asyncio.get_running_loop()
-        parts: list[bytes] = []
-        n_bytes = 0
-        while True:
+
+        def renew() -> None:
             scope.reschedule(loop.time() + self._timeout_ms / 1000)
-            part = await connection.body.read()
-            if not part:
-                return b"".join(parts)
-            parts.append(part)
-            n_bytes += len(part)
-            if n_bytes > _RESPONSE_MAX_BYTES:
-                raise ConnectionLostError("the answer is too large")
+
+        renew()
+        content = await connection.body.read_all(_RESPONSE_MAX_BYTES, renew)
+        if content is None:
+            raise ConnectionLostError("the answer is too large")
+        return content
 
     async def _open(self) -> ClientConnection:
         connection = await connect(self._host, self._port)
--- a/packages/pepperstaird/pepperstaird/__main__.py
+++ b/packages/pepperstaird/pepperstaird/__main__.py
@@ -64,8 +64,8 @@
     light_imports.leave_out()
     # Imported only now, since asyncio and structlog are what brings in the
     # libraries that have just been left out.
-    from .daemon import run_daemon
     from .product import product_edges
+    from .running import run_daemon
 
     return run_daemon(read.unwrap(), product_edges())
 
--- a/packages/pepperstaird/pepperstaird/reports.py
+++ b/packages/pepperstaird/pepperstaird/reports.py
@@ -46,9 +46,6 @@
         intent = intent_to_table(snapshot.intent)
         return json_reply({"version": snapshot.head.version, "intent": intent})
 
-    async def explain(request: OperatorRequest) -> OperatorReply:
-        return explain_decisions(daemon, request)
-
     async def burn(request: OperatorRequest) -> OperatorReply:
         return await burn_counts(daemon)
 
@@ -56,7 +53,6 @@
     server.add("GET", "/v1/ready", ready)
     server.add("GET", "/v1/intent/", get_intent)
     server.add("GET", "/v1/burn", burn)
-    server.add("GET", "/v1/explain", explain)
 
 
 def status_content(daemon: Daemon) -> dict[str, Any]:
@@ -86,6 +82,15 @@
     }
 
 
+def add_decisions(server: OperatorServer, daemon: Daemon) -> None:
+    """Serve `explain` of a daemon that has no configuration of its own to explain."""
+
+    async def explain(request: OperatorRequest) -> OperatorReply:
+        return explain_decisions(daemon, request)
+
+    server.add("GET", "/v1/explain", explain)
+
+
 def explain_decisions(daemon: Daemon, request: OperatorRequest) -> OperatorReply:
     """Answer with the decisions about a subject, or all, the oldest first."""
     found = daemon.decisions.find(request.query.get("subject", ""))
@@ -130,6 +135,7 @@
 
 
 __all__ = [
+    "add_decisions",
     "add_reports",
     "burn_counts",
     "explain_decisions",
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -21,6 +21,8 @@
 # What a caller waits beyond the time that it states, to see a late answer as such.
 _PATIENCE_S = 2.0
 _LEAVING_SHARE = 0.05
+# Between two requests of one caller, in the mean: at most 90 a second for 18 callers.
+PAUSE_S = 0.2
 _BODY_MAX_BYTES = 3_000
 _LARGE_BYTES = 60_000
 _SMALL_BYTES = 400
@@ -61,7 +63,7 @@
         self._now_s = now_s
         self._is_fresh = is_fresh
         self._connection: ClientConnection | None = None
-        self.pause_s = 0.2
+        self.pause_s = PAUSE_S
 
     async def run(self) -> None:
         """Send one request after the other, for ever."""
@@ -138,4 +140,4 @@
             self._connection = None
 
 
-__all__ = ["HOST", "Caller", "Place"]
+__all__ = ["HOST", "PAUSE_S", "Caller", "Place"]
--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -20,7 +20,7 @@
 from .checks import answer_body
 from .history import Arrival, History, Leaving
 
-HEARTBEAT_S = 1.0
+_HEARTBEAT_S = 1.0
 _RETRY_S = 0.2
 _ANSWER_S = 1.0
 _WORK_MIN_S = 0.01
@@ -137,7 +137,7 @@
     async def _beat(self) -> None:
         while True:
             is_heard = await self._say(*self._heartbeat())
-            await asyncio.sleep(HEARTBEAT_S if is_heard else _RETRY_S)
+            await asyncio.sleep(_HEARTBEAT_S if is_heard else _RETRY_S)
 
     async def _say_until_heard(self, path: str, body: bytes) -> None:
         while not await self._say(path, body):
@@ -211,4 +211,4 @@
         await exchange.respond(200, signed, answer_body(request_id, n_bytes))
 
 
-__all__ = ["HEARTBEAT_S", "N_SLOTS", "Instance"]
+__all__ = ["N_SLOTS", "Instance"]
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -14,11 +14,11 @@
 from tests.link import Link
 
 from .history import Disturbance, History
-from .instance import HEARTBEAT_S, Instance
+from .instance import Instance
 
 _RESTART_S = 0.3
 _LOOK_S = 0.02
-GRACE_S = 6.0
+_GRACE_S = 6.0
 _STARTED = b'"event": "started"'
 
 
@@ -166,7 +166,7 @@
         """Kill a daemon that was told to stop and still runs after its grace."""
         if self._stopped_s is None or self.n_starts in self._killed:
             return
-        if self._now_s() - self._stopped_s <= GRACE_S:
+        if self._now_s() - self._stopped_s <= _GRACE_S:
             return
         if not self._was_paused:
             what = f"{self.vm.name} start {self.n_starts} still ran after its grace"
@@ -175,4 +175,4 @@
         self.send(signal.SIGKILL)
 
 
-__all__ = ["GRACE_S", "HEARTBEAT_S", "DaemonVm", "Machine"]
+__all__ = ["DaemonVm", "Machine"]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,7 @@
 from tests.adapter.mesh import until
 from tests.adapter.store_stand_in import StoreStandIn
 
-from .callers import Caller, Place
+from .callers import PAUSE_S, Caller, Place
 from .checks import Broken, iter_broken
 from .history import Disturbance, History
 from .machines import DaemonVm, Machine
@@ -166,8 +166,7 @@
         self.store.delay_s = 0.0
         for machine in self.machines:
             machine.heal()
-        for caller in self._callers:
-            caller.pause_s = 0.2
+        self._set_pause(PAUSE_S)
         self.history.healed_s = self.now_s()
 
     async def _bring(self, fault: Fault, start_s: float) -> None:
@@ -234,8 +233,8 @@
                 _nothing,
             ),
             FaultKind.CALLERS_BURST: (
-                lambda: self._set_pause(0.2 * _BURST_FACTOR),
-                lambda: self._set_pause(0.2),
+                lambda: self._set_pause(PAUSE_S * _BURST_FACTOR),
+                lambda: self._set_pause(PAUSE_S),
             ),
         }[fault.kind]
 
