Large answers leave at the pace of a slow link

Cause: a large answer written at once stands before every small one on the link. Change: parts of 30 ms of the link, at 85% of its pace, shared by all answers.

--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -15,6 +15,7 @@
 from .fleet_budget import BudgetTerms, FleetRetryBudget
 from .habits import AnswerSizes, Patience
 from .outcome import CallOutcome
+from .pacing import LinkPacer
 from .retry import (
     Attempt,
     GiveUp,
@@ -38,6 +39,7 @@
     "EndKind",
     "FleetRetryBudget",
     "GiveUp",
+    "LinkPacer",
     "Load",
     "Patience",
     "RefusalCause",
--- a/packages/pepperstair-core/pepperstair_core/config/settings.py
+++ b/packages/pepperstair-core/pepperstair_core/config/settings.py
@@ -99,6 +99,12 @@
     frame_max_bytes: int = option(
         "Largest frame on a stream.", default=262_144, minimum=4096
     )
+    link_mbps: float = option(
+        "Pace of this VM's link; large answers leave it room for others. "
+        "0 where it is not known.",
+        default=0.0,
+        minimum=0,
+    )
     n_zone_neighbours: int = option(
         "Neighbours kept in the own availability zone; odd counts as the next even.",
         default=2,
--- a/packages/pepperstair-peers/pepperstair_peers/data/incoming.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/incoming.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from pepperstair_core.calls import LinkPacer
 from pepperstair_core.calls.run_memory import (
     ANSWER_KEPT_MAX_BYTES,
     CallKey,
@@ -52,13 +53,20 @@
         "head",
         "kept",
         "key",
+        "pacer",
         "stream",
         "task",
     )
 
     def __init__(
-        self, key: CallKey, head: CallHead, stream: FrameStream, load_of: LoadOf
+        self,
+        key: CallKey,
+        head: CallHead,
+        stream: FrameStream,
+        load_of: LoadOf,
+        pacer: LinkPacer,
     ) -> None:
+        self.pacer = pacer
         self._load_of = load_of
         self.key = key
         self.head = head
@@ -107,7 +115,8 @@
         load = self._load_of(self.head.target)
         head = AnswerHead(self.head.call_id, response.status, response.headers, *load)
         part = response.body.read_nowait()
-        if response.body.is_empty and self.credit.take_nowait(len(part)):
+        is_small = response.body.is_empty and len(part) <= self.pacer.part_bytes
+        if is_small and self.credit.take_nowait(len(part)):
             parts = [BodyPart(self.head.call_id, data) for data in iter_parts(part)]
             self.send(head, *parts, BodyEnd(self.head.call_id))
             return self._keep(response, [part]) if self.is_remembered else None
@@ -149,7 +158,9 @@
         if self.stream is None:
             return
         try:
-            await send_data(self.stream, self.head.call_id, data, self.credit)
+            await send_data(
+                self.stream, self.head.call_id, data, self.credit, self.pacer
+            )
         except ConnectionResetError:
             self.stream = None
 
--- a/packages/pepperstair-peers/pepperstair_peers/data/sending.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/sending.py
@@ -4,9 +4,11 @@
 
 import asyncio
 from collections.abc import Iterator
+from typing import Final
 
 import structlog
 
+from pepperstair_core.calls import LinkPacer
 from pepperstair_core.wire import BodyEnd, BodyPart, FrameError
 from pepperstair_core.wire.data import BODY_PART_MAX_BYTES, INITIAL_CREDIT_BYTES
 from pepperstair_http import BodyBuffer
@@ -15,6 +17,8 @@
 
 log = structlog.get_logger(__name__)
 
+UNPACED: Final = LinkPacer(0.0, BODY_PART_MAX_BYTES)
+
 
 class CreditGate:
     """The bytes that the receiver of one body still permits.
@@ -67,23 +71,35 @@
     body.feed(data)
 
 
-def iter_parts(data: bytes) -> Iterator[bytes]:
-    """Yield a piece of a body in parts of the size that frames may carry."""
-    for start in range(0, len(data), BODY_PART_MAX_BYTES):
-        yield data[start : start + BODY_PART_MAX_BYTES]
+def iter_parts(data: bytes, part_bytes: int = BODY_PART_MAX_BYTES) -> Iterator[bytes]:
+    """Yield a piece of a body in parts, by default as large as frames may carry."""
+    for start in range(0, len(data), part_bytes):
+        yield data[start : start + part_bytes]
 
 
 async def send_data(
-    stream: FrameStream, call_id: int, data: bytes, credit: CreditGate
+    stream: FrameStream,
+    call_id: int,
+    data: bytes,
+    credit: CreditGate,
+    pacer: LinkPacer = UNPACED,
 ) -> None:
-    """Send a piece of a body, or raise ConnectionResetError."""
-    for part in iter_parts(data):
+    """Send a piece of a body at the pace of the link, or raise ConnectionResetError."""
+    for part in iter_parts(data, pacer.part_bytes):
         await credit.take(len(part))
+        await _wait_for_link(pacer, len(part))
         stream.send(BodyPart(call_id, part))
         if not stream.gate.is_open:
             await stream.gate.wait()
 
 
+async def _wait_for_link(pacer: LinkPacer, n_bytes: int) -> None:
+    now_ms = asyncio.get_running_loop().time() * 1000
+    delay_ms = pacer.delay_ms(n_bytes, now_ms)
+    if delay_ms > 0.0:
+        await asyncio.sleep(delay_ms / 1000)
+
+
 async def send_body(
     stream: FrameStream, call_id: int, body: BodyBuffer, credit: CreditGate
 ) -> None:
@@ -93,4 +109,4 @@
     stream.send(BodyEnd(call_id))
 
 
-__all__ = ["CreditGate", "iter_parts", "send_body", "send_data", "take_part"]
+__all__ = ["UNPACED", "CreditGate", "iter_parts", "send_body", "send_data", "take_part"]
--- a/packages/pepperstair-peers/pepperstair_peers/data/server.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/server.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from pepperstair_core.calls import LinkPacer
 from pepperstair_core.calls.run_memory import (
     Admission,
     CallKey,
@@ -31,6 +32,7 @@
 from ..stream import FrameStream
 from .fence import StreamFence
 from .incoming import IncomingCall, TargetLoad, failed, send_kept
+from .sending import UNPACED
 
 log = structlog.get_logger(__name__)
 
@@ -78,7 +80,7 @@
 
     `loads` returns the requests that each local target has in flight and
     waiting; they go with the heartbeats. `was_paused` returns whether this
-    process was paused until just now.
+    process was paused until just now. `pacer` spreads large answers over the link.
     """
 
     def __init__(
@@ -87,7 +89,9 @@
         n_runs_max: int,
         heartbeat_ms: int,
         clock_ms: Callable[[], int],
+        pacer: LinkPacer = UNPACED,
     ) -> None:
+        self._pacer = pacer
         self._run = run
         self._heartbeat_ms = heartbeat_ms
         self._clock_ms = clock_ms
@@ -170,7 +174,7 @@
             if refusal is not None:
                 incoming.stream.send(failed(head.call_id, refusal))
                 return
-        call = IncomingCall(key, head, incoming.stream, self._load_of)
+        call = IncomingCall(key, head, incoming.stream, self._load_of, self._pacer)
         incoming.calls[head.call_id] = call
         self._running[key] = call
         self.n_calls += 1
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -12,7 +12,7 @@
 
 from pepperstair_callers import Proxy, ProxyContext
 from pepperstair_core.burn import BurnCounts
-from pepperstair_core.calls import CallOutcome, Load, TargetChooser
+from pepperstair_core.calls import CallOutcome, LinkPacer, Load, TargetChooser
 from pepperstair_core.config import Settings, parse_address
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.events import Event
@@ -33,6 +33,7 @@
     effective_labels,
 )
 from pepperstair_core.wire import CallHead, StreamKind
+from pepperstair_core.wire.data import BODY_PART_MAX_BYTES
 from pepperstair_http import BodyBuffer, HttpServer, ServerLimits, StreamedResponse
 from pepperstair_operators import OperatorServer
 from pepperstair_peers import (
@@ -125,6 +126,7 @@
             settings.calls.n_remembered_runs_max,
             stream_heartbeat_ms,
             monotonic_ms,
+            LinkPacer(settings.peers.link_mbps, BODY_PART_MAX_BYTES),
         )
         self.control = ControlPlane(
             self.identity,
@@ -333,6 +335,7 @@
             self.directory.members(),
             self.configuration.overrides,
             self.configuration.route_table.policies,
+            self.endpoint_table,
         )
 
     def _load_of(self, endpoint: Endpoint) -> Load | None:
--- /dev/null
+++ b/tests/test_pacing.py
@@ -0,0 +1,109 @@
+"""Large answers on a slow link, and small ones that want to pass them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+from pepperstair_core.calls import LinkPacer
+from pepperstair_core.wire import AnswerHead, BodyEnd, BodyPart
+from pepperstair_http import WriteGate
+from pepperstair_peers.data.sending import CreditGate, send_data
+
+LINK_MBPS = 2.5
+LINK_BYTES_PER_MS = 125 * LINK_MBPS
+PART_MAX_BYTES = 65_536
+DOWNLOAD_BYTES = 90_000
+
+
+class Link:
+    """A link that carries what is written to it in order, at its pace."""
+
+    def __init__(self) -> None:
+        self.free_ms = 0.0
+
+    def write(self, n_bytes: int, now_ms: float) -> float:
+        """Return when the last byte has left."""
+        self.free_ms = max(self.free_ms, now_ms) + n_bytes / LINK_BYTES_PER_MS
+        return self.free_ms
+
+
+def iter_downloads(pacer: LinkPacer, n_downloads: int) -> Iterator[tuple[float, int]]:
+    """Yield when each part of downloads that begin together is written, and its size."""
+    for _ in range(-(-DOWNLOAD_BYTES // pacer.part_bytes)):
+        for _ in range(n_downloads):
+            yield pacer.delay_ms(pacer.part_bytes, 0.0), pacer.part_bytes
+
+
+def small_answers_wait_ms(pacer: LinkPacer) -> tuple[float, float]:
+    """Return the longest wait of small answers beside two downloads, and their end."""
+    events = [(at_ms, n_bytes, False) for at_ms, n_bytes in iter_downloads(pacer, 2)]
+    events += [(float(at_ms), 400, True) for at_ms in range(5, 500, 20)]
+    link = Link()
+    worst_ms = end_ms = 0.0
+    for at_ms, n_bytes, is_small in sorted(events):
+        left_ms = link.write(n_bytes, at_ms)
+        if is_small:
+            worst_ms = max(worst_ms, left_ms - at_ms)
+        else:
+            end_ms = left_ms
+    return worst_ms, end_ms
+
+
+def test_small_answers_pass_large_ones_on_a_slow_link():
+    """Two map packs leave a VM whose link carries 2.5 Mbit/s; look-ups go on.
+
+    Written at once they fill the link for half a second, and each look-up that is
+    answered meanwhile comes that much later; the calls that wait for it hold slots.
+    Paced, look-ups wait for a part or two, and the packs come a fifth later.
+    """
+    unpaced_ms, unpaced_end_ms = small_answers_wait_ms(LinkPacer(0.0, PART_MAX_BYTES))
+    paced_ms, paced_end_ms = small_answers_wait_ms(LinkPacer(LINK_MBPS, PART_MAX_BYTES))
+    assert unpaced_ms > 500
+    assert paced_ms < 70
+    assert paced_end_ms < 1.3 * unpaced_end_ms
+
+
+def test_fast_link_is_not_paced():
+    pacer = LinkPacer(1000.0, PART_MAX_BYTES)
+    assert pacer.part_bytes == PART_MAX_BYTES
+    assert [pacer.delay_ms(PART_MAX_BYTES, 0.0) for _ in range(3)] == [0, 0, 0]
+
+
+def test_link_that_was_idle_owes_nothing():
+    pacer = LinkPacer(LINK_MBPS, PART_MAX_BYTES)
+    pacer.delay_ms(DOWNLOAD_BYTES, 0.0)
+    assert pacer.delay_ms(1000, 100.0) > 200
+    assert pacer.delay_ms(1000, 10_000.0) == 0
+
+
+class RecordingStream:
+    """A stream that notes when what was sent on it."""
+
+    def __init__(self) -> None:
+        self.gate = WriteGate()
+        self.sent: list[tuple[float, object]] = []
+
+    def send(self, *frames) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.sent.extend((now_s, frame) for frame in frames)
+
+
+def test_body_leaves_in_parts_at_the_pace_of_the_link():
+    """A download is sent while another call's answer is ready."""
+
+    async def scenario():
+        stream, pacer = RecordingStream(), LinkPacer(LINK_MBPS, PART_MAX_BYTES)
+        sending = asyncio.create_task(
+            send_data(stream, 1, bytes(30_000), CreditGate(), pacer)
+        )
+        await asyncio.sleep(0.01)
+        stream.send(AnswerHead(2, 200, (), 0, 0), BodyEnd(2))
+        await sending
+        return stream.sent
+
+    sent = asyncio.run(scenario())
+    kinds = [type(frame) for _, frame in sent]
+    assert kinds[:4] == [BodyPart, AnswerHead, BodyEnd, BodyPart]
+    assert kinds.count(BodyPart) == 4
+    assert sent[-1][0] - sent[0][0] > 0.09
