--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -29,7 +29,7 @@
 
 
 def iter_downloads(pacer: LinkPacer, n_downloads: int) -> Iterator[tuple[float, int]]:
-    """Yield when each part of downloads that begin together is written, and its size."""
+    """Yield when each part of some downloads is written, and its size."""
     for _ in range(-(-DOWNLOAD_BYTES // pacer.part_bytes)):
         for _ in range(n_downloads):
             yield pacer.delay_ms(pacer.part_bytes, 0.0), pacer.part_bytes
