--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -16,7 +17,7 @@
 from .labels import Labels, Selector, parse_selector
 from .members import Member, Target, TargetState
 from .policies import DEFAULT_POLICY, PolicyTable, compile_policies
-from .versions import Snapshot
+from .versions import Head, Snapshot
 
 NO_POLICIES: Final = PolicyTable()
 
@@ -279,26 +280,25 @@
 def _iter_compiled(
     snapshots: Iterable[Snapshot], proxy_labels: Labels
 ) -> Iterator[CompiledRoute]:
+    # Thousands of routes share a few selectors; each of those is asked once.
+    selects = functools.cache(
+        lambda text: parse_selector(text).unwrap().matches(proxy_labels)
+    )
     for snapshot in snapshots:
-        services = {service.name: service for service in snapshot.intent.services}
+        services = {
+            service.name: (service, parse_selector(service.selector).unwrap())
+            for service in snapshot.intent.services
+        }
         for route in snapshot.intent.routes:
-            selector = parse_selector(route.proxies).unwrap()
-            if selector.matches(proxy_labels):
-                yield _compile(snapshot, route, services)
+            if selects(route.proxies):
+                yield _compile(snapshot.head, route, services)
 
 
 def _compile(
-    snapshot: Snapshot, route: Route, services: Mapping[str, Service]
+    head: Head, route: Route, services: Mapping[str, tuple[Service, Selector]]
 ) -> CompiledRoute:
-    head = snapshot.head
     by_service = [
-        CompiledRoute(
-            head.customer,
-            head.version,
-            route,
-            services[name],
-            parse_selector(services[name].selector).unwrap(),
-        )
+        CompiledRoute(head.customer, head.version, route, *services[name])
         for name in route.services
     ]
     if not route.splits:
