What a call costs, part by part

make bench-floor measures h11, frames and wake-ups alone; a sampled profile says what the daemons spend beside them.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := pytest hypothesis ruff
 
 .PHONY: install test lint format demo docs clean bench-path bench-idle bench-http \
-	bench-burn bench-neighbours \
+	bench-burn bench-floor bench-neighbours \
 	bench-convergence bench-control-bytes bench-calls
 
 install: $(VENV)/installed
@@ -44,6 +44,9 @@
 bench-http: install
 	$(PYTHON) -m benchmarks.http_exchange
 
+bench-floor: install
+	$(PYTHON) -m benchmarks.call_floor
+
 bench-neighbours: install
 	$(PYTHON) -m benchmarks.neighbours
 
