--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -137,3 +137,21 @@
     assert counts(choosing, among, now_ms=299.0) == {"t2": 200}
     assert choosing.choose(among, no_report, 0.0, {among[1].key}) is among[0]
     assert choosing.choose(among[:1], no_report, 0.0, {among[0].key}) is None
+
+
+def test_figures_over_all_targets_follow_what_is_seen():
+    """A quick target turns slow while calls go on choosing among the same ones."""
+    among = (endpoint(1), endpoint(2))
+    choosing = chooser()
+    latencies_ms = {"t1": 20.0, "t2": 40.0}
+    now_ms = 0.0
+    found = Counter()
+    for step in range(400):
+        if step == 200:
+            latencies_ms["t1"], found = 400.0, Counter()
+        now_ms += 20.0
+        chosen = choosing.choose(among, no_report, now_ms)
+        found[chosen.target.name] += 1
+        ended = CallEnd(EndKind.GOOD, now_ms, latencies_ms[chosen.target.name])
+        choosing.end(chosen, among, ended, now_ms)
+    assert found["t2"] > 150
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -116,3 +116,36 @@
     vault = table.endpoints(parse_selector("app=vault").unwrap())
     assert [endpoint.target.name for endpoint in vault] == ["t1"]
     assert table.endpoints(parse_selector("app=ledger").unwrap()) == ()
+
+
+def test_endpoints_are_taken_over_until_their_member_changes():
+    """A target is drained, and another one appears, in a fleet that stays.
+
+    Taken over from the table of before, the drained one would go on being called.
+    """
+    selector = parse_selector("app=ledger").unwrap()
+    members = [
+        member_of("a", MemberState.ALIVE, target_of("t1")),
+        member_of("b", MemberState.ALIVE, target_of("t2")),
+    ]
+    table = EndpointTable(members)
+    before = table.endpoints(selector)
+    table = EndpointTable(list(members), previous=table)
+    assert table.endpoints(selector) is before
+    members[1] = member_of(
+        "b", MemberState.ALIVE, target_of("t2", TargetState.DRAINING)
+    )
+    members.append(member_of("c", MemberState.ALIVE, target_of("t3")))
+    table = EndpointTable(members, previous=table)
+    after = table.endpoints(selector)
+    assert [endpoint.target.name for endpoint in after] == ["t1", "t3"]
+    assert after[0] is before[0]
+
+
+def test_endpoints_are_chosen_anew_under_other_overrides():
+    selector = parse_selector("app=ledger").unwrap()
+    members = [member_of("a", MemberState.ALIVE, target_of("t1"))]
+    table = EndpointTable(members)
+    assert len(table.endpoints(selector)) == 1
+    moved = {"t1": {"app": "vault"}}
+    assert EndpointTable(members, moved, previous=table).endpoints(selector) == ()
