--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -253,13 +253,10 @@
             for i, p in enumerate(intent.policies)
         ),
     ]
-    # Thousands of routes share a few selectors; each of those is parsed once.
-    parsed = {text: parse_selector(text) for text in {text for _, text in selectors}}
-    faulty = {text: read.unwrap_err() for text, read in parsed.items() if read.is_err()}
-    if faulty:
-        yield from (
-            Fault(where, faulty[text]) for where, text in selectors if text in faulty
-        )
+    for where, text in selectors:
+        parsed = parse_selector(text)
+        if parsed.is_err():
+            yield Fault(where, parsed.unwrap_err())
 
 
 def _iter_override_faults(intent: Intent) -> Iterator[Fault]:
--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -181,7 +181,7 @@
         """
         chosen = self._chosen.get((selector, customer))
         if chosen is None:
-            before = self._reused.pop((selector, customer), _NOTHING_CHOSEN)
+            before = self._reused.get((selector, customer), _NOTHING_CHOSEN)
             chosen = self._choose(selector, customer, before)
             self._chosen[(selector, customer)] = chosen
         return chosen.endpoints
