Large answers on fast links leave in one write again

Since answers are paced, those over 64 KB went out as a head and several parts on every link, also where nothing is paced: a write and a wake-up more for each.

--- a/packages/pepperstair-peers/pepperstair_peers/data/incoming.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/incoming.py
@@ -115,8 +115,8 @@
         load = self._load_of(self.head.target)
         head = AnswerHead(self.head.call_id, response.status, response.headers, *load)
         part = response.body.read_nowait()
-        is_small = response.body.is_empty and len(part) <= self.pacer.part_bytes
-        if is_small and self.credit.take_nowait(len(part)):
+        is_whole = response.body.is_empty and self.pacer.may_leave_whole(len(part))
+        if is_whole and self.credit.take_nowait(len(part)):
             parts = [BodyPart(self.head.call_id, data) for data in iter_parts(part)]
             self.send(head, *parts, BodyEnd(self.head.call_id))
             return self._keep(response, [part]) if self.is_remembered else None
