Requests sent ahead on one connection are carried side by side

Cause: a daemon carried one request a connection at a time, so that requests sent ahead stood in line behind the answers before them.

Ruled out: flags in the connection (who may write would stand in four places); several h11 cycles in one state (h11 reads no request before the answer to the last one).

Change: a connection keeps its unanswered requests in a Pipeline, without I/O, which says which may begin; each has an h11 state of its own, and the first owns the writing side. Requests that must not repeat run alone, in their place. While draining, the connection ends with the last request that has begun; what is behind it never runs. Malformed bytes behind good requests cost only themselves. Requests, bytes ahead and held answers are bounded by settings. A whole answer that waits for its turn leaves its target's slot. The circle of imports between connection, exchange and server is gone.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := pytest hypothesis ruff
 
 .PHONY: install test lint format demo docs clean bench-path bench-idle bench-http \
-	bench-burn bench-floor bench-neighbours \
+	bench-ahead bench-burn bench-floor bench-neighbours \
 	bench-convergence bench-control-bytes bench-calls
 
 install: $(VENV)/installed
@@ -38,6 +38,9 @@
 bench-path: install
 	$(PYTHON) -m benchmarks.path
 
+bench-ahead: install
+	$(PYTHON) -m benchmarks.ahead
+
 bench-idle: install
 	$(PYTHON) -m benchmarks.idle
 
--- a/benchmarks/http_exchange.py
+++ b/benchmarks/http_exchange.py
@@ -64,7 +64,7 @@
     http = HttpServer(answer, ServerLimits())
     wrap: Callable = PlainProtocol if is_plain else lambda inner: inner
     server = await loop.create_server(
-        lambda: wrap(ServerConnection(http)), "127.0.0.1", 0
+        lambda: wrap(ServerConnection(http.state)), "127.0.0.1", 0
     )
     port = server.sockets[0].getsockname()[1]
     client = ClientConnection()
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -77,12 +77,19 @@
     print(f"{1000 * spent[one_hop.vm] / (2 * n_calls):.3f} ms")
 
 
-def start(fleet: Fleet) -> tuple[str, DaemonProcess, DaemonProcess]:
-    """Start platform, two daemons and a target beside the first one."""
+def start(
+    fleet: Fleet, work_ms: float = 0.0
+) -> tuple[str, DaemonProcess, DaemonProcess]:
+    """Start platform, two daemons and a target beside the first one.
+
+    The target takes `work_ms` for each call.
+    """
     fleet.start_platform()
     beside = fleet.start_daemon("vm-1", "pos-a", LABELS)
     other = fleet.start_daemon("vm-2", "pos-a", LABELS)
-    target = fleet.start_target(beside, "ledger", "--name", "ledger-1")
+    target = fleet.start_target(
+        beside, "ledger", "--name", "ledger-1", "--work-ms", str(work_ms)
+    )
     wait_until(lambda: bool(status_of(beside).get("ready")), "vm-1 ready")
     code, body = fetch(beside.operators, "PUT", "/v1/intent/lantern", INTENT)
     if code != 200:
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -10,7 +10,7 @@
 from pepperstair_core.errors import ANSWERS, ErrorKind, Failure, PepperstairError, Run
 from pepperstair_core.events import Event
 from pepperstair_core.routing import pick_part
-from pepperstair_http import ConnectionLostError, Exchange, StreamedResponse
+from pepperstair_http import ConnectionLostError, Exchange, Request, StreamedResponse
 
 from .attempts import ProxiedCall, count_call_ids
 from .context import ProxyContext
@@ -64,6 +64,16 @@
         finally:
             self._finish(call, status, error, start_ms)
 
+    def is_repeatable(self, request: Request) -> bool:
+        """Return whether a request may run side by side with others.
+
+        One that gets a refusal anyway runs nothing.
+        """
+        compiled = self._context.route_table().match(request.host, request.path)
+        if compiled is None or compiled.route.is_idempotent:
+            return True
+        return self._read_head(request.headers).is_idempotent
+
     def end_all(self) -> None:
         """Answer every request that still waits for its target, at once.
 
@@ -112,6 +122,17 @@
     async def _pass_on(
         self, exchange: Exchange, call: ProxiedCall, response: StreamedResponse
     ) -> bool:
+        """Relay an answer; return whether the caller was given all of it.
+
+        An answer that is whole already may still wait for that to an earlier
+        request of its connection. It leaves the target's slot at once: held until
+        then, the slot would do nothing, and the target would look busy.
+        """
+        if response.body.is_whole:
+            response.cancel()
+            n_bytes = response.body.n_bytes + response.body.n_read_bytes
+            call.end_answered(response, True, n_bytes)
+            return await relay(exchange, response)
         is_whole = False
         is_answered = False
         try:
--- a/packages/pepperstair-core/pepperstair_core/config/settings.py
+++ b/packages/pepperstair-core/pepperstair_core/config/settings.py
@@ -63,6 +63,21 @@
     idle_timeout_ms: int = option(
         "Time after which an idle connection is closed.", default=60_000, minimum=100
     )
+    n_requests_ahead_max: int = option(
+        "Requests of one connection that are in progress at once.",
+        default=16,
+        minimum=1,
+    )
+    ahead_request_max_bytes: int = option(
+        "Bytes of further requests that are kept for one connection.",
+        default=65_536,
+        minimum=1024,
+    )
+    ahead_answer_max_bytes: int = option(
+        "Bytes of answers that wait for an earlier one before no request begins.",
+        default=1_048_576,
+        minimum=0,
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pepperstair-http/pepperstair_http/__init__.py
+++ b/packages/pepperstair-http/pepperstair_http/__init__.py
@@ -8,6 +8,7 @@
 from .exchange import Exchange, Handler
 from .fetch import Fetcher
 from .header_names import PRODUCT_HEADERS, HeaderNames
+from .limits import AheadLimits, ServerLimits
 from .messages import (
     Headers,
     Request,
@@ -17,12 +18,13 @@
     header_value,
 )
 from .receiving import ReceivingProtocol
-from .server import HttpServer, ServerLimits
+from .server import HttpServer
 from .sockets import notice_silence
 from .writing import WriteGate
 
 __all__ = [
     "PRODUCT_HEADERS",
+    "AheadLimits",
     "BodyBuffer",
     "ClientConnection",
     "ConnectionLostError",
--- a/packages/pepperstair-http/pepperstair_http/connection.py
+++ b/packages/pepperstair-http/pepperstair_http/connection.py
@@ -1,9 +1,10 @@
-"""One client's connection to the server: h11's state and the current request."""
+"""One client's connection to the server: its requests, and whose answer is next."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Final
+from dataclasses import dataclass
+from typing import Final
 
 import h11
 import structlog
@@ -13,46 +14,53 @@
 from .body import HIGH_WATER_BYTES, BodyBuffer, ConnectionLostError
 from .exchange import Exchange
 from .messages import Request
+from .pipeline import Pipeline
 from .receiving import ReceivingProtocol
+from .server_state import ServerState
 from .writing import WriteGate, break_transport
 
-if TYPE_CHECKING:
-    from .server import HttpServer
-
 log = structlog.get_logger(__name__)
 
 _TEXT: Final = (b"content-type", b"text/plain; charset=utf-8")
-_PIPELINED_MAX_BYTES: Final = 65_536
 _DISCARD_S: Final = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Rejection:
+    """What is said of malformed bytes, after the answers to what came before."""
+
+    status: int
+    text: str
+
+
 class ServerConnection(ReceivingProtocol):
-    """Receives requests, runs the handler for each and writes its answer."""
+    """Receives requests, runs the handler for each and writes their answers.
 
-    def __init__(self, server: HttpServer) -> None:
+    Each request has an h11 state of its own, as h11 knows one request at a time:
+    where one is sent ahead of an answer, the bytes behind the earlier request are
+    given to a new state.
+    """
+
+    def __init__(self, server: ServerState) -> None:
         self._server = server
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.header_max_bytes
-        )
+        self._h11 = self._new_state()
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._gate = WriteGate()
-        self._body: BodyBuffer | None = None
-        self._task: asyncio.Task[None] | None = None
-        self._n_pipelined_bytes = 0
+        self._pipeline: Pipeline[Exchange] = Pipeline()
+        self._tasks: dict[Exchange, asyncio.Task[None]] = {}
+        self._turns: dict[Exchange, asyncio.Future[None]] = {}
+        self._n_unread_bytes = 0
+        self._rejection: _Rejection | None = None
+        self._is_last_announced = False
         self._is_discarding = False
         self._waiting_since_s = self._loop.time()
         self._head_since_s: float | None = None
 
-    @property
-    def is_last_exchange(self) -> bool:
-        """Return whether the connection closes after the current answer."""
-        return self._server.is_draining
-
     @property
     def is_idle(self) -> bool:
         """Return whether no request is in progress."""
-        return self._task is None
+        return not self._pipeline
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
@@ -66,15 +74,13 @@
             self._write_error(503, "too many connections")
 
     def data_received(self, data: bytes) -> None:
-        if self._is_discarding:
+        if self._is_discarding or self._rejection is not None:
             return
         now_s = self._waiting_since_s = self._loop.time()
-        if self._task is None and self._head_since_s is None:
+        if not self._pipeline and self._head_since_s is None:
             self._head_since_s = now_s
         self._h11.receive_data(data)
-        if self._body is not None and self._body.is_whole:
-            self._hold_pipelined(len(data))
-            return
+        self._n_unread_bytes += len(data)
         self._advance()
 
     def eof_received(self) -> bool:
@@ -83,10 +89,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
         self._gate.lose()
-        if self._body is not None:
-            self._body.fail(ConnectionLostError("the client left"))
-        if self._task is not None:
-            self._task.cancel()
+        newest = self._pipeline.newest
+        if newest is not None:
+            newest.body.fail(ConnectionLostError("the client left"))
+        for task in self._tasks.values():
+            task.cancel()
 
     def pause_writing(self) -> None:
         self._waiting_since_s = self._loop.time()
@@ -114,33 +121,51 @@
         the handler is at work nothing is expected of the client.
         """
         limits = self._server.limits
-        if self._task is None and self._head_since_s is not None:
+        if not self._pipeline and self._head_since_s is not None:
             if now_s - self._head_since_s <= limits.head_limit_s:
                 return False
             self._end_slow_head()
             return True
-        is_awaited = (
-            self._task is None or not self._body.is_whole or not self._gate.is_open
-        )
+        newest = self._pipeline.newest
+        is_awaited = newest is None or not newest.is_whole or not self._gate.is_open
         silent_s = now_s - self._waiting_since_s
         if not is_awaited or silent_s < limits.idle_timeout_ms / 1000:
             return False
-        if self._task is None:
+        if newest is None:
             self.close()
         else:
             self.abort()
         return True
 
-    def _end_slow_head(self) -> None:
-        """Say that the head took too long, where its time has a limit of its own."""
-        if self._server.limits.header_timeout_ms:
-            self._write_error(408, "the head of the request did not arrive in time")
-        else:
-            self.abort()
+    def owns_writing(self, exchange: Exchange) -> bool:
+        """Return whether the answer to this request is the next one to go out."""
+        return self._pipeline.first is exchange
 
-    async def send(self, *events: h11.Event) -> None:
-        """Write events in one piece and wait while the client reads slowly."""
-        data = b"".join([self._h11.send(event) or b"" for event in events])
+    async def wait_for_turn(self, exchange: Exchange) -> None:
+        """Return once all earlier requests are answered."""
+        turn = self._turns[exchange] = self._loop.create_future()
+        try:
+            await turn
+        finally:
+            del self._turns[exchange]
+
+    def closes_after(self, exchange: Exchange) -> bool:
+        """Decide whether the connection ends with this answer.
+
+        While the server drains it ends with the last request that has begun. An
+        earlier end would lose the answers to those behind it, which their client
+        takes for unread and sends again; those that have not begun never will.
+        """
+        if self._server.is_draining and self._pipeline.is_last_started(exchange):
+            self._is_last_announced = True
+        return self._is_last_announced
+
+    def is_repeatable(self, request: Request) -> bool:
+        """Return whether running a request twice does no harm."""
+        return self._server.is_repeatable(request)
+
+    async def write(self, data: bytes) -> None:
+        """Write and wait while the client reads slowly, or raise where it left."""
         if self._transport is None or self._transport.is_closing():
             raise ConnectionResetError("the client left")
         if data:
@@ -148,68 +173,113 @@
         if not self._gate.is_open:
             await self._gate.wait()
 
+    def _new_state(self) -> h11.Connection:
+        header_max_bytes = self._server.limits.header_max_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=header_max_bytes)
+
+    def _end_slow_head(self) -> None:
+        """Say that the head took too long, where its time has a limit of its own."""
+        if self._server.limits.header_timeout_ms:
+            self._write_error(408, "the head of the request did not arrive in time")
+        else:
+            self.abort()
+
     def _advance(self) -> None:
-        """Take every event that is complete."""
-        while True:
+        """Read every event that is complete, as far as there is room for more."""
+        while self._may_read():
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
                 self._reject(error)
-                return
+                break
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
+                self._n_unread_bytes = 0
+                break
             self._take(event)
             if isinstance(event, h11.ConnectionClosed) or self._is_discarding:
-                return
+                break
+        self._start_waiting()
+        self._set_reading()
+
+    def _may_read(self) -> bool:
+        """Return whether the next event may be read, from a new state where due."""
+        if self._rejection is not None:
+            return False
+        if self._h11.their_state is not h11.DONE:
+            return self._h11.their_state is not h11.MUST_CLOSE
+        surplus = self._h11.trailing_data[0]
+        if not surplus:
+            self._n_unread_bytes = 0
+        if not surplus or self._is_last_announced:
+            return False
+        ahead = self._server.limits.ahead
+        if not self._pipeline.has_room(
+            ahead.n_requests_max, ahead.request_max_bytes, ahead.answer_max_bytes
+        ):
+            return False
+        self._h11 = self._new_state()
+        self._h11.receive_data(surplus)
+        return True
+
+    def _set_reading(self) -> None:
+        """Read on only while what was sent ahead stays within its bounds.
+
+        A client that leaves while nothing is read from it is noticed once the
+        next of its requests is answered.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return
+        newest = self._pipeline.newest
+        is_body_full = newest is not None and newest.n_body_bytes > HIGH_WATER_BYTES
+        n_unread_max = self._server.limits.ahead.request_max_bytes
+        if is_body_full or self._n_unread_bytes > n_unread_max:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def _take(self, event: object) -> None:
         if isinstance(event, h11.Data):
-            self._take_body_part(bytes(event.data))
+            self._pipeline.newest.body.feed(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            self._body.finish()
+            self._pipeline.newest.body.finish()
         elif isinstance(event, h11.Request):
             if _has_two_lengths(event):
-                self._server.counters.n_malformed += 1
-                self._write_error(400, "both a length and chunks")
+                self._reject_with(400, "both a length and chunks")
                 return
-            self._start_request(event)
+            self._add_request(event)
         elif isinstance(event, h11.ConnectionClosed):
             self.close()
 
-    def _start_request(self, event: h11.Request) -> None:
+    def _add_request(self, event: h11.Request) -> None:
         self._head_since_s = None
         request = Request(
             event.method.decode("ascii"),
             event.target.decode("latin-1"),
             tuple(event.headers),
         )
-        self._body = BodyBuffer(self._on_body_consumed, self._offer_continue)
-        exchange = Exchange(self, request, self._body)
-        self._task = self._loop.create_task(self._handle(exchange))
-
-    def _take_body_part(self, data: bytes) -> None:
-        self._body.feed(data)
-        if self._body.n_bytes > HIGH_WATER_BYTES:
-            self._transport.pause_reading()
-
-    def _on_body_consumed(self, n_bytes: int) -> None:
-        if self._body.n_bytes <= HIGH_WATER_BYTES and not self._transport.is_closing():
-            self._transport.resume_reading()
+        state = self._h11
+        body = BodyBuffer(
+            lambda n_bytes: self._set_reading(), lambda: self._offer_continue(state)
+        )
+        self._pipeline.add(Exchange(self, state, request, body))
 
-    def _offer_continue(self) -> None:
+    def _start_waiting(self) -> None:
+        """Hand every request to the handler that may begin."""
+        if self._is_discarding or self._is_last_announced:
+            return
+        for exchange in self._pipeline.startable():
+            if exchange is not self._pipeline.first:
+                if self._server.is_draining:
+                    return
+                self._server.counters.n_ahead += 1
+            exchange.is_started = True
+            self._tasks[exchange] = self._loop.create_task(self._handle(exchange))
+
+    def _offer_continue(self, state: h11.Connection) -> None:
         """Ask for the body only once the handler reads it: it may refuse it."""
-        if self._h11.they_are_waiting_for_100_continue:
+        if state.they_are_waiting_for_100_continue:
             response = h11.InformationalResponse(status_code=100, headers=[])
-            self._transport.write(self._h11.send(response))
-
-    def _hold_pipelined(self, n_bytes: int) -> None:
-        """Stop reading from a client that sends requests far ahead of answers.
-
-        They wait in memory; without a bound one client could fill it.
-        """
-        self._n_pipelined_bytes += n_bytes
-        if self._n_pipelined_bytes > _PIPELINED_MAX_BYTES:
-            self._transport.pause_reading()
+            self._transport.write(state.send(response))
 
     async def _handle(self, exchange: Exchange) -> None:
         try:
@@ -221,36 +291,51 @@
             log.exception(Event.INTERNAL_ERROR, path=exchange.request.path)
             await self._answer_internal_error(exchange)
             return
-        self._finish_cycle()
+        finally:
+            self._tasks.pop(exchange, None)
+        self._finish(exchange)
 
     async def _answer_internal_error(self, exchange: Exchange) -> None:
         if exchange.has_answered:
             self.abort()
             return
         await exchange.respond(500, (_TEXT,), b"an unexpected error\n")
-        self.close()
+        self._finish(exchange)
 
-    def _finish_cycle(self) -> None:
+    def _finish(self, exchange: Exchange) -> None:
         """Go on to the next request, or close where the body was left unread.
 
         Bytes of a body that nobody read would otherwise be taken for the next
         request, and its answer would go to the wrong one.
         """
-        self._task = None
-        self._body = None
+        self._pipeline.remove_first()
         self._waiting_since_s = self._loop.time()
-        states = (self._h11.our_state, self._h11.their_state)
+        states = (exchange.state.our_state, exchange.state.their_state)
         if states != (h11.DONE, h11.DONE) or self._transport.is_closing():
+            self._drop_waiting()
             self._close_discarding()
             return
-        if self._n_pipelined_bytes > _PIPELINED_MAX_BYTES:
-            self._transport.resume_reading()
-        self._n_pipelined_bytes = 0
-        self._h11.start_next_cycle()
-        if self._h11.trailing_data[0]:
+        following = self._pipeline.first
+        if following is not None:
+            turn = self._turns.get(following)
+            if turn is not None and not turn.done():
+                turn.set_result(None)
+        elif self._rejection is not None:
+            self._write_error(self._rejection.status, self._rejection.text)
+            return
+        elif exchange.state is self._h11 and not self._h11.trailing_data[0]:
+            self._h11.start_next_cycle()
+        if self._h11.trailing_data[0] and not self._pipeline:
             self._head_since_s = self._loop.time()
         self._advance()
 
+    def _drop_waiting(self) -> None:
+        """Forget requests that were read but have not begun, nor ever will."""
+        n_dropped = self._pipeline.drop_waiting()
+        self._server.counters.n_dropped += n_dropped
+        for task in self._tasks.values():
+            task.cancel()
+
     def _close_discarding(self) -> None:
         """Close, but first read and drop for a moment what is still arriving.
 
@@ -265,11 +350,25 @@
         self._loop.call_later(_DISCARD_S, self.close)
 
     def _reject(self, error: h11.RemoteProtocolError) -> None:
+        """Answer malformed bytes, after the requests that came before them.
+
+        Where the rest of a request is malformed that has begun already, nothing
+        true can be said of it, and the connection breaks.
+        """
+        newest = self._pipeline.newest
+        if newest is not None and not newest.is_whole:
+            if newest.is_started:
+                self._server.counters.n_malformed += 1
+                self.abort()
+                return
+            self._pipeline.remove_newest()
+        self._reject_with(error.error_status_hint, str(error))
+
+    def _reject_with(self, status: int, text: str) -> None:
         self._server.counters.n_malformed += 1
-        if self._task is not None:
-            self.abort()
-            return
-        self._write_error(error.error_status_hint, str(error))
+        self._rejection = _Rejection(status, text)
+        if not self._pipeline:
+            self._write_error(status, text)
 
     def _write_error(self, status: int, text: str) -> None:
         body = f"{text}\n".encode()
--- a/packages/pepperstair-http/pepperstair_http/server.py
+++ b/packages/pepperstair-http/pepperstair_http/server.py
@@ -3,71 +3,70 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
-from typing import Final
+from collections.abc import Callable
 
 import structlog
 
 from .connection import ServerConnection
 from .exchange import Handler
+from .limits import ServerCounters, ServerLimits
+from .messages import Request
+from .server_state import OpenConnection, ServerState, is_safe
 
 log = structlog.get_logger(__name__)
 
-_N_SWEEPS_PER_TIMEOUT: Final = 4
 
+class HttpServer:
+    """Listens on one address and hands each request to the handler.
 
-@dataclass(frozen=True, slots=True)
-class ServerLimits:
-    """What one server takes from its clients.
-
-    The head of a request may take `header_timeout_ms`, or as long as a client
-    may stay silent where that is 0.
+    `is_repeatable` says which requests may run side by side with others that their
+    client has sent on the same connection; those with a safe method where it is
+    left out.
     """
 
-    n_connections_max: int = 1000
-    header_max_bytes: int = 16_384
-    idle_timeout_ms: int = 60_000
-    header_timeout_ms: int = 0
-
-    @property
-    def head_limit_s(self) -> float:
-        """Return how long the head of a request may take."""
-        return (self.header_timeout_ms or self.idle_timeout_ms) / 1000
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits,
+        is_repeatable: Callable[[Request], bool] = is_safe,
+    ) -> None:
+        self.state = ServerState(handler, limits, is_repeatable)
+        self._server: asyncio.Server | None = None
+        self._sweep_timer: asyncio.TimerHandle | None = None
 
     @property
-    def sweep_interval_s(self) -> float:
-        """Return how often stalled connections are looked for."""
-        shortest_s = min(self.idle_timeout_ms / 1000, self.head_limit_s)
-        return shortest_s / _N_SWEEPS_PER_TIMEOUT
+    def limits(self) -> ServerLimits:
+        """Return what the server takes from its clients."""
+        return self.state.limits
 
+    @limits.setter
+    def limits(self, limits: ServerLimits) -> None:
+        self.state.limits = limits
 
-@dataclass(slots=True)
-class ServerCounters:
-    """What a server met, for metrics."""
+    @property
+    def is_draining(self) -> bool:
+        """Return whether connections end with their next answer."""
+        return self.state.is_draining
 
-    n_connections: int = 0
-    n_refused: int = 0
-    n_malformed: int = 0
-    n_stalled: int = 0
+    @is_draining.setter
+    def is_draining(self, is_draining: bool) -> None:
+        self.state.is_draining = is_draining
 
+    @property
+    def counters(self) -> ServerCounters:
+        """Return what the server has met."""
+        return self.state.counters
 
-class HttpServer:
-    """Listens on one address and hands each request to the handler."""
-
-    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
-        self.handler = handler
-        self.limits = limits
-        self.counters = ServerCounters()
-        self.connections: set[ServerConnection] = set()
-        self.is_draining = False
-        self._server: asyncio.Server | None = None
-        self._sweep_timer: asyncio.TimerHandle | None = None
+    @property
+    def connections(self) -> set[OpenConnection]:
+        """Return the connections that are open."""
+        return self.state.connections
 
     async def listen(self, host: str, port: int) -> int:
         """Start listening and return the port, chosen by the system for 0."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ServerConnection(self), host, port, backlog=1024
+            lambda: ServerConnection(self.state), host, port, backlog=1024
         )
         self._schedule_sweep()
         return self._server.sockets[0].getsockname()[1]
@@ -122,4 +121,4 @@
         self._schedule_sweep()
 
 
-__all__ = ["HttpServer", "ServerCounters", "ServerLimits"]
+__all__ = ["HttpServer"]
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -37,6 +37,8 @@
     n_connections_refused: int = counted("Connections of callers over the cap.")
     n_connections_stalled: int = counted("Connections of callers closed as stalled.")
     n_requests_malformed: int = counted("Requests of callers that were no HTTP.")
+    n_requests_ahead: int = counted("Requests begun before an earlier answer.")
+    n_requests_dropped: int = counted("Requests read and never begun, at a close.")
     n_streams_rejected: int = counted("Streams of other daemons that were refused.")
     n_platform_reads: int = counted("Reads from the platform.")
     n_platform_writes: int = counted("Writes to the platform.")
@@ -109,6 +111,8 @@
         n_connections_refused=daemon.callers.counters.n_refused,
         n_connections_stalled=daemon.callers.counters.n_stalled,
         n_requests_malformed=daemon.callers.counters.n_malformed,
+        n_requests_ahead=daemon.callers.counters.n_ahead,
+        n_requests_dropped=daemon.callers.counters.n_dropped,
         n_streams_rejected=daemon.listener.n_rejected,
         n_platform_reads=daemon.platform.counters.n_reads,
         n_platform_writes=daemon.platform.counters.n_writes,
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -34,7 +34,13 @@
 )
 from pepperstair_core.wire import CallHead, StreamKind
 from pepperstair_core.wire.data import BODY_PART_MAX_BYTES
-from pepperstair_http import BodyBuffer, HttpServer, ServerLimits, StreamedResponse
+from pepperstair_http import (
+    AheadLimits,
+    BodyBuffer,
+    HttpServer,
+    ServerLimits,
+    StreamedResponse,
+)
 from pepperstair_operators import OperatorServer
 from pepperstair_peers import (
     CallClient,
@@ -161,7 +167,13 @@
                 settings.callers.n_connections_max,
                 settings.callers.header_max_bytes,
                 settings.callers.idle_timeout_ms,
+                ahead=AheadLimits(
+                    settings.callers.n_requests_ahead_max,
+                    settings.callers.ahead_request_max_bytes,
+                    settings.callers.ahead_answer_max_bytes,
+                ),
             ),
+            self.proxy.is_repeatable,
         )
         operators = OperatorServer(settings.operators)
         edges.add_operations(operators, self)
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -122,7 +122,9 @@
         self.decisions = DecisionLog()
         self.is_draining = False
         self.proxy = Proxy(self._context(body_max_bytes))
-        self.server = HttpServer(self.proxy.handle, ServerLimits())
+        self.server = HttpServer(
+            self.proxy.handle, ServerLimits(), self.proxy.is_repeatable
+        )
         self.address = ("127.0.0.1", 0)
 
     def now_ms(self) -> float:
