Admission allows for the spread of work when an answer is to be in time

Cause: under overload each call starts as late as is allowed, and that was the wanted time less the mean: about half of the answers then came just too late.

Change: one mean deviation of the route is added, up to 0.7 of the wanted time.

--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -30,6 +30,13 @@
 # this share of the time they have left: told early, their callers can still go
 # elsewhere, and a third is what they would wait by themselves.
 LATE_WAIT_SHARE: Final = 1 / 3
+# How many mean deviations longer than the mean a call is taken to last where its
+# answer is to be in time, and which share of the wanted time that may take up.
+# Under overload each call starts as late as is allowed: with the mean alone, about
+# half of the answers come too late. At 1.4 times the load that fits, 5,563 answers
+# are in time instead of 5,051 (six seeds of the load in the tests of admission).
+N_USEFUL_DEVIATIONS: Final = 1.0
+USEFUL_WORK_SHARE: Final = 0.7
 # An overload ends when no call was refused for so long.
 OVERLOAD_GAP_MS: Final = 1_000.0
 # For how long a less urgent call shows that there are such calls.
@@ -86,6 +93,7 @@
         self._service_ms_of = dict.fromkeys(PRIORITIES, FIRST_SERVICE_MS)
         self._deviation_ms_of = dict.fromkeys(PRIORITIES, 0.0)
         self._service_ms_by_route: dict[str, float] = {}
+        self._deviation_ms_by_route: dict[str, float] = {}
         self._late: set[int] = set()
         self._arrived_ms_of = dict.fromkeys(PRIORITIES, -math.inf)
         self._refused_ms = -math.inf
@@ -217,10 +225,16 @@
         return self._latest_useful_start_ms(call) < now_ms
 
     def _latest_useful_start_ms(self, call: WaitingCall) -> float:
-        """Return until when a start leads to an answer in time, by the mean."""
+        """Return until when a start most likely leads to an answer in time."""
+        service_ms = self._usual_service_ms(call)
+        deviation_ms = self._deviation_ms_by_route.get(call.route, 0.0)
+        longest_ms = service_ms + N_USEFUL_DEVIATIONS * deviation_ms
+        allowed_ms = USEFUL_WORK_SHARE * (call.wanted_ms - call.arrived_ms)
+        return call.wanted_ms - max(service_ms, min(longest_ms, allowed_ms))
+
+    def _usual_service_ms(self, call: WaitingCall) -> float:
         fallback_ms = self._service_ms_of[call.priority]
-        service_ms = self._service_ms_by_route.get(call.route, fallback_ms)
-        return call.wanted_ms - service_ms
+        return self._service_ms_by_route.get(call.route, fallback_ms)
 
     def _give_up_ms(self, call: WaitingCall, is_late: bool) -> float:
         """Return until when a call waits before it is refused."""
@@ -279,8 +293,13 @@
         if len(known) >= N_ROUTES_MAX and route not in known:
             # Routes come and go with each version; the mean is soon known again.
             known.clear()
+            self._deviation_ms_by_route.clear()
         mean_ms = known.get(route, service_ms)
-        known[route] = mean_ms + SERVICE_WEIGHT * (service_ms - mean_ms)
+        change_ms = service_ms - mean_ms
+        known[route] = mean_ms + SERVICE_WEIGHT * change_ms
+        deviation_ms = self._deviation_ms_by_route.get(route, 0.0)
+        deviation_ms += SERVICE_WEIGHT * (abs(change_ms) - deviation_ms)
+        self._deviation_ms_by_route[route] = deviation_ms
 
     def _latest_start_ms(self, call: WaitingCall) -> float:
         """Return until when it makes sense to run the call.
--- a/tests/test_admission_in_time.py
+++ b/tests/test_admission_in_time.py
@@ -9,6 +9,7 @@
 import pytest
 
 from pepperstair_core.calls import Admission, Admitted, RefusalCause, WaitingCall
+from pepperstair_core.calls import admission as admission_module
 from tests.call_load import poisson_calls
 
 WORK_MS = 90.0
@@ -174,6 +175,19 @@
     assert n_at_once > 0.7 * len(held.refused_after_ms)
 
 
+def test_spread_of_work_is_allowed_for_when_an_answer_is_to_be_in_time(monkeypatch):
+    """More calls come than fit, and some take a few times as long as others.
+
+    Each starts as late as is allowed. Taken to last the mean, half of them would end
+    just after their answer was wanted.
+    """
+    seeds = range(6)
+    n_allowed = sum(play(1.4, WANTED_MS, seed).n_in_time for seed in seeds)
+    monkeypatch.setattr(admission_module, "N_USEFUL_DEVIATIONS", 0.0)
+    n_by_mean = sum(play(1.4, WANTED_MS, seed).n_in_time for seed in seeds)
+    assert n_allowed > 1.01 * n_by_mean
+
+
 def test_load_that_fits_is_served_whole():
     served = play(0.7, WANTED_MS, 1)
     n_served = served.n_in_time + served.n_late
