A daemon that has just started takes the targets it learns one by one for warm

Cause: after a kill of all daemons, targets announce themselves again over half a second.

Change: for five seconds from its first choice a daemon takes every target for warm that does not say that it is cold.

--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -5,6 +5,7 @@
 from .admission import Admission, Admitted, RefusalCause, Refused, Verdict
 from .choice import (
     FULL_AVOIDED_MS,
+    JOINING_MS,
     CallEnd,
     Ejection,
     EndKind,
@@ -13,7 +14,7 @@
 )
 from .fair_queue import WaitingCall
 from .fleet_budget import BudgetTerms, FleetRetryBudget
-from .habits import AnswerSizes, Patience
+from .habits import Acceptance, AnswerSizes, Patience
 from .outcome import CallOutcome
 from .pacing import LinkPacer
 from .retry import (
@@ -28,6 +29,8 @@
 
 __all__ = [
     "FULL_AVOIDED_MS",
+    "JOINING_MS",
+    "Acceptance",
     "Admission",
     "Admitted",
     "AnswerSizes",
--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -36,6 +36,9 @@
 N_ROUTES_MAX: Final = 1_000
 FORGOTTEN_AFTER_MS: Final = 60_000
 N_REMEMBERED_MAX: Final = 2_000
+# A daemon that starts learns of all targets within some seconds: they announce
+# themselves every 1.5 s and reach it through one or two others.
+JOINING_MS: Final = 5_000
 # Some dozens of services have one group each, and a new one when members change.
 N_GROUPS_MAX: Final = 64
 
@@ -78,10 +81,15 @@
     """Chooses targets and learns from how the calls to them ended.
 
     Times are in milliseconds of one clock that never goes back; `rng` makes
-    every choice repeatable.
+    every choice repeatable. For `joining_ms` from the first choice on, targets that
+    it learns of are taken for warm.
     """
 
-    def __init__(self, availability_zone: str, rng: Random) -> None:
+    def __init__(
+        self, availability_zone: str, rng: Random, joining_ms: float = 0.0
+    ) -> None:
+        self._joining_ms = joining_ms
+        self._joined_ms: float | None = None
         self._availability_zone = availability_zone
         self._rng = rng
         self._health: dict[TargetKey, TargetHealth] = {}
@@ -338,12 +346,18 @@
     def _meet(self, endpoints: Sequence[Endpoint], now_ms: float) -> None:
         """Begin to remember targets that are new.
 
-        Where none of a service's targets is known, this daemon is the new one
-        and they are taken as warm.
+        Where none of a service's targets is known, or this daemon has just started,
+        this daemon is the new one and they are taken as warm. After a restart of the
+        whole fleet targets become known one by one: were all but the first started
+        slowly, it alone would get nearly all calls for ten seconds and queue them,
+        while the slots of the others stay free.
         """
         known = self._health
         missing = [item.key for item in endpoints if item.key not in known]
-        is_new = len(missing) < len(endpoints)
+        if self._joined_ms is None:
+            self._joined_ms = now_ms
+        is_joining = now_ms - self._joined_ms < self._joining_ms
+        is_new = len(missing) < len(endpoints) and not is_joining
         for key in missing:
             known[key] = TargetHealth(now_ms, is_new=is_new)
         for endpoint in endpoints:
@@ -372,6 +386,7 @@
 
 
 __all__ = [
+    "JOINING_MS",
     "CallEnd",
     "EndKind",
     "Ejection",
--- a/packages/pepperstair-core/pepperstair_core/calls/habits.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/habits.py
@@ -11,6 +11,12 @@
 # A caller that says it waits less than this share of what is usual has used up
 # the rest, or is another kind of caller; either way it is served after others.
 RETURNED_SHARE: Final = 0.85
+# The share of accepted calls follows the last thirty or so.
+ACCEPTED_WEIGHT: Final = 0.03
+# When to come back after a target with free slots has turned a call away: about
+# the back-off of an attempt within the mesh, so that the answer can still be in time.
+SOON_MS: Final = 50.0
+LATEST_RETURN_MS: Final = 1_000
 
 
 class AnswerSizes:
@@ -71,4 +77,34 @@
         return int(median_ms - timeout_ms)
 
 
-__all__ = ["AnswerSizes", "Patience"]
+class Acceptance:
+    """Which share of the calls that reach a service's targets is taken in.
+
+    A target that turns calls away though its slots are free does so by its own
+    rule, not for want of room, and the next try may be taken. A caller told to come
+    back in a second then has lost its time: with targets that turn away every second
+    call for some seconds, callers get their answer within the wanted time far more
+    often when they come back at once. The fewer are taken, the longer it is.
+
+    >>> acceptance = Acceptance()
+    >>> acceptance.retry_after_ms("ledger")
+    50
+    """
+
+    def __init__(self) -> None:
+        self._shares: dict[str, float] = {}
+
+    def see(self, service: str, is_accepted: bool) -> None:
+        """Take whether a target took a call in."""
+        if len(self._shares) >= N_ROUTES_MAX and service not in self._shares:
+            self._shares.clear()
+        share = self._shares.get(service, 1.0)
+        self._shares[service] = share + ACCEPTED_WEIGHT * (is_accepted - share)
+
+    def retry_after_ms(self, service: str) -> int:
+        """Return when a caller should come back whose call was turned away."""
+        share = self._shares.get(service, 1.0)
+        return int(min(LATEST_RETURN_MS, SOON_MS / max(share, 0.01)))
+
+
+__all__ = ["Acceptance", "AnswerSizes", "Patience"]
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -12,7 +12,13 @@
 
 from pepperstair_callers import Proxy, ProxyContext
 from pepperstair_core.burn import BurnCounts
-from pepperstair_core.calls import CallOutcome, LinkPacer, Load, TargetChooser
+from pepperstair_core.calls import (
+    JOINING_MS,
+    CallOutcome,
+    LinkPacer,
+    Load,
+    TargetChooser,
+)
 from pepperstair_core.config import Settings, parse_address
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.events import Event
@@ -116,7 +122,9 @@
             self.decisions,
             edges.target_options,
         )
-        self.chooser = TargetChooser(settings.vm.availability_zone, self.rng)
+        self.chooser = TargetChooser(
+            settings.vm.availability_zone, self.rng, JOINING_MS
+        )
         self.frame_counters = {kind: FrameCounters() for kind in StreamKind}
         stream_heartbeat_ms = settings.calls.stream_heartbeat_ms
         stream_heartbeat_ms = stream_heartbeat_ms or settings.members.heartbeat_ms
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -7,7 +7,13 @@
 
 import pytest
 
-from pepperstair_core.calls import CallEnd, EndKind, Load, TargetChooser
+from pepperstair_core.calls import (
+    JOINING_MS,
+    CallEnd,
+    EndKind,
+    Load,
+    TargetChooser,
+)
 from pepperstair_core.calls.target_health import EJECTION_BASE_MS, SLOW_START_MS
 from tests.call_load import endpoint
 
@@ -72,6 +78,27 @@
     assert (sum(item.target.name == "t3" for item in late) >= 4) is is_warm
 
 
+def test_targets_learnt_one_by_one_after_a_restart_share_the_calls():
+    """All daemons were killed and come back, and targets announce themselves anew.
+
+    Taken for cold, all but the first to be known would stand idle while it queues
+    nearly all calls of the fleet.
+    """
+    choosing = TargetChooser("z", Random(5), JOINING_MS)
+    known = [endpoint(0)]
+    choosing.choose(known, no_report, 0.0)
+    for index in (1, 2):
+        known = [*known, endpoint(index)]
+        choosing.choose(known, no_report, 300.0 * index)
+    held = [choosing.choose(known, no_report, 900.0) for _ in range(18)]
+    for item in known:
+        assert 4 <= sum(chosen is item for chosen in held) <= 8
+    joined = [*known, endpoint(3)]
+    late_ms = JOINING_MS + 1.0
+    later = [choosing.choose(joined, no_report, late_ms) for _ in range(9)]
+    assert sum(item.target.name == "t3" for item in later) <= 2
+
+
 def test_hanging_target_gets_no_more_calls_before_the_first_times_out():
     """A target stops answering; its connections stay open.
 
