Callers turned away by a target with free slots come back soon

Cause: a target's own refusal names no time, so callers were told to come back in a second, after which no answer is in time where 600 ms are wanted.

Ruled out: retries within the fleet's budget (154 in ten seconds against over a thousand such refusals); for overload, the time follows from the queue as before.

Change: 50 ms over the share of calls that the service's targets take in, at most a second.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -135,6 +135,7 @@
             self.n_attempts += 1
             try:
                 response = await self._attempt(self._endpoint)
+                context.acceptance.see(self.compiled.service.name, True)
                 if self._may_end_better_elsewhere(response):
                     return await self._answer_from_another(response)
                 self._latency_ms = context.now_ms() - self._attempted_ms
@@ -307,7 +308,10 @@
         known = self._context.endpoints(self.compiled)
         has_other = any(endpoint.key not in excluded for endpoint in known)
         final = Failure(
-            failure.kind, failure.detail, failure.retry_after_ms, attempt.has_run
+            failure.kind,
+            failure.detail,
+            self._retry_after_ms(failure),
+            attempt.has_run,
         )
         if not has_other:
             raise PepperstairError(final)
@@ -321,6 +325,14 @@
         self._report_retry(failed, failure)
         await asyncio.sleep(decision.delay_ms / 1000)
 
+    def _retry_after_ms(self, failure: Failure) -> int:
+        """Return when the caller should come back, 0 where nothing tells."""
+        if failure.kind is not ErrorKind.TARGET_REFUSED:
+            return failure.retry_after_ms
+        service = self.compiled.service.name
+        self._context.acceptance.see(service, False)
+        return self._context.acceptance.retry_after_ms(service)
+
     def _call_head(self, endpoint: Endpoint) -> CallHead:
         request = self._request
         call_id = next(self._call_ids)
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -9,6 +9,7 @@
 import structlog
 
 from pepperstair_core.calls import (
+    Acceptance,
     AnswerSizes,
     CallOutcome,
     Load,
@@ -57,6 +58,7 @@
     rng: random.Random
     body_max_bytes: Callable[[], int]
     answer_sizes: AnswerSizes = field(default_factory=AnswerSizes)
+    acceptance: Acceptance = field(default_factory=Acceptance)
     patience: Patience = field(default_factory=Patience)
     header_names: HeaderNames = PRODUCT_HEADERS
     service: str = ""
