Callers of a daemon that starts wait for it instead of being turned away

Its log: after the kill of all, ready 0.24 to 0.77 s and the own target known 0.32 to 0.89 s after the start of listening.

Change: the callers' address listens from the first moment, before the imports; requests wait up to half a second, and up to a quarter of their time, while a daemon that has just started lacks its configuration or a target of their service; a daemon reads the rows of the others before the spread of its first write, not after it.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -83,6 +83,7 @@
         compiled: CompiledRoute,
         body: RequestBody,
         call_ids: Iterator[int],
+        arrived_ms: float,
     ) -> None:
         self._context = context
         self._request = request
@@ -100,7 +101,7 @@
         self._has_arrived = False
         self._refused: Failure | None = None
         self.compiled = compiled
-        self.deadline_ms = context.now_ms() + self.timeout_ms
+        self.deadline_ms = arrived_ms + self.timeout_ms
         self._attempted_ms = 0.0
         self._latency_ms = 0.0
         self.n_attempts = 0
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -38,8 +38,9 @@
 
     `carry` runs one attempt, beside the target or through its daemon.
     `budget_of` gives the retry budget that a service's calls draw on. `now_ms`
-    never goes back. `service` is that of the target on the own VM, where one is
-    to be named to targets.
+    never goes back. `is_joining` says that the daemon has just started, so that what
+    it does not know yet it may know in a moment. `service` is that of the target on
+    the own VM, where one is to be named to targets.
     """
 
     vm: str
@@ -49,6 +50,7 @@
     load_of: Callable[[Endpoint], Load | None]
     carry: CallCarrier
     is_ready: Callable[[], bool]
+    is_joining: Callable[[], bool]
     is_draining: Callable[[], bool]
     on_outcome: Callable[[CallOutcome], None]
     decisions: DecisionLog
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Final
 
 import structlog
 
@@ -20,6 +21,13 @@
 
 log = structlog.get_logger(__name__)
 
+# For how long a request waits for a daemon that has just started: targets announce
+# themselves every 1.5 s, and half of them are known after half a second.
+JOIN_WAIT_MAX_MS: Final = 500.0
+# Waiting longer than this share of what its caller allows would cost it its answer.
+JOIN_WAIT_SHARE: Final = 0.25
+JOIN_CHECK_MS: Final = 20
+
 
 class Proxy:
     """The handler of callers' requests."""
@@ -32,6 +40,7 @@
         self.n_failed = 0
         self.n_retries = 0
         self.n_in_flight = 0
+        self.n_held_at_start = 0
         self._scopes: set[asyncio.Timeout] = set()
 
     async def handle(self, exchange: Exchange) -> None:
@@ -45,7 +54,9 @@
         status, error = ANSWERS[ErrorKind.CANCELLED].status, ErrorKind.CANCELLED
         try:
             try:
-                call = self._begin(exchange)
+                if self._context.is_joining():
+                    await self._wait_to_join(exchange.request)
+                call = self._begin(exchange, start_ms)
                 response = await self._carry(call)
             except PepperstairError as failed:
                 failure = failed.failure
@@ -98,7 +109,38 @@
         finally:
             self._scopes.discard(scope)
 
-    def _begin(self, exchange: Exchange) -> ProxiedCall:
+    async def _wait_to_join(self, request: Request) -> None:
+        """Let a request wait a moment for what the starting daemon is about to learn.
+
+        A daemon that was killed knows its configuration and its targets some tenths
+        of a second after it listens. Refused meanwhile, its callers would spend one
+        of their few retries and a second; after a kill of all daemons, all would.
+        """
+        timeout_ms = self._read_head(request.headers).timeout_ms
+        longest_ms = JOIN_WAIT_MAX_MS
+        if timeout_ms:
+            longest_ms = min(longest_ms, timeout_ms * JOIN_WAIT_SHARE)
+        end_ms = self._context.now_ms() + longest_ms
+        if self._can_carry(request):
+            return
+        self.n_held_at_start += 1
+        while not self._can_carry(request) and self._context.now_ms() < end_ms:
+            await asyncio.sleep(JOIN_CHECK_MS / 1000)
+
+    def _can_carry(self, request: Request) -> bool:
+        """Return whether all is known that a request needs, or it is refused anyway."""
+        context = self._context
+        if context.is_draining():
+            return True
+        if not context.is_ready():
+            return False
+        compiled = context.route_table().match(request.host, request.path)
+        if compiled is None:
+            return True
+        parts = [part for _, part in compiled.parts] or [compiled]
+        return all(context.endpoints(part) for part in parts)
+
+    def _begin(self, exchange: Exchange, arrived_ms: float) -> ProxiedCall:
         """Find the route of a request, or raise why it is not carried."""
         request = exchange.request
         context = self._context
@@ -117,7 +159,9 @@
         if head.n_body_bytes > body_max_bytes:
             raise PepperstairError(Failure(ErrorKind.BODY_TOO_LARGE))
         body = RequestBody(exchange.body, body_max_bytes)
-        return ProxiedCall(context, request, head, compiled, body, self._call_ids)
+        return ProxiedCall(
+            context, request, head, compiled, body, self._call_ids, arrived_ms
+        )
 
     async def _pass_on(
         self, exchange: Exchange, call: ProxiedCall, response: StreamedResponse
--- a/packages/pepperstair-http/pepperstair_http/server.py
+++ b/packages/pepperstair-http/pepperstair_http/server.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
+from typing import Final
 
 import structlog
 
@@ -15,6 +17,9 @@
 
 log = structlog.get_logger(__name__)
 
+# Connections that wait to be accepted, as after a restart of all daemons.
+BACKLOG: Final = 1024
+
 
 class HttpServer:
     """Listens on one address and hands each request to the handler.
@@ -62,11 +67,18 @@
         """Return the connections that are open."""
         return self.state.connections
 
-    async def listen(self, host: str, port: int) -> int:
-        """Start listening and return the port, chosen by the system for 0."""
+    async def listen(
+        self, host: str, port: int, opened: socket.socket | None = None
+    ) -> int:
+        """Start listening and return the port, chosen by the system for 0.
+
+        Where a socket at the address is `opened` already, it is taken over with the
+        connections that wait there.
+        """
         loop = asyncio.get_running_loop()
+        where = {"sock": opened} if opened else {"host": host, "port": port}
         self._server = await loop.create_server(
-            lambda: ServerConnection(self.state), host, port, backlog=1024
+            lambda: ServerConnection(self.state), backlog=BACKLOG, **where
         )
         self._schedule_sweep()
         return self._server.sockets[0].getsockname()[1]
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -31,6 +31,7 @@
 
     n_calls: int = counted("Requests of callers.")
     n_calls_failed: int = counted("Requests of callers answered with an error.")
+    n_calls_held_at_start: int = counted("Requests that waited for a starting daemon.")
     n_calls_taken: int = counted("Calls taken from other daemons.")
     n_calls_refused: int = counted("Calls refused beside a target as not run.")
     n_connections: int = counted("Connections of callers.")
@@ -105,6 +106,7 @@
         n_calls=daemon.proxy.n_calls,
         n_calls_failed=daemon.proxy.n_failed,
         n_call_retries=daemon.proxy.n_retries,
+        n_calls_held_at_start=daemon.proxy.n_held_at_start,
         n_calls_taken=daemon.call_server.n_calls,
         n_calls_refused=daemon.runner.n_refused,
         n_connections=daemon.callers.counters.n_connections,
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import Iterator
 from dataclasses import replace
 from typing import Final
@@ -79,6 +80,7 @@
         self.settings = settings
         self.edges = edges
         self.is_stopping = False
+        self._started_ms = precise_ms()
         self._alive: dict[str, int] = {}
         self.body_max_bytes = settings.callers.body_max_bytes
         self.rng = random.Random()
@@ -235,12 +237,15 @@
         self.configuration.catch_up()
         self.call_server.reset_streams()
 
-    async def start(self) -> None:
-        """Listen on every address and begin to join the fleet."""
+    async def start(self, opened: socket.socket | None = None) -> None:
+        """Listen on every address and begin to join the fleet.
+
+        `opened` is the socket for callers, where it listens already.
+        """
         settings = self.settings
         await self.operators.listen(*parse_address(settings.operators.address))
         await self.listener.listen(*parse_address(settings.peers.address))
-        await self.callers.listen(*parse_address(settings.callers.address))
+        await self.callers.listen(*parse_address(settings.callers.address), opened)
         for further in self.further_servers:
             await further.server.listen(*parse_address(further.address))
         self.configuration.start()
@@ -319,6 +324,7 @@
             load_of=self._load_of,
             carry=self._carry,
             is_ready=self.is_ready,
+            is_joining=lambda: precise_ms() - self._started_ms < JOINING_MS,
             on_outcome=self._count_outcome,
             is_draining=lambda: self.runner.is_draining,
             decisions=self.decisions,
--- a/packages/pepperstaird/pepperstaird/member_rows.py
+++ b/packages/pepperstaird/pepperstaird/member_rows.py
@@ -72,7 +72,10 @@
         await self._platform.delete_row(_key(self._directory.own().vm))
 
     async def _run(self) -> None:
-        # A herd that starts together would read and write all rows at once.
+        # The rows of before tell where the others are; without them callers would find
+        # no target for the time of the spread.
+        await self._find_others()
+        # A herd that starts together would write all rows at once.
         await asyncio.sleep(self._rng.uniform(0, self._join_max_s))
         retry_s = _RETRY_MIN_S
         while True:
@@ -86,6 +89,13 @@
             await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.0))
             retry_s = min(_RETRY_MAX_S, 2 * retry_s)
 
+    async def _find_others(self) -> None:
+        read = await self._platform.read_rows(_PREFIX)
+        if read.is_ok():
+            self._control.discover(
+                row.peer_address for row in _iter_rows(read.unwrap())
+            )
+
     def _is_reader(self) -> bool:
         if not self._control.neighbours:
             return True
--- a/packages/pepperstaird/pepperstaird/running.py
+++ b/packages/pepperstaird/pepperstaird/running.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 from typing import Final
 
 import structlog
@@ -22,13 +23,20 @@
 _SIGNALS: Final = (*_STOP_SIGNALS, signal.SIGHUP)
 
 
-def run_daemon(settings: Settings, edges: Edges) -> int:
-    """Run a daemon until SIGTERM or SIGINT and return its exit code."""
+def run_daemon(
+    settings: Settings, edges: Edges, opened: socket.socket | None = None
+) -> int:
+    """Run a daemon until SIGTERM or SIGINT and return its exit code.
+
+    `opened` is the socket for callers, where it listens already.
+    """
     configure_logs(settings.vm.name)
-    return asyncio.run(_run_until_signal(settings, edges))
+    return asyncio.run(_run_until_signal(settings, edges, opened))
 
 
-async def _run_until_signal(settings: Settings, edges: Edges) -> int:
+async def _run_until_signal(
+    settings: Settings, edges: Edges, opened: socket.socket | None
+) -> int:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(log_loop_error)
     stopping = asyncio.Event()
@@ -37,7 +45,7 @@
     daemon = Daemon(settings, edges)
     loop.add_signal_handler(signal.SIGHUP, lambda: edges.reload(daemon))
     try:
-        await daemon.start()
+        await daemon.start(opened)
     except OSError as error:
         # Another process holds an address, or it is none of this VM: without
         # this, the operator would search a traceback for which it was.
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -121,6 +121,7 @@
         self.outcomes: list[CallOutcome] = []
         self.decisions = DecisionLog()
         self.is_draining = False
+        self.is_joining = False
         self.proxy = Proxy(self._context(body_max_bytes))
         self.server = HttpServer(
             self.proxy.handle, ServerLimits(), self.proxy.is_repeatable
@@ -194,6 +195,7 @@
             load_of=lambda endpoint: None,
             carry=lambda item, head, body: self.nodes[item.vm].runner.run(head, body),
             is_ready=lambda: True,
+            is_joining=lambda: self.is_joining,
             is_draining=lambda: self.is_draining,
             on_outcome=self.outcomes.append,
             decisions=self.decisions,
--- /dev/null
+++ b/tests/test_joining.py
@@ -0,0 +1,80 @@
+"""Requests that reach a daemon in its first moments."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+from pepperstaird.early_listening import open_callers_socket
+
+from .call_mesh import Mesh, run_of, seen
+from .test_last_hop import ID
+
+
+def test_request_waits_for_the_first_target_of_a_starting_daemon():
+    """All daemons were killed and come back, and a caller is there before the targets.
+
+    Refused, it would be told to come back in a second, and so would every caller of
+    the fleet, though the targets are known a few hundred milliseconds later.
+    """
+
+    async def run() -> tuple[int, str]:
+        async with Mesh() as mesh:
+            mesh.is_joining = True
+            call = asyncio.ensure_future(mesh.call(headers=(ID,)))
+            await seen(lambda: mesh.proxy.n_held_at_start == 1)
+            await mesh.add("t1")
+            return run_of(await call)
+
+    assert asyncio.run(run()) == (200, "yes")
+
+
+def test_request_that_no_target_comes_for_is_refused_in_good_time():
+    async def run(is_joining: bool) -> tuple[tuple[int, str], float]:
+        async with Mesh() as mesh:
+            mesh.is_joining = is_joining
+            start_s = time.monotonic()
+            timeout = (b"pepperstair-timeout-ms", b"800")
+            answer = await mesh.call(headers=(timeout,))
+            return run_of(answer), time.monotonic() - start_s
+
+    refused, lasted_s = asyncio.run(run(True))
+    assert refused == (503, "no")
+    assert 0.15 < lasted_s < 0.8
+    refused, lasted_s = asyncio.run(run(False))
+    assert refused == (503, "no")
+
+
+def test_connection_made_before_the_server_is_there_is_served():
+    """A caller connects while the daemon still imports its libraries.
+
+    The system would turn it away, and it has few retries.
+    """
+
+    async def run() -> bytes:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        opened = open_callers_socket(f'[callers]\naddress = "127.0.0.1:{port}"\n')
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /x HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        async with Mesh() as mesh:
+            await mesh.add("t1")
+            await mesh.server.listen("127.0.0.1", port, opened)
+            answer = await reader.read()
+        writer.close()
+        return answer
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 200")
+
+
+def test_settings_that_cannot_be_used_open_no_socket():
+    """What is wrong is reported by the start itself, with its place in the file."""
+    for text in (
+        "",
+        "no toml [",
+        "[callers]\naddress = 5\n",
+        '[callers]\naddress="x"\n',
+    ):
+        assert open_callers_socket(text) is None
