Short calls are not refused for the sake of long ones

Cause: calls between services of 40 ms have the priority of the long pulls beside them.

Ruled out: their priority (equal in the document); who sent them (callers and instances come from one address); one more target (refusals came from all).

Change: a call that takes under a quarter of what the longest calls of its target take waits until its deadline, in its place by when it is wanted.

--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -37,6 +37,11 @@
 # are in time instead of 5,051 (six seeds of the load in the tests of admission).
 N_USEFUL_DEVIATIONS: Final = 1.0
 USEFUL_WORK_SHARE: Final = 0.7
+# A call that takes less than this share of what the longest ones of its target take
+# waits until its deadline: in its place, not one of those could be served in time.
+SHORT_SHARE: Final = 0.25
+# What remains with each call of how long the longest ones take: half after 700.
+LONGEST_KEPT_SHARE: Final = 0.999
 # An overload ends when no call was refused for so long.
 OVERLOAD_GAP_MS: Final = 1_000.0
 # For how long a less urgent call shows that there are such calls.
@@ -94,6 +99,7 @@
         self._deviation_ms_of = dict.fromkeys(PRIORITIES, 0.0)
         self._service_ms_by_route: dict[str, float] = {}
         self._deviation_ms_by_route: dict[str, float] = {}
+        self._longest_service_ms = 0.0
         self._late: set[int] = set()
         self._arrived_ms_of = dict.fromkeys(PRIORITIES, -math.inf)
         self._refused_ms = -math.inf
@@ -213,7 +219,13 @@
         depend on it: the look-up of a page that a service builds is worth as
         much late as in time, and refused it takes the whole page with it. The
         slots that it waits for are those of the less urgent calls.
+
+        It is so as well for a call that takes a fraction of what others take: refused,
+        it frees hardly anything for them, and such a short call is mostly part of
+        another request.
         """
+        if self._usual_service_ms(call) < SHORT_SHARE * self._longest_service_ms:
+            return True
         place = PRIORITIES.index(call.priority)
         return any(
             call.arrived_ms - self._arrived_ms_of[less_urgent] < LESS_URGENT_SEEN_MS
@@ -295,6 +307,9 @@
             known.clear()
             self._deviation_ms_by_route.clear()
         mean_ms = known.get(route, service_ms)
+        self._longest_service_ms = max(
+            mean_ms, LONGEST_KEPT_SHARE * self._longest_service_ms
+        )
         change_ms = service_ms - mean_ms
         known[route] = mean_ms + SERVICE_WEIGHT * change_ms
         deviation_ms = self._deviation_ms_by_route.get(route, 0.0)
--- a/tests/test_admission_in_time.py
+++ b/tests/test_admission_in_time.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import heapq
 import math
+from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
 
@@ -10,7 +12,7 @@
 
 from pepperstair_core.calls import Admission, Admitted, RefusalCause, WaitingCall
 from pepperstair_core.calls import admission as admission_module
-from tests.call_load import poisson_calls
+from tests.call_load import Call, merge_calls, poisson_calls
 
 WORK_MS = 90.0
 WANTED_MS = 300.0
@@ -188,6 +190,73 @@
     assert n_allowed > 1.01 * n_by_mean
 
 
+def play_short_and_long(load: float, seed: int) -> tuple[float, float]:
+    """Return the refused share of short calls and the answered share of long ones.
+
+    Calls of 40 ms, which other requests wait for, and of 420 ms come to one target
+    with the same priority; the long ones are wanted within 1,200 ms.
+    """
+    rng, n_slots = Random(seed), 9
+    admission = Admission(n_slots)
+    n_per_s = load * n_slots / (1.45 * 40 + 420) * 1000
+    kinds = [("short", 40.0, 150.0, 500.0), ("long", 420.0, 1_200.0, 3_400.0)]
+    arrivals = merge_calls(
+        poisson_calls(rng, 1.45 * n_per_s, UNTIL_MS, lambda i, at: arrival(i, at, 0)),
+        poisson_calls(rng, n_per_s, UNTIL_MS, lambda i, at: arrival(i, at, 1)),
+    )
+    n_of, n_refused, n_answered = Counter(), Counter(), Counter()
+    running, ends = {}, []
+
+    def take(verdicts, now_ms):
+        for verdict in verdicts:
+            waiting = running[verdict.ticket]
+            if not isinstance(verdict, Admitted):
+                n_refused[waiting.route] += 1
+                continue
+            mean_ms = 40.0 if waiting.route == "short" else 420.0
+            work_ms = rng.lognormvariate(math.log(mean_ms) - 0.06, 0.35)
+            heapq.heappush(ends, (now_ms + work_ms, verdict.ticket, work_ms))
+
+    for ticket, arriving in enumerate(arrivals):
+        at_ms = arriving.at_ms
+        while ends and ends[0][0] <= at_ms:
+            end_ms, ended, work_ms = heapq.heappop(ends)
+            waiting = running[ended]
+            n_answered[waiting.route] += end_ms <= waiting.deadline_ms
+            take(
+                admission.finish("c", "normal", work_ms, end_ms, waiting.route), end_ms
+            )
+        take(admission.expire(at_ms), at_ms)
+        route, _, wanted_ms, deadline_ms = kinds[int(arriving.service_ms)]
+        n_of[route] += 1
+        running[ticket] = call(ticket, at_ms, wanted_ms, deadline_ms, route=route)
+        take(admission.arrive(running[ticket], at_ms), at_ms)
+    return n_refused["short"] / n_of["short"], n_answered["long"] / n_of["long"]
+
+
+def arrival(index: int, at_ms: float, kind: int) -> Call:
+    """Return a call of one of two kinds that is yet to be put to the target."""
+    return Call(index, at_ms, "c", "normal", kind, 0.0)
+
+
+@pytest.mark.parametrize("load", [0.9, 1.1, 1.4])
+def test_short_call_is_not_refused_for_the_sake_of_long_ones(load, monkeypatch):
+    """Court dates of 40 ms are read for registrations, from instances that also carry
+    long pulls, with the same priority.
+
+    Refused for being late they fail the registration, which has run by then and must
+    not run again, and their slots would have served one pull more in ten.
+    """
+    played = [play_short_and_long(load, seed) for seed in range(3)]
+    monkeypatch.setattr(admission_module, "SHORT_SHARE", 0.0)
+    without = [play_short_and_long(load, seed) for seed in range(3)]
+    n_refused = sum(refused for refused, _ in played) / 3
+    n_refused_without = sum(refused for refused, _ in without) / 3
+    assert n_refused < 0.05
+    assert n_refused < 0.2 * n_refused_without
+    assert sum(kept for _, kept in played) > 0.9 * sum(kept for _, kept in without)
+
+
 def test_load_that_fits_is_served_whole():
     served = play(0.7, WANTED_MS, 1)
     n_served = served.n_in_time + served.n_late
