An emulator that plays loads and faults on the product's decisions

Change: a workspace member with services of several speeds, zones, calls between services, faults and returning clients in virtual time, around the product's own choice, admission, retry and return decisions; pepperstair-emulator plays a TOML experiment over seeds and policies (constants of the decisions with other values) and prints a table.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every target makes what it needs: `make test` on a fresh machine is enough.
 VENV := .venv
 PYTHON := $(VENV)/bin/python
-PACKAGES := $(wildcard packages/*) platform
+PACKAGES := $(wildcard packages/*) platform emulator
 TOOLS := pytest hypothesis ruff
 
 .PHONY: install test lint format demo docs clean bench-path bench-idle bench-http \
--- /dev/null
+++ b/emulator/pepperstair_emulator/targets.py
@@ -0,0 +1,109 @@
+"""Targets with slots, speeds and faults, behind the product's admission."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from random import Random
+
+from pepperstair_core.calls import Admission, Admitted, Load, Refused, WaitingCall
+from pepperstair_core.intent import Policy as TargetPolicy
+from pepperstair_core.members import Target, TargetState
+from pepperstair_core.routing import Endpoint
+
+from .clock import VirtualClock
+from .experiment import FaultModel, RouteModel, ServiceModel
+
+CUSTOMER = "c"
+N_QUEUED_MAX = 256
+Verdict = Callable[[Refused | None], None]
+
+
+class EmulatedTarget:
+    """One target and the daemon beside it, which admits its calls."""
+
+    def __init__(
+        self,
+        service: ServiceModel,
+        index: int,
+        zone: str,
+        faults: tuple[FaultModel, ...],
+        clock: VirtualClock,
+        rng: Random,
+    ) -> None:
+        self.vm = f"{service.name}-{index}"
+        self.speed = service.speeds[index]
+        self.admission = Admission(service.n_slots)
+        self._faults = [fault for fault in faults if index < fault.n_targets]
+        self._clock = clock
+        self._rng = rng
+        self._tickets = itertools.count(1)
+        self._waiting: dict[int, Verdict] = {}
+        state = TargetState.SERVING
+        target = Target(self.vm, "127.0.0.1:1", (), service.n_slots, 110, state)
+        policy = TargetPolicy("p", "")
+        self.endpoint = Endpoint(self.vm, zone, "127.0.0.1:2", target, policy)
+
+    @property
+    def load(self) -> Load:
+        """Return what the daemon reports of the target."""
+        return Load(self.admission.n_in_flight, self.admission.n_queued)
+
+    def factor(self, kind: str) -> float:
+        """Return the factor of the faults of a kind that last now, 0 for none."""
+        now_s = self._clock.now_ms / 1000
+        lasting = (
+            fault.factor
+            for fault in self._faults
+            if fault.kind == kind and fault.from_s <= now_s < fault.from_s + fault.for_s
+        )
+        return max(lasting, default=0.0)
+
+    def work_ms(self, route: RouteModel) -> float:
+        """Draw how long the target works on one request."""
+        drawn = self._rng.lognormvariate(-(route.spread**2) / 2, route.spread)
+        return route.work_ms * drawn / self.speed * max(1.0, self.factor("slow"))
+
+    def enter(
+        self, route: RouteModel, deadline_ms: float, wanted_ms: float, done: Verdict
+    ) -> None:
+        """Ask for a slot; `done` gets None once it is there, or the refusal."""
+        ticket = next(self._tickets)
+        self._waiting[ticket] = done
+        now_ms = self._clock.now_ms
+        call = WaitingCall(
+            ticket,
+            CUSTOMER,
+            route.priority,
+            now_ms,
+            deadline_ms,
+            N_QUEUED_MAX,
+            wanted_ms,
+            route.name,
+        )
+        self._take(self.admission.arrive(call, now_ms))
+
+    def leave(self, route: RouteModel, service_ms: float | None) -> None:
+        """Give the slot of a call back."""
+        now_ms = self._clock.now_ms
+        self._take(
+            self.admission.finish(
+                CUSTOMER, route.priority, service_ms, now_ms, route.name
+            )
+        )
+
+    def _take(self, verdicts: list[Admitted | Refused]) -> None:
+        for verdict in verdicts:
+            done = self._waiting.pop(verdict.ticket)
+            done(verdict if isinstance(verdict, Refused) else None)
+        expiry_ms = self.admission.next_expiry_ms
+        if expiry_ms is not None:
+            self._clock.at(expiry_ms, self._expire)
+
+    def _expire(self) -> None:
+        verdicts = self.admission.expire(self._clock.now_ms)
+        if verdicts:
+            self._take(verdicts)
+
+
+__all__ = ["EmulatedTarget"]
