--- a/tests/test_last_hop.py
+++ b/tests/test_last_hop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -207,3 +208,25 @@
             return response.status, len(target.writers)
 
     assert asyncio.run(run()) == (200, 1)
+
+
+def test_instance_that_never_answers_costs_each_call_its_own_connection_only():
+    """A full instance says nothing, and nothing to what follows on that connection.
+
+    Sent on the same connection, the next call would wait for its whole timeout too,
+    though the instance has room for it by then.
+    """
+    names = replace(NAMES, is_id_echoed=False)
+
+    async def silent_first(target, writer, head) -> None:
+        if len(target.writers) == 1:
+            await asyncio.sleep(30)
+        writer.write(answer_bytes())
+
+    async def run() -> list[int]:
+        options = TargetOptions(names, 262_144)
+        async with Mesh(options=options, timeout_ms=300, n_attempts_max=1) as mesh:
+            await mesh.add("t1", silent_first)
+            return [(await mesh.call(headers=(ID,))).status for _ in range(3)]
+
+    assert asyncio.run(run()) == [504, 200, 200]
