--- a/emulator/pepperstair_emulator/attempts.py
+++ b/emulator/pepperstair_emulator/attempts.py
@@ -170,8 +170,14 @@
         self._fleet.call(daemon, left[0], self._deadline_ms, now_ms, done)
 
     def _answer_after_hop(self, failure: Failure | None) -> None:
-        delay_ms = self._hop_ms(self._chosen)
-        self._fleet.clock.after(delay_ms, lambda: self._take(failure))
+        vm = self._chosen.vm
+        load = self._fleet.targets[vm].load
+
+        def arrive() -> None:
+            self._daemon.loads[vm] = load
+            self._take(failure)
+
+        self._fleet.clock.after(self._hop_ms(self._chosen), arrive)
 
     def _take(self, failure: Failure | None) -> None:
         service = self._route.service
--- a/emulator/pepperstair_emulator/fleet.py
+++ b/emulator/pepperstair_emulator/fleet.py
@@ -37,14 +37,18 @@
         self.zone = zone
         self.chooser = TargetChooser(own_zone, fleet.rng)
         self.acceptance = Acceptance()
+        self.loads: dict[str, Load] = {}
         self._fleet = fleet
         self._budgets: dict[str, FleetRetryBudget] = {}
 
     def load_of(self, endpoint: Endpoint) -> Load | None:
-        """Return the load of a target: exact beside it, else as last reported."""
+        """Return the load of a target: exact beside it, else as last told.
+
+        That was by an answer from there, or by the heartbeat since.
+        """
         if endpoint.vm == self.vm:
             return self._fleet.targets[endpoint.vm].load
-        return self._fleet.reported.get(endpoint.vm)
+        return self.loads.get(endpoint.vm)
 
     def budget_of(self, service: str) -> FleetRetryBudget:
         """Return this daemon's part of a service's retry budget."""
@@ -77,7 +81,6 @@
         self.routes = {route.name: route for route in experiment.routes}
         self.targets: dict[str, EmulatedTarget] = {}
         self.daemons: dict[str, EmulatedDaemon] = {}
-        self.reported: dict[str, Load] = {}
         self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
         for service in experiment.services:
             faults = tuple(
@@ -171,7 +174,9 @@
         tally.n_failed += not outcome.is_not_run
 
     def _report(self) -> None:
-        self.reported = {vm: target.load for vm, target in self.targets.items()}
+        loads = {vm: target.load for vm, target in self.targets.items()}
+        for daemon in self.daemons.values():
+            daemon.loads = dict(loads)
 
 
 __all__ = ["EmulatedDaemon", "Fleet"]
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -69,9 +69,12 @@
         self, request_id: str, status: int = 200, at_s: float = SENT_S + 0.1, **more
     ) -> None:
         """Answer it; the instance's own answer where nothing else is said."""
-        body = more.get("body", answer_body(request_id, 10))
-        signature = more.get("signature", f"signed-{request_id}")
-        self.history.answers[request_id] = Answer(status, body, signature, at_s)
+        told = {
+            "body": answer_body(request_id, 10),
+            "signature": f"signed-{request_id}",
+            **more,
+        }
+        self.history.answers[request_id] = Answer(status=status, at_s=at_s, **told)
 
     def promises(self) -> list[str]:
         """Return the promises that are broken."""
@@ -189,3 +192,16 @@
     seen.answer("r1", 503)
     broken = list(iter_broken(seen.history))
     assert broken == [Broken("recovers", "0 of 1 served afterwards")]
+
+
+def test_request_that_ran_behind_a_closing_answer_is_seen():
+    """A daemon stops, and a booking stood behind the answer that closed its connection.
+
+    Its caller holds it for unread and sends it again: it must not have run.
+    """
+    for is_idempotent in (False, True):
+        seen = Seen(is_idempotent=is_idempotent)
+        seen.call("r2")
+        seen.arrive("r2")
+        seen.answer("r2", 0, is_abandoned=True, is_unread=True)
+        assert seen.promises() == ([] if is_idempotent else ["unread"])
