--- a/emulator/pepperstair_emulator/experiment.py
+++ b/emulator/pepperstair_emulator/experiment.py
@@ -71,7 +71,7 @@
 class ConstantChange:
     """Another value for a constant of a decision."""
 
-    name: str = option("Module and constant, as in `admission.SHORT_SHARE`.")
+    name: str = option("Module and constant, as in `service_times.SHORT_SHARE`.")
     value: float = option("Its value.")
 
 
--- a/emulator/pepperstair_emulator/policies.py
+++ b/emulator/pepperstair_emulator/policies.py
@@ -21,7 +21,7 @@
     """Give the constants that a policy names its values, and theirs back after.
 
     >>> from .experiment import ConstantChange
-    >>> policy = Policy("x", (ConstantChange("admission.SHORT_SHARE", 0.0),))
+    >>> policy = Policy("x", (ConstantChange("service_times.SHORT_SHARE", 0.0),))
     >>> with applied(policy):
     ...     pass
     """
--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -14,11 +14,8 @@
 
 from ..intent import PRIORITIES
 from .fair_queue import FairQueue, Order, WaitingCall
+from .service_times import ServiceTimes
 
-FIRST_SERVICE_MS: Final = 10.0
-SERVICE_WEIGHT: Final = 0.1
-# As in the timeout of TCP (Jacobson 1988): the mean and some mean deviations.
-N_DEVIATIONS: Final = 3
 RETRY_AFTER_MIN_MS: Final = 10
 RETRY_AFTER_MAX_MS: Final = 5_000
 # Ageing: one grant in so many goes to a less urgent call that has waited for
@@ -30,23 +27,10 @@
 # this share of the time they have left: told early, their callers can still go
 # elsewhere, and a third is what they would wait by themselves.
 LATE_WAIT_SHARE: Final = 1 / 3
-# How many mean deviations longer than the mean a call is taken to last where its
-# answer is to be in time, and which share of the wanted time that may take up.
-# Under overload each call starts as late as is allowed: with the mean alone, about
-# half of the answers come too late. At 1.4 times the load that fits, 5,563 answers
-# are in time instead of 5,051 (six seeds of the load in the tests of admission).
-N_USEFUL_DEVIATIONS: Final = 1.0
-USEFUL_WORK_SHARE: Final = 0.7
-# A call that takes less than this share of what the longest ones of its target take
-# waits until its deadline: in its place, not one of those could be served in time.
-SHORT_SHARE: Final = 0.25
-# What remains with each call of how long the longest ones take: half after 700.
-LONGEST_KEPT_SHARE: Final = 0.999
 # An overload ends when no call was refused for so long.
 OVERLOAD_GAP_MS: Final = 1_000.0
 # For how long a less urgent call shows that there are such calls.
 LESS_URGENT_SEEN_MS: Final = 1_000.0
-N_ROUTES_MAX: Final = 1_000
 
 
 class RefusalCause(StrEnum):
@@ -94,12 +78,7 @@
     def __init__(self, n_slots: int) -> None:
         self.n_slots = n_slots
         self.n_in_flight = 0
-        self.service_ms = FIRST_SERVICE_MS
-        self._service_ms_of = dict.fromkeys(PRIORITIES, FIRST_SERVICE_MS)
-        self._deviation_ms_of = dict.fromkeys(PRIORITIES, 0.0)
-        self._service_ms_by_route: dict[str, float] = {}
-        self._deviation_ms_by_route: dict[str, float] = {}
-        self._longest_service_ms = 0.0
+        self._times = ServiceTimes()
         self._late: set[int] = set()
         self._arrived_ms_of = dict.fromkeys(PRIORITIES, -math.inf)
         self._refused_ms = -math.inf
@@ -151,11 +130,9 @@
         """
         self.n_in_flight -= 1
         if service_ms is not None:
-            cost = service_ms / max(self.service_ms, 0.01) - 1.0
+            cost = service_ms / max(self._times.mean_ms, 0.01) - 1.0
             self._queues[priority].charge(customer, cost)
-            self.service_ms += SERVICE_WEIGHT * (service_ms - self.service_ms)
-            self._see_service(priority, service_ms)
-            self._see_route(route, service_ms)
+            self._times.see(priority, route, service_ms)
         return self._grant(now_ms)
 
     def resize(self, n_slots: int, now_ms: float) -> list[Verdict]:
@@ -206,7 +183,7 @@
         """
         is_late = self._is_late(call, now_ms)
         start_ms = self._expected_start_ms(call, now_ms, is_late)
-        if start_ms > self._latest_start_ms(call):
+        if start_ms > self._times.latest_start_ms(call):
             return RefusalCause.TOO_LATE
         if start_ms > self._give_up_ms(call, is_late):
             return RefusalCause.NOT_IN_TIME
@@ -224,7 +201,7 @@
         it frees hardly anything for them, and such a short call is mostly part of
         another request.
         """
-        if self._usual_service_ms(call) < SHORT_SHARE * self._longest_service_ms:
+        if self._times.is_short(call):
             return True
         place = PRIORITIES.index(call.priority)
         return any(
@@ -234,30 +211,18 @@
 
     def _is_late(self, call: WaitingCall, now_ms: float) -> bool:
         """Return whether the answer can't come while it is wanted most."""
-        return self._latest_useful_start_ms(call) < now_ms
-
-    def _latest_useful_start_ms(self, call: WaitingCall) -> float:
-        """Return until when a start most likely leads to an answer in time."""
-        service_ms = self._usual_service_ms(call)
-        deviation_ms = self._deviation_ms_by_route.get(call.route, 0.0)
-        longest_ms = service_ms + N_USEFUL_DEVIATIONS * deviation_ms
-        allowed_ms = USEFUL_WORK_SHARE * (call.wanted_ms - call.arrived_ms)
-        return call.wanted_ms - max(service_ms, min(longest_ms, allowed_ms))
-
-    def _usual_service_ms(self, call: WaitingCall) -> float:
-        fallback_ms = self._service_ms_of[call.priority]
-        return self._service_ms_by_route.get(call.route, fallback_ms)
+        return self._times.latest_useful_start_ms(call) < now_ms
 
     def _give_up_ms(self, call: WaitingCall, is_late: bool) -> float:
         """Return until when a call waits before it is refused."""
         if call.wanted_ms == math.inf or self._waits_till_deadline(call):
-            return self._latest_start_ms(call)
+            return self._times.latest_start_ms(call)
         if not is_late:
-            useful_ms = self._latest_useful_start_ms(call)
-            return min(useful_ms, self._latest_start_ms(call))
+            useful_ms = self._times.latest_useful_start_ms(call)
+            return min(useful_ms, self._times.latest_start_ms(call))
         total_ms = call.deadline_ms - call.arrived_ms
         longest_ms = call.arrived_ms + total_ms * LATE_WAIT_SHARE
-        return min(longest_ms, self._latest_start_ms(call))
+        return min(longest_ms, self._times.latest_start_ms(call))
 
     def _may_still_wait(self, call: WaitingCall, now_ms: float) -> bool:
         """Return whether a call that is late from now on keeps its place.
@@ -292,48 +257,6 @@
                 return queue.newest_of_longest()
         return None
 
-    def _see_service(self, priority: str, service_ms: float) -> None:
-        change_ms = service_ms - self._service_ms_of[priority]
-        self._service_ms_of[priority] += SERVICE_WEIGHT * change_ms
-        deviation_ms = self._deviation_ms_of[priority]
-        self._deviation_ms_of[priority] += SERVICE_WEIGHT * (
-            abs(change_ms) - deviation_ms
-        )
-
-    def _see_route(self, route: str, service_ms: float) -> None:
-        known = self._service_ms_by_route
-        if len(known) >= N_ROUTES_MAX and route not in known:
-            # Routes come and go with each version; the mean is soon known again.
-            known.clear()
-            self._deviation_ms_by_route.clear()
-        mean_ms = known.get(route, service_ms)
-        self._longest_service_ms = max(
-            mean_ms, LONGEST_KEPT_SHARE * self._longest_service_ms
-        )
-        change_ms = service_ms - mean_ms
-        known[route] = mean_ms + SERVICE_WEIGHT * change_ms
-        deviation_ms = self._deviation_ms_by_route.get(route, 0.0)
-        deviation_ms += SERVICE_WEIGHT * (abs(change_ms) - deviation_ms)
-        self._deviation_ms_by_route[route] = deviation_ms
-
-    def _latest_start_ms(self, call: WaitingCall) -> float:
-        """Return until when it makes sense to run the call.
-
-        Started later, it would be answered after its deadline, and its slot
-        lost to a call that is still wanted. Under overload every call runs as
-        late as this permits: with the mean alone, each one that takes longer
-        than the mean is work for nobody, and goodput falls as load rises. The
-        estimate is that of its own priority, as one target may serve bookings
-        and large files; it counts for at least a quarter and at most half of
-        the call's time.
-        """
-        total_ms = call.deadline_ms - call.arrived_ms
-        estimate_ms = (
-            self._service_ms_of[call.priority]
-            + N_DEVIATIONS * self._deviation_ms_of[call.priority]
-        )
-        return call.deadline_ms - min(total_ms / 2, max(total_ms / 4, estimate_ms))
-
     def _expected_start_ms(
         self, call: WaitingCall, now_ms: float, is_late: bool
     ) -> float:
@@ -347,7 +270,7 @@
                 break
             n_ahead += len(queue)
         n_turns = (n_ahead + 1) / max(1, self.n_slots)
-        return now_ms + n_turns * self.service_ms
+        return now_ms + n_turns * self._times.mean_ms
 
     def _grant(self, now_ms: float) -> list[Verdict]:
         verdicts = self.expire(now_ms)
@@ -379,8 +302,8 @@
         if call.wanted_ms == math.inf:
             return (0, call.arrived_ms)
         if is_late and not self._waits_till_deadline(call):
-            return (1, self._latest_start_ms(call))
-        return (0, self._latest_useful_start_ms(call))
+            return (1, self._times.latest_start_ms(call))
+        return (0, self._times.latest_useful_start_ms(call))
 
     def _push(self, call: WaitingCall, is_late: bool | None = None) -> None:
         if is_late is None:
@@ -411,7 +334,7 @@
         self._refused_ms = now_ms
         n_turns = (len(self._waiting) + 1) / max(1, self.n_slots)
         lasted_ms = now_ms - self._overloaded_since_ms
-        retry_after_ms = int(max(n_turns * self.service_ms, lasted_ms))
+        retry_after_ms = int(max(n_turns * self._times.mean_ms, lasted_ms))
         bounded = min(RETRY_AFTER_MAX_MS, max(RETRY_AFTER_MIN_MS, retry_after_ms))
         return Refused(call.ticket, cause, bounded)
 
--- a/tests/test_admission_in_time.py
+++ b/tests/test_admission_in_time.py
@@ -10,8 +10,13 @@
 
 import pytest
 
-from pepperstair_core.calls import Admission, Admitted, RefusalCause, WaitingCall
-from pepperstair_core.calls import admission as admission_module
+from pepperstair_core.calls import (
+    Admission,
+    Admitted,
+    RefusalCause,
+    WaitingCall,
+    service_times,
+)
 from tests.call_load import Call, merge_calls, poisson_calls
 
 WORK_MS = 90.0
@@ -185,7 +190,7 @@
     """
     seeds = range(6)
     n_allowed = sum(play(1.4, WANTED_MS, seed).n_in_time for seed in seeds)
-    monkeypatch.setattr(admission_module, "N_USEFUL_DEVIATIONS", 0.0)
+    monkeypatch.setattr(service_times, "N_USEFUL_DEVIATIONS", 0.0)
     n_by_mean = sum(play(1.4, WANTED_MS, seed).n_in_time for seed in seeds)
     assert n_allowed > 1.01 * n_by_mean
 
@@ -248,7 +253,7 @@
     not run again, and their slots would have served one pull more in ten.
     """
     played = [play_short_and_long(load, seed) for seed in range(3)]
-    monkeypatch.setattr(admission_module, "SHORT_SHARE", 0.0)
+    monkeypatch.setattr(service_times, "SHORT_SHARE", 0.0)
     without = [play_short_and_long(load, seed) for seed in range(3)]
     n_refused = sum(refused for refused, _ in played) / 3
     n_refused_without = sum(refused for refused, _ in without) / 3
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from pepperstair_core.calls import admission
+from pepperstair_core.calls import service_times
 from pepperstair_emulator import Fleet, Policy, applied, parse_experiment_toml
 from pepperstair_emulator.__main__ import play
 from pepperstair_emulator.experiment import ConstantChange, FaultModel
@@ -63,11 +63,11 @@
 
 
 def test_policy_holds_for_its_run_only():
-    before = admission.SHORT_SHARE
-    policy = Policy("p", (ConstantChange("admission.SHORT_SHARE", 0.0),))
+    before = service_times.SHORT_SHARE
+    policy = Policy("p", (ConstantChange("service_times.SHORT_SHARE", 0.0),))
     with applied(policy):
-        assert admission.SHORT_SHARE == 0.0
-    assert before == admission.SHORT_SHARE
+        assert service_times.SHORT_SHARE == 0.0
+    assert before == service_times.SHORT_SHARE
 
 
 @pytest.mark.parametrize("name", ["admission.NO", "nothing.AT_ALL", "admission.heapq"])
