--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -15,6 +14,7 @@
 from typing import TYPE_CHECKING, Final
 
 from .expected_wait import Load, LoadOf, WaitOf, make_wait_of
+from .route_norms import RouteNorms
 from .target_group import Candidates, TargetGroup, TargetKey
 from .target_health import TargetHealth
 
@@ -33,23 +33,13 @@
 # A target is quick enough for a route if its mean answer takes this share of the
 # time within which one is wanted; what is left is for those that take longer.
 QUICK_SHARE: Final = 0.6
-# Answers are timed against what is usual for their route, which follows slowly.
-USUAL_WEIGHT: Final = 0.05
 # The age of a call that may stand in a queue says little of its target.
 QUEUED_AGE_WEIGHT: Final = 0.25
-N_ROUTES_MAX: Final = 1_000
 FORGOTTEN_AFTER_MS: Final = 60_000
 N_REMEMBERED_MAX: Final = 2_000
 # A daemon that starts learns of all targets within some seconds: they announce
 # themselves every 1.5 s and reach it through one or two others.
 JOINING_MS: Final = 5_000
-# How often calls of a route fail, at all targets: about the last fifty.
-FAILING_WEIGHT: Final = 0.02
-# A target is ejected for errors in a row that are less likely than this where it
-# fails as often as all do. Up to the second figure they may fail: then 66 errors in
-# a row are still seen for what they are within seconds.
-UNLIKELY: Final = 0.001
-HIGHEST_RATE: Final = 0.9
 # Some dozens of services have one group each, and a new one when members change.
 N_GROUPS_MAX: Final = 64
 
@@ -107,9 +97,7 @@
         self._groups: dict[int, TargetGroup] = {}
         # Those that may be ejected or to be avoided: few beside all targets.
         self._set_aside: dict[TargetKey, TargetHealth] = {}
-        self._usual_ms: dict[str, float] = {}
-        self._failing: dict[str, float] = {}
-        self._usual_overall_ms = 0.0
+        self._norms = RouteNorms()
 
     def choose(
         self,
@@ -154,7 +142,7 @@
         self, route: str, objective_ms: float, now_ms: float
     ) -> Callable[[Endpoint], bool]:
         """Return the function that says which targets answer a route in good time."""
-        allowed_ms = QUICK_SHARE * objective_ms * self._scale(route)
+        allowed_ms = QUICK_SHARE * objective_ms * self._norms.scale(route)
 
         def is_quick(endpoint: Endpoint) -> bool:
             health = self._health[endpoint.key]
@@ -167,30 +155,9 @@
         """Return what turns the age of a call into a latency that compares."""
         if not is_urgent and not is_wait_bounded:
             return 0.0
-        scale = self._scale(route)
+        scale = self._norms.scale(route)
         return scale if is_urgent else scale * QUEUED_AGE_WEIGHT
 
-    def _scale(self, route: str) -> float:
-        """Return what makes latencies of a route compare with those of others.
-
-        A target that has just served a large archive is no slower than one that
-        served a short look-up.
-        """
-        usual_ms = self._usual_ms.get(route)
-        return 1.0 if usual_ms is None else self._usual_overall_ms / usual_ms
-
-    def _note_usual(self, route: str, latency_ms: float) -> None:
-        """Take a good answer's latency into what is usual."""
-        if latency_ms <= 0.0:
-            return
-        if len(self._usual_ms) >= N_ROUTES_MAX and route not in self._usual_ms:
-            self._usual_ms.clear()
-        usual_ms = self._usual_ms.get(route, latency_ms)
-        self._usual_ms[route] = usual_ms + USUAL_WEIGHT * (latency_ms - usual_ms)
-        overall_ms = self._usual_overall_ms or latency_ms
-        change_ms = latency_ms - overall_ms
-        self._usual_overall_ms = overall_ms + USUAL_WEIGHT * change_ms
-
     def forgive(self, vm: str) -> None:
         """Use the targets of a VM again that were ejected."""
         for (known_vm, _), health in self._health.items():
@@ -217,10 +184,10 @@
         health.n_in_flight = max(0, health.n_in_flight - 1)
         health.see_answer(end.start_ms)
         if end.kind is EndKind.GOOD:
-            self._note_outcome(end.route, False)
+            self._norms.see_outcome(end.route, False)
             health.succeed(now_ms)
-            self._note_usual(end.route, end.latency_ms)
-            health.see_latency(end.latency_ms * self._scale(end.route), now_ms)
+            self._norms.see_latency(end.route, end.latency_ms)
+            health.see_latency(end.latency_ms * self._norms.scale(end.route), now_ms)
         elif end.kind is EndKind.REFUSED:
             # A target that refuses at once has nothing in flight and so looks
             # idle: without this it would draw all calls and refuse them all.
@@ -231,19 +198,19 @@
         elif end.kind is EndKind.ABANDONED:
             health.is_probed = False
         else:
-            self._note_outcome(end.route, True)
+            self._norms.see_outcome(end.route, True)
             health.fail(now_ms)
             if end.kind is EndKind.UNREACHABLE:
                 # Every call to a VM that can't be reached would be lost until
                 # the usual number of errors has been seen.
                 health.n_errors = max(health.n_errors, endpoint.policy.ejection_errors)
             # A quick failure says nothing of speed, a timeout does.
-            latency_ms = end.latency_ms * self._scale(end.route)
+            latency_ms = end.latency_ms * self._norms.scale(end.route)
             if latency_ms > health.latency_ms(now_ms):
                 health.see_latency(latency_ms, now_ms)
             n_errors_min = endpoint.policy.ejection_errors
             if end.kind is not EndKind.UNREACHABLE:
-                n_errors_min = self._n_errors_to_eject(endpoint, end.route)
+                n_errors_min = self._norms.n_errors_to_eject(n_errors_min, end.route)
             if health.n_errors >= n_errors_min or health.is_failed_probe:
                 return self._eject_if_due(endpoint, endpoints, health, now_ms)
         return None
@@ -263,30 +230,6 @@
         self._set_aside[endpoint.key] = health
         return Ejection(endpoint.key, health.n_errors, period_ms)
 
-    def _n_errors_to_eject(self, endpoint: Endpoint, route: str) -> int:
-        """Return how many errors in a row single a target out.
-
-        Where a service further down fails, all targets fail most calls, and each
-        soon has some errors in a row. Ejected one after the other, they would leave
-        the rest with more calls than slots, though none of them is at fault. Four
-        targets that all fail six calls in ten are ejected once in 2,000 calls
-        instead of 13 times (mean of four seeds of the test that plays it).
-        """
-        n_errors = endpoint.policy.ejection_errors
-        rate = self._failing.get(route, 0.0)
-        if rate <= 0.0:
-            return n_errors
-        n_unlikely = math.log(UNLIKELY) / math.log(min(rate, HIGHEST_RATE))
-        return max(n_errors, math.ceil(n_unlikely))
-
-    def _note_outcome(self, route: str, is_failed: bool) -> None:
-        """Take the end of a call into how often calls of its route fail anywhere."""
-        known = self._failing
-        if len(known) >= N_ROUTES_MAX and route not in known:
-            known.clear()
-        rate = known.get(route, 0.0)
-        known[route] = rate + FAILING_WEIGHT * (is_failed - rate)
-
     def _may_eject(self, endpoint: Endpoint, endpoints: Sequence[Endpoint]) -> bool:
         """Hold a floor under the targets that stay in use.
 
