--- /dev/null
+++ b/packages/pepperstair-callers/pepperstair_callers/attempt_reports.py
@@ -0,0 +1,50 @@
+"""Tells operators which targets were ejected and which calls were sent again."""
+
+from __future__ import annotations
+
+import structlog
+
+from pepperstair_core.calls import Ejection
+from pepperstair_core.decisions import Decision, DecisionKind
+from pepperstair_core.errors import Failure
+from pepperstair_core.events import Event
+from pepperstair_core.routing import Endpoint
+
+from .context import ProxyContext
+
+log = structlog.get_logger(__name__)
+
+
+def report_ejection(context: ProxyContext, ejection: Ejection) -> None:
+    """Log that a target is left out for a while, and keep the decision."""
+    vm, target = ejection.key
+    cause = f"{ejection.n_errors} errors in a row, seen from {context.vm}"
+    figures = (
+        ("n_errors", float(ejection.n_errors)),
+        ("period_ms", ejection.period_ms),
+    )
+    _decide(context, DecisionKind.EJECTED, target, cause, figures)
+    log.warning(Event.TARGET_EJECTED, peer=vm, target=target, cause=cause)
+
+
+def report_retry(
+    context: ProxyContext, failed: Endpoint, failure: Failure, n_attempts: int
+) -> None:
+    """Keep the decision that a call is sent to another target."""
+    figures = (("n_attempts", float(n_attempts)),)
+    name = failed.target.name
+    _decide(context, DecisionKind.RETRIED, name, failure.kind.value, figures)
+
+
+def _decide(
+    context: ProxyContext,
+    kind: DecisionKind,
+    subject: str,
+    cause: str,
+    figures: tuple[tuple[str, float], ...],
+) -> None:
+    at_ms = int(context.now_ms())
+    context.decisions.add(Decision(at_ms, kind, subject, cause, figures))
+
+
+__all__ = ["report_ejection", "report_retry"]
--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -13,15 +13,12 @@
     FULL_AVOIDED_MS,
     Attempt,
     CallEnd,
-    Ejection,
     EndKind,
     GiveUp,
     RetryBudget,
     decide_retry,
 )
-from pepperstair_core.decisions import Decision, DecisionKind
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
-from pepperstair_core.events import Event
 from pepperstair_core.routing import CompiledRoute, Endpoint
 from pepperstair_core.wire import CallHead
 from pepperstair_http import Request, StreamedResponse, header_value
@@ -34,6 +31,7 @@
     end_of_failure,
     may_have_arrived,
 )
+from .attempt_reports import report_ejection, report_retry
 from .context import ProxyContext
 from .request_body import RequestBody
 from .request_heads import RequestHead
@@ -206,7 +204,7 @@
             context.now_ms(),
         )
         if ejection is not None:
-            self._report_ejection(ejection)
+            report_ejection(context, ejection)
 
     def _note_tried(self, ended: str, latency_ms: float) -> None:
         endpoint = self._endpoint
@@ -323,7 +321,7 @@
         # overload each call would otherwise be refused several times over.
         self._refused = final if failure.kind is ErrorKind.OVERLOADED else None
         self._excluded = excluded
-        self._report_retry(failed, failure)
+        report_retry(self._context, failed, failure, self.n_attempts)
         await asyncio.sleep(decision.delay_ms / 1000)
 
     def _retry_after_ms(self, failure: Failure) -> int:
@@ -371,31 +369,6 @@
         endpoints = self._context.endpoints(self.compiled)
         return endpoints[0].policy.retry_budget_percent if endpoints else 0
 
-    def _report_ejection(self, ejection: Ejection) -> None:
-        vm, target = ejection.key
-        cause = f"{ejection.n_errors} errors in a row, seen from {self._context.vm}"
-        figures = (
-            ("n_errors", float(ejection.n_errors)),
-            ("period_ms", ejection.period_ms),
-        )
-        self._decide(DecisionKind.EJECTED, target, cause, figures)
-        log.warning(Event.TARGET_EJECTED, peer=vm, target=target, cause=cause)
-
-    def _report_retry(self, failed: Endpoint, failure: Failure) -> None:
-        figures = (("n_attempts", float(self.n_attempts)),)
-        name = failed.target.name
-        self._decide(DecisionKind.RETRIED, name, failure.kind.value, figures)
-
-    def _decide(
-        self,
-        kind: DecisionKind,
-        subject: str,
-        cause: str,
-        figures: tuple[tuple[str, float], ...],
-    ) -> None:
-        at_ms = int(self._context.now_ms())
-        self._context.decisions.add(Decision(at_ms, kind, subject, cause, figures))
-
 
 def count_call_ids() -> Iterator[int]:
     """Return the ids of a daemon's calls; each attempt has its own."""
--- a/packages/pepperstair-http/pepperstair_http/connection.py
+++ b/packages/pepperstair-http/pepperstair_http/connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import Final
 
 import h11
@@ -13,6 +12,7 @@
 
 from .body import HIGH_WATER_BYTES, BodyBuffer, ConnectionLostError
 from .exchange import Exchange
+from .malformed import TEXT, Rejection, error_events, has_two_lengths
 from .messages import Request
 from .pipeline import Pipeline
 from .receiving import ReceivingProtocol
@@ -21,18 +21,9 @@
 
 log = structlog.get_logger(__name__)
 
-_TEXT: Final = (b"content-type", b"text/plain; charset=utf-8")
 _DISCARD_S: Final = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Rejection:
-    """What is said of malformed bytes, after the answers to what came before."""
-
-    status: int
-    text: str
-
-
 class ServerConnection(ReceivingProtocol):
     """Receives requests, runs the handler for each and writes their answers.
 
@@ -51,7 +42,7 @@
         self._tasks: dict[Exchange, asyncio.Task[None]] = {}
         self._turns: dict[Exchange, asyncio.Future[None]] = {}
         self._n_unread_bytes = 0
-        self._rejection: _Rejection | None = None
+        self._rejection: Rejection | None = None
         self._is_last_announced = False
         self._is_discarding = False
         self._waiting_since_s = self._loop.time()
@@ -243,7 +234,7 @@
         elif isinstance(event, h11.EndOfMessage):
             self._pipeline.newest.body.finish()
         elif isinstance(event, h11.Request):
-            if _has_two_lengths(event):
+            if has_two_lengths(event):
                 self._reject_with(400, "both a length and chunks")
                 return
             self._add_request(event)
@@ -301,7 +292,7 @@
         if exchange.has_answered:
             self.abort()
             return
-        await exchange.respond(500, (_TEXT,), b"an unexpected error\n")
+        await exchange.respond(500, (TEXT,), b"an unexpected error\n")
         self._finish(exchange)
 
     def _finish(self, exchange: Exchange) -> None:
@@ -368,36 +359,15 @@
 
     def _reject_with(self, status: int, text: str) -> None:
         self._server.counters.n_malformed += 1
-        self._rejection = _Rejection(status, text)
+        self._rejection = Rejection(status, text)
         if not self._pipeline:
             self._write_error(status, text)
 
     def _write_error(self, status: int, text: str) -> None:
-        body = f"{text}\n".encode()
-        headers = [
-            _TEXT,
-            (b"content-length", str(len(body)).encode()),
-            (b"pepperstair-run", b"no"),
-            (b"connection", b"close"),
-        ]
-        events = (
-            h11.Response(status_code=status, headers=headers),
-            h11.Data(data=body),
-            h11.EndOfMessage(),
-        )
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            events = error_events(status, text)
             self._transport.write(b"".join([self._h11.send(event) for event in events]))
         self._close_discarding()
 
 
-def _has_two_lengths(event: h11.Request) -> bool:
-    """Return whether a head states both a length and chunks.
-
-    Two readers may take different ones for the end of the body, and what one
-    holds for the rest of it the other runs as a request (RFC 9112, section 6.1).
-    """
-    names = {name for name, _ in event.headers}
-    return b"content-length" in names and b"transfer-encoding" in names
-
-
 __all__ = ["ServerConnection"]
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -64,13 +64,11 @@
 from .edges import Edges, FurtherServer
 from .exposition import Exposition
 from .metrics import MetricsSender
+from .stopping import stop_daemon
 
 log = structlog.get_logger(__name__)
 
 _LEASE_CHECK_S: Final = 0.25
-_DRAIN_CHECK_S: Final = 0.02
-_FLUSH_S: Final = 0.1
-_NOTICE_S: Final = 0.4
 
 
 class Daemon:
@@ -190,7 +188,7 @@
         self.operators = HttpServer(operators.handle, ServerLimits())
         self.further_servers = (*edges.iter_servers(self), *self._iter_metrics_server())
         self.endpoint_table = EndpointTable()
-        self.registry.on_changed = self._publish_targets
+        self.registry.on_changed = self.publish_targets
         self.configuration.on_changed = lambda snapshot: self._renew_endpoints()
         self.configuration.on_converged = self._count_convergence
         self._lease_task: asyncio.Task[None] | None = None
@@ -260,20 +258,11 @@
         log.info(Event.STARTED, peer_address=self.identity.peer_address)
 
     async def stop(self) -> None:
-        """Finish what is in flight, refuse the rest as not run, then close.
+        """Finish what is in flight, refuse the rest as not run, then close."""
+        await stop_daemon(self)
 
-        Whoever sends callers here, or calls of other daemons, hears of the stop
-        a moment later; until then they are served as before.
-        """
-        log.info(Event.STOPPING)
-        self.is_stopping = True
-        self._publish_targets()
-        self.callers.ask_to_leave()
-        await asyncio.sleep(self.settings.calls.stop_notice_ms / 1000)
-        self.runner.drain()
-        self.callers.drain()
-        self.control.leave()
-        await asyncio.gather(self.member_table.remove_own(), self._wait_for_calls())
+    def close(self) -> None:
+        """Cancel what runs beside the calls and close every connection."""
         self._lease_task.cancel()
         if self._settings_task is not None:
             self._settings_task.cancel()
@@ -289,31 +278,6 @@
         for further in self.further_servers:
             further.server.close()
         self.platform.close()
-        log.info(Event.STOPPED)
-
-    async def _wait_for_calls(self) -> None:
-        """Return once no call is in flight, or when the drain timeout ends.
-
-        Other daemons need a moment to hear that this one leaves. A call that
-        they send meanwhile is refused as not run; on a stream that is closed
-        already, its outcome would be unknown to its caller.
-        """
-        deadline_ms = monotonic_ms() + self.settings.calls.drain_timeout_ms
-        await asyncio.sleep(min(_NOTICE_S, self.settings.calls.drain_timeout_ms / 1000))
-        while monotonic_ms() < deadline_ms:
-            if not self._is_busy():
-                # The last answers may still stand in the buffers of their
-                # connections; closing those now would cut them.
-                await asyncio.sleep(_FLUSH_S)
-                return
-            await asyncio.sleep(_DRAIN_CHECK_S)
-        self.proxy.end_all()
-        await asyncio.sleep(_FLUSH_S)
-
-    def _is_busy(self) -> bool:
-        """Return whether calls are in flight, here or through this daemon."""
-        parts = (self.runner, self.proxy, self.call_server, self.call_client)
-        return any(part.n_in_flight for part in parts)
 
     def _proxy_context(self) -> ProxyContext:
         return ProxyContext(
@@ -386,7 +350,8 @@
             return await self.runner.run(head, body)
         return await self.call_client.run(endpoint.peer_address, head, body)
 
-    def _publish_targets(self) -> None:
+    def publish_targets(self) -> None:
+        """Tell the fleet which targets this VM has, and whether it leaves."""
         self.runner.follow_registry()
         targets = self.registry.targets()
         if self.is_stopping:
