--- a/emulator/pepperstair_emulator/__main__.py
+++ b/emulator/pepperstair_emulator/__main__.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import Annotated
 
 import cyclopts
 
-from .experiment import Policy, parse_experiment_toml
+from .experiment import Experiment, Policy, parse_experiment_toml
 from .fleet import Fleet
 from .policies import UnknownConstantError, applied
 from .report import iter_routes, iter_table
@@ -28,6 +29,7 @@
     file: Path,
     *,
     seeds: Annotated[int, cyclopts.Parameter(help="Runs of each policy.")] = 5,
+    load: Annotated[float, cyclopts.Parameter(help="Factor on all rates.")] = 0.0,
     policy: Annotated[str, cyclopts.Parameter(help="Only this one.")] = "",
     routes: Annotated[bool, cyclopts.Parameter(help="A line a route too.")] = False,
 ) -> int:
@@ -38,6 +40,8 @@
             print(f"{file}: {fault}", file=sys.stderr)
         return EXIT_BAD_INPUT
     experiment = read.unwrap()
+    if load > 0.0:
+        experiment = replace(experiment, load=load)
     chosen = [
         item for item in (_PRODUCT, *experiment.policies) if policy in ("", item.name)
     ]
@@ -55,7 +59,7 @@
     return 0
 
 
-def _play(experiment, policy: Policy, n_seeds: int) -> list[Tally]:
+def _play(experiment: Experiment, policy: Policy, n_seeds: int) -> list[Tally]:
     with applied(policy):
         return [
             Fleet(experiment, seed, policy.are_zones_known).run()
