--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := pytest hypothesis ruff
 
 .PHONY: install test lint format demo docs clean bench-path bench-idle bench-http \
-	bench-ahead bench-burn bench-floor bench-neighbours \
+	bench-ahead bench-burn bench-listening bench-floor bench-neighbours \
 	bench-convergence bench-control-bytes bench-calls
 
 install: $(VENV)/installed
@@ -44,6 +44,9 @@
 bench-idle: install
 	$(PYTHON) -m benchmarks.idle
 
+bench-listening: install
+	$(PYTHON) -m benchmarks.listening
+
 bench-http: install
 	$(PYTHON) -m benchmarks.http_exchange
 
--- a/packages/pepperstaird/pepperstaird/early_listening.py
+++ b/packages/pepperstaird/pepperstaird/early_listening.py
@@ -1,11 +1,10 @@
 """Listening for callers before anything else of the daemon is there.
 
-A daemon that was killed comes back after a while of which its imports take about
-0.45 s on a small VM. Callers that try to connect meanwhile are turned away by the
-system, and those with few retries have used them up before the daemon is there. With
-the address open from the first moment, their connections wait for that half second:
-the time without a listener is shorter by 0.4 s a start (from the log of a play: 0.45 s
-between the start of the process and its first listening socket).
+A daemon that was killed comes back after a while, most of which its imports take.
+Callers that try to connect meanwhile are turned away by the system, and those with few
+retries have used them up before the daemon is there. With the address open from the
+first moment, their connections wait for the rest of the start: the first one is taken
+111 ms after the process begins, not 329 ms (`make bench-listening`, medians of 7).
 """
 
 from __future__ import annotations
