Metrics: why calls leave their availability zone

Cause: bytes between zones are the largest price after the VMs, and no counter told why calls cross: no target near, near ones left out, full, or too slow.

Change: four counters, on status, statsd and Prometheus; what the choice is told and says has a module of its own. No decision changes.

--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -11,6 +11,7 @@
     EndKind,
     Load,
     TargetChooser,
+    ZoneExit,
 )
 from .fair_queue import WaitingCall
 from .fleet_budget import BudgetTerms, FleetRetryBudget
@@ -53,6 +54,7 @@
     "TokenRetryBudget",
     "Verdict",
     "WaitingCall",
+    "ZoneExit",
     "decide_retry",
     "is_sampled",
 ]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/calls/call_ends.py
@@ -0,0 +1,54 @@
+"""What the choice of targets is told of calls, and what it says of its decisions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, StrEnum, auto
+
+from .target_group import TargetKey
+
+
+class EndKind(Enum):
+    """How a call ended, as far as the choice of targets is concerned."""
+
+    GOOD = auto()
+    ERROR = auto()
+    UNREACHABLE = auto()
+    REFUSED = auto()
+    ABANDONED = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class CallEnd:
+    """The end of a call that was chosen a target for at `start_ms`.
+
+    `latency_ms` is the time to the head of its answer, without the wait for a
+    slot; `retry_after_ms` is what a refusal asks for, 0 for nothing.
+    """
+
+    kind: EndKind
+    start_ms: float
+    latency_ms: float = 0.0
+    retry_after_ms: int = 0
+    route: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Ejection:
+    """A target that was left out, with the figures of the decision."""
+
+    key: TargetKey
+    n_errors: int
+    period_ms: float
+
+
+class ZoneExit(StrEnum):
+    """Why a call was sent to another availability zone."""
+
+    NO_TARGET = "no target"
+    LEFT_OUT = "left out"
+    FULL = "full"
+    SLOW = "slow"
+
+
+__all__ = ["CallEnd", "EndKind", "Ejection", "ZoneExit"]
--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -8,11 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
-from enum import Enum, auto
 from random import Random
 from typing import TYPE_CHECKING, Final
 
+from .call_ends import CallEnd, Ejection, EndKind, ZoneExit
 from .expected_wait import Load, LoadOf, WaitOf, make_wait_of
 from .route_norms import RouteNorms
 from .target_group import Candidates, TargetGroup, TargetKey
@@ -44,46 +43,13 @@
 N_GROUPS_MAX: Final = 64
 
 
-class EndKind(Enum):
-    """How a call ended, as far as the choice of targets is concerned."""
-
-    GOOD = auto()
-    ERROR = auto()
-    UNREACHABLE = auto()
-    REFUSED = auto()
-    ABANDONED = auto()
-
-
-@dataclass(frozen=True, slots=True)
-class CallEnd:
-    """The end of a call that was chosen a target for at `start_ms`.
-
-    `latency_ms` is the time to the head of its answer, without the wait for a
-    slot; `retry_after_ms` is what a refusal asks for, 0 for nothing.
-    """
-
-    kind: EndKind
-    start_ms: float
-    latency_ms: float = 0.0
-    retry_after_ms: int = 0
-    route: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Ejection:
-    """A target that was left out, with the figures of the decision."""
-
-    key: TargetKey
-    n_errors: int
-    period_ms: float
-
-
 class TargetChooser:
     """Chooses targets and learns from how the calls to them ended.
 
     Times are in milliseconds of one clock that never goes back; `rng` makes
     every choice repeatable. For `joining_ms` from the first choice on, targets that
-    it learns of are taken for warm.
+    it learns of are taken for warm. `n_left_zone` counts the calls that went to other
+    zones, by what kept them from the targets of their own.
     """
 
     def __init__(
@@ -91,6 +57,7 @@
     ) -> None:
         self._joining_ms = joining_ms
         self._joined_ms: float | None = None
+        self.n_left_zone = dict.fromkeys(ZoneExit, 0)
         self._availability_zone = availability_zone
         self._rng = rng
         self._health: dict[TargetKey, TargetHealth] = {}
@@ -130,7 +97,7 @@
             candidates = group.candidates((excluded, ejected, avoided))
             wait_of = make_wait_of(self._health, group.norms(now_ms), load_of, now_ms)
             is_quick = self._make_is_quick(route, objective_ms, now_ms)
-            chosen = self._pick(candidates, wait_of, is_quick, n_answer_bytes)
+            chosen = self._pick(group, candidates, wait_of, is_quick, n_answer_bytes)
             if is_room_wanted and wait_of(chosen) > ROOM_WAIT:
                 return None
         self._health[chosen.key].begin(
@@ -291,6 +258,7 @@
 
     def _pick(
         self,
+        group: TargetGroup,
         candidates: Candidates,
         wait_of: WaitOf,
         is_quick: Callable[[Endpoint], bool],
@@ -305,8 +273,12 @@
         crosses zones.
         """
         near, far = candidates
-        if not near or not far:
-            return self._better_of_two(near or far, wait_of)
+        if not near:
+            is_there = bool(group.near)
+            self.n_left_zone[ZoneExit.LEFT_OUT if is_there else ZoneExit.NO_TARGET] += 1
+            return self._better_of_two(far, wait_of)
+        if not far:
+            return self._better_of_two(near, wait_of)
         best = self._better_of_two(near, wait_of)
         near_wait = wait_of(best)
         if near_wait <= ROOM_WAIT:
@@ -319,7 +291,10 @@
         margin = n_answer_bytes * ZONE_MARGIN_PER_BYTE
         if margin > ZONE_MARGIN and far_wait > ROOM_WAIT:
             return best
-        return other if far_wait + margin + ZONE_MARGIN < near_wait else best
+        if far_wait + margin + ZONE_MARGIN >= near_wait:
+            return best
+        self.n_left_zone[ZoneExit.FULL if is_full else ZoneExit.SLOW] += 1
+        return other
 
     def _better_of_two(
         self, endpoints: Sequence[Endpoint], wait_of: WaitOf
@@ -397,4 +372,5 @@
     "LoadOf",
     "TargetChooser",
     "TargetKey",
+    "ZoneExit",
 ]
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
+from pepperstair_core.calls import ZoneExit
+
 if TYPE_CHECKING:
     from .daemon import Daemon
 
@@ -64,6 +66,10 @@
     n_prunes: int = counted("Neighbours asked to announce instead of pushing.")
     n_in_force_alone: int = counted("Versions put in force without a second holder.")
     n_call_retries: int = counted("Attempts of callers' requests after the first.")
+    n_calls_far_no_target: int = counted("Calls to other zones: no target in the own.")
+    n_calls_far_left_out: int = counted("Calls to other zones: own targets left out.")
+    n_calls_far_full: int = counted("Calls to other zones: own targets full.")
+    n_calls_far_slow: int = counted("Calls to other zones: own targets too slow.")
     n_streams_replaced: int = counted("Streams lost while calls waited on them.")
     n_frames_dropped: int = counted("Frames that came for calls which were gone.")
     frames: tuple[tuple[str, int], ...] = ()
@@ -121,6 +127,10 @@
         n_platform_failures=daemon.platform.counters.n_failures,
         n_platform_refused=daemon.platform.counters.n_refused,
         n_pauses=daemon.control.n_pauses,
+        n_calls_far_no_target=daemon.chooser.n_left_zone[ZoneExit.NO_TARGET],
+        n_calls_far_left_out=daemon.chooser.n_left_zone[ZoneExit.LEFT_OUT],
+        n_calls_far_full=daemon.chooser.n_left_zone[ZoneExit.FULL],
+        n_calls_far_slow=daemon.chooser.n_left_zone[ZoneExit.SLOW],
         n_streams_replaced=daemon.call_client.n_replaced_streams,
         n_frames_dropped=(
             daemon.call_client.n_dropped_frames + daemon.call_server.n_dropped_frames
