Test: dials are waited for, not a time in which they mostly end

It waits 50 ms for forty dials and then counts lost neighbours. A trace shows why: with 40 dials under way at the end of that wait, 40 streams are replaced after it; with none under way, none (8 runs each: 0 to 10 ms 40 and 40 each time, 20 ms 3 of 8 times, 50 ms never, on a machine with a load of 10).

Change: the test waits until all dials have ended, and then as before.

--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -180,9 +180,15 @@
     async def scenario() -> None:
         async with running("a", "b") as (first, second):
             lost: list[str] = []
-            for _ in range(20):
-                for daemon, other in ((first, second), (second, first)):
-                    daemon.plane._run(daemon.plane._dial(other.address))
+            dials = [
+                daemon.plane._dial(other.address)
+                for _ in range(20)
+                for daemon, other in ((first, second), (second, first))
+            ]
+            # Streams are replaced for as long as dials go on: on a busy machine that
+            # was longer than the pause below.
+            async with asyncio.timeout(10):
+                await asyncio.gather(*dials)
             await asyncio.sleep(0.05)
             first.plane.on_neighbour_down = lost.append
             await asyncio.sleep(0.05)
