--- a/emulator/pepperstair_emulator/fleet.py
+++ b/emulator/pepperstair_emulator/fleet.py
@@ -17,7 +17,7 @@
 
 from .attempts import EmulatedCall, Outcome
 from .clock import VirtualClock
-from .experiment import Experiment, RouteModel
+from .experiment import Experiment, RouteModel, ServiceModel
 from .tally import Tally
 from .targets import EmulatedTarget
 
@@ -83,24 +83,7 @@
         self.daemons: dict[str, EmulatedDaemon] = {}
         self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
         for service in experiment.services:
-            faults = tuple(
-                fault for fault in experiment.faults if fault.service == service.name
-            )
-            for index in range(len(service.speeds)):
-                zone = f"zone-{index % experiment.n_zones}"
-                target = EmulatedTarget(
-                    service, index, zone, faults, self.clock, self.rng
-                )
-                self.targets[target.vm] = target
-                own_zone = zone if are_zones_known else "none"
-                self.daemons[target.vm] = EmulatedDaemon(
-                    self, target.vm, zone, own_zone
-                )
-            self._endpoints[service.name] = tuple(
-                target.endpoint
-                for target in self.targets.values()
-                if target.vm.rpartition("-")[0] == service.name
-            )
+            self._add_service(service, are_zones_known)
 
     def endpoints(self, service: str) -> tuple[Endpoint, ...]:
         """Return the targets of a service."""
@@ -116,6 +99,22 @@
         self.clock.run()
         return self.tally
 
+    def _add_service(self, service: ServiceModel, are_zones_known: bool) -> None:
+        """Add the targets of a service, each with the daemon beside it."""
+        experiment = self.experiment
+        faults = tuple(
+            fault for fault in experiment.faults if fault.service == service.name
+        )
+        endpoints = []
+        for index in range(len(service.speeds)):
+            zone = f"zone-{index % experiment.n_zones}"
+            target = EmulatedTarget(service, index, zone, faults, self.clock, self.rng)
+            own_zone = zone if are_zones_known else "none"
+            self.targets[target.vm] = target
+            self.daemons[target.vm] = EmulatedDaemon(self, target.vm, zone, own_zone)
+            endpoints.append(target.endpoint)
+        self._endpoints[service.name] = tuple(endpoints)
+
     def _schedule_client(
         self, route: RouteModel, from_ms: float, end_ms: float
     ) -> None:
