--- a/emulator/pepperstair_emulator/attempts.py
+++ b/emulator/pepperstair_emulator/attempts.py
@@ -64,8 +64,6 @@
         self._run = Run.NO
         self._chosen: Endpoint | None = None
         self._chosen_ms = 0.0
-        self._is_at_target = False
-        self._is_over = False
 
     def begin(self) -> None:
         """Send the call to its first target."""
