The product's start opens its listener from the settings it has read

Found while reading the change again: the product's start read and parsed its settings file a second time for the callers' address, and a file that vanished in between would have ended it with a traceback. It now takes the address from the settings; the adapter, which listens before it can read its own, parses the text as before. Pipeline.__iter__ had no caller.

--- a/packages/pepperstair-http/pepperstair_http/pipeline.py
+++ b/packages/pepperstair-http/pepperstair_http/pipeline.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterator
 from typing import Generic, Protocol, TypeVar
 
 import structlog
@@ -61,9 +60,6 @@
     def __len__(self) -> int:
         return len(self._requests)
 
-    def __iter__(self) -> Iterator[PendingT]:
-        return iter(self._requests)
-
     @property
     def first(self) -> PendingT | None:
         """Return the request that owns the writing side, or None."""
--- a/packages/pepperstaird/pepperstaird/__main__.py
+++ b/packages/pepperstaird/pepperstaird/__main__.py
@@ -13,7 +13,7 @@
 from pepperstair_core.schema import Fault
 
 from . import light_imports
-from .early_listening import open_callers_socket
+from .early_listening import listen_at
 from .hangup import ignore_hangup
 
 EXIT_OK: Final = 0
@@ -63,7 +63,7 @@
         print(f"{settings}: settings are valid")
         return EXIT_OK
     light_imports.leave_out()
-    opened = open_callers_socket(settings.read_text(encoding="utf-8"))
+    opened = listen_at(read.unwrap().callers.address)
     # Imported only now, since asyncio and structlog are what brings in the
     # libraries that have just been left out.
     from .product import product_edges
--- a/packages/pepperstaird/pepperstaird/early_listening.py
+++ b/packages/pepperstaird/pepperstaird/early_listening.py
@@ -13,36 +13,42 @@
 import tomllib
 from typing import Final
 
+# As of the server that takes the socket over, which is not imported yet.
 _BACKLOG: Final = 1024
 
 
 def open_callers_socket(text: str) -> socket.socket | None:
     """Return a socket that listens at the callers' address, or None.
 
-    `text` holds the settings. Whatever is wrong with them or with the address is
-    reported by the start itself, which then tries for itself.
+    `text` holds settings that are not read yet. What is wrong with them is reported
+    when they are.
     """
     try:
         address = str(tomllib.loads(text)["callers"]["address"])
-        host, found, port = address.rpartition(":")
-        if not found:
-            return None
-        return _listen(host, int(port))
-    except (tomllib.TOMLDecodeError, KeyError, TypeError, ValueError, OSError):
+    except (tomllib.TOMLDecodeError, KeyError, TypeError):
         return None
+    return listen_at(address)
 
 
-def _listen(host: str, port: int) -> socket.socket | None:
+def listen_at(address: str) -> socket.socket | None:
+    """Return a socket that listens at an address, or None.
+
+    Whatever is wrong with the address is reported by the start itself, which then
+    tries for itself.
+    """
+    host, found, port = address.rpartition(":")
+    if not found or not port.isdecimal():
+        return None
     opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         # Connections of the process before it may still be closing.
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        opened.bind((host, port))
+        opened.bind((host, int(port)))
         opened.listen(_BACKLOG)
-    except OSError:
+    except (OSError, OverflowError):
         opened.close()
         return None
     return opened
 
 
-__all__ = ["open_callers_socket"]
+__all__ = ["listen_at", "open_callers_socket"]
