A stop lasts as long as the platform's grace allows

The drain timeout was fixed at 2.6 s in the template of the settings, and no code read the grace. Ruled out: a stream that was lost; the call ran on a healthy stream until the end of the drain. A request whose route usually takes longer than what is left of a stop is refused at once as not run. Before and after: the tests with a call of 8 s under a grace of 10 s failed at both ends (504 at 5.2 s) and pass now.

--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -40,7 +41,8 @@
     `budget_of` gives the retry budget that a service's calls draw on. `now_ms`
     never goes back. `is_joining` says that the daemon has just started, so that what
     it does not know yet it may know in a moment. `service` is that of the target on
-    the own VM, where one is to be named to targets.
+    the own VM, where one is to be named to targets. `time_to_stop_ms` is what is left
+    for calls of a daemon that stops, infinite for any other.
     """
 
     vm: str
@@ -64,6 +66,7 @@
     patience: Patience = field(default_factory=Patience)
     header_names: HeaderNames = PRODUCT_HEADERS
     service: str = ""
+    time_to_stop_ms: Callable[[], float] = lambda: math.inf
 
 
 __all__ = ["CallCarrier", "ProxyContext"]
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -157,6 +157,8 @@
         if compiled is None:
             raise PepperstairError(Failure(ErrorKind.NO_ROUTE, request.path))
         compiled = pick_part(compiled, context.rng)
+        if context.chooser.usual_ms(compiled.route.name) > context.time_to_stop_ms():
+            raise PepperstairError(Failure(ErrorKind.DRAINING, context.vm))
         head = self._read_head(request.headers)
         body_max_bytes = context.body_max_bytes()
         if head.n_body_bytes > body_max_bytes:
--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -125,6 +125,10 @@
         scale = self._norms.scale(route)
         return scale if is_urgent else scale * QUEUED_AGE_WEIGHT
 
+    def usual_ms(self, route: str) -> float:
+        """Return how long calls of a route usually take, 0 where none was seen."""
+        return self._norms.usual_ms(route)
+
     def forgive(self, vm: str) -> None:
         """Use the targets of a VM again that were ejected."""
         for (known_vm, _), health in self._health.items():
--- a/packages/pepperstair-core/pepperstair_core/calls/route_norms.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/route_norms.py
@@ -25,6 +25,10 @@
         self._usual_overall_ms = 0.0
         self._failing: dict[str, float] = {}
 
+    def usual_ms(self, route: str) -> float:
+        """Return how long answers of a route usually take, 0 where none was seen."""
+        return self._usual_ms.get(route, 0.0)
+
     def scale(self, route: str) -> float:
         """Return what makes latencies of a route compare with those of others.
 
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import socket
 from collections.abc import Iterator
@@ -78,6 +79,7 @@
         self.settings = settings
         self.edges = edges
         self.is_stopping = False
+        self.stop_ends_ms = math.inf
         self._started_ms = precise_ms()
         self._alive: dict[str, int] = {}
         self.body_max_bytes = settings.callers.body_max_bytes
@@ -291,6 +293,7 @@
             is_joining=lambda: precise_ms() - self._started_ms < JOINING_MS,
             on_outcome=self._count_outcome,
             is_draining=lambda: self.runner.is_draining,
+            time_to_stop_ms=lambda: self.stop_ends_ms - precise_ms(),
             decisions=self.decisions,
             budget_of=self.edges.make_budget_of(self),
             retry_budget_percent=self.settings.calls.retry_budget_percent,
--- a/packages/pepperstaird/pepperstaird/stopping.py
+++ b/packages/pepperstaird/pepperstaird/stopping.py
@@ -9,7 +9,7 @@
 
 from pepperstair_core.events import Event
 
-from .clock import monotonic_ms
+from .clock import monotonic_ms, precise_ms
 
 if TYPE_CHECKING:
     from .daemon import Daemon
@@ -29,9 +29,12 @@
     """
     log.info(Event.STOPPING)
     daemon.is_stopping = True
+    calls = daemon.settings.calls
+    stop_ms = calls.stop_notice_ms + calls.drain_timeout_ms
+    daemon.stop_ends_ms = precise_ms() + stop_ms
     daemon.publish_targets()
     daemon.callers.ask_to_leave()
-    await asyncio.sleep(daemon.settings.calls.stop_notice_ms / 1000)
+    await asyncio.sleep(calls.stop_notice_ms / 1000)
     daemon.runner.drain()
     daemon.callers.drain()
     daemon.control.leave()
--- a/tests/adapter/mesh.py
+++ b/tests/adapter/mesh.py
@@ -21,7 +21,7 @@
     header_value,
 )
 from tests.adapter.store_stand_in import StoreStandIn
-from tests.adapter.test_settings import filled
+from tests.adapter.test_settings import BOUNDS, filled
 
 ROOT = Path(__file__).parent.parent.parent
 
@@ -40,6 +40,7 @@
     sequence: int = 0
     process: subprocess.Popen | None = None
     work_s: float = 0.0
+    bounds: str = BOUNDS
 
     def settings_text(self) -> str:
         """Return the settings that the platform would place."""
@@ -47,6 +48,7 @@
         for name in (*names, "peers", "operators", "metrics"):
             self.ports.setdefault(name, free_port())
         return filled(
+            self.bounds,
             node=self.name,
             service=self.service,
             ip="127.0.0.1",
@@ -157,10 +159,11 @@
         self.address = ""
         self.vms: list[Vm] = []
         self.servers: list[HttpServer] = []
+        self.bounds = BOUNDS
 
     async def add(self, name: str, service: str) -> Vm:
         """Start a VM whose instance has announced itself."""
-        vm = Vm(name, service, self.folder, self.address)
+        vm = Vm(name, service, self.folder, self.address, bounds=self.bounds)
         self.servers.append(await vm.serve())
         self.vms.append(vm)
         vm.start_daemon()
--- a/tests/adapter/test_process_platform.py
+++ b/tests/adapter/test_process_platform.py
@@ -157,6 +157,29 @@
     on_platform(scenario)(tmp_path)
 
 
+@pytest.mark.parametrize("on_side", ["caller", "instance"])
+def test_stop_lasts_as_long_as_a_long_call_where_the_grace_allows_it(tmp_path, on_side):
+    """Guards against a daemon that gives up a call while its target is at work."""
+
+    async def scenario(mesh):
+        mesh.bounds = "grace_s = 10\n"
+        long_rule = rule("logs", "/logs/", "ledger", action={"timeout_ms": 10_000})
+        mesh.store.put("op", "config", document(7, long_rule))
+        caller = await mesh.add("vm-1", "vault")
+        beside = await mesh.add("vm-2", "ledger")
+        await mesh.ready()
+        beside.work_s = 8.0
+        calling = asyncio.create_task(caller.call(timeout_ms=10_000))
+        await asyncio.sleep(0.3)
+        stopped = caller if on_side == "caller" else beside
+        stopped.process.send_signal(signal.SIGTERM)
+        assert await calling == (200, b"vm-2")
+        ended = asyncio.to_thread(stopped.process.wait, 2)
+        assert await ended == 0
+
+    on_platform(scenario)(tmp_path)
+
+
 @on_platform
 async def test_stopped_daemon_answers_what_it_can_not_finish(mesh):
     """The platform stops a daemon while an instance works on a request for long.
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -56,6 +56,16 @@
     assert calls.stop_notice_ms + calls.drain_timeout_ms <= grace_ms - 500
 
 
+@pytest.mark.parametrize("grace_s", [6, 10, 30])
+def test_calls_in_flight_get_the_time_that_the_platform_gives(grace_s):
+    """Guards against answers in the place of a target that is still at work."""
+    settings = parse_all_settings(filled(f"grace_s = {grace_s}\n")).unwrap()
+    calls = settings.product.calls
+    stop_ms = calls.stop_notice_ms + calls.drain_timeout_ms
+    # Work that lasts into the last sixth may be cut.
+    assert grace_s * 1000 * 5 / 6 <= stop_ms <= grace_s * 1000 - 500
+
+
 @pytest.mark.parametrize(
     ("text", "where"),
     [
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -121,6 +122,7 @@
         self.outcomes: list[CallOutcome] = []
         self.decisions = DecisionLog()
         self.is_draining = False
+        self.time_to_stop_ms = math.inf
         self.is_joining = False
         self.is_known = True
         self.proxy = Proxy(self._context(body_max_bytes))
@@ -198,6 +200,7 @@
             is_ready=lambda: self.is_known,
             is_joining=lambda: self.is_joining,
             is_draining=lambda: self.is_draining,
+            time_to_stop_ms=lambda: self.time_to_stop_ms,
             on_outcome=self.outcomes.append,
             decisions=self.decisions,
             budget_of=lambda service: budget,
--- a/tests/test_call_failures.py
+++ b/tests/test_call_failures.py
@@ -13,7 +13,15 @@
 from pepperstair_core.members import TargetState
 from pepperstair_http import ConnectionLostError
 from pepperstair_targets import target_call
-from tests.call_mesh import LEASE_MS, Mesh, http, retry_after_ms, run_of, seen
+from tests.call_mesh import (
+    LEASE_MS,
+    Mesh,
+    answer_ok,
+    http,
+    retry_after_ms,
+    run_of,
+    seen,
+)
 
 BIG = bytes(200_000)
 
@@ -244,6 +252,24 @@
         assert (b"connection", b"close") in refused.headers
 
 
+@on_loop
+async def test_call_that_outlasts_the_stop_is_refused_before_it_runs():
+    """Guards against work that a stopping daemon begins and then has to give up."""
+
+    async def answer_late(target, writer, head) -> None:
+        await asyncio.sleep(0.2)
+        await answer_ok(target, writer, head)
+
+    async with Mesh() as mesh:
+        raw = await mesh.add("a", answer_late)
+        assert run_of(await mesh.call()) == (200, "yes")
+        mesh.time_to_stop_ms = 100.0
+        assert run_of(await mesh.call()) == (503, "no")
+        assert len(raw.heads) == 1
+        mesh.time_to_stop_ms = 1000.0
+        assert run_of(await mesh.call()) == (200, "yes")
+
+
 @on_loop
 async def test_slow_target_times_out_as_unknown_and_waiting_calls_as_not_run():
     """A target hangs. One call runs on it, one waits behind it.
