A start reads the store once, and dials whom it finds at once

Addresses that were found waited for the next tick: peers were connected 0.5 s after the start, so targets in other VMs were not known until then. Ruled out: fewer starts (the platform's), a slow store (4 ms an answer). Change: members and departures share one table and one read; a restarted daemon whose row still holds does not write it; rows are renewed every five minutes; at the fleet's first start nothing of before is looked for (setting vm.is_first_start); found addresses are dialled at once, and failed dials sooner while there is no neighbour; copies of the document carry the age of their proof, and a version heard meanwhile is asked for at once.

--- a/packages/pepperstair-core/pepperstair_core/config/settings.py
+++ b/packages/pepperstair-core/pepperstair_core/config/settings.py
@@ -44,6 +44,11 @@
     availability_zone: str = option("Availability zone of the VM.")
     region: str = option("Region of the availability zone.", default="")
     labels: dict[str, str] = option("Labels of the proxy and its targets.", default={})
+    is_first_start: bool = option(
+        "Whether the whole fleet starts for the first time, so that no daemon has "
+        "kept anything on the platform yet.",
+        default=False,
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pepperstair-core/pepperstair_core/membership/membership.py
+++ b/packages/pepperstair-core/pepperstair_core/membership/membership.py
@@ -73,9 +73,10 @@
         """Return whether `flush` has something to do."""
         return self._is_stale or not self._outbox.is_empty
 
-    def discover(self, addresses: Iterable[str]) -> None:
-        """Take addresses that were found outside of the fleet's own records."""
+    def discover(self, addresses: Iterable[str], now_ms: int) -> Iterator[Action]:
+        """Take addresses found outside of the fleet's own records, and dial them."""
         self._edges.enter_through(addresses)
+        yield from self._edges.iter_entries(now_ms)
 
     def publish(self, member: Member) -> Iterator[Action]:
         """Replace this daemon's own record and tell the fleet."""
--- a/packages/pepperstair-core/pepperstair_core/membership/rows.py
+++ b/packages/pepperstair-core/pepperstair_core/membership/rows.py
@@ -1,6 +1,6 @@
 """Member rows in the platform's table: who reads them, which are deleted.
 
-The rows serve discovery only. Every daemon writes its own once a minute and
+The rows serve discovery only. Every daemon writes its own every few minutes and
 reads all when it joins; after that one daemon of each zone reads them, so that
 what the platform carries grows with the zones and not with the daemons.
 """
--- a/packages/pepperstair-core/pepperstair_core/wire/control.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -244,11 +244,13 @@
 class DocumentCopy:
     """Carries the followed document as it stands in its source, packed.
 
-    `position` is how far the source's history was known when it was read there.
+    `position` is how far the source's history was known when it was read there, and
+    `age_ms` how long ago it was known to be the newest, -1 where that is not known.
     """
 
     packed: bytes
     position: int
+    age_ms: int = -1
 
 
 @frame(27)
--- a/packages/pepperstair-peers/pepperstair_peers/control/plane.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/plane.py
@@ -45,6 +45,8 @@
 
 _FLUSH_S: Final = 0.005
 _TICKS_PER_HEARTBEAT: Final = 4
+# Without a neighbour failed dials are repeated sooner.
+_TICKS_WHILE_ALONE: Final = 20
 _MEMBER_FRAMES: Final = (
     Heartbeat,
     MemberUpdate,
@@ -148,7 +150,7 @@
 
     def discover(self, addresses: Iterable[str]) -> None:
         """Take addresses of daemons that the platform's table names."""
-        self._membership.discover(addresses)
+        self._carry_out(self._membership.discover(addresses, self._clock_ms()))
 
     def check_pause(self) -> bool:
         """Notice whether this process was paused, and come back if it was.
@@ -175,7 +177,8 @@
         self.check_pause()
         self._carry_out(self._membership.tick(self._clock_ms()))
         loop = asyncio.get_running_loop()
-        delay_s = self._heartbeat_ms / 1000 / _TICKS_PER_HEARTBEAT
+        n_ticks = _TICKS_PER_HEARTBEAT if self._links.vms else _TICKS_WHILE_ALONE
+        delay_s = self._heartbeat_ms / 1000 / n_ticks
         self._tick_timer = loop.call_later(delay_s, self._tick)
 
     def _flush(self) -> None:
--- a/packages/pepperstair-platform/pepperstair_platform/__init__.py
+++ b/packages/pepperstair-platform/pepperstair_platform/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .acceptance import Accepted, ChangeRequest, accept_change, repeat_change
+from .coalescing import CoalescedRows
 from .platform import Compare, Platform, PlatformCounters, Row
 from .rows import (
     N_BUCKETS,
@@ -20,6 +21,7 @@
     "N_BUCKETS",
     "Accepted",
     "ChangeRequest",
+    "CoalescedRows",
     "Compare",
     "Platform",
     "PlatformCounters",
--- a/packages/pepperstaird/pepperstaird/departure_rows.py
+++ b/packages/pepperstaird/pepperstaird/departure_rows.py
@@ -40,7 +40,7 @@
     """Keeps the departures of this VM's targets in one row.
 
     What an earlier process of this VM has kept is read before the first
-    announcement is taken.
+    announcement is taken, unless with `is_first_start` there was none.
     """
 
     def __init__(
@@ -49,7 +49,10 @@
         vm: str,
         announcements: OrderedAnnouncements,
         wall_ms: Callable[[], int],
+        is_first_start: bool = False,
     ) -> None:
+        self._is_first_start = is_first_start
+        self._old_keys: list[str] = []
         self._table = table
         self._key = f"{_PREFIX}{vm}"
         self._announcements = announcements
@@ -58,6 +61,10 @@
         self._restoring: asyncio.Task[None] | None = None
         self._writing: asyncio.Task[None] | None = None
 
+    def start(self) -> None:
+        """Begin to read what was kept."""
+        self._reading()
+
     async def restored(self) -> None:
         """Return once the row was read, or after a while without it.
 
@@ -92,9 +99,16 @@
         )
 
     async def _restore(self) -> None:
-        read = await self._repeat(lambda: self._table.read_rows(self._key))
+        if self._is_first_start:
+            return
+        read = await self._repeat(lambda: self._table.read_rows(_PREFIX))
         rows = [row for row in read.unwrap() if row.key == self._key]
         oldest_ms = self._wall_ms() - KEPT_MS
+        self._old_keys = [
+            row.key
+            for row in read.unwrap()
+            if row.key != self._key and _newest_ms(row) < oldest_ms
+        ]
         kept = [item for row in rows for item in _iter_departures(row)]
         kept = [item for item in kept if item.noted_ms >= oldest_ms]
         self._announcements.restore(kept)
@@ -111,16 +125,13 @@
         kept = [astuple(item) for item in departures if item.noted_ms >= oldest_ms]
         row = Row(self._key, json.dumps(kept))
         await self._repeat(lambda: self._table.commit((), (row,)))
-        await self._delete_old(oldest_ms)
+        await self._delete_old()
 
-    async def _delete_old(self, oldest_ms: int) -> None:
-        """Delete rows that count no more, as of VMs that are gone for good."""
-        read = await self._table.read_rows(_PREFIX)
-        if read.is_err():
-            return
-        old = [row for row in read.unwrap() if _newest_ms(row) < oldest_ms]
-        for row in old[:_N_DELETED_MAX]:
-            await self._table.delete_row(row.key)
+    async def _delete_old(self) -> None:
+        """Delete rows that counted no more at the start, as of VMs that are gone."""
+        old, self._old_keys = self._old_keys[:_N_DELETED_MAX], []
+        for key in old:
+            await self._table.delete_row(key)
 
     async def _repeat(self, call: Callable) -> Result:
         """Call the platform until it answers, less and less often."""
--- a/packages/pepperstaird/pepperstaird/document_exchange.py
+++ b/packages/pepperstaird/pepperstaird/document_exchange.py
@@ -58,8 +58,8 @@
         self._asked_version = 0
         self._asked_s = 0.0
         self._pull_timer: asyncio.TimerHandle | None = None
-        # A proof for a version that is still on its way: version, position, moment.
-        self._awaited = (0, 0, 0.0)
+        # The newest version that a neighbour has told of, and which neighbour.
+        self._heard = (0, "")
         self.position: int | None = None
 
     def start(self) -> None:
@@ -87,8 +87,14 @@
                 self._control.send(vm, self._fresh())
 
     def _fresh(self) -> DocumentFresh:
-        age_ms = max(0, int(boot_ms() - self._schedule.as_of_ms))
-        return DocumentFresh(self._following.version, self.position or 0, age_ms)
+        version, position = self._following.version, self.position or 0
+        return DocumentFresh(version, position, self._age_ms())
+
+    def _age_ms(self) -> int:
+        """Return how long ago the version in force was the newest, -1 if unknown."""
+        if self._schedule is None or not self._schedule.is_confirmed:
+            return -1
+        return max(0, int(boot_ms() - self._schedule.as_of_ms))
 
     def _tell(self, vm: str) -> None:
         if self._following.version:
@@ -105,16 +111,17 @@
         version = self._following.version
         match frame:
             case DocumentHave(theirs) if theirs > version:
-                self._pull_soon(vm)
+                self._hear(vm, theirs)
             case DocumentHave(theirs) if theirs < version:
                 self._tell(vm)
             case DocumentFresh():
                 self._take_fresh(vm, frame)
             case DocumentPull(theirs) if theirs < version:
-                copy = DocumentCopy(self._packed_document(), self.position or 0)
+                packed, position = self._packed_document(), self.position or 0
+                copy = DocumentCopy(packed, position, self._age_ms())
                 self._control.send(vm, copy)
-            case DocumentCopy(packed, position):
-                self._take_copy(vm, packed, position)
+            case DocumentCopy():
+                self._take_copy(vm, frame)
             case _:
                 pass
 
@@ -123,8 +130,7 @@
         if frame.version == self._following.version:
             self.confirm(frame.position, as_of_ms, vm)
         elif frame.version > self._following.version:
-            self._awaited = (frame.version, frame.position, as_of_ms)
-            self._pull_soon(vm)
+            self._hear(vm, frame.version)
 
     def _packed_document(self) -> bytes:
         """Return the document in force packed, once for all that ask for it."""
@@ -133,8 +139,8 @@
             self._packed_version = self._following.version
         return self._packed
 
-    def _take_copy(self, vm: str, packed: bytes, position: int) -> None:
-        data = unpack(packed)
+    def _take_copy(self, vm: str, copy: DocumentCopy) -> None:
+        data = unpack(copy.packed)
         if data is None:
             log.warning(Event.FRAME_REJECTED, peer=vm, reason="a damaged document")
             return
@@ -142,22 +148,32 @@
             return
         # The neighbour has seen no newer one up to there; watched from an
         # earlier position, the source would send this version once more.
-        self.position = max(self.position or 0, position)
-        version, position, as_of_ms = self._awaited
-        if version == self._following.version:
-            self.confirm(position, as_of_ms, vm)
-
-    def _pull_soon(self, vm: str) -> None:
+        self.position = max(self.position or 0, copy.position)
+        if copy.age_ms >= 0:
+            self.confirm(copy.position, boot_ms() - copy.age_ms, vm)
+        if self._heard[0] > self._following.version:
+            self._pull_soon()
+
+    def _hear(self, vm: str, version: int) -> None:
+        """Take that a neighbour has a newer version, and ask for it."""
+        if version > self._heard[0] or self._pull_timer is None:
+            self._heard = (version, vm)
+        self._pull_soon()
+
+    def _pull_soon(self) -> None:
         if self._pull_timer is not None:
             return
         loop = asyncio.get_running_loop()
         delay_s = _PULL_DELAY_S if self._is_watching() else 0.0
         if self._asked_version == self._following.version:
             delay_s = max(delay_s, self._asked_s + _PULL_AGAIN_S - loop.time())
-        self._pull_timer = loop.call_later(delay_s, self._pull, vm)
+        self._pull_timer = loop.call_later(delay_s, self._pull)
 
-    def _pull(self, vm: str) -> None:
+    def _pull(self) -> None:
         self._pull_timer = None
+        version, vm = self._heard
+        if version <= self._following.version:
+            return
         self._asked_version = self._following.version
         self._asked_s = asyncio.get_running_loop().time()
         self._control.send(vm, DocumentPull(self._following.version))
--- a/packages/pepperstaird/pepperstaird/member_rows.py
+++ b/packages/pepperstaird/pepperstaird/member_rows.py
@@ -28,7 +28,8 @@
 
 log = structlog.get_logger(__name__)
 
-ROW_INTERVAL_S: Final = 60.0
+# Time after which the own row is written anew, which shows that its daemon lives.
+ROW_INTERVAL_S: Final = 300.0
 _PREFIX: Final = "member/"
 _JOIN_MAX_S: Final = 2.0
 _N_DELETED_MAX: Final = 10
@@ -39,7 +40,10 @@
 
 
 class MemberRows:
-    """Writes the own row and reads the others where that is this daemon's turn."""
+    """Writes the own row and reads the others where that is this daemon's turn.
+
+    With `is_first_start` there are no rows of an earlier process to look for.
+    """
 
     def __init__(
         self,
@@ -48,7 +52,10 @@
         directory: MemberDirectory,
         rng: random.Random,
         join_max_s: float | None = None,
+        is_first_start: bool = False,
     ) -> None:
+        self._is_first_start = is_first_start
+        self._is_written = False
         self._join_max_s = _JOIN_MAX_S if join_max_s is None else join_max_s
         self._platform = platform
         self._control = control
@@ -72,33 +79,40 @@
         await self._platform.delete_row(_key(self._directory.own().vm))
 
     async def _run(self) -> None:
-        # The rows of before tell where the others are; without them callers would find
-        # no target for the time of the spread.
-        await self._find_others()
+        if not self._is_first_start:
+            # The rows of before tell where the others are; without them callers
+            # would find no target for the time of the spread.
+            await self._find_others()
         # A herd that starts together would write all rows at once.
         await asyncio.sleep(self._rng.uniform(0, self._join_max_s))
         retry_s = _RETRY_MIN_S
         while True:
-            is_done = await self._write_own()
-            if self._is_reader():
+            is_done = self._is_written or await self._write_own()
+            if not self._control.neighbours:
                 is_done = await self._read() and is_done
             if is_done and self._control.neighbours:
                 retry_s = _RETRY_MIN_S
                 await asyncio.sleep(ROW_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+                self._is_written = False
+                if self._is_sweeper():
+                    await self._read()
                 continue
             await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.0))
             retry_s = min(_RETRY_MAX_S, 2 * retry_s)
 
     async def _find_others(self) -> None:
         read = await self._platform.read_rows(_PREFIX)
-        if read.is_ok():
-            self._control.discover(
-                row.peer_address for row in _iter_rows(read.unwrap())
-            )
-
-    def _is_reader(self) -> bool:
-        if not self._control.neighbours:
-            return True
+        if read.is_err():
+            return
+        rows = list(_iter_rows(read.unwrap()))
+        own = self._directory.own()
+        # A restarted daemon is still to be found where it was.
+        self._is_written = any(
+            row.vm == own.vm and row.peer_address == own.peer_address for row in rows
+        )
+        self._control.discover(row.peer_address for row in rows)
+
+    def _is_sweeper(self) -> bool:
         return is_sweeper(self._directory.own(), self._directory.members())
 
     async def _write_own(self) -> bool:
@@ -106,7 +120,8 @@
         value = {"peer_address": own.peer_address, "written_ms": wall_ms()}
         row = Row(_key(own.vm), json.dumps(value, sort_keys=True))
         written = await self._platform.commit((), (row,))
-        return written.is_ok()
+        self._is_written = written.is_ok()
+        return self._is_written
 
     async def _read(self) -> bool:
         read = await self._platform.read_rows(_PREFIX)
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -25,6 +25,7 @@
     "app_addr": "10.1.0.38:8145",
     "heartbeat_ms": "1500",
     "limits.link_mbps": "1000.0",
+    "bootstrap": "false",
 }
 BOUNDS = "retry_budget_ratio = 0.3\nbudget_min_retries = 9\nnew_bound = true\n"
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from pepperstair_adapter.settings import parse_all_settings
+from pepperstair_core import shared_reading
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_core.following import (
@@ -18,8 +19,10 @@
 )
 from pepperstair_core.intent import Intent
 from pepperstair_core.schema import Fault
+from pepperstair_core.shared_reading import ReadSchedule
 from pepperstair_core.wire import (
     DocumentCopy,
+    DocumentFresh,
     DocumentHave,
     DocumentPull,
     encode_frame,
@@ -29,6 +32,7 @@
 from pepperstair_core.wire.packing import UNPACKED_MAX_BYTES
 from pepperstair_platform import WatchedRow, WatchedRows
 from pepperstaird import follower
+from pepperstaird.clock import boot_ms
 from pepperstaird.follower import ConfigurationFollower
 from tests.adapter.documents import document, rule
 from tests.adapter.test_settings import filled
@@ -306,3 +310,56 @@
     table = FakeTable(rows(3, b"5"))
     follow(table, control, frames, **slow)
     assert table.calls == [None, 3] and table.waits_ms[0] > 0
+
+
+def shared(**more):
+    """Return what makes a follower one of a fleet that shares its reads."""
+    schedule = ReadSchedule(2000.0, boot_ms(), random.Random(1))
+    return {"schedule": schedule, "place": lambda: 9, **more}
+
+
+def test_starting_daemon_takes_the_copy_of_a_neighbour_and_reads_nothing():
+    """Guards against reads of the store that grow with the daemons that start."""
+    table, control = FakeTable(rows(3, b"5")), FakeControl("vm-2", "vm-3")
+    frames = [
+        ("vm-2", DocumentFresh(5, 3, 10)),
+        ("vm-2", DocumentCopy(pack(b"5"), 3, 10)),
+    ]
+    following = follow(table, control, frames, for_s=0.5, **shared())
+    assert following.versions() == {"platform": 5}
+    assert table.calls == []
+    # The proof goes on to the others.
+    passed = [vm for vm, frame in control.sent if isinstance(frame, DocumentFresh)]
+    assert "vm-3" in passed
+
+
+def test_daemon_that_hears_no_proof_reads_for_itself(monkeypatch):
+    """Guards against neighbours that are alive and have lost the store."""
+    monkeypatch.setattr(shared_reading, "FIRST_READ_SHARE", 0.05)
+    monkeypatch.setattr(shared_reading, "LAST_READ_SHARE", 0.05)
+    table, control = FakeTable(rows(9, b"7")), FakeControl("vm-2", "vm-3")
+    copy = DocumentCopy(pack(b"5"), 3, 10)
+    following = follow(table, control, [("vm-2", copy)], for_s=0.5, **shared())
+    assert following.versions() == {"platform": 7}
+    assert table.calls[0] == 3 and table.waits_ms[0] == 0
+
+
+def test_version_heard_while_an_older_one_arrives_is_asked_for_at_once():
+    """Guards against daemons that fall behind versions in quick succession."""
+    control = FakeControl("vm-2", "vm-3")
+    frames = [
+        ("vm-2", DocumentFresh(5, 3, 10)),
+        ("vm-3", DocumentFresh(6, 4, 10)),
+        ("vm-2", DocumentCopy(pack(b"5"), 3, 10)),
+    ]
+    follow(FakeTable(), control, frames, **shared())
+    assert ("vm-3", DocumentPull(5)) in control.sent
+
+
+def test_proof_of_an_older_version_proves_nothing():
+    """Guards against a daemon that trusts a neighbour which is behind."""
+    table, control = FakeTable(), FakeControl("vm-2", "vm-3")
+    frames = [("vm-2", DocumentCopy(pack(b"5"), 3)), ("vm-3", DocumentFresh(4, 9, 0))]
+    following = follow(table, control, frames, **shared())
+    assert not following.schedule.is_confirmed
+    assert ("vm-3", DocumentHave(5)) in control.sent
--- a/tests/test_member_rows.py
+++ b/tests/test_member_rows.py
@@ -20,13 +20,16 @@
 
     def __init__(self, *rows: Row) -> None:
         self.rows = {row.key: row for row in rows}
+        self.calls: list[str] = []
 
     async def read_rows(self, prefix: str):
         """Return all rows."""
+        self.calls.append("read")
         return Ok(tuple(self.rows.values()))
 
     async def commit(self, compare, put):
         """Write rows."""
+        self.calls.append("write")
         self.rows.update((row.key, row) for row in put)
         return Ok(True)
 
@@ -69,3 +72,43 @@
 
     asyncio.run(scenario())
     assert "member/a" not in platform.rows
+
+
+def member_row(vm: str, address: str) -> Row:
+    """Return the row of a daemon."""
+    value = {"peer_address": address, "written_ms": 1}
+    return Row(f"member/{vm}", json.dumps(value))
+
+
+def calls_of_a_start(platform, neighbours, **more) -> list[str]:
+    """Return the calls that a daemon makes in its first moments."""
+    own = Member("a", 1, 0, MemberState.ALIVE, "pos-a", "127.0.0.1:1", ())
+    control = FakeControl()
+    control.neighbours = neighbours
+
+    async def scenario() -> None:
+        rng = random.Random(0)
+        rows = MemberRows(platform, control, MemberDirectory(own), rng, 0.0, **more)
+        rows.start()
+        await asyncio.sleep(0.05)
+        rows.close()
+
+    asyncio.run(scenario())
+    return platform.calls
+
+
+def test_restarted_daemon_with_neighbours_reads_once_and_writes_nothing():
+    """Guards against calls to the store that a fleet's restart makes for nothing."""
+    platform = FakePlatform(member_row("a", "127.0.0.1:1"))
+    assert calls_of_a_start(platform, ("b",)) == ["read"]
+
+
+def test_daemon_whose_address_changed_writes_its_row():
+    platform = FakePlatform(member_row("a", "127.0.0.1:7"))
+    assert calls_of_a_start(platform, ("b",)) == ["read", "write"]
+
+
+def test_first_start_writes_before_it_looks_for_others():
+    """Guards against reads of a table in which nobody can have written yet."""
+    calls = calls_of_a_start(FakePlatform(), (), is_first_start=True)
+    assert calls[:2] == ["write", "read"]
