--- a/packages/pepperstair-core/pepperstair_core/shared_reading.py
+++ b/packages/pepperstair-core/pepperstair_core/shared_reading.py
@@ -119,10 +119,15 @@
         """Return how much longer than usual to wait after failed reads."""
         return 1.0 if place < N_RETRYING else RETRY_FACTOR
 
-    def watch_ms(self, place: int) -> int:
-        """Return how long the next watch of a watcher lasts."""
+    def watch_ms(self, place: int, now_ms: float) -> int:
+        """Return how long the next watch of a watcher lasts.
+
+        After a rest, or a proof of somebody else, that of the first one ends in time
+        for the next proof.
+        """
         if place == 0:
-            return int(PROOF_SHARE * self.bound_ms)
+            proof_due_ms = self.as_of_ms + PROOF_SHARE * self.bound_ms
+            return max(0, int(proof_due_ms - now_ms))
         return int(LONG_WATCH_MS * self._rng.uniform(0.6, 1.0))
 
 
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -252,8 +252,9 @@
         place = self._place()
         is_alone = not self._control.neighbours
         wait_ms = 0
-        if is_alone or self.schedule.is_watcher(place, boot_ms()):
-            wait_ms = self.schedule.watch_ms(place)
+        now_ms = boot_ms()
+        if is_alone or self.schedule.is_watcher(place, now_ms):
+            wait_ms = self.schedule.watch_ms(place, now_ms)
         return await self._table.wait(position, wait_ms)
 
     def _holds_watch(self) -> bool:
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -165,7 +165,9 @@
         if self.is_shared:
             place = self._place(daemon)
             is_watcher = daemon.schedule.is_watcher(place, self.now_ms)
-            wait_ms = daemon.schedule.watch_ms(place) if is_watcher else 0.0
+            wait_ms = (
+                daemon.schedule.watch_ms(place, self.now_ms) if is_watcher else 0.0
+            )
         if not daemon.schedule.is_confirmed:
             wait_ms = 0.0
         ends_ms = self.now_ms + wait_ms
