Versions are announced ahead, handed on as they come, and sent as deltas

Cause: with few readers a version went through five daemons one after the other, each of which read 400 KB before it told the next; readers on links of 2.5 Mbit/s took 1.5 s for the document. Ruled out: more readers (each costs a call a version and zone; the tail stays). Change: daemons with the widest links read; a version is announced as soon as it is heard of, asked for at once, and handed on before it is read; neighbours that hold one of the last versions get what has changed (document_delta); a neighbour that does not send it is followed by the next. The test of the whole path waits for the member rows now: daemons find each other before the second row is written.

--- a/packages/pepperstair-core/pepperstair_core/members.py
+++ b/packages/pepperstair-core/pepperstair_core/members.py
@@ -53,7 +53,8 @@
 
     `incarnation` rises with each start or refutation, `sequence` with each
     change of the record within an incarnation. `operators_address` is where the
-    command line reaches the daemon for reports over the fleet.
+    command line reaches the daemon for reports over the fleet, `link_mbps` the pace of
+    its VM's link, 0 where that is not known.
     """
 
     vm: str
@@ -65,6 +66,7 @@
     labels: tuple[tuple[str, str], ...]
     targets: tuple[Target, ...] = ()
     operators_address: str = ""
+    link_mbps: float = 0.0
 
     @property
     def rank(self) -> tuple[int, int, int]:
--- a/packages/pepperstair-core/pepperstair_core/shared_reading.py
+++ b/packages/pepperstair-core/pepperstair_core/shared_reading.py
@@ -12,8 +12,8 @@
 
 import functools
 import math
-import random
 from collections.abc import Iterable
+from random import Random
 from typing import Final
 
 from .members import Member, MemberState
@@ -55,7 +55,7 @@
     `bound_ms` is the time in which a version has to be in force everywhere. Times are
     in milliseconds of one clock that never goes back.
 
-    >>> schedule = ReadSchedule(2000.0, 0.0, random.Random(1))
+    >>> schedule = ReadSchedule(2000.0, 0.0, Random(1))
     >>> schedule.confirm(5000.0)
     True
     >>> schedule.due_ms(N_WATCHERS, 5000.0)
@@ -64,7 +64,7 @@
     5000.0
     """
 
-    def __init__(self, bound_ms: float, start_ms: float, rng: random.Random) -> None:
+    def __init__(self, bound_ms: float, start_ms: float, rng: Random) -> None:
         self._rng = rng
         self._start_ms = start_ms
         self._first_ms = start_ms + START_MIN_MS + rng.random() * START_SPREAD_MS
@@ -131,16 +131,26 @@
         return int(LONG_WATCH_MS * self._rng.uniform(0.6, 1.0))
 
 
-def place_among_readers(own: str, members: Iterable[Member], key: str) -> int:
-    """Return how many living members come before this one in the order of readers."""
-    own_weight = _weight(key, own)
+def place_among_readers(own: Member, members: Iterable[Member], key: str) -> int:
+    """Return how many living members come before this one in the order of readers.
+
+    Those with the widest links come first: on a narrow one the document takes longer
+    than the whole way through the fleet.
+    """
+    own_rank = _rank(own, key)
     return sum(
-        _weight(key, member.vm) > own_weight
+        _rank(member, key) > own_rank
         for member in members
-        if member.state is MemberState.ALIVE and member.vm != own
+        if member.state is MemberState.ALIVE and member.vm != own.vm
     )
 
 
+def _rank(member: Member, key: str) -> tuple[float, int]:
+    """Return the rank of a reader; links count as alike up to twice the pace."""
+    pace = math.floor(math.log2(member.link_mbps)) if member.link_mbps else math.inf
+    return pace, _weight(key, member.vm)
+
+
 @functools.lru_cache(maxsize=4_096)
 def _weight(key: str, name: str) -> int:
     return weight(key, name)
--- a/packages/pepperstair-core/pepperstair_core/wire/control.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -266,6 +266,20 @@
     age_ms: int
 
 
+@frame(28)
+@dataclass(frozen=True, slots=True)
+class DocumentDelta:
+    """Carries what changed in the followed document since a version, packed.
+
+    The other fields are those of a copy.
+    """
+
+    base_version: int
+    packed: bytes
+    position: int
+    age_ms: int = -1
+
+
 ControlFrame = (
     Hello
     | Welcome
@@ -288,6 +302,7 @@
     | DocumentPull
     | DocumentCopy
     | DocumentFresh
+    | DocumentDelta
 )
 
 __all__ = [
@@ -296,6 +311,7 @@
     "Busy",
     "ControlFrame",
     "DocumentCopy",
+    "DocumentDelta",
     "DocumentFresh",
     "DocumentHave",
     "DocumentPull",
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -113,6 +113,7 @@
                 peer_address,
                 label_items(settings.vm.labels),
                 operators_address=_operators_address(settings),
+                link_mbps=settings.peers.link_mbps,
             )
         )
         self.platform = edges.make_platform(settings)
--- a/packages/pepperstaird/pepperstaird/document_exchange.py
+++ b/packages/pepperstaird/pepperstaird/document_exchange.py
@@ -8,11 +8,13 @@
 
 import structlog
 
+from pepperstair_core.document_delta import apply_delta, make_delta
 from pepperstair_core.events import Event
 from pepperstair_core.following import Following, Offer
 from pepperstair_core.shared_reading import ReadSchedule
 from pepperstair_core.wire import (
     DocumentCopy,
+    DocumentDelta,
     DocumentFresh,
     DocumentHave,
     DocumentPull,
@@ -26,10 +28,14 @@
 log = structlog.get_logger(__name__)
 
 # A neighbour that was asked for a copy has this long before another one is.
-_PULL_AGAIN_S: Final = 0.5
+_PULL_AGAIN_S: Final = 0.75
 # How long the own watch may take to bring a version that a neighbour has
 # already: asking at once would carry each version once more to everyone.
 _PULL_DELAY_S: Final = 0.25
+# Versions whose documents are kept to tell those that hold one what has changed.
+_N_KEPT_MAX: Final = 3
+# A delta that saves less than this share of a copy is not worth its making.
+_DELTA_MAX_SHARE: Final = 0.5
 
 
 class DocumentExchange:
@@ -53,13 +59,18 @@
         self._offer = offer
         self._is_watching = is_watching
         self._schedule = schedule
-        self._packed = b""
-        self._packed_version = 0
+        self._kept: dict[int, bytes] = {}
+        # By the version that the other side holds: what is sent to it.
+        self._packed: dict[int, bytes] = {}
+        # Neighbours that asked for a version that is not here yet, and what they hold.
+        self._waiting: dict[str, int] = {}
+        self._announced = 0
         self._asked_version = 0
         self._asked_s = 0.0
         self._pull_timer: asyncio.TimerHandle | None = None
-        # The newest version that a neighbour has told of, and which neighbour.
-        self._heard = (0, "")
+        # The newest version heard of, and the neighbours to be asked for it in turn.
+        self._heard = 0
+        self._tellers: list[str] = []
         self.position: int | None = None
 
     def start(self) -> None:
@@ -72,10 +83,30 @@
         if self._pull_timer is not None:
             self._pull_timer.cancel()
 
-    def tell_all(self) -> None:
-        """Tell every neighbour which version is in force."""
+    def put_in_force(self) -> None:
+        """Take that another version is in force, and pass it on."""
+        document = self._following.document
+        self._kept[document.version] = document.data
+        for version in sorted(self._kept)[:-_N_KEPT_MAX]:
+            del self._kept[version]
+        self._packed.clear()
+        waiting, self._waiting = self._waiting, {}
+        for vm, held_version in waiting.items():
+            self._answer_pull(vm, held_version)
+        self._announce(document.version)
+
+    def _announce(self, version: int, teller: str = "") -> None:
+        """Tell the neighbours of a version as soon as it is heard of.
+
+        They ask for it at once and get it as it arrives: the way through the fleet
+        then takes as long as the sending, not the reading by each daemon on it.
+        """
+        if version <= self._announced:
+            return
+        self._announced = version
         for vm in self._control.neighbours:
-            self._tell(vm)
+            if vm != teller:
+                self._control.send(vm, DocumentHave(version))
 
     def confirm(self, position: int, as_of_ms: float, learnt_from: str = "") -> None:
         """Take a proof that the version in force was the newest, and pass it on."""
@@ -97,8 +128,9 @@
         return max(0, int(boot_ms() - self._schedule.as_of_ms))
 
     def _tell(self, vm: str) -> None:
-        if self._following.version:
-            self._control.send(vm, DocumentHave(self._following.version))
+        version = max(self._announced, self._following.version)
+        if version:
+            self._control.send(vm, DocumentHave(version))
         if self._schedule is not None and self._schedule.is_confirmed:
             self._control.send(vm, self._fresh())
 
@@ -116,12 +148,12 @@
                 self._tell(vm)
             case DocumentFresh():
                 self._take_fresh(vm, frame)
-            case DocumentPull(theirs) if theirs < version:
-                packed, position = self._packed_document(), self.position or 0
-                copy = DocumentCopy(packed, position, self._age_ms())
-                self._control.send(vm, copy)
+            case DocumentPull(theirs):
+                self._answer_pull(vm, theirs)
             case DocumentCopy():
                 self._take_copy(vm, frame)
+            case DocumentDelta():
+                self._take_delta(vm, frame)
             case _:
                 pass
 
@@ -132,32 +164,84 @@
         elif frame.version > self._following.version:
             self._hear(vm, frame.version)
 
-    def _packed_document(self) -> bytes:
-        """Return the document in force packed, once for all that ask for it."""
-        if self._packed_version != self._following.version:
-            self._packed = pack(self._following.document.data)
-            self._packed_version = self._following.version
-        return self._packed
+    def _answer_pull(self, vm: str, held_version: int) -> None:
+        if held_version >= self._following.version:
+            self._waiting[vm] = held_version
+            return
+        base_version = held_version if held_version in self._kept else 0
+        if base_version not in self._packed:
+            self._packed[base_version] = self._pack_from(base_version)
+        packed, position = self._packed[base_version], self.position or 0
+        frame = DocumentCopy(packed, position, self._age_ms())
+        if base_version and packed:
+            frame = DocumentDelta(base_version, packed, position, self._age_ms())
+        elif base_version:
+            self._answer_pull(vm, 0)
+            return
+        self._control.send(vm, frame)
+
+    def _pack_from(self, base_version: int) -> bytes:
+        """Return the document, or what changed in it, packed; empty if that is much."""
+        data = self._following.document.data
+        if not base_version:
+            return pack(data)
+        if 0 not in self._packed:
+            self._packed[0] = pack(data)
+        packed = pack(make_delta(self._kept[base_version], data))
+        return packed if len(packed) <= _DELTA_MAX_SHARE * len(self._packed[0]) else b""
 
     def _take_copy(self, vm: str, copy: DocumentCopy) -> None:
         data = unpack(copy.packed)
         if data is None:
             log.warning(Event.FRAME_REJECTED, peer=vm, reason="a damaged document")
             return
+        if self._following.document and data == self._following.document.data:
+            return
+        waiting, self._waiting = self._waiting, {}
+        for waiting_vm in waiting:
+            self._control.send(waiting_vm, copy)
+        self._take_document(vm, data, copy)
+
+    def _take_delta(self, vm: str, delta: DocumentDelta) -> None:
+        document = self._following.document
+        if document is None or delta.base_version != document.version:
+            return
+        changes = unpack(delta.packed)
+        data = None if changes is None else apply_delta(document.data, changes)
+        if data is None:
+            log.warning(Event.FRAME_REJECTED, peer=vm, reason="a damaged delta")
+            self._control.send(vm, DocumentPull(0))
+            return
+        for waiting_vm, held_version in list(self._waiting.items()):
+            if held_version == delta.base_version:
+                del self._waiting[waiting_vm]
+                self._control.send(waiting_vm, delta)
+        self._take_document(vm, data, delta)
+
+    def _take_document(
+        self, vm: str, data: bytes, frame: DocumentCopy | DocumentDelta
+    ) -> None:
         if self._offer(data, vm) is not Offer.IN_FORCE:
             return
         # The neighbour has seen no newer one up to there; watched from an
         # earlier position, the source would send this version once more.
-        self.position = max(self.position or 0, copy.position)
-        if copy.age_ms >= 0:
-            self.confirm(copy.position, boot_ms() - copy.age_ms, vm)
-        if self._heard[0] > self._following.version:
+        self.position = max(self.position or 0, frame.position)
+        if frame.age_ms >= 0:
+            self.confirm(frame.position, boot_ms() - frame.age_ms, vm)
+        if self._pull_timer is not None:
+            self._pull_timer.cancel()
+            self._pull_timer = None
+        if self._heard > self._following.version:
             self._pull_soon()
 
     def _hear(self, vm: str, version: int) -> None:
-        """Take that a neighbour has a newer version, and ask for it."""
-        if version > self._heard[0] or self._pull_timer is None:
-            self._heard = (version, vm)
+        """Take that a neighbour has a newer version, or will, and ask for it."""
+        self._announce(version, vm)
+        if version > self._heard:
+            self._heard = version
+            self._tellers.clear()
+        if version == self._heard and vm not in self._tellers:
+            self._tellers.append(vm)
         self._pull_soon()
 
     def _pull_soon(self) -> None:
@@ -170,13 +254,17 @@
         self._pull_timer = loop.call_later(delay_s, self._pull)
 
     def _pull(self) -> None:
+        """Ask the next neighbour, until the version has come."""
         self._pull_timer = None
-        version, vm = self._heard
-        if version <= self._following.version:
+        version = self._following.version
+        if self._heard <= version or not self._tellers:
             return
-        self._asked_version = self._following.version
-        self._asked_s = asyncio.get_running_loop().time()
-        self._control.send(vm, DocumentPull(self._following.version))
+        vm = self._tellers.pop(0)
+        self._tellers.append(vm)
+        loop = asyncio.get_running_loop()
+        self._asked_version, self._asked_s = version, loop.time()
+        self._control.send(vm, DocumentPull(version))
+        self._pull_timer = loop.call_later(_PULL_AGAIN_S, self._pull)
 
 
 __all__ = ["DocumentExchange"]
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -333,7 +333,7 @@
             log.info(Event.READY, reached_by=learnt_from)
         self._on_document()
         self.on_changed(self._snapshot)
-        self._exchange.tell_all()
+        self._exchange.put_in_force()
 
     def _report_rejected(self, learnt_from: str) -> None:
         self.n_rejected += 1
--- a/tests/adapter/test_process_platform.py
+++ b/tests/adapter/test_process_platform.py
@@ -26,7 +26,11 @@
     assert header_value(headers, b"x-expected-instance") == b"i-vm-2"
     assert 0 < int(header_value(headers, b"x-request-timeout-ms")) <= 800
     assert (await caller.call("/none/1"))[0] == 404
-    assert mesh.store.keys("members") == ["member/vm-1", "member/vm-2"]
+
+    async def is_written() -> bool:
+        return mesh.store.keys("members") == ["member/vm-1", "member/vm-2"]
+
+    await until(is_written, "the rows of both daemons")
     status, _, metrics = await caller.fetch("metrics", "GET", "/metrics")
     assert status == 200 and b"pepperstair_calls_total" in metrics
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from result import Err, Ok
 
@@ -22,6 +23,7 @@
 from pepperstair_core.shared_reading import ReadSchedule
 from pepperstair_core.wire import (
     DocumentCopy,
+    DocumentDelta,
     DocumentFresh,
     DocumentHave,
     DocumentPull,
@@ -31,7 +33,7 @@
 )
 from pepperstair_core.wire.packing import UNPACKED_MAX_BYTES
 from pepperstair_platform import WatchedRow, WatchedRows
-from pepperstaird import follower
+from pepperstaird import document_exchange, follower
 from pepperstaird.clock import boot_ms
 from pepperstaird.follower import ConfigurationFollower
 from tests.adapter.documents import document, rule
@@ -112,14 +114,26 @@
     return Ok(WatchedRows(found, position))
 
 
-def follow(table, control, frames=(), for_s=0.05, seed=1, **more):
+def read_text(data: bytes):
+    """Read a document that ends with its version."""
+    return read(data.rpartition(b"{")[2]).map(lambda found: replace(found, data=data))
+
+
+def follow_text(table, control, frames, **more):
+    """Let a follower of longer documents run for a moment and return it."""
+    return follow(table, control, frames, reader=read_text, wait_s=0.6, **more)
+
+
+def follow(
+    table, control, frames=(), for_s=0.05, seed=1, reader=read, wait_s=0.01, **more
+):
     """Let a follower run for a moment and return it."""
 
     async def scenario() -> ConfigurationFollower:
         following = ConfigurationFollower(
             table,
             "config",
-            read,
+            reader,
             {},
             control,
             DecisionLog(),
@@ -127,7 +141,7 @@
             **more,
         )
         following.start()
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(wait_s)
         for vm, frame in frames:
             control.on_configuration_frame(vm, frame)
         await asyncio.sleep(for_s)
@@ -363,3 +377,38 @@
     following = follow(table, control, frames, **shared())
     assert not following.schedule.is_confirmed
     assert ("vm-3", DocumentHave(5)) in control.sent
+
+
+def test_neighbour_with_the_version_before_gets_what_has_changed():
+    """Guards against whole documents on narrow links for one changed route."""
+    routes = b"".join(b"{%x" % (index**5) for index in range(200))
+    old, new = routes + b"{5", routes + b"{6"
+    control = FakeControl("vm-2")
+    frames = [("vm-2", DocumentPull(5)), ("vm-2", DocumentPull(4))]
+    follow_text(FakeTable(rows(3, old), rows(4, new)), control, frames)
+    sent = [type(frame) for _, frame in control.sent]
+    assert sent.count(DocumentDelta) == 1 and sent.count(DocumentCopy) == 1
+
+
+def test_version_is_announced_before_it_is_here_and_handed_on_as_it_comes():
+    """Guards against a way through the fleet that takes a reading at each daemon."""
+    control = FakeControl("vm-2", "vm-3")
+    copy = DocumentCopy(pack(b"5"), 3)
+    frames = [
+        ("vm-2", DocumentHave(5)),
+        ("vm-3", DocumentPull(0)),
+        ("vm-2", copy),
+    ]
+    follow(FakeTable(), control, frames, **shared())
+    to_third = [frame for vm, frame in control.sent if vm == "vm-3"]
+    assert to_third == [DocumentHave(5), copy]
+
+
+def test_neighbour_that_does_not_send_a_version_is_followed_by_the_next(monkeypatch):
+    """Guards against a daemon that waits for one that was killed meanwhile."""
+    monkeypatch.setattr(document_exchange, "_PULL_AGAIN_S", 0.01)
+    control = FakeControl("vm-2", "vm-3")
+    frames = [("vm-2", DocumentHave(5)), ("vm-3", DocumentHave(5))]
+    follow(FakeTable(), control, frames, **shared())
+    asked = [vm for vm, frame in control.sent if frame == DocumentPull(0)]
+    assert asked[:3] == ["vm-2", "vm-3", "vm-2"]
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -133,11 +133,11 @@
             members = [
                 Member(name, 1, 0, MemberState.ALIVE, "z", "127.0.0.1:1", ())
                 for name in self.daemons
-                if name not in gone
             ]
+            living = [member for member in members if member.vm not in gone]
             self._places[key] = {
-                name: place_among_readers(name, members, "config")
-                for name in self.daemons
+                member.vm: place_among_readers(member, living, "config")
+                for member in members
             }
         return self._places[key][daemon.name]
 
@@ -277,3 +277,15 @@
     schedule = ReadSchedule(BOUND_MS, 0.0, random.Random(1))
     assert not schedule.is_watcher(0, JOINING_MS - 1)
     assert schedule.is_watcher(0, JOINING_MS)
+
+
+def test_readers_with_narrow_links_come_last():
+    """Guards against versions that wait for a document on a narrow link."""
+    links = (2.5, 50.0, 5.0, 48.0, 0.0)
+    members = [
+        Member(f"vm-{link}", 1, 0, MemberState.ALIVE, "z", "", (), link_mbps=link)
+        for link in links
+    ]
+    places = [place_among_readers(member, members, "config") for member in members]
+    assert places[0] == 4 and places[2] == 3 and places[4] == 0
+    assert {places[1], places[3]} == {1, 2}
