Demo and benchmarks say what became of a stand-in that does not listen

Cause: make demo ended once with 'not seen within 20.0 s: target ledger' and no more; whether the process had ended or was slow could not be told. Change: the wait ends at once when the process has ended, and gives its exit status and last lines; a process that runs on without listening is told apart. The one failure itself stays untraced, as it did not come again.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 SCRIPTS = Path(sys.executable).parent
 PEPPERSTAIRD = (str(SCRIPTS / "pepperstaird"),)
+_N_LAST_LINES = 10
 _PORT_RANGE = (10_000, 32_000)
 _PORTS = random.SystemRandom()
 _handed_out: set[int] = set()
@@ -77,6 +78,31 @@
         self.process.send_signal(signal.SIGCONT)
 
 
+@dataclass(frozen=True)
+class StartedModule:
+    """A stand-in that was started, and the file that its errors go to."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    log: Path
+
+    def wait_until_listening(self, address: str, timeout_s: float = 20.0) -> None:
+        """Return once it listens; TimeoutError tells what became of it instead."""
+        deadline_s = time.monotonic() + timeout_s
+        while not _is_listening(address):
+            if self.process.poll() is not None:
+                reason = f"it ended with status {self.process.returncode}"
+                raise TimeoutError(f"{self.name}: {reason}\n{self._last_lines()}")
+            if time.monotonic() >= deadline_s:
+                reason = f"it runs, and nothing listens at {address} in {timeout_s} s"
+                raise TimeoutError(f"{self.name}: {reason}\n{self._last_lines()}")
+            time.sleep(0.02)
+
+    def _last_lines(self) -> str:
+        lines = self.log.read_text(errors="replace").splitlines()
+        return "\n".join(lines[-_N_LAST_LINES:]) or "it has written no error"
+
+
 @dataclass
 class Fleet:
     """The processes of one run, all stopped by `stop`."""
@@ -91,8 +117,9 @@
         """Start the platform stand-in."""
         port = free_port()
         self.platform = f"127.0.0.1:{port}"
-        self._start_module("stand_ins.platform", "--port", str(port), *arguments)
-        wait_until(lambda: _is_listening(self.platform), "the platform stand-in")
+        module = "stand_ins.platform"
+        started = self._start_module(module, "--port", str(port), *arguments)
+        started.wait_until_listening(self.platform)
 
     def start_daemon(
         self,
@@ -153,9 +180,9 @@
         """Start a target beside a daemon and return its address."""
         port = str(free_port())
         arguments = ("--port", port, "--daemon", daemon.operators, "--service", service)
-        self._start_module("stand_ins.target", *arguments, *more)
+        started = self._start_module("stand_ins.target", *arguments, *more)
         address = f"127.0.0.1:{port}"
-        wait_until(lambda: _is_listening(address), f"target {service}")
+        started.wait_until_listening(address)
         return address
 
     def stop(self) -> None:
@@ -171,14 +198,19 @@
                 process.kill()
                 process.wait()
 
-    def _start_module(self, module: str, *arguments: str) -> None:
-        process = subprocess.Popen(
-            [sys.executable, "-m", module, *arguments],
-            cwd=ROOT,
-            stdout=subprocess.DEVNULL,
-            env={**os.environ, "PYTHONPATH": str(ROOT)},
-        )
+    def _start_module(self, module: str, *arguments: str) -> StartedModule:
+        command = [sys.executable, "-m", module, *arguments]
+        log = self.folder / f"{module}-{len(self.processes)}.log"
+        with log.open("wb") as output:
+            process = subprocess.Popen(
+                command,
+                cwd=ROOT,
+                stdout=subprocess.DEVNULL,
+                stderr=output,
+                env={**os.environ, "PYTHONPATH": str(ROOT)},
+            )
         self.processes.append(process)
+        return StartedModule(" ".join(command[1:]), process, log)
 
 
 @contextlib.contextmanager
