Other zones hear of changed members by their ranks

Ruled out: heartbeats (0.5 MB), heads of calls (1.8 MB), documents (1.0 MB since deltas). Change: a change that is passed on goes to a neighbour in another zone as its rank, with the next tick; who lacks the record asks for it. A daemon's own change goes whole to all. A document that was no good is not asked for again.

--- a/packages/pepperstair-core/pepperstair_core/membership/membership.py
+++ b/packages/pepperstair-core/pepperstair_core/membership/membership.py
@@ -54,7 +54,7 @@
         self._edges = NeighbourEdges(
             directory, peers.seed_addresses, settings.heartbeat_ms, rng
         )
-        self._outbox = MemberOutbox()
+        self._outbox = MemberOutbox(self._is_far)
         self._gone_since_ms: dict[str, int] = {}
         self._is_stale = True
         # The first beats are spread, so that a herd which starts together does
@@ -159,6 +159,7 @@
         yield from self._edges.iter_dials(now_ms)
         yield from self._edges.iter_entries(now_ms)
         yield from self._edges.iter_closes(now_ms)
+        yield from self._outbox.announce()
         if now_ms >= self._probe_due_ms:
             self._probe_due_ms = now_ms + self._spread(_PROBE_HEARTBEATS)
             yield from self._edges.iter_probe(now_ms)
@@ -225,6 +226,8 @@
         for told in frame.ranks:
             if told.vm == self.directory.own().vm:
                 yield from self._refute(told.rank)
+            else:
+                self._outbox.confirm(vm, told)
         yield from iter_pulls(self.directory, vm, frame)
         self._outbox.offer(vm, iter_offers(self.directory, frame))
 
@@ -263,6 +266,12 @@
         for vm in wanted:
             self._heard.watch(vm, now_ms)
 
+    def _is_far(self, vm: str) -> bool:
+        """Return whether a member is known to be in another availability zone."""
+        member = self.directory.get(vm)
+        own_zone = self.directory.own().availability_zone
+        return member is not None and member.availability_zone != own_zone
+
     def _forget(self, now_ms: int) -> None:
         """Drop members that are long gone, or the directory would only grow."""
         limit_ms = self._settings.heartbeat_ms * _FORGET_HEARTBEATS
--- a/packages/pepperstair-core/pepperstair_core/membership/outbox.py
+++ b/packages/pepperstair-core/pepperstair_core/membership/outbox.py
@@ -6,13 +6,15 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Final
 
-from ..members import Member
-from ..wire.control import MemberUpdate
+from ..members import Member, MemberRank
+from ..wire.control import MemberRanks, MemberUpdate
 from .actions import Send
+from .directory import rank_of
 
 UPDATE_MAX_RECORDS: Final = 32
 UPDATE_MAX_TARGETS: Final = 128
 FLUSH_MAX_RECORDS: Final = 256
+ANNOUNCED_MAX_RANKS: Final = 512
 
 
 class MemberOutbox:
@@ -22,10 +24,16 @@
     meantime. Sending in small rounds bounds how much a herd that joins at once
     can ask of this daemon: what does not fit waits here, where it takes no more
     than one reference a member and neighbour.
+
+    A neighbour for which `is_far` holds, one in another availability zone, is told of
+    changes by their ranks alone, with the next `announce`, and asks for those that it
+    lacks. By then most of them have reached it within its zone.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_far: Callable[[str], bool] = lambda vm: False) -> None:
+        self._is_far = is_far
         self._pending: dict[str, dict[str, Member]] = {}
+        self._announced: dict[str, dict[str, Member]] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -35,27 +43,37 @@
     def open(self, neighbour: str) -> None:
         """Begin to queue records for a neighbour."""
         self._pending.setdefault(neighbour, {})
+        self._announced.setdefault(neighbour, {})
 
     def close(self, neighbour: str) -> None:
         """Drop what waits for a neighbour whose stream is gone."""
         self._pending.pop(neighbour, None)
+        self._announced.pop(neighbour, None)
 
     def add(self, member: Member, sender: str = "") -> None:
-        """Queue a changed record for every neighbour but the one it came from."""
+        """Queue a changed record for every neighbour but the one it came from.
+
+        A change of this daemon's own goes to all of them whole.
+        """
         for neighbour, pending in self._pending.items():
-            if neighbour != sender:
+            if neighbour == sender:
+                continue
+            if sender and self._is_far(neighbour):
+                self._announced[neighbour][member.vm] = member
+            else:
                 pending[member.vm] = member
 
-    def confirm(self, neighbour: str, heard: Member) -> None:
+    def confirm(self, neighbour: str, heard: Member | MemberRank) -> None:
         """Drop what waits for a neighbour that has shown to have it.
 
         A change reaches a daemon on several paths; without this it would go
         back on all but the first of them.
         """
-        pending = self._pending.get(neighbour, {})
-        waiting = pending.get(heard.vm)
-        if waiting is not None and waiting.rank <= heard.rank:
-            del pending[heard.vm]
+        for queues in (self._pending, self._announced):
+            queue = queues.get(neighbour, {})
+            waiting = queue.get(heard.vm)
+            if waiting is not None and waiting.rank <= heard.rank:
+                del queue[heard.vm]
 
     def offer(self, neighbour: str, members: Iterable[Member]) -> None:
         """Queue records for one neighbour that lacks them."""
@@ -63,6 +81,15 @@
         if pending is not None:
             pending.update((member.vm, member) for member in members)
 
+    def announce(self) -> Iterator[Send]:
+        """Yield the ranks of what has changed, for neighbours in other zones."""
+        for neighbour, announced in self._announced.items():
+            taken = [*itertools.islice(announced.values(), ANNOUNCED_MAX_RANKS)]
+            for member in taken:
+                del announced[member.vm]
+            if taken:
+                yield Send(neighbour, MemberRanks(b"", tuple(map(rank_of, taken))))
+
     def flush(self, is_writable: Callable[[str], bool]) -> Iterator[Send]:
         """Yield one round of updates, in turn over the neighbours."""
         n_left = FLUSH_MAX_RECORDS
--- a/packages/pepperstaird/pepperstaird/document_exchange.py
+++ b/packages/pepperstaird/pepperstaird/document_exchange.py
@@ -71,6 +71,8 @@
         # The newest version heard of, and the neighbours to be asked for it in turn.
         self._heard = 0
         self._tellers: list[str] = []
+        # Versions up to here are not asked for again: their document was no good.
+        self._rejected = 0
         self.position: int | None = None
 
     def start(self) -> None:
@@ -221,7 +223,10 @@
     def _take_document(
         self, vm: str, data: bytes, frame: DocumentCopy | DocumentDelta
     ) -> None:
-        if self._offer(data, vm) is not Offer.IN_FORCE:
+        offer = self._offer(data, vm)
+        if offer in (Offer.REJECTED, Offer.REJECTED_BEFORE):
+            self._rejected = self._heard
+        if offer is not Offer.IN_FORCE:
             return
         # The neighbour has seen no newer one up to there; watched from an
         # earlier position, the source would send this version once more.
@@ -236,6 +241,8 @@
 
     def _hear(self, vm: str, version: int) -> None:
         """Take that a neighbour has a newer version, or will, and ask for it."""
+        if version <= self._rejected:
+            return
         self._announce(version, vm)
         if version > self._heard:
             self._heard = version
@@ -257,7 +264,7 @@
         """Ask the next neighbour, until the version has come."""
         self._pull_timer = None
         version = self._following.version
-        if self._heard <= version or not self._tellers:
+        if self._heard <= max(version, self._rejected) or not self._tellers:
             return
         vm = self._tellers.pop(0)
         self._tellers.append(vm)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -412,3 +412,13 @@
     follow(FakeTable(), control, frames, **shared())
     asked = [vm for vm, frame in control.sent if frame == DocumentPull(0)]
     assert asked[:3] == ["vm-2", "vm-3", "vm-2"]
+
+
+def test_document_that_is_no_good_is_not_asked_for_again(monkeypatch):
+    """Guards against copies of a bad version that fill a narrow link for ever."""
+    monkeypatch.setattr(document_exchange, "_PULL_AGAIN_S", 0.01)
+    control = FakeControl("vm-2")
+    frames = [("vm-2", DocumentHave(5)), ("vm-2", DocumentCopy(pack(b"bad"), 3))]
+    frames += [("vm-2", DocumentHave(5))] * 3
+    follow(FakeTable(), control, frames, **shared())
+    assert [frame for _, frame in control.sent if isinstance(frame, DocumentPull)] == []
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -27,8 +27,9 @@
     is_sweeper,
 )
 from pepperstair_core.membership.backoff import BACKOFF_MAX_MS, DialBackoff
+from pepperstair_core.membership.directory import rank_of
 from pepperstair_core.membership.outbox import UPDATE_MAX_RECORDS, MemberOutbox
-from pepperstair_core.wire import MemberUpdate, encode_frame
+from pepperstair_core.wire import MembersPull, MemberUpdate, encode_frame
 
 
 def member(vm: str, zone: str = "pos-a", sequence: int = 0) -> Member:
@@ -154,6 +155,48 @@
     assert outbox.is_empty
 
 
+def test_other_zones_hear_of_changes_by_rank_and_ask_for_what_they_lack():
+    """Guards against records that cross zones once for each pair of neighbours."""
+    outbox = MemberOutbox(is_far=lambda vm: vm == "far")
+    for neighbour in ("near", "far"):
+        outbox.open(neighbour)
+    outbox.add(member("x"), sender="b")
+    (whole,) = outbox.flush(lambda vm: True)
+    assert (whole.vm, whole.frame) == ("near", MemberUpdate((member("x"),)))
+    (told,) = outbox.announce()
+    assert (told.vm, told.frame.ranks) == ("far", (rank_of(member("x")),))
+    assert list(outbox.announce()) == []
+    receiver = membership_of(member("far", "pos-b"))
+    (asked,) = receiver.receive("a", told.frame, 0)
+    assert asked == Send("a", MembersPull(("x",)))
+    sender = membership_of(member("a"), member("x"), member("far", "pos-b"))
+    list(sender.open("far", "far:1", False, 0))
+    list(sender.receive("far", asked.frame, 0))
+    actions = sender.flush(lambda vm: True, 0)
+    sent = [action.frame for action in actions if isinstance(action, Send)]
+    assert any(member("x") in frame.members for frame in sent)
+
+
+def test_rank_of_what_a_neighbour_has_is_not_told_to_it():
+    outbox = MemberOutbox(is_far=lambda vm: True)
+    outbox.open("far")
+    outbox.add(member("x", sequence=2), sender="b")
+    outbox.confirm("far", rank_of(member("x", sequence=1)))
+    assert len(list(outbox.announce())) == 1
+    outbox.add(member("x", sequence=2), sender="b")
+    outbox.confirm("far", rank_of(member("x", sequence=2)))
+    assert list(outbox.announce()) == []
+
+
+def test_own_change_goes_whole_to_every_zone():
+    """Guards against targets that other zones hear of a round later than needed."""
+    outbox = MemberOutbox(is_far=lambda vm: True)
+    outbox.open("far")
+    outbox.add(member("own"))
+    (sent,) = outbox.flush(lambda vm: True)
+    assert sent.frame == MemberUpdate((member("own"),))
+
+
 def test_a_herd_that_joins_is_served_in_bounded_rounds():
     """Forty daemons come back at once and each asks for every record."""
     outbox = MemberOutbox()
