--- a/packages/pepperstair-platform/pepperstair_platform/platform.py
+++ b/packages/pepperstair-platform/pepperstair_platform/platform.py
@@ -40,9 +40,10 @@
 
 @dataclass(slots=True)
 class PlatformCounters:
-    """Requests made to the platform, for metrics."""
+    """Requests made to the platform, for metrics; reads that wait are among reads."""
 
     n_reads: int = 0
+    n_watches: int = 0
     n_writes: int = 0
     n_failures: int = 0
     n_refused: int = 0
--- a/packages/pepperstaird/pepperstaird/configuration/agent.py
+++ b/packages/pepperstaird/pepperstaird/configuration/agent.py
@@ -190,6 +190,10 @@
         apply_override(labels, self.overrides.get(self._own_vm, {}))
         return labels
 
+    def age_ms(self) -> int:
+        """Return -1: heads of all customers are polled, not proved one by one."""
+        return -1
+
     def counters(self) -> dict[str, int]:
         """Return the counts that `status` and the metrics show."""
         return asdict(self.distribution.state.counters)
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -44,6 +44,7 @@
     n_requests_dropped: int = counted("Requests read and never begun, at a close.")
     n_streams_rejected: int = counted("Streams of other daemons that were refused.")
     n_platform_reads: int = counted("Reads from the platform.")
+    n_platform_watches: int = counted("Reads from the platform that wait for changes.")
     n_platform_writes: int = counted("Writes to the platform.")
     n_platform_failures: int = counted("Requests that the platform did not answer.")
     n_platform_refused: int = counted(
@@ -99,6 +100,9 @@
     n_customers: int = counted("Customers with a version in force.")
     n_calls_in_flight: int = counted("Calls that run on targets of this VM.")
     n_requests_in_flight: int = counted("Requests of callers not yet answered.")
+    configuration_age_ms: int = counted(
+        "Time since the version in force was known to be the newest, 0 if unknown."
+    )
 
 
 def read_counters(daemon: Daemon) -> DaemonCounters:
@@ -123,6 +127,7 @@
         n_requests_dropped=daemon.callers.counters.n_dropped,
         n_streams_rejected=daemon.listener.n_rejected,
         n_platform_reads=daemon.platform.counters.n_reads,
+        n_platform_watches=daemon.platform.counters.n_watches,
         n_platform_writes=daemon.platform.counters.n_writes,
         n_platform_failures=daemon.platform.counters.n_failures,
         n_platform_refused=daemon.platform.counters.n_refused,
@@ -150,6 +155,8 @@
         n_customers=len(daemon.configuration.versions()),
         n_calls_in_flight=daemon.runner.n_in_flight,
         n_requests_in_flight=daemon.proxy.n_in_flight,
+        # Below zero a gauge of statsd would count as a difference.
+        configuration_age_ms=max(0, daemon.configuration.age_ms()),
     )
 
 
--- a/packages/pepperstaird/pepperstaird/document_exchange.py
+++ b/packages/pepperstaird/pepperstaird/document_exchange.py
@@ -97,6 +97,12 @@
             self._answer_pull(vm, held_version)
         self._announce(document.version)
 
+    def age_ms(self) -> int:
+        """Return how long ago the version in force was the newest, -1 if unknown."""
+        if self._schedule is None or not self._schedule.is_confirmed:
+            return -1
+        return max(0, int(boot_ms() - self._schedule.as_of_ms))
+
     def _announce(self, version: int, teller: str = "") -> None:
         """Tell the neighbours of a version as soon as it is heard of.
 
@@ -112,7 +118,7 @@
 
     def confirm(self, position: int, as_of_ms: float, learnt_from: str = "") -> None:
         """Take a proof that the version in force was the newest, and pass it on."""
-        self.position = max(self.position or 0, position)
+        self.position = max(self.position or 0, position) or None
         if self._schedule is None or not self._schedule.confirm(as_of_ms):
             return
         for vm in self._control.neighbours:
@@ -121,13 +127,7 @@
 
     def _fresh(self) -> DocumentFresh:
         version, position = self._following.version, self.position or 0
-        return DocumentFresh(version, position, self._age_ms())
-
-    def _age_ms(self) -> int:
-        """Return how long ago the version in force was the newest, -1 if unknown."""
-        if self._schedule is None or not self._schedule.is_confirmed:
-            return -1
-        return max(0, int(boot_ms() - self._schedule.as_of_ms))
+        return DocumentFresh(version, position, self.age_ms())
 
     def _tell(self, vm: str) -> None:
         version = max(self._announced, self._following.version)
@@ -174,9 +174,9 @@
         if base_version not in self._packed:
             self._packed[base_version] = self._pack_from(base_version)
         packed, position = self._packed[base_version], self.position or 0
-        frame = DocumentCopy(packed, position, self._age_ms())
+        frame = DocumentCopy(packed, position, self.age_ms())
         if base_version and packed:
-            frame = DocumentDelta(base_version, packed, position, self._age_ms())
+            frame = DocumentDelta(base_version, packed, position, self.age_ms())
         elif base_version:
             self._answer_pull(vm, 0)
             return
@@ -230,7 +230,7 @@
             return
         # The neighbour has seen no newer one up to there; watched from an
         # earlier position, the source would send this version once more.
-        self.position = max(self.position or 0, frame.position)
+        self.position = max(self.position or 0, frame.position) or None
         if frame.age_ms >= 0:
             self.confirm(frame.position, boot_ms() - frame.age_ms, vm)
         if self._pull_timer is not None:
--- a/packages/pepperstaird/pepperstaird/edges.py
+++ b/packages/pepperstaird/pepperstaird/edges.py
@@ -61,6 +61,9 @@
     def get(self, customer: str) -> Snapshot | None:
         """Return the snapshot in force of a customer."""
 
+    def age_ms(self) -> int:
+        """Return how long ago the version in force was the newest, -1 if unknown."""
+
     def counters(self) -> dict[str, int]:
         """Return the counts that `status` and the metrics show."""
 
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -165,6 +165,10 @@
             return None
         return self._snapshot
 
+    def age_ms(self) -> int:
+        """Return how long ago the version in force was the newest, -1 if unknown."""
+        return self._exchange.age_ms()
+
     def counters(self) -> dict[str, int]:
         """Return the counts that `status` and the metrics show."""
         return {
