A daemon that can't read the newest version proves nothing

Found by reading: a watching daemon of an older release that rejects a version went on to prove that the one before is the newest, and newer releases would not have read for themselves. Test: test_daemon_that_can_not_read_the_newest_version_proves_nothing.

--- a/packages/pepperstaird/pepperstaird/document_exchange.py
+++ b/packages/pepperstaird/pepperstaird/document_exchange.py
@@ -43,7 +43,9 @@
 
     `offer` takes a document from a neighbour, and `is_watching` says whether the own
     watch brings new versions. `position` is how far the history of the table is known;
-    with a `schedule`, proofs that a version was the newest are passed on as well.
+    with a `schedule`, proofs that a version was the newest are passed on as well. While
+    `is_newest_known` is not set, the newest is one that this daemon can't read, and it
+    proves nothing, as others may.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         # Versions up to here are not asked for again: their document was no good.
         self._rejected = 0
         self.position: int | None = None
+        self.is_newest_known = True
 
     def start(self) -> None:
         """Begin to listen to the neighbours."""
@@ -101,6 +104,8 @@
         """Return how long ago the version in force was the newest, -1 if unknown."""
         if self._schedule is None or not self._schedule.is_confirmed:
             return -1
+        if not self.is_newest_known:
+            return -1
         return max(0, int(boot_ms() - self._schedule.as_of_ms))
 
     def _announce(self, version: int, teller: str = "") -> None:
@@ -119,8 +124,12 @@
     def confirm(self, position: int, as_of_ms: float, learnt_from: str = "") -> None:
         """Take a proof that the version in force was the newest, and pass it on."""
         self.position = max(self.position or 0, position) or None
+        if learnt_from:
+            self.is_newest_known = True
         if self._schedule is None or not self._schedule.confirm(as_of_ms):
             return
+        if not self.is_newest_known:
+            return
         for vm in self._control.neighbours:
             if vm != learnt_from:
                 self._control.send(vm, self._fresh())
@@ -133,7 +142,7 @@
         version = max(self._announced, self._following.version)
         if version:
             self._control.send(vm, DocumentHave(version))
-        if self._schedule is not None and self._schedule.is_confirmed:
+        if self.age_ms() >= 0:
             self._control.send(vm, self._fresh())
 
     def _on_frame(self, vm: str, frame: Any) -> None:
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -303,8 +303,12 @@
         # all be gone at once, and callers told that there is none. An answer may
         # hold several versions, of which only the last good one still counts.
         found = [row.value for row in rows.rows if row.key == self._key]
-        for value in reversed(found):
-            if value is not None and self._offer(value, "platform") not in _BAD:
+        values = [value for value in reversed(found) if value is not None]
+        for index, value in enumerate(values):
+            is_good = self._offer(value, "platform") not in _BAD
+            if index == 0:
+                self._exchange.is_newest_known = is_good
+            if is_good:
                 return
 
     def _offer(self, data: bytes, learnt_from: str) -> Offer:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -422,3 +422,16 @@
     frames += [("vm-2", DocumentHave(5))] * 3
     follow(FakeTable(), control, frames, **shared())
     assert [frame for _, frame in control.sent if isinstance(frame, DocumentPull)] == []
+
+
+def test_daemon_that_can_not_read_the_newest_version_proves_nothing():
+    """Guards against an older release that holds newer ones at an old version."""
+    control = FakeControl("vm-2")
+    table = FakeTable(rows(3, b"5", b"bad"))
+    following = follow(table, control, [("vm-2", DocumentHave(4))], 0.5, **shared())
+    assert following.versions() == {"platform": 5}
+    assert [
+        frame for _, frame in control.sent if isinstance(frame, DocumentFresh)
+    ] == []
+    assert ("vm-2", DocumentHave(5)) in control.sent
+    assert len(table.calls) == 1
