--- a/packages/pepperstair-core/pepperstair_core/shared_reading.py
+++ b/packages/pepperstair-core/pepperstair_core/shared_reading.py
@@ -1,11 +1,11 @@
 """When a daemon reads a table that the whole fleet follows.
 
-All daemons have the same order of readers, by rendezvous hashing over the members.
-The first few watch the table all the time. Each answer proves that a version was the
-newest at that moment, and the daemons pass this proof on to each other. A daemon that
-has heard none for too long reads for itself, those early in the order first, so that
-mostly one read replaces a watch that hangs. There is no election: daemons that see
-other members read a little more often than needed, and never too seldom.
+All daemons compute the same order of readers from the members. The first few watch the
+table all the time. Each answer confirms that a version was the newest at that moment,
+and the daemons pass this confirmation on to each other. A daemon whose last one is too
+old reads for itself, those early in the order first, so that mostly one read replaces a
+watch that hangs. Nobody is elected: daemons that see other members read a little more
+often than needed, and never too seldom.
 """
 
 from __future__ import annotations
@@ -19,14 +19,15 @@
 from .members import Member, MemberState
 from .rendezvous import weight
 
-# Daemons that watch the table all the time. The watches of the first are short, as
-# their ends are the proofs that all others go by; the others are there to bring a
-# version at once where the first one's watch hangs.
+# Daemons that watch the table all the time.
 N_WATCHERS: Final = 2
-PROOF_SHARE: Final = 0.45
+# The watches of the first one end after this share of the time in which a version has
+# to be in force: all others go by their answers.
+CONFIRMED_SHARE: Final = 0.45
+# Those of the others last up to this: they bring a version where the first one hangs.
 LONG_WATCH_MS: Final = 10_000.0
-# The age of the last proof at which the first of the other readers reads, and at
-# which the last ones do, as shares of the time in which a version has to be in force.
+# The age of a confirmation at which the first of the other readers reads, and at which
+# the last ones do, as shares of the time in which a version has to be in force.
 FIRST_READ_SHARE: Final = 0.6
 LAST_READ_SHARE: Final = 0.7
 LAST_READ_SPREAD_SHARE: Final = 0.1
@@ -41,7 +42,8 @@
 JOINING_MS: Final = 1_000.0
 # A daemon whose read failed leaves watching to others for so long.
 FAILED_READER_MS: Final = 5_000.0
-# How much newer a proof must be to be passed on, as a share of the oldest allowed.
+# How much newer a confirmation must be to be passed on, as a share of the age at which
+# the first of the other readers reads.
 NEWER_SHARE: Final = 0.25
 # With the table away, this many daemons try it at the usual pace, and all others so
 # many times more seldom: they hear of its return from those.
@@ -53,7 +55,8 @@
     """When this daemon reads the table next, from what it has heard and read.
 
     `bound_ms` is the time in which a version has to be in force everywhere. Times are
-    in milliseconds of one clock that never goes back.
+    in milliseconds of one clock that never goes back, and `place` is the number of
+    daemons that come before this one in the order of readers.
 
     >>> schedule = ReadSchedule(2000.0, 0.0, Random(1))
     >>> schedule.confirm(5000.0)
@@ -71,25 +74,25 @@
         self._last_read_share = LAST_READ_SHARE + rng.random() * LAST_READ_SPREAD_SHARE
         self._failed_ms = -math.inf
         self.bound_ms = bound_ms
-        self.as_of_ms = -math.inf
+        self.confirmed_ms = -math.inf
 
     @property
     def max_age_ms(self) -> float:
-        """Return the age of a proof at which the next reader reads."""
+        """Return the age of a confirmation at which the next reader reads."""
         return FIRST_READ_SHARE * self.bound_ms
 
     @property
     def is_confirmed(self) -> bool:
-        """Return whether any proof was taken yet."""
-        return self.as_of_ms != -math.inf
+        """Return whether the version in force was ever known to be the newest."""
+        return self.confirmed_ms != -math.inf
 
     def confirm(self, as_of_ms: float) -> bool:
-        """Take a proof that the held version was the newest at a moment.
+        """Take that the version in force was the newest at a moment.
 
-        Return whether it is enough newer than the last one to be passed on.
+        Return whether it is enough newer than the last confirmation to be passed on.
         """
-        newer_ms = as_of_ms - self.as_of_ms
-        self.as_of_ms = max(self.as_of_ms, as_of_ms)
+        newer_ms = as_of_ms - self.confirmed_ms
+        self.confirmed_ms = max(self.confirmed_ms, as_of_ms)
         return newer_ms > NEWER_SHARE * self.max_age_ms
 
     def fail(self, now_ms: float) -> None:
@@ -103,7 +106,7 @@
         return place < N_WATCHERS and now_ms - self._failed_ms >= FAILED_READER_MS
 
     def due_ms(self, place: int, now_ms: float) -> float:
-        """Return when to read next if no proof is heard until then."""
+        """Return when to read next if nothing is confirmed until then."""
         if not self.is_confirmed:
             return self._first_ms
         if self.is_watcher(place, now_ms):
@@ -113,7 +116,7 @@
         last_ms = self._last_read_share * self.bound_ms
         if now_ms - self._failed_ms < FAILED_READER_MS:
             in_order_ms = last_ms
-        return self.as_of_ms + min(in_order_ms, last_ms)
+        return self.confirmed_ms + min(in_order_ms, last_ms)
 
     def backoff_factor(self, place: int) -> float:
         """Return how much longer than usual to wait after failed reads."""
@@ -122,12 +125,12 @@
     def watch_ms(self, place: int, now_ms: float) -> int:
         """Return how long the next watch of a watcher lasts.
 
-        After a rest, or a proof of somebody else, that of the first one ends in time
-        for the next proof.
+        After a rest, or a confirmation of somebody else, that of the first one ends
+        when the next confirmation is due.
         """
         if place == 0:
-            proof_due_ms = self.as_of_ms + PROOF_SHARE * self.bound_ms
-            return max(0, int(proof_due_ms - now_ms))
+            due_ms = self.confirmed_ms + CONFIRMED_SHARE * self.bound_ms
+            return max(0, int(due_ms - now_ms))
         return int(LONG_WATCH_MS * self._rng.uniform(0.6, 1.0))
 
 
--- a/packages/pepperstaird/pepperstaird/document_exchange.py
+++ b/packages/pepperstaird/pepperstaird/document_exchange.py
@@ -1,4 +1,4 @@
-"""Passes versions of the followed document, and proofs of their age, to neighbours."""
+"""Passes versions of the followed document, and how fresh they are, to neighbours."""
 
 from __future__ import annotations
 
@@ -43,9 +43,9 @@
 
     `offer` takes a document from a neighbour, and `is_watching` says whether the own
     watch brings new versions. `position` is how far the history of the table is known;
-    with a `schedule`, proofs that a version was the newest are passed on as well. While
-    `is_newest_known` is not set, the newest is one that this daemon can't read, and it
-    proves nothing, as others may.
+    with a `schedule`, confirmations that a version was the newest are passed on too.
+    While `is_newest_known` is not set, the newest is one that this daemon can't read,
+    and it confirms nothing, as others may.
     """
 
     def __init__(
@@ -72,7 +72,7 @@
         self._pull_timer: asyncio.TimerHandle | None = None
         # The newest version heard of, and the neighbours to be asked for it in turn.
         self._heard = 0
-        self._tellers: list[str] = []
+        self._sources: list[str] = []
         # Versions up to here are not asked for again: their document was no good.
         self._rejected = 0
         self.position: int | None = None
@@ -106,9 +106,9 @@
             return -1
         if not self.is_newest_known:
             return -1
-        return max(0, int(boot_ms() - self._schedule.as_of_ms))
+        return max(0, int(boot_ms() - self._schedule.confirmed_ms))
 
-    def _announce(self, version: int, teller: str = "") -> None:
+    def _announce(self, version: int, source: str = "") -> None:
         """Tell the neighbours of a version as soon as it is heard of.
 
         They ask for it at once and get it as it arrives: the way through the fleet
@@ -118,11 +118,11 @@
             return
         self._announced = version
         for vm in self._control.neighbours:
-            if vm != teller:
+            if vm != source:
                 self._control.send(vm, DocumentHave(version))
 
     def confirm(self, position: int, as_of_ms: float, learnt_from: str = "") -> None:
-        """Take a proof that the version in force was the newest, and pass it on."""
+        """Take that the version in force was the newest, and pass it on."""
         self.position = max(self.position or 0, position) or None
         if learnt_from:
             self.is_newest_known = True
@@ -255,9 +255,9 @@
         self._announce(version, vm)
         if version > self._heard:
             self._heard = version
-            self._tellers.clear()
-        if version == self._heard and vm not in self._tellers:
-            self._tellers.append(vm)
+            self._sources.clear()
+        if version == self._heard and vm not in self._sources:
+            self._sources.append(vm)
         self._pull_soon()
 
     def _pull_soon(self) -> None:
@@ -273,10 +273,10 @@
         """Ask the next neighbour, until the version has come."""
         self._pull_timer = None
         version = self._following.version
-        if self._heard <= max(version, self._rejected) or not self._tellers:
+        if self._heard <= max(version, self._rejected) or not self._sources:
             return
-        vm = self._tellers.pop(0)
-        self._tellers.append(vm)
+        vm = self._sources.pop(0)
+        self._sources.append(vm)
         loop = asyncio.get_running_loop()
         self._asked_version, self._asked_s = version, loop.time()
         self._control.send(vm, DocumentPull(version))
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -342,12 +342,12 @@
     following = follow(table, control, frames, for_s=0.5, **shared())
     assert following.versions() == {"platform": 5}
     assert table.calls == []
-    # The proof goes on to the others.
+    # The confirmation goes on to the others.
     passed = [vm for vm, frame in control.sent if isinstance(frame, DocumentFresh)]
     assert "vm-3" in passed
 
 
-def test_daemon_that_hears_no_proof_reads_for_itself(monkeypatch):
+def test_daemon_that_hears_no_confirmation_reads_for_itself(monkeypatch):
     """Guards against neighbours that are alive and have lost the store."""
     monkeypatch.setattr(shared_reading, "FIRST_READ_SHARE", 0.05)
     monkeypatch.setattr(shared_reading, "LAST_READ_SHARE", 0.05)
@@ -370,7 +370,7 @@
     assert ("vm-3", DocumentPull(5)) in control.sent
 
 
-def test_proof_of_an_older_version_proves_nothing():
+def test_confirmation_of_an_older_version_counts_for_nothing():
     """Guards against a daemon that trusts a neighbour which is behind."""
     table, control = FakeTable(), FakeControl("vm-2", "vm-3")
     frames = [("vm-2", DocumentCopy(pack(b"5"), 3)), ("vm-3", DocumentFresh(4, 9, 0))]
@@ -424,7 +424,7 @@
     assert [frame for _, frame in control.sent if isinstance(frame, DocumentPull)] == []
 
 
-def test_daemon_that_can_not_read_the_newest_version_proves_nothing():
+def test_daemon_that_can_not_read_the_newest_version_confirms_nothing():
     """Guards against an older release that holds newer ones at an old version."""
     control = FakeControl("vm-2")
     table = FakeTable(rows(3, b"5", b"bad"))
