--- a/packages/pepperstair-core/pepperstair_core/calls/route_norms.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/route_norms.py
@@ -63,9 +63,7 @@
 
         Where a service further down fails, all targets fail most calls, and each
         soon has some errors in a row. Ejected one after the other, they would leave
-        the rest with more calls than slots, though none of them is at fault. Four
-        targets that all fail six calls in ten are ejected once in 2,000 calls
-        instead of 13 times (mean of four seeds of the test that plays it).
+        the rest with more calls than slots, though none of them is at fault.
         """
         rate = self._failing.get(route, 0.0)
         if rate <= 0.0:
--- a/packages/pepperstair-core/pepperstair_core/calls/service_times.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/service_times.py
@@ -14,8 +14,7 @@
 # How many mean deviations longer than the mean a call is taken to last where its
 # answer is to be in time, and which share of the wanted time that may take up.
 # Under overload each call starts as late as is allowed: with the mean alone, about
-# half of the answers come too late. At 1.4 times the load that fits, 5,563 answers
-# are in time instead of 5,051 (six seeds of the load in the tests of admission).
+# half of the answers come too late.
 N_USEFUL_DEVIATIONS: Final = 1.0
 USEFUL_WORK_SHARE: Final = 0.7
 # A call that takes less than this share of what the longest ones of its target take
--- a/packages/pepperstair-core/pepperstair_core/calls/target_group.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/target_group.py
@@ -2,8 +2,7 @@
 
 A choice compares two targets. What it needs of the others (which are near, how
 quick the quickest one is) changes seldom beside the calls, so it is worked out for
-many choices at once: looking at each of 54 targets for each call took 0.23 ms of
-processor time a call, now it takes 0.04 ms (`python -m benchmarks.choosing`).
+many choices at once.
 """
 
 from __future__ import annotations
--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -17,8 +17,7 @@
 from .labels import is_label_name, iter_label_faults, parse_selector
 from .schema import Fault, option, read_document
 
-# Reading and compiling a route takes about 13 microseconds of a proxy's only thread
-# (measured with 1,600 of them): an eighth of a second at this limit.
+# Bounds the time for which the reading of a version holds up a proxy's only thread.
 MAX_ROUTES: Final = 10_000
 MAX_SERVICES: Final = 500
 PRIORITIES: Final = ("urgent", "normal", "deferrable")
--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -160,10 +160,7 @@
     ) -> None:
         """Take over from the previous table what holds of the same members.
 
-        Members change one at a time. With 111 of them, choosing the endpoints of
-        all anew took 0.76 ms of processor time for each change and service, and
-        0.08 ms with those of the unchanged members taken over
-        (`python -m benchmarks.choosing`).
+        Members change one at a time; the endpoints of the unchanged ones are kept.
         """
         self._members = tuple(members)
         self._overrides = overrides or {}
--- a/packages/pepperstair-core/pepperstair_core/wire/packing.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/packing.py
@@ -1,9 +1,8 @@
 """Large values on the wire, packed.
 
-A document of 1,600 routes takes 312 KB as its operators write it, and 17 KB packed
-(`python -m benchmarks.document`). Unpacked it would not pass as one frame, the receiver
-would close the stream that carries the members too, and a VM with a link of 2.5 Mbit/s
-would spend a second on it.
+A document of thousands of routes, as its operators write it, would not pass as one
+frame: the receiver would close the stream that carries the members too. On a narrow
+link it would hold up all calls.
 """
 
 from __future__ import annotations
--- a/packages/pepperstair-http/pepperstair_http/pipeline.py
+++ b/packages/pepperstair-http/pepperstair_http/pipeline.py
@@ -1,10 +1,9 @@
 """The requests of one connection that are not answered yet.
 
 A client may send further requests before the first one is answered (RFC 9112,
-section 9.3.2). Carried one after the other, five look-ups of 300 ms that were sent
-together took 1.5 s to answer; side by side they take as long as the slowest one
-(`python -m benchmarks.ahead`). Answers still go out in the order of the requests:
-the first request of the line owns the connection's writing side.
+section 9.3.2). Carried side by side they take as long as the slowest one. Answers
+still go out in the order of the requests: the first request of the line owns the
+connection's writing side.
 """
 
 from __future__ import annotations
--- a/packages/pepperstaird/pepperstaird/early_listening.py
+++ b/packages/pepperstaird/pepperstaird/early_listening.py
@@ -3,8 +3,7 @@
 A daemon that was killed comes back after a while, most of which its imports take.
 Callers that try to connect meanwhile are turned away by the system, and those with few
 retries have used them up before the daemon is there. With the address open from the
-first moment, their connections wait for the rest of the start: the first one is taken
-111 ms after the process begins, not 329 ms (`make bench-listening`, medians of 7).
+first moment, their connections wait for the rest of the start.
 """
 
 from __future__ import annotations
--- a/packages/pepperstaird/pepperstaird/light_imports.py
+++ b/packages/pepperstaird/pepperstaird/light_imports.py
@@ -3,9 +3,8 @@
 structlog imports rich for coloured tracebacks wherever it is installed, as it is
 where the operators' command line shares the environment; asyncio imports ssl, and
 hashlib the OpenSSL form of hashes that it also has built in. The daemon writes JSON
-and speaks plain TCP, and all of them together would cost a sixth of the 32 MB that
-it may use (`make bench-idle`). Each importer does without them when the import
-fails; ssl leaves this list when the daemon speaks TLS.
+and speaks plain TCP, and needs none of their memory. Each importer does without them
+when the import fails; ssl leaves this list when the daemon speaks TLS.
 """
 
 from __future__ import annotations
--- a/packages/pepperstaird/pepperstaird/reports.py
+++ b/packages/pepperstaird/pepperstaird/reports.py
@@ -107,8 +107,7 @@
 async def burn_counts(daemon: Daemon) -> OperatorReply:
     """Answer with what this daemon counted, and each customer's objectives.
 
-    The loop is left after each customer: all at once would hold up every call
-    by about 15 ms where 100 customers are counted (`make bench-burn`).
+    The loop is left after each customer: all at once would hold up every call.
     """
     held = (daemon.configuration.get(name) for name in daemon.configuration.versions())
     objectives = {
