--- a/packages/pepperstair-core/pepperstair_core/membership/membership.py
+++ b/packages/pepperstair-core/pepperstair_core/membership/membership.py
@@ -218,7 +218,7 @@
             self._outbox.confirm(sender, heard)
             before = self.directory.get(heard.vm)
             for member in self.directory.merge((heard,)):
-                self._note_state(member, now_ms)
+                self._note_state(before, member, now_ms)
                 self._outbox.add(member, sender)
                 yield MemberChanged(before, member)
 
@@ -242,8 +242,9 @@
             replace(own, incarnation=incarnation + 1, sequence=own.sequence + 1)
         )
 
-    def _note_state(self, member: Member, now_ms: int) -> None:
-        self._is_stale = True
+    def _note_state(self, before: Member | None, member: Member, now_ms: int) -> None:
+        # Neighbours follow from who is there; most changes are those of targets.
+        self._is_stale |= before is None or _standing(before) != _standing(member)
         if member.state is MemberState.SUSPECT:
             self._suspicions.start(member.vm, now_ms)
         else:
@@ -289,4 +290,8 @@
         return self._rng.randint(time_ms // 2, time_ms * 3 // 2)
 
 
+def _standing(member: Member) -> tuple[int, MemberState, str]:
+    return member.incarnation, member.state, member.availability_zone
+
+
 __all__ = ["Membership"]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -188,6 +188,18 @@
     assert list(outbox.announce()) == []
 
 
+def test_change_of_a_target_leaves_the_neighbours_as_they_are():
+    """Guards against a choice of neighbours for each announcement of the fleet."""
+    own, other = member("a"), member("b")
+    made = membership_of(own, other)
+    list(made.flush(lambda vm: True, 0))
+    assert not made.is_flush_due
+    list(made.receive("x", MemberUpdate((replace(other, sequence=1),)), 0))
+    assert not made.is_flush_due
+    list(made.receive("x", MemberUpdate((replace(other, incarnation=2),)), 0))
+    assert made.is_flush_due
+
+
 def test_own_change_goes_whole_to_every_zone():
     """Guards against targets that other zones hear of a round later than needed."""
     outbox = MemberOutbox(is_far=lambda vm: True)
