Simpler: one way to what a neighbour lacks, one read of the member rows, one wait

Found by reading the change again; nothing behaves differently. - document_exchange: the packed document and its deltas are kept apart, in place of a table with a version 0 and an empty value that stood for 'send a copy', and a call of itself. The position in the table's history moves on in one place. - member_rows: the first and every later read of the others' rows are one function. - benchmarks: waiting for a stand-in calls wait_until instead of a loop of its own.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -88,19 +88,21 @@
 
     def wait_until_listening(self, address: str, timeout_s: float = 20.0) -> None:
         """Return once it listens; TimeoutError tells what became of it instead."""
-        deadline_s = time.monotonic() + timeout_s
-        while not _is_listening(address):
-            if self.process.poll() is not None:
-                reason = f"it ended with status {self.process.returncode}"
-                raise TimeoutError(f"{self.name}: {reason}\n{self._last_lines()}")
-            if time.monotonic() >= deadline_s:
-                reason = f"it runs, and nothing listens at {address} in {timeout_s} s"
-                raise TimeoutError(f"{self.name}: {reason}\n{self._last_lines()}")
-            time.sleep(0.02)
-
-    def _last_lines(self) -> str:
-        lines = self.log.read_text(errors="replace").splitlines()
-        return "\n".join(lines[-_N_LAST_LINES:]) or "it has written no error"
+
+        def is_decided() -> bool:
+            return _is_listening(address) or self.process.poll() is not None
+
+        with contextlib.suppress(TimeoutError):
+            wait_until(is_decided, address, timeout_s)
+        if _is_listening(address):
+            return
+        status = self.process.poll()
+        reason = f"it ended with status {status}"
+        if status is None:
+            reason = f"it runs, and nothing listens at {address} in {timeout_s} s"
+        lines = self.log.read_text(errors="replace").splitlines()[-_N_LAST_LINES:]
+        last_lines = "\n".join(lines) or "it has written no error"
+        raise TimeoutError(f"{self.name}: {reason}\n{last_lines}")
 
 
 @dataclass
--- a/packages/pepperstaird/pepperstaird/document_exchange.py
+++ b/packages/pepperstaird/pepperstaird/document_exchange.py
@@ -62,8 +62,9 @@
         self._is_watching = is_watching
         self._schedule = schedule
         self._kept: dict[int, bytes] = {}
-        # By the version that the other side holds: what is sent to it.
-        self._packed: dict[int, bytes] = {}
+        # The document in force, and by older version what has changed since.
+        self._packed = b""
+        self._packed_deltas: dict[int, bytes] = {}
         # Neighbours that asked for a version that is not here yet, and what they hold.
         self._waiting: dict[str, int] = {}
         self._announced = 0
@@ -94,7 +95,8 @@
         self._kept[document.version] = document.data
         for version in sorted(self._kept)[:-_N_KEPT_MAX]:
             del self._kept[version]
-        self._packed.clear()
+        self._packed = b""
+        self._packed_deltas.clear()
         waiting, self._waiting = self._waiting, {}
         for vm, held_version in waiting.items():
             self._answer_pull(vm, held_version)
@@ -123,7 +125,7 @@
 
     def confirm(self, position: int, as_of_ms: float, learnt_from: str = "") -> None:
         """Take that the version in force was the newest, and pass it on."""
-        self.position = max(self.position or 0, position) or None
+        self._advance(position)
         if learnt_from:
             self.is_newest_known = True
         if self._schedule is None or not self._schedule.confirm(as_of_ms):
@@ -134,6 +136,9 @@
             if vm != learnt_from:
                 self._control.send(vm, self._fresh())
 
+    def _advance(self, position: int) -> None:
+        self.position = max(self.position or 0, position) or None
+
     def _fresh(self) -> DocumentFresh:
         version, position = self._following.version, self.position or 0
         return DocumentFresh(version, position, self.age_ms())
@@ -179,27 +184,21 @@
         if held_version >= self._following.version:
             self._waiting[vm] = held_version
             return
-        base_version = held_version if held_version in self._kept else 0
-        if base_version not in self._packed:
-            self._packed[base_version] = self._pack_from(base_version)
-        packed, position = self._packed[base_version], self.position or 0
-        frame = DocumentCopy(packed, position, self.age_ms())
-        if base_version and packed:
-            frame = DocumentDelta(base_version, packed, position, self.age_ms())
-        elif base_version:
-            self._answer_pull(vm, 0)
-            return
-        self._control.send(vm, frame)
+        self._control.send(vm, self._update_since(held_version))
 
-    def _pack_from(self, base_version: int) -> bytes:
-        """Return the document, or what changed in it, packed; empty if that is much."""
+    def _update_since(self, held_version: int) -> DocumentCopy | DocumentDelta:
+        """Return what a neighbour with some version lacks; packed once for all."""
         data = self._following.document.data
-        if not base_version:
-            return pack(data)
-        if 0 not in self._packed:
-            self._packed[0] = pack(data)
-        packed = pack(make_delta(self._kept[base_version], data))
-        return packed if len(packed) <= _DELTA_MAX_SHARE * len(self._packed[0]) else b""
+        position, age_ms = self.position or 0, self.age_ms()
+        self._packed = self._packed or pack(data)
+        if held_version in self._kept:
+            packed = self._packed_deltas.get(held_version)
+            if packed is None:
+                packed = pack(make_delta(self._kept[held_version], data))
+                self._packed_deltas[held_version] = packed
+            if len(packed) <= _DELTA_MAX_SHARE * len(self._packed):
+                return DocumentDelta(held_version, packed, position, age_ms)
+        return DocumentCopy(self._packed, position, age_ms)
 
     def _take_copy(self, vm: str, copy: DocumentCopy) -> None:
         data = unpack(copy.packed)
@@ -239,7 +238,7 @@
             return
         # The neighbour has seen no newer one up to there; watched from an
         # earlier position, the source would send this version once more.
-        self.position = max(self.position or 0, frame.position) or None
+        self._advance(frame.position)
         if frame.age_ms >= 0:
             self.confirm(frame.position, boot_ms() - frame.age_ms, vm)
         if self._pull_timer is not None:
--- a/packages/pepperstaird/pepperstaird/member_rows.py
+++ b/packages/pepperstaird/pepperstaird/member_rows.py
@@ -101,16 +101,13 @@
             retry_s = min(_RETRY_MAX_S, 2 * retry_s)
 
     async def _find_others(self) -> None:
-        read = await self._platform.read_rows(_PREFIX)
-        if read.is_err():
-            return
-        rows = list(_iter_rows(read.unwrap()))
+        rows = await self._read_rows()
         own = self._directory.own()
         # A restarted daemon is still to be found where it was.
         self._is_written = any(
-            row.vm == own.vm and row.peer_address == own.peer_address for row in rows
+            row.vm == own.vm and row.peer_address == own.peer_address
+            for row in rows or ()
         )
-        self._control.discover(row.peer_address for row in rows)
 
     def _is_sweeper(self) -> bool:
         return is_sweeper(self._directory.own(), self._directory.members())
@@ -124,16 +121,23 @@
         return self._is_written
 
     async def _read(self) -> bool:
-        read = await self._platform.read_rows(_PREFIX)
-        if read.is_err():
+        rows = await self._read_rows()
+        if rows is None:
             return False
-        rows = list(_iter_rows(read.unwrap()))
-        self._control.discover(row.peer_address for row in rows)
         dead = list(self._sweep.iter_dead(self._directory, rows))
         for vm in dead[:_N_DELETED_MAX]:
             await self._platform.delete_row(_key(vm))
         return True
 
+    async def _read_rows(self) -> list[MemberRow] | None:
+        """Return all rows, whose addresses are dialled; None without an answer."""
+        read = await self._platform.read_rows(_PREFIX)
+        if read.is_err():
+            return None
+        rows = list(_iter_rows(read.unwrap()))
+        self._control.discover(row.peer_address for row in rows)
+        return rows
+
 
 def _key(vm: str) -> str:
     return f"{_PREFIX}{vm}"
