Test: a client that stops reading is waited for by the server's count, not by time

Cause: the test gave the server 0.6 s of wall-clock time for 'write 50 MB, then 200 ms without progress'.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -194,13 +194,15 @@
     async def client(reader, writer) -> bytes:
         writer.transport.pause_reading()
         writer.write(b"GET / HTTP/1.1\r\n" + CLOSE + b"\r\n")
-        await asyncio.sleep(0.6)
+        while not servers[0].counters.n_stalled:
+            await asyncio.sleep(0.05)
         writer.transport.resume_reading()
         with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
             await reader.readexactly(50_000_000)
         return b""
 
-    serve(client, pack)
+    servers = []
+    serve(client, pack, servers=servers)
 
 
 def test_connections_over_the_cap_are_refused_as_not_run():
