--- a/benchmarks/choosing.py
+++ b/benchmarks/choosing.py
@@ -8,11 +8,12 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import replace
 from itertools import count
 from random import Random
 from typing import Any
 
+from msgspec.structs import replace
+
 from pepperstair_core.calls import CallEnd, EndKind, Load, TargetChooser
 from pepperstair_core.labels import parse_selector
 from pepperstair_core.members import Member, MemberState, Target, TargetState
--- a/benchmarks/naive/daemon.py
+++ b/benchmarks/naive/daemon.py
@@ -6,9 +6,9 @@
 import random
 import signal
 from collections.abc import Iterable
-from dataclasses import replace
 
 import structlog
+from msgspec.structs import replace
 
 from pepperstair_core.config import Settings, parse_address
 from pepperstair_core.decisions import DecisionLog
--- a/emulator/pepperstair_emulator/attempts.py
+++ b/emulator/pepperstair_emulator/attempts.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from pepperstair_core.calls import (
     FULL_AVOIDED_MS,
     Attempt,
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -5,9 +5,9 @@
 import math
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 
 import structlog
+from msgspec import Struct, field
 
 from pepperstair_core.calls import (
     Acceptance,
@@ -33,8 +33,7 @@
 CallCarrier = Callable[[Endpoint, CallHead, BodyBuffer], Awaitable[StreamedResponse]]
 
 
-@dataclass(frozen=True, slots=True)
-class ProxyContext:
+class ProxyContext(Struct, frozen=True):
     """The state and the functions that the proxy shares with the daemon.
 
     `carry` runs one attempt, beside the target or through its daemon.
--- a/packages/pepperstair-callers/pepperstair_callers/request_heads.py
+++ b/packages/pepperstair-callers/pepperstair_callers/request_heads.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
 import structlog
+from msgspec import Struct
 
 from pepperstair_http import HeaderNames, Headers
 from pepperstair_http.messages import HOP_BY_HOP
@@ -17,8 +17,7 @@
 _CHUNKED: Final = (b"transfer-encoding", b"chunked")
 
 
-@dataclass(frozen=True, slots=True)
-class RequestHead:
+class RequestHead(Struct, frozen=True):
     """The headers of a request, read once for all decisions about its call.
 
     `timeout_ms` and `n_body_bytes` are 0 where none is stated; `passed` are the
--- a/packages/pepperstair-cli/pepperstair_cli/commands/report_burn.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/report_burn.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 from collections.abc import Iterator
 from typing import Annotated
 
+import msgspec
 from cyclopts import Parameter
 from result import Ok, Result
 
@@ -51,7 +51,7 @@
         return collected
     counts = collected.unwrap()
     report = make_burn_report(counts.daemons, counts.missing)
-    return Ok(Report(dataclasses.asdict(report), join_lines(_iter_lines(report))))
+    return Ok(Report(msgspec.to_builtins(report), join_lines(_iter_lines(report))))
 
 
 def _iter_lines(report: BurnReport) -> Iterator[str]:
--- a/packages/pepperstair-core/pepperstair_core/burn/report.py
+++ b/packages/pepperstair-core/pepperstair_core/burn/report.py
@@ -11,9 +11,10 @@
 
 import statistics
 from collections.abc import Callable, Iterable, Iterator, Sequence
-from dataclasses import dataclass
 from typing import Final
 
+from msgspec import Struct
+
 from ..intent import Objectives
 from .messages import (
     LONGEST_WINDOW_MS,
@@ -29,8 +30,7 @@
 _HOUR_MS: Final = 60 * _MINUTE_MS
 
 
-@dataclass(frozen=True, slots=True)
-class AlertRule:
+class AlertRule(Struct, frozen=True):
     """A pair of windows and the burn rate above which both make an alert."""
 
     name: str
@@ -46,8 +46,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class PriorityBurn:
+class PriorityBurn(Struct, frozen=True):
     """The calls of one priority in one window; shares are None without calls."""
 
     counts: CallCounts
@@ -56,8 +55,7 @@
     burn_rate: float
 
 
-@dataclass(frozen=True, slots=True)
-class WindowBurn:
+class WindowBurn(Struct, frozen=True):
     """One window over the fleet.
 
     `covered_percent` says how much of the window the daemons have lived; what
@@ -70,8 +68,7 @@
     normal: PriorityBurn
 
 
-@dataclass(frozen=True, slots=True)
-class Alert:
+class Alert(Struct, frozen=True):
     """One rule applied to one priority."""
 
     rule: AlertRule
@@ -81,8 +78,7 @@
     is_firing: bool
 
 
-@dataclass(frozen=True, slots=True)
-class ConvergenceBurn:
+class ConvergenceBurn(Struct, frozen=True):
     """The changes of the longest window against the objective."""
 
     n_changes: int
@@ -91,8 +87,7 @@
     max_ms: int | None
 
 
-@dataclass(frozen=True, slots=True)
-class CustomerBurn:
+class CustomerBurn(Struct, frozen=True):
     """One customer's objectives and how they are met."""
 
     customer: str
@@ -104,16 +99,14 @@
     convergence: ConvergenceBurn
 
 
-@dataclass(frozen=True, slots=True)
-class DaemonCoverage:
+class DaemonCoverage(Struct, frozen=True):
     """A daemon that the report covers, and for how long it has lived."""
 
     vm: str
     lived_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class BurnReport:
+class BurnReport(Struct, frozen=True):
     """The report over the daemons that answered; `missing` names the others."""
 
     daemons: tuple[DaemonCoverage, ...]
--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -8,10 +8,11 @@
 
 import heapq
 import math
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
 
+from msgspec import Struct
+
 from ..intent import PRIORITIES
 from .fair_queue import FairQueue, Order, WaitingCall
 from .service_times import ServiceTimes
@@ -44,15 +45,13 @@
     DRAINING = "the target is leaving"
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
+class Admitted(Struct, frozen=True):
     """The call may run now."""
 
     ticket: int
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(Struct, frozen=True):
     """The call does not run and gets its answer at once."""
 
     ticket: int
--- a/packages/pepperstair-core/pepperstair_core/calls/call_ends.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/call_ends.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, StrEnum, auto
 
+from msgspec import Struct
+
 from .target_group import TargetKey
 
 
@@ -18,8 +19,7 @@
     ABANDONED = auto()
 
 
-@dataclass(frozen=True, slots=True)
-class CallEnd:
+class CallEnd(Struct, frozen=True):
     """The end of a call that was chosen a target for at `start_ms`.
 
     `latency_ms` is the time to the head of its answer, without the wait for a
@@ -33,8 +33,7 @@
     route: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Ejection:
+class Ejection(Struct, frozen=True):
     """A target that was left out, with the figures of the decision."""
 
     key: TargetKey
--- a/packages/pepperstair-core/pepperstair_core/calls/expected_wait.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/expected_wait.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, Protocol
 
+from msgspec import Struct
+
 from ..members import TargetState
 from .target_group import Norms, TargetKey
 from .target_health import TargetHealth
@@ -23,8 +24,7 @@
 FAILURE_WAIT: Final = 4.0
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
+class Load(Struct, frozen=True):
     """What the daemon beside a target last reported of it."""
 
     n_in_flight: int
--- a/packages/pepperstair-core/pepperstair_core/calls/fair_queue.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/fair_queue.py
@@ -10,16 +10,16 @@
 import bisect
 import math
 from collections import deque
-from dataclasses import dataclass, field
 from typing import Final
 
+from msgspec import Struct
+
 DEBT_MAX: Final = 20.0
 
 Order = tuple[int, float]
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingCall:
+class WaitingCall(Struct, frozen=True):
     """A call that asks for a slot; times are in milliseconds of one clock.
 
     After `wanted_ms` its answer is worth less to the caller, after `deadline_ms`
@@ -36,13 +36,16 @@
     route: str = ""
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class _Place:
+class _Place(Struct, frozen=True):
     """Where a call stands among those of its customer."""
 
     order: Order
     ticket: int
-    call: WaitingCall = field(compare=False)
+    call: WaitingCall
+
+    def __lt__(self, other: _Place) -> bool:
+        """Return whether this call comes first."""
+        return (self.order, self.ticket) < (other.order, other.ticket)
 
 
 class FairQueue:
--- a/packages/pepperstair-core/pepperstair_core/calls/fleet_budget.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/fleet_budget.py
@@ -4,9 +4,10 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
+from msgspec import Struct
+
 # Part of the budget that is used. The windows of the daemons don't begin
 # together, and one that crashed has used its part and is replaced by one that
 # does not know of it.
@@ -17,8 +18,7 @@
 _N_BUCKETS: Final = 20
 
 
-@dataclass(frozen=True, slots=True)
-class BudgetTerms:
+class BudgetTerms(Struct, frozen=True):
     """How many calls a service may get once more, over all daemons.
 
     `ratio` of the requests for it and `n_min` beside that within any
--- a/packages/pepperstair-core/pepperstair_core/calls/outcome.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/outcome.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from ..errors import ErrorKind, Run
 
 
-@dataclass(frozen=True, slots=True)
-class CallOutcome:
+class CallOutcome(Struct, frozen=True):
     """One caller's request from its head to the end of its answer.
 
     `error` is None where the target's whole answer was passed on; `n_retries`
--- a/packages/pepperstair-core/pepperstair_core/calls/retry.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/retry.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
 from typing import Final, Protocol
 
+from msgspec import Struct
+
 from ..errors import ErrorKind, Failure, Run
 
 N_ATTEMPTS_MAX: Final = 3
@@ -37,8 +38,7 @@
     BUDGET = "the retry budget is used up"
 
 
-@dataclass(frozen=True, slots=True)
-class Attempt:
+class Attempt(Struct, frozen=True):
     """A failed attempt: the failure and what it left to work with.
 
     `earlier_run` is what the attempts before it say of whether the call ran,
@@ -67,15 +67,13 @@
         return Run.UNKNOWN
 
 
-@dataclass(frozen=True, slots=True)
-class Retry:
+class Retry(Struct, frozen=True):
     """Send the call again, to another target, after a delay."""
 
     delay_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class GiveUp:
+class GiveUp(Struct, frozen=True):
     """Answer with the failure at once."""
 
     cause: GiveUpCause
--- a/packages/pepperstair-core/pepperstair_core/calls/run_memory.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/run_memory.py
@@ -13,10 +13,11 @@
 
 import heapq
 from collections.abc import Iterator
-from dataclasses import dataclass
 from enum import Enum
 from typing import Final
 
+from msgspec import Struct
+
 from ..errors import Failure
 
 ANSWER_KEPT_MAX_BYTES: Final = 262_144
@@ -27,24 +28,21 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Sender:
+class Sender(Struct, frozen=True):
     """The process of a daemon that sends calls."""
 
     vm: str
     start_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class CallKey:
+class CallKey(Struct, frozen=True):
     """A call, wherever and however often its id arrives."""
 
     sender: Sender
     call_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class KeptAnswer:
+class KeptAnswer(Struct, frozen=True):
     """A target's whole answer, or the failure that ended the call."""
 
     status: int
@@ -81,16 +79,14 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(frozen=True, slots=True)
-class Recall:
+class Recall(Struct, frozen=True):
     """The answer to a question after a call."""
 
     state: RunState
     answer: KeptAnswer | None = None
 
 
-@dataclass(slots=True)
-class _Run:
+class _Run(Struct):
     state: RunState
     sequence: int
     expires_ms: int
--- a/packages/pepperstair-core/pepperstair_core/calls/target_group.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/target_group.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from msgspec import Struct
+
 from .target_health import TargetHealth
 
 if TYPE_CHECKING:
@@ -24,8 +25,7 @@
 _NORMS_HOLD_MS: Final = 250.0
 
 
-@dataclass(frozen=True, slots=True)
-class Norms:
+class Norms(Struct, frozen=True):
     """What is usual among the targets of a service.
 
     `fastest_ms` is the latency of the quickest one, 0 if none is known;
--- a/packages/pepperstair-core/pepperstair_core/decisions.py
+++ b/packages/pepperstair-core/pepperstair_core/decisions.py
@@ -4,10 +4,11 @@
 
 from collections import deque
 from collections.abc import Iterator
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
 
+from msgspec import Struct
+
 N_DECISIONS_MAX: Final = 1000
 
 
@@ -28,8 +29,7 @@
     CONFLICT = "conflict"
 
 
-@dataclass(frozen=True, slots=True)
-class Decision:
+class Decision(Struct, frozen=True):
     """One decision: about what, why, and the figures it was made on."""
 
     at_ms: int
--- a/packages/pepperstair-core/pepperstair_core/distribution/actions.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/actions.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from ..decisions import DecisionKind
 from ..versions import Head, Snapshot
 from ..wire import ControlFrame
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(Struct, frozen=True):
     """Send a frame to a neighbour, in the turn of a customer if one is named."""
 
     vm: str
@@ -19,21 +19,18 @@
     customer: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class PutInForce:
+class PutInForce(Struct, frozen=True):
     """Swap the snapshot in force; `learnt_from` is a VM or the platform."""
 
     snapshot: Snapshot
     learnt_from: str
 
 
-@dataclass(frozen=True, slots=True)
-class ReadBells:
+class ReadBells(Struct, frozen=True):
     """Read the bell rows of all buckets."""
 
 
-@dataclass(frozen=True, slots=True)
-class ReadHeads:
+class ReadHeads(Struct, frozen=True):
     """Read the heads of one bucket, or of all where `bucket` is None.
 
     `number` comes back with the answer, which a pause may have made old.
@@ -43,22 +40,19 @@
     number: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class ReadHead:
+class ReadHead(Struct, frozen=True):
     """Read the head of one customer."""
 
     customer: str
 
 
-@dataclass(frozen=True, slots=True)
-class FetchObject:
+class FetchObject(Struct, frozen=True):
     """Fetch a snapshot's body from the object store."""
 
     head: Head
 
 
-@dataclass(frozen=True, slots=True)
-class Reject:
+class Reject(Struct, frozen=True):
     """Report a version that was applied nowhere in part."""
 
     head: Head
@@ -66,8 +60,7 @@
     cause: str
 
 
-@dataclass(frozen=True, slots=True)
-class Note:
+class Note(Struct, frozen=True):
     """Record a decision."""
 
     kind: DecisionKind
@@ -76,8 +69,7 @@
     figures: tuple[tuple[str, float], ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Converged:
+class Converged(Struct, frozen=True):
     """Report that a version is in force on every live member."""
 
     customer: str
--- a/packages/pepperstair-core/pepperstair_core/distribution/convergence.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/convergence.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from ..wire import Acknowledge, Inquire
 from .actions import Actions, Converged, Send
@@ -17,8 +18,7 @@
 _N_WAYS_MAX = 512
 
 
-@dataclass(slots=True)
-class Collection:
+class Collection(Struct):
     """What the collecting daemon knows of one version."""
 
     customer: str
@@ -30,8 +30,7 @@
     convergence_ms: int | None = None
 
 
-@dataclass(slots=True)
-class WayBack:
+class WayBack(Struct):
     """Where acknowledgements of a customer go on their way to a collector.
 
     `is_answered` says that this daemon has acknowledged the version itself.
@@ -43,8 +42,7 @@
     waiting: set[str] = field(default_factory=set)
 
 
-@dataclass(slots=True)
-class ConvergenceState:
+class ConvergenceState(Struct):
     """Collections of this daemon and the ways back to other collectors."""
 
     collections: dict[str, Collection] = field(default_factory=dict)
--- a/packages/pepperstair-core/pepperstair_core/distribution/events.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/events.py
@@ -2,68 +2,59 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from ..members import Member
 from ..versions import Head, Snapshot
 from ..wire import ControlFrame
 
 
-@dataclass(frozen=True, slots=True)
-class Tick:
+class Tick(Struct, frozen=True):
     """Time has passed."""
 
 
-@dataclass(frozen=True, slots=True)
-class Work:
+class Work(Struct, frozen=True):
     """There is time to apply one received delta or body."""
 
 
-@dataclass(frozen=True, slots=True)
-class NeighbourUp:
+class NeighbourUp(Struct, frozen=True):
     """A stream to a neighbour has opened."""
 
     vm: str
 
 
-@dataclass(frozen=True, slots=True)
-class NeighbourDown:
+class NeighbourDown(Struct, frozen=True):
     """A stream to a neighbour has closed."""
 
     vm: str
 
 
-@dataclass(frozen=True, slots=True)
-class MembersChanged:
+class MembersChanged(Struct, frozen=True):
     """The records of the members, all of them."""
 
     members: tuple[Member, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class FrameReceived:
+class FrameReceived(Struct, frozen=True):
     """A frame from a neighbour."""
 
     sender: str
     frame: ControlFrame
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeAccepted:
+class ChangeAccepted(Struct, frozen=True):
     """This daemon has committed a version on the platform."""
 
     snapshot: Snapshot
 
 
-@dataclass(frozen=True, slots=True)
-class BellsRead:
+class BellsRead(Struct, frozen=True):
     """The tokens of the bells by bucket, None where the platform failed."""
 
     tokens: dict[int, str] | None
 
 
-@dataclass(frozen=True, slots=True)
-class HeadsRead:
+class HeadsRead(Struct, frozen=True):
     """The heads of a bucket, or of all, None where the platform failed."""
 
     bucket: int | None
@@ -71,24 +62,21 @@
     number: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class HeadRead:
+class HeadRead(Struct, frozen=True):
     """The head of one customer, None where there is none or no answer."""
 
     customer: str
     head: Head | None
 
 
-@dataclass(frozen=True, slots=True)
-class ObjectFetched:
+class ObjectFetched(Struct, frozen=True):
     """A body from the object store, None where there is none or no answer."""
 
     head: Head
     body: bytes | None
 
 
-@dataclass(frozen=True, slots=True)
-class Paused:
+class Paused(Struct, frozen=True):
     """The process stood still for longer than its leases last."""
 
 
--- a/packages/pepperstair-core/pepperstair_core/distribution/floor.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/floor.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Final
 
+from msgspec import Struct, field
+
 from ..decisions import DecisionKind
 from ..versions import Head
 from ..wire import HeadsDigest
@@ -33,8 +34,7 @@
     NEIGHBOURS = "neighbours"
 
 
-@dataclass(slots=True)
-class FloorState:
+class FloorState(Struct):
     """What is known of the floor; `answers` are neighbours' held versions.
 
     Only neighbours that have known their own floor are counted: a herd of
--- a/packages/pepperstair-core/pepperstair_core/distribution/polling.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/polling.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final
 
+from msgspec import Struct, field
+
 from ..rendezvous import highest
 from ..versions import Head
 from ..wire import PollerSign
@@ -25,8 +26,7 @@
 _ANSWER_WAIT_MS: Final = 5000
 
 
-@dataclass(slots=True)
-class PollingState:
+class PollingState(Struct):
     """When to read what, and what was heard of other pollers."""
 
     poll_due_ms: int = 0
--- a/packages/pepperstair-core/pepperstair_core/distribution/state.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/state.py
@@ -5,10 +5,11 @@
 import hashlib
 from collections import deque
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 from random import Random
 from typing import Final
 
+from msgspec import Struct, field
+
 from ..customer_lines import CustomerLines
 from ..intent import Intent
 from ..members import Member, MemberState
@@ -20,8 +21,7 @@
 _DELTAS_MAX_BYTES: Final = 262_144
 
 
-@dataclass(frozen=True, slots=True)
-class Timing:
+class Timing(Struct, frozen=True):
     """Times and bounds of the distribution; the defaults suit the target fleet."""
 
     pull_grace_ms: int = 150
@@ -42,8 +42,7 @@
     inquiry_ms: int = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(Struct, frozen=True):
     """A version that is held and waits for another holder before it is in force."""
 
     snapshot: Snapshot
@@ -51,8 +50,7 @@
     learnt_from: str
 
 
-@dataclass(slots=True)
-class PullState:
+class PullState(Struct):
     """A version that is known of and not yet held."""
 
     version: int
@@ -65,16 +63,14 @@
     parts_head: Head | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ReceivedDelta:
+class ReceivedDelta(Struct, frozen=True):
     """A delta that waits for its turn to be applied."""
 
     sender: str
     delta: Delta
 
 
-@dataclass(frozen=True, slots=True)
-class ReceivedBody:
+class ReceivedBody(Struct, frozen=True):
     """A whole body that waits for its turn to be applied."""
 
     sender: str
@@ -82,8 +78,7 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class CustomerState:
+class CustomerState(Struct):
     """One customer's versions on this daemon and what neighbours hold of them.
 
     `n_received` is the newest version that was received, perhaps not applied
@@ -135,8 +130,7 @@
             n_bytes -= len(self.deltas.popleft().patch)
 
 
-@dataclass(slots=True)
-class Counters:
+class Counters(Struct):
     """Counts that `status` and the metrics show."""
 
     n_versions_ignored: int = 0
@@ -150,8 +144,7 @@
     n_in_force_alone: int = 0
 
 
-@dataclass(slots=True)
-class Fleet:
+class Fleet(Struct):
     """The live members as far as they matter here."""
 
     own_vm: str
@@ -176,8 +169,7 @@
         return member.availability_zone if member else ""
 
 
-@dataclass(slots=True)
-class DistributionState:
+class DistributionState(Struct):
     """All state of the distribution on one daemon."""
 
     fleet: Fleet
--- a/packages/pepperstair-core/pepperstair_core/errors.py
+++ b/packages/pepperstair-core/pepperstair_core/errors.py
@@ -9,10 +9,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
 
+from msgspec import Struct
+
 
 class Run(StrEnum):
     """Whether the target ran a request, as far as the answering daemon knows."""
@@ -53,8 +54,7 @@
     INTERNAL = "internal"
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(Struct, frozen=True):
     """What a caller or an operator is told of one error kind.
 
     `run` is the default that a failure may sharpen; `is_retryable` says that
@@ -106,8 +106,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Failure:
+class Failure(Struct, frozen=True):
     """One error: its kind, what it was about and when to come back.
 
     `run` overrides the table's default where the daemon knows better; None
--- a/packages/pepperstair-core/pepperstair_core/following.py
+++ b/packages/pepperstair-core/pepperstair_core/following.py
@@ -8,17 +8,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum, auto
 
+from msgspec import Struct
 from result import Result
 
 from .intent import Intent
 from .schema import Fault
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(Struct, frozen=True):
     """What callers may send and how long they may take; sizes in bytes."""
 
     header_max_bytes: int
@@ -27,8 +26,7 @@
     idle_timeout_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class FollowedDocument:
+class FollowedDocument(Struct, frozen=True):
     """One whole version of the followed document, read and checked."""
 
     version: int
--- a/packages/pepperstair-core/pepperstair_core/label_edits.py
+++ b/packages/pepperstair-core/pepperstair_core/label_edits.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from .intent import Intent, LabelOverride
 from .labels import is_label_name
 
 
-@dataclass(frozen=True, slots=True)
-class LabelEdit:
+class LabelEdit(Struct, frozen=True):
     """One label to change.
 
     An empty value takes the label away, also where the workload announces it;
--- a/packages/pepperstair-core/pepperstair_core/labels.py
+++ b/packages/pepperstair-core/pepperstair_core/labels.py
@@ -10,9 +10,9 @@
 import functools
 import re
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from .schema import Fault
@@ -36,8 +36,7 @@
     NOT_EXISTS = "!"
 
 
-@dataclass(frozen=True, slots=True)
-class Requirement:
+class Requirement(Struct, frozen=True):
     """One comma-separated part of a selector."""
 
     key: str
@@ -55,8 +54,7 @@
         return labels.get(self.key) not in self.values
 
 
-@dataclass(frozen=True, slots=True)
-class Selector:
+class Selector(Struct, frozen=True):
     """A conjunction of requirements; without any, it matches everything."""
 
     requirements: tuple[Requirement, ...] = ()
--- a/packages/pepperstair-core/pepperstair_core/members.py
+++ b/packages/pepperstair-core/pepperstair_core/members.py
@@ -7,10 +7,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
 from enum import IntEnum, StrEnum
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
+from .array_record import ArrayRecord
+
 if TYPE_CHECKING:
     from .labels import Labels
 
@@ -32,8 +35,7 @@
     COLD = "cold"
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
+class Target(ArrayRecord):
     """A back end that announced itself to the daemon of its VM.
 
     `labels` already holds the VM's labels below the target's own ones.
@@ -47,8 +49,7 @@
     state: TargetState
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
+class Member(ArrayRecord):
     """One daemon as the fleet knows it.
 
     `incarnation` rises with each start or refutation, `sequence` with each
@@ -83,8 +84,7 @@
         return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
 
 
-@dataclass(frozen=True, slots=True)
-class MemberRank:
+class MemberRank(ArrayRecord):
     """Which record of a member a daemon holds, without the record itself."""
 
     vm: str
--- a/packages/pepperstair-core/pepperstair_core/membership/actions.py
+++ b/packages/pepperstair-core/pepperstair_core/membership/actions.py
@@ -2,36 +2,32 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from ..members import Member
 from ..wire.control import ControlFrame
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(Struct, frozen=True):
     """Send a frame to a neighbour."""
 
     vm: str
     frame: ControlFrame
 
 
-@dataclass(frozen=True, slots=True)
-class Dial:
+class Dial(Struct, frozen=True):
     """Open a control stream to an address."""
 
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class Close:
+class Close(Struct, frozen=True):
     """Close the control stream to a VM."""
 
     vm: str
 
 
-@dataclass(frozen=True, slots=True)
-class MemberChanged:
+class MemberChanged(Struct, frozen=True):
     """A record was replaced by a newer one; `before` is None for a new member."""
 
     before: Member | None
--- a/packages/pepperstair-core/pepperstair_core/membership/membership.py
+++ b/packages/pepperstair-core/pepperstair_core/membership/membership.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import replace
 from random import Random
 from typing import Any, Final
 
+from msgspec.structs import replace
+
 from ..config import MembersSettings, PeersSettings
 from ..members import Member, MemberState, accuse
 from ..wire.control import (
--- a/packages/pepperstair-core/pepperstair_core/membership/rows.py
+++ b/packages/pepperstair-core/pepperstair_core/membership/rows.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from typing import Final
 
+from msgspec import Struct
+
 from ..members import Member, MemberState
 from ..rendezvous import highest
 from .directory import MemberDirectory
@@ -18,8 +19,7 @@
 N_SWEEPS_UNTIL_DELETED: Final = 10
 
 
-@dataclass(frozen=True, slots=True)
-class MemberRow:
+class MemberRow(Struct, frozen=True):
     """How to reach a daemon, as its row says it."""
 
     vm: str
--- a/packages/pepperstair-core/pepperstair_core/policies.py
+++ b/packages/pepperstair-core/pepperstair_core/policies.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Final
 
+from msgspec import Struct
+
 from .intent import Policy
 from .labels import Labels, Selector, parse_selector
 from .versions import Snapshot
@@ -13,8 +14,7 @@
 DEFAULT_POLICY: Final = Policy("default", "")
 
 
-@dataclass(frozen=True, slots=True)
-class CompiledPolicy:
+class CompiledPolicy(Struct, frozen=True):
     """A policy with the customer that stated it and its parsed selector."""
 
     customer: str
@@ -22,8 +22,7 @@
     target_selector: Selector
 
 
-@dataclass(frozen=True, slots=True)
-class PolicyTable:
+class PolicyTable(Struct, frozen=True):
     """The policies in force. A customer's policies hold for its calls only."""
 
     policies: tuple[CompiledPolicy, ...] = ()
--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -9,10 +9,12 @@
 
 import functools
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Final
 
+from msgspec import Struct, field
+from msgspec.structs import force_setattr, replace
+
 from .intent import Policy, Route, Service
 from .labels import Labels, Selector, parse_selector
 from .members import Member, Target, TargetState
@@ -22,8 +24,7 @@
 NO_POLICIES: Final = PolicyTable()
 
 
-@dataclass(frozen=True, slots=True)
-class CompiledRoute:
+class CompiledRoute(Struct, frozen=True):
     """A route of this proxy with its service and the version it came from.
 
     A route with splits has them in `parts`, each with its weight; its own
@@ -115,8 +116,7 @@
             yield path[:end]
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
+class Endpoint(Struct, frozen=True):
     """A target, the member beside which it runs and the policy for its calls."""
 
     vm: str
@@ -124,11 +124,11 @@
     peer_address: str
     target: Target
     policy: Policy = DEFAULT_POLICY
-    key: tuple[str, str] = field(init=False, compare=False, repr=False)
+    key: tuple[str, str] = ("", "")
 
     def __post_init__(self) -> None:
         """Keep what names the target in the fleet: its VM and its name."""
-        object.__setattr__(self, "key", (self.vm, self.target.name))
+        force_setattr(self, "key", (self.vm, self.target.name))
 
 
 def compile_routes(snapshots: Iterable[Snapshot], proxy_labels: Labels) -> RouteTable:
@@ -204,8 +204,7 @@
         return _ChosenEndpoints(endpoints, by_vm)
 
 
-@dataclass(frozen=True, slots=True)
-class _ChosenEndpoints:
+class _ChosenEndpoints(Struct, frozen=True):
     """The endpoints that a selector chose, by name and by their VM's record."""
 
     endpoints: tuple[Endpoint, ...] = ()
--- a/packages/pepperstair-core/pepperstair_core/schema.py
+++ b/packages/pepperstair-core/pepperstair_core/schema.py
@@ -18,16 +18,16 @@
 import types
 import typing
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import MISSING, dataclass, field
+from dataclasses import MISSING, field
 from typing import Any, TypeVar
 
+from msgspec import Struct
 from result import Err, Ok, Result
 
 T = TypeVar("T")
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
+class Fault(Struct, frozen=True):
     """One thing wrong in a document: where, and what was expected there."""
 
     where: str
@@ -37,16 +37,14 @@
         return f"{self.where}: expected {self.expected}"
 
 
-@dataclass(frozen=True, slots=True)
-class Form:
+class Form(Struct, frozen=True):
     """What a string must look like: the words for it and the check."""
 
     expected: str
     accepts: Callable[[str], bool]
 
 
-@dataclass(frozen=True, slots=True)
-class Option:
+class Option(Struct, frozen=True):
     """The declaration behind one field of a document."""
 
     doc: str
@@ -56,8 +54,7 @@
     form: Form | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class OptionEntry:
+class OptionEntry(Struct, frozen=True):
     """One option of a document as the page of settings lists it."""
 
     name: str
--- a/packages/pepperstair-core/pepperstair_core/versions.py
+++ b/packages/pepperstair-core/pepperstair_core/versions.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any, Final
 
 import msgpack
+from msgspec import Struct
 from result import Err, Ok, Result
 
+from .array_record import ArrayRecord
 from .intent import (
     Intent,
     LabelOverride,
@@ -41,8 +43,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Head:
+class Head(ArrayRecord):
     """The newest accepted version of one customer.
 
     `accepted_at_ms` is the accepting daemon's wall clock, for convergence
@@ -57,8 +58,7 @@
     change_id: str
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
+class Snapshot(Struct, frozen=True):
     """One whole version of a customer's configuration; never changed."""
 
     head: Head
@@ -66,8 +66,7 @@
     intent: Intent
 
 
-@dataclass(frozen=True, slots=True)
-class Delta:
+class Delta(ArrayRecord):
     """The difference between two versions of one customer.
 
     It applies only to exactly `base_version`; `head.digest` is the digest of
--- a/packages/pepperstair-core/pepperstair_core/wire/control.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
 
 from ..members import Member, MemberRank
 from ..versions import Delta, Head
-from .codec import frame
+from .codec import Frame
 
 PROTOCOL_VERSION: Final = 1
 
@@ -24,9 +23,7 @@
     DATA = "data"
 
 
-@frame(1)
-@dataclass(frozen=True, slots=True)
-class Hello:
+class Hello(Frame, tag=1):
     """Opens a stream: who connects, and what the stream is for.
 
     `start_id` names the process, whatever its incarnation becomes: a call may
@@ -42,9 +39,7 @@
     sequence: int
 
 
-@frame(2)
-@dataclass(frozen=True, slots=True)
-class Welcome:
+class Welcome(Frame, tag=2):
     """Answers a Hello with the identity of the listening daemon.
 
     Its streams may be silent for `silence_ms` without being lost, as its link is slow.
@@ -55,9 +50,7 @@
     silence_ms: int = 0
 
 
-@frame(3)
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
+class Heartbeat(Frame, tag=3):
     """Says that the sender's loop still runs; sent on every stream.
 
     `loads` gives, on data streams, each local target with the requests it has
@@ -68,35 +61,27 @@
     loads: tuple[tuple[str, int, int], ...] = ()
 
 
-@frame(10)
-@dataclass(frozen=True, slots=True)
-class Have:
+class Have(Frame, tag=10):
     """Says which version of a customer the sender holds, in force or not."""
 
     customer: str
     version: int
 
 
-@frame(11)
-@dataclass(frozen=True, slots=True)
-class DeltaPush:
+class DeltaPush(Frame, tag=11):
     """Carries a new version to a neighbour as a difference."""
 
     delta: Delta
 
 
-@frame(12)
-@dataclass(frozen=True, slots=True)
-class Pull:
+class Pull(Frame, tag=12):
     """Asks for a customer's version; `held_version` is 0 for nothing held."""
 
     customer: str
     held_version: int
 
 
-@frame(13)
-@dataclass(frozen=True, slots=True)
-class SnapshotPart:
+class SnapshotPart(Frame, tag=13):
     """Carries a piece of a full snapshot, so that none blocks the stream."""
 
     head: Head
@@ -105,17 +90,13 @@
     data: bytes
 
 
-@frame(14)
-@dataclass(frozen=True, slots=True)
-class Prune:
+class Prune(Frame, tag=14):
     """Asks the neighbour to announce this customer instead of pushing it."""
 
     customer: str
 
 
-@frame(15)
-@dataclass(frozen=True, slots=True)
-class Busy:
+class Busy(Frame, tag=15):
     """Declines a Pull for now and names other daemons to ask."""
 
     customer: str
@@ -123,9 +104,7 @@
     other_addresses: tuple[str, ...]
 
 
-@frame(16)
-@dataclass(frozen=True, slots=True)
-class Acknowledge:
+class Acknowledge(Frame, tag=16):
     """Tells, towards the collecting daemon, where a version is in force."""
 
     collector: str
@@ -134,9 +113,7 @@
     vms: tuple[str, ...]
 
 
-@frame(17)
-@dataclass(frozen=True, slots=True)
-class HeadsDigest:
+class HeadsDigest(Frame, tag=17):
     """Compares the versions that both sides hold, for repair of what was missed.
 
     Without `versions` it only carries the digest; where the digests differ, the
@@ -154,9 +131,7 @@
     versions: tuple[tuple[str, int], ...] = ()
 
 
-@frame(18)
-@dataclass(frozen=True, slots=True)
-class Inquire:
+class Inquire(Frame, tag=18):
     """Asks the fleet to acknowledge a version towards the collecting daemon.
 
     It is passed on once by every daemon, and the way it came is the way that
@@ -169,9 +144,7 @@
     version: int
 
 
-@frame(19)
-@dataclass(frozen=True, slots=True)
-class PollerSign:
+class PollerSign(Frame, tag=19):
     """Says within a zone that a poller lives, and whether the platform answers.
 
     `number` tells the signs of one poller apart, so that each is passed on once.
@@ -182,17 +155,13 @@
     is_platform_reachable: bool
 
 
-@frame(20)
-@dataclass(frozen=True, slots=True)
-class MemberUpdate:
+class MemberUpdate(Frame, tag=20):
     """Carries member records that are new to the sender."""
 
     members: tuple[Member, ...]
 
 
-@frame(21)
-@dataclass(frozen=True, slots=True)
-class MembersDigest:
+class MembersDigest(Frame, tag=21):
     """Compares the member records of both sides, for repair of what was missed.
 
     `digests` holds one digest a bucket of members; the receiver answers with
@@ -202,9 +171,7 @@
     digests: bytes
 
 
-@frame(22)
-@dataclass(frozen=True, slots=True)
-class MemberRanks:
+class MemberRanks(Frame, tag=22):
     """Tells which records the sender holds in the buckets that differ.
 
     The receiver sends the records that are newer on its side, and asks for
@@ -215,33 +182,25 @@
     ranks: tuple[MemberRank, ...]
 
 
-@frame(23)
-@dataclass(frozen=True, slots=True)
-class MembersPull:
+class MembersPull(Frame, tag=23):
     """Asks for the records of some members."""
 
     vms: tuple[str, ...]
 
 
-@frame(24)
-@dataclass(frozen=True, slots=True)
-class DocumentHave:
+class DocumentHave(Frame, tag=24):
     """Says which version of the followed document the sender has in force."""
 
     version: int
 
 
-@frame(25)
-@dataclass(frozen=True, slots=True)
-class DocumentPull:
+class DocumentPull(Frame, tag=25):
     """Asks for the followed document, as the receiver's one is newer."""
 
     held_version: int
 
 
-@frame(26)
-@dataclass(frozen=True, slots=True)
-class DocumentCopy:
+class DocumentCopy(Frame, tag=26):
     """Carries the followed document as it stands in its source, packed.
 
     `position` is how far the source's history was known when it was read there, and
@@ -253,9 +212,7 @@
     age_ms: int = -1
 
 
-@frame(27)
-@dataclass(frozen=True, slots=True)
-class DocumentFresh:
+class DocumentFresh(Frame, tag=27):
     """Says that the sender's version of the document was the newest a while ago.
 
     `position` is that of the source's history at that moment.
@@ -266,9 +223,7 @@
     age_ms: int
 
 
-@frame(28)
-@dataclass(frozen=True, slots=True)
-class DocumentDelta:
+class DocumentDelta(Frame, tag=28):
     """Carries what changed in the followed document since a version, packed.
 
     The other fields are those of a copy.
--- a/packages/pepperstair-core/pepperstair_core/wire/data.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/data.py
@@ -7,11 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
 from ..errors import ErrorKind, Run
-from .codec import frame
+from .codec import Frame
 from .control import Heartbeat, Hello, Welcome
 
 BODY_PART_MAX_BYTES: Final = 65_536
@@ -20,9 +19,7 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
-@frame(40)
-@dataclass(frozen=True, slots=True)
-class CallHead:
+class CallHead(Frame, tag=40):
     """Opens a call: the request's head and how to treat it.
 
     `time_left_ms` is relative, as clocks of two VMs differ. `has_body` says
@@ -45,35 +42,27 @@
     wanted_left_ms: int = -1
 
 
-@frame(41)
-@dataclass(frozen=True, slots=True)
-class BodyPart:
+class BodyPart(Frame, tag=41):
     """A piece of a request's or an answer's body, at most 64 KB."""
 
     call_id: int
     data: bytes
 
 
-@frame(42)
-@dataclass(frozen=True, slots=True)
-class BodyEnd:
+class BodyEnd(Frame, tag=42):
     """Marks a body as whole; a body without it was cut."""
 
     call_id: int
 
 
-@frame(43)
-@dataclass(frozen=True, slots=True)
-class Credit:
+class Credit(Frame, tag=43):
     """Permits the other side to send more bytes of a call's body."""
 
     call_id: int
     n_bytes: int
 
 
-@frame(44)
-@dataclass(frozen=True, slots=True)
-class AnswerHead:
+class AnswerHead(Frame, tag=44):
     """Opens the target's answer to a call.
 
     `n_in_flight` and `n_queued` tell how loaded the target is.
@@ -86,9 +75,7 @@
     n_queued: int = 0
 
 
-@frame(45)
-@dataclass(frozen=True, slots=True)
-class CallFailed:
+class CallFailed(Frame, tag=45):
     """Ends a call without the target's answer, or cuts one that had begun."""
 
     call_id: int
@@ -100,17 +87,13 @@
     n_queued: int = 0
 
 
-@frame(46)
-@dataclass(frozen=True, slots=True)
-class Reset:
+class Reset(Frame, tag=46):
     """Says that the sender no longer wants the call."""
 
     call_id: int
 
 
-@frame(47)
-@dataclass(frozen=True, slots=True)
-class CallQuery:
+class CallQuery(Frame, tag=47):
     """Asks what became of a call whose stream was lost.
 
     The receiver sends the kept answer, or keeps the asker waiting for the run
@@ -121,9 +104,7 @@
     call_id: int
 
 
-@frame(48)
-@dataclass(frozen=True, slots=True)
-class CallsDone:
+class CallsDone(Frame, tag=48):
     """Says that the sender has the whole answers of some calls.
 
     The receiver need not keep them any longer; they go with the heartbeats.
--- a/packages/pepperstair-http/pepperstair_http/body.py
+++ b/packages/pepperstair-http/pepperstair_http/body.py
@@ -5,9 +5,10 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
+from msgspec import Struct
+
 from .messages import Headers
 
 HIGH_WATER_BYTES: Final = 262_144
@@ -152,8 +153,7 @@
             waiter.set_result(None)
 
 
-@dataclass(frozen=True, slots=True)
-class StreamedResponse:
+class StreamedResponse(Struct, frozen=True):
     """A response whose body may still be arriving.
 
     `cancel` says that nobody wants the rest of it; after a body that was read
--- a/packages/pepperstair-http/pepperstair_http/header_names.py
+++ b/packages/pepperstair-http/pepperstair_http/header_names.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class HeaderNames:
+class HeaderNames(Struct, frozen=True):
     """The headers that callers and targets of one deployment speak.
 
     All names are in lower case; an empty name stands for a header that is not
--- a/packages/pepperstair-http/pepperstair_http/limits.py
+++ b/packages/pepperstair-http/pepperstair_http/limits.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final
 
 import structlog
+from msgspec import Struct, field
 
 log = structlog.get_logger(__name__)
 
 _N_SWEEPS_PER_TIMEOUT: Final = 4
 
 
-@dataclass(frozen=True, slots=True)
-class AheadLimits:
+class AheadLimits(Struct, frozen=True):
     """How far the requests of one connection may run ahead of its answers.
 
     Up to `n_requests_max` are in progress at once. Behind them `request_max_bytes`
@@ -26,8 +25,7 @@
     answer_max_bytes: int = 1_048_576
 
 
-@dataclass(frozen=True, slots=True)
-class ServerLimits:
+class ServerLimits(Struct, frozen=True):
     """What one server takes from its clients.
 
     The head of a request may take `header_timeout_ms`, or as long as a client
@@ -52,8 +50,7 @@
         return shortest_s / _N_SWEEPS_PER_TIMEOUT
 
 
-@dataclass(slots=True)
-class ServerCounters:
+class ServerCounters(Struct):
     """What a server met, for metrics.
 
     `n_ahead` counts requests that began before an earlier one of their connection
--- a/packages/pepperstair-http/pepperstair_http/malformed.py
+++ b/packages/pepperstair-http/pepperstair_http/malformed.py
@@ -2,19 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
 import h11
 import structlog
+from msgspec import Struct
 
 log = structlog.get_logger(__name__)
 
 TEXT: Final = (b"content-type", b"text/plain; charset=utf-8")
 
 
-@dataclass(frozen=True, slots=True)
-class Rejection:
+class Rejection(Struct, frozen=True):
     """What is said of malformed bytes, after the answers to what came before."""
 
     status: int
--- a/packages/pepperstair-http/pepperstair_http/messages.py
+++ b/packages/pepperstair-http/pepperstair_http/messages.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
+from msgspec import Struct
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1) and are
@@ -22,8 +23,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
+class Request(Struct, frozen=True):
     """The head of a request."""
 
     method: str
@@ -37,16 +37,14 @@
         return host.rpartition(":")[0] if ":" in host else host
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
+class ResponseHead(Struct, frozen=True):
     """The head of a response."""
 
     status: int
     headers: Headers
 
 
-@dataclass(frozen=True, slots=True)
-class Response:
+class Response(Struct, frozen=True):
     """A whole response with its body in memory."""
 
     status: int
--- a/packages/pepperstair-http/pepperstair_http/server_state.py
+++ b/packages/pepperstair-http/pepperstair_http/server_state.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Final, Protocol
 
 import structlog
+from msgspec import Struct, field
 
 from .exchange import Handler
 from .limits import ServerCounters, ServerLimits
@@ -37,8 +37,7 @@
         """Close a connection whose client has done nothing for too long."""
 
 
-@dataclass(slots=True)
-class ServerState:
+class ServerState(Struct):
     """The handler, the limits and what is open now.
 
     `is_repeatable` says which requests may run side by side with others of their
--- a/packages/pepperstair-operators/pepperstair_operators/client.py
+++ b/packages/pepperstair-operators/pepperstair_operators/client.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
 from typing import Any, Final
 
 import structlog
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from pepperstair_core.config import parse_address
@@ -18,8 +18,7 @@
 DEFAULT_TIMEOUT_MS: Final = 15_000
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
+class Reply(Struct, frozen=True):
     """A daemon's answer."""
 
     status: int
--- a/packages/pepperstair-operators/pepperstair_operators/server.py
+++ b/packages/pepperstair-operators/pepperstair_operators/server.py
@@ -5,11 +5,11 @@
 import hmac
 import json
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any, Final
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import structlog
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from pepperstair_core.config import OperatorsSettings
@@ -21,8 +21,7 @@
 _VERSION_DIGITS_MAX: Final = 15
 
 
-@dataclass(frozen=True, slots=True)
-class OperatorRequest:
+class OperatorRequest(Struct, frozen=True):
     """One request: its path without the matched prefix, its query and body."""
 
     method: str
@@ -31,8 +30,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class OperatorReply:
+class OperatorReply(Struct, frozen=True):
     """What is answered, as JSON."""
 
     status: int
@@ -40,8 +38,7 @@
     retry_after_ms: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class _Location:
+class _Location(Struct, frozen=True):
     """The path, still encoded, and the query of a request."""
 
     path: str
--- a/packages/pepperstair-peers/pepperstair_peers/control/links.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/links.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 import structlog
+from msgspec import Struct
 
 from ..stream import FrameStream
 
 log = structlog.get_logger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class ControlLink:
+class ControlLink(Struct, frozen=True):
     """A control stream and what tells it from another one to the same VM."""
 
     stream: FrameStream
--- a/packages/pepperstair-peers/pepperstair_peers/counters.py
+++ b/packages/pepperstair-peers/pepperstair_peers/counters.py
@@ -4,16 +4,15 @@
 
 import re
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import Any
 
 import structlog
+from msgspec import Struct
 
 log = structlog.get_logger(__name__)
 
 
-@dataclass(slots=True)
-class SentFrames:
+class SentFrames(Struct):
     """Frames of one kind that were sent, and their bytes."""
 
     n_frames: int = 0
--- a/packages/pepperstair-peers/pepperstair_peers/data/outgoing.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/outgoing.py
@@ -4,10 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 import structlog
+from msgspec.structs import replace
 
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError
 from pepperstair_core.wire import (
--- a/packages/pepperstair-peers/pepperstair_peers/dialling.py
+++ b/packages/pepperstair-peers/pepperstair_peers/dialling.py
@@ -4,10 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, Final
 
 import structlog
+from msgspec import Struct
 
 from pepperstair_core.config import parse_address
 from pepperstair_core.events import Event
@@ -22,8 +22,7 @@
 _TIMEOUT_MIN_MS: Final = 250
 
 
-@dataclass(frozen=True, slots=True)
-class Dialler:
+class Dialler(Struct, frozen=True):
     """What every stream of one kind is opened with."""
 
     identity: Identity
--- a/packages/pepperstair-peers/pepperstair_peers/identity.py
+++ b/packages/pepperstair-peers/pepperstair_peers/identity.py
@@ -4,14 +4,14 @@
 
 import itertools
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from pepperstair_core.wire import Hello, StreamKind, Welcome
 from pepperstair_core.wire.control import PROTOCOL_VERSION
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
+class Identity(Struct, frozen=True):
     """The name and address of a daemon and the id of its process.
 
     `silence_ms` is how long what it sends may be held up on its own link.
@@ -21,9 +21,7 @@
     start_id: int
     peer_address: str
     silence_ms: int = 0
-    _sequences: Iterator[int] = field(
-        default_factory=lambda: itertools.count(1), repr=False, compare=False
-    )
+    _sequences: Iterator[int] = field(default_factory=lambda: itertools.count(1))
 
     def hello(self, stream_kind: StreamKind) -> Hello:
         """Return the frame that opens the next stream from this daemon."""
--- a/packages/pepperstair-platform/pepperstair_platform/acceptance.py
+++ b/packages/pepperstair-platform/pepperstair_platform/acceptance.py
@@ -9,9 +9,9 @@
 from __future__ import annotations
 
 import uuid
-from dataclasses import dataclass
 
 import structlog
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from pepperstair_core.errors import ErrorKind, Failure
@@ -33,8 +33,7 @@
 log = structlog.get_logger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeRequest:
+class ChangeRequest(Struct, frozen=True):
     """An operator's change: the whole new document of one customer.
 
     `from_version` is the version that the operator started from, None for
@@ -52,16 +51,14 @@
     is_asked_again: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Accepted:
+class Accepted(Struct, frozen=True):
     """A change that took effect; `is_repeat` where it had done so before."""
 
     snapshot: Snapshot
     is_repeat: bool
 
 
-@dataclass(frozen=True, slots=True)
-class _Attempt:
+class _Attempt(Struct, frozen=True):
     """One try to commit: the rows it starts from and the snapshot it makes."""
 
     platform: Platform
--- a/packages/pepperstair-platform/pepperstair_platform/platform.py
+++ b/packages/pepperstair-platform/pepperstair_platform/platform.py
@@ -6,11 +6,12 @@
 from __future__ import annotations
 
 import json
-from dataclasses import asdict, dataclass
 from typing import Any
 from urllib.parse import quote
 
 import structlog
+from msgspec import Struct
+from msgspec.structs import asdict
 from result import Err, Ok, Result
 
 from pepperstair_core.config import PlatformSettings, parse_address
@@ -22,24 +23,21 @@
 log = structlog.get_logger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class Row:
+class Row(Struct, frozen=True):
     """One row of the table service."""
 
     key: str
     value: str
 
 
-@dataclass(frozen=True, slots=True)
-class Compare:
+class Compare(Struct, frozen=True):
     """What a row must hold for a transaction to take place; None for no row."""
 
     key: str
     value: str | None
 
 
-@dataclass(slots=True)
-class PlatformCounters:
+class PlatformCounters(Struct):
     """Requests made to the platform, for metrics; reads that wait are among reads."""
 
     n_reads: int = 0
--- a/packages/pepperstair-platform/pepperstair_platform/rows.py
+++ b/packages/pepperstair-platform/pepperstair_platform/rows.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import json
-from dataclasses import asdict
 from typing import Final
 
+from msgspec.structs import asdict
+
 from pepperstair_core.rendezvous import weight
 from pepperstair_core.versions import Head
 
--- a/packages/pepperstair-platform/pepperstair_platform/watching.py
+++ b/packages/pepperstair-platform/pepperstair_platform/watching.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
 from result import Result
 
 from pepperstair_core.errors import Failure
@@ -17,16 +17,14 @@
 from .platform import Compare, Row
 
 
-@dataclass(frozen=True, slots=True)
-class WatchedRow:
+class WatchedRow(Struct, frozen=True):
     """One row of a watched table; `value` is None where the row was removed."""
 
     key: str
     value: bytes | None
 
 
-@dataclass(frozen=True, slots=True)
-class WatchedRows:
+class WatchedRows(Struct, frozen=True):
     """Rows, and the position in the table's history that they reach up to."""
 
     rows: tuple[WatchedRow, ...]
--- a/packages/pepperstair-targets/pepperstair_targets/ordered.py
+++ b/packages/pepperstair-targets/pepperstair_targets/ordered.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import Final
 
 import structlog
+from msgspec import Struct
 
 from pepperstair_core.events import Event
 from pepperstair_core.members import Target, TargetState
@@ -24,8 +24,7 @@
 LAST_SEQUENCE: Final = 2**63 - 1
 
 
-@dataclass(frozen=True, slots=True)
-class Announcement:
+class Announcement(Struct, frozen=True):
     """What a target says of itself, and its place among its announcements.
 
     `start_ms` is when the target was started, in Unix milliseconds, 0 where that
@@ -42,8 +41,7 @@
         return self.start_ms, self.sequence
 
 
-@dataclass(frozen=True, slots=True)
-class Departure:
+class Departure(Struct, frozen=True):
     """That a target leaves, said at `noted_ms` in Unix milliseconds.
 
     Its announcements up to this start and sequence count no more.
--- a/packages/pepperstair-targets/pepperstair_targets/registry.py
+++ b/packages/pepperstair-targets/pepperstair_targets/registry.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 
 import structlog
+from msgspec import Struct
 
 from pepperstair_core.events import Event
 from pepperstair_core.members import Target
@@ -13,8 +13,7 @@
 log = structlog.get_logger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class _Lease:
+class _Lease(Struct, frozen=True):
     """A target and the time until which its announcement holds."""
 
     target: Target
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from dataclasses import replace
 from typing import Final
 
 import structlog
+from msgspec.structs import replace
 
 from pepperstair_core.calls import Load, Refused
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
--- a/packages/pepperstair-targets/pepperstair_targets/slots.py
+++ b/packages/pepperstair-targets/pepperstair_targets/slots.py
@@ -7,9 +7,9 @@
 import math
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 import structlog
+from msgspec import Struct
 
 from pepperstair_core.calls import (
     Admission,
@@ -25,8 +25,7 @@
 log = structlog.get_logger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class _Waiter:
+class _Waiter(Struct, frozen=True):
     """A call that waits and the future that gets its verdict."""
 
     call: WaitingCall
--- a/packages/pepperstair-targets/pepperstair_targets/target_call.py
+++ b/packages/pepperstair-targets/pepperstair_targets/target_call.py
@@ -4,10 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
 import structlog
+from msgspec import Struct
 
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
 from pepperstair_core.wire import CallHead
@@ -36,8 +36,7 @@
 DROPPED_MS: Final = 5
 
 
-@dataclass(frozen=True, slots=True)
-class TargetOptions:
+class TargetOptions(Struct, frozen=True):
     """How every call on the targets of this VM is made.
 
     Answers of up to `n_gathered_max_bytes` are read whole before any of it is
--- a/packages/pepperstaird/pepperstaird/configuration/agent.py
+++ b/packages/pepperstaird/pepperstaird/configuration/agent.py
@@ -6,10 +6,10 @@
 import random
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import asdict, replace
 from typing import Any, Final
 
 import structlog
+from msgspec.structs import asdict, replace
 from result import Result
 
 from pepperstair_core.config import PlatformSettings
--- a/packages/pepperstaird/pepperstaird/configuration/records.py
+++ b/packages/pepperstaird/pepperstaird/configuration/records.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, replace
 from typing import Final
 
 import structlog
+from msgspec import Struct
+from msgspec.structs import replace
 
 from pepperstair_core.versions import Head
 
@@ -15,8 +16,7 @@
 N_RECORDS_MAX: Final = 50
 
 
-@dataclass(frozen=True, slots=True)
-class VersionRecord:
+class VersionRecord(Struct, frozen=True):
     """One version: from whom it was learnt, and when it went in force here.
 
     `convergence_ms` is known on the daemon that accepted the change, and on
--- a/packages/pepperstaird/pepperstaird/configuration_operations.py
+++ b/packages/pepperstaird/pepperstaird/configuration_operations.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import asdict
 from typing import TYPE_CHECKING, Any, Final
 
 import structlog
+from msgspec.structs import asdict
 
 from pepperstair_core.distribution import missing_vms
 from pepperstair_core.errors import ErrorKind, Failure
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -7,10 +7,10 @@
 import random
 import socket
 from collections.abc import Iterator
-from dataclasses import replace
 from typing import Final
 
 import structlog
+from msgspec.structs import replace
 
 from pepperstair_callers import Proxy, ProxyContext
 from pepperstair_core.burn import BurnCounts
--- a/packages/pepperstaird/pepperstaird/departure_rows.py
+++ b/packages/pepperstaird/pepperstaird/departure_rows.py
@@ -11,10 +11,10 @@
 import asyncio
 import json
 from collections.abc import Callable, Iterator
-from dataclasses import astuple
 from typing import Final
 
 import structlog
+from msgspec.structs import astuple
 from result import Result
 
 from pepperstair_core.errors import Failure
--- a/packages/pepperstaird/pepperstaird/edges.py
+++ b/packages/pepperstaird/pepperstaird/edges.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Coroutine, Iterator
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
+from msgspec import Struct
+
 from pepperstair_core.calls import RetryBudget
 from pepperstair_core.config import Settings
 from pepperstair_core.routing import RouteTable
@@ -81,16 +82,14 @@
         """Delete the own entry, as this daemon leaves."""
 
 
-@dataclass(frozen=True, slots=True)
-class FurtherServer:
+class FurtherServer(Struct, frozen=True):
     """One more address that the daemon serves."""
 
     server: HttpServer
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class Edges:
+class Edges(Struct, frozen=True):
     """The functions that build the outside edges of one daemon."""
 
     make_platform: Callable[[Settings], PlatformEdge]
--- a/packages/pepperstaird/pepperstaird/metrics.py
+++ b/packages/pepperstaird/pepperstaird/metrics.py
@@ -6,10 +6,10 @@
 import dataclasses
 import socket
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
 from typing import Final
 
 import structlog
+from msgspec import Struct
 from statsd.client.base import StatsClientBase
 
 from pepperstair_core.calls import CallOutcome
@@ -28,8 +28,7 @@
 _COUNTER_UNIT: Final = "count since the last sending"
 
 
-@dataclass(frozen=True, slots=True)
-class Metric:
+class Metric(Struct, frozen=True):
     """One metric as the page of metrics lists it."""
 
     name: str
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -7,7 +7,9 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+
+from msgspec.structs import replace
 
 from pepperstair_callers import Proxy, ProxyContext
 from pepperstair_core.calls import CallOutcome, TargetChooser, TokenRetryBudget
--- a/tests/distribution/fake_network.py
+++ b/tests/distribution/fake_network.py
@@ -5,9 +5,11 @@
 import heapq
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec.structs import replace
+
 from pepperstair_core import distribution as d
 from pepperstair_core.intent import Intent, Route, Service
 from pepperstair_core.members import Member, MemberState
--- a/tests/distribution/test_spreading.py
+++ b/tests/distribution/test_spreading.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import msgpack
+from msgspec.structs import replace
 
 from pepperstair_core import distribution as d
 from pepperstair_core.versions import digest_of, encode_intent, make_delta
--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
+from msgspec.structs import replace
+
 from pepperstair_core.config import MembersSettings, PeersSettings
 from pepperstair_core.members import Member, MemberState
 from pepperstair_core.membership import (
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import random
-from dataclasses import replace
 
+from msgspec.structs import replace
 from result import Err, Ok
 
 from pepperstair_adapter.settings import parse_all_settings
--- a/tests/test_last_hop.py
+++ b/tests/test_last_hop.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from pepperstair_core.errors import Run
 from pepperstair_http import HeaderNames
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from pepperstair_core.config import MembersSettings, PeersSettings
 from pepperstair_core.members import (
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import time
-from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from pepperstair_http import (
     PRODUCT_HEADERS,
