Documents, settings and counters are structs too, their options stand in annotations

Change: `name: Annotated[type, Option(sentence, range)] = default`, the form that the command line's library already uses here; the reader of documents walks `structs.fields`. Counters carry their sentence as `Meta(description=...)`. Plain tables come from `msgspec.to_builtins`. Ruled out: msgspec's own `convert` in place of the reader, as it stops at the first fault and operators get all of them at once.

--- a/benchmarks/burn.py
+++ b/benchmarks/burn.py
@@ -6,7 +6,8 @@
 import time
 import tracemalloc
 from collections.abc import Callable
-from dataclasses import asdict
+
+import msgspec
 
 from pepperstair_core.burn import BurnCounts, counts_to_table
 from pepperstair_core.burn.counts import N_CONVERGENCES_MAX, N_CUSTOMERS_MAX
@@ -39,7 +40,7 @@
             timings.add(index % 997 / 7)
 
     def report_one() -> None:
-        asdict(next(counts.iter_customers(2 * DAY_MS, {})))
+        msgspec.to_builtins(next(counts.iter_customers(2 * DAY_MS, {})))
 
     def report() -> None:
         counts_to_table(counts.snapshot("vm-1", 2 * DAY_MS, {}))
--- a/emulator/pepperstair_emulator/__main__.py
+++ b/emulator/pepperstair_emulator/__main__.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import sys
-from dataclasses import replace
 from pathlib import Path
 from typing import Annotated
 
 import cyclopts
+from msgspec.structs import replace
 
 from .experiment import Experiment, Policy, parse_experiment_toml
 from .fleet import Fleet
--- a/emulator/pepperstair_emulator/experiment.py
+++ b/emulator/pepperstair_emulator/experiment.py
@@ -4,101 +4,105 @@
 
 import tomllib
 from collections.abc import Iterator
-from dataclasses import dataclass
+from typing import Annotated
 
+from msgspec import Struct
 from result import Err, Result
 
 from pepperstair_core.intent import PRIORITIES
-from pepperstair_core.schema import Fault, option, read_document
+from pepperstair_core.schema import Fault, Option, read_document
 
 FAULT_KINDS = ("slow", "shed", "away")
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceModel:
+class ServiceModel(Struct, frozen=True):
     """One service; its targets stand in the availability zones in turn."""
 
-    name: str = option("Name of the service.")
-    speeds: tuple[float, ...] = option("Speed of each target; 1 is usual.")
-    n_slots: int = option("Calls that a target runs at once.", default=9, minimum=1)
+    name: Annotated[str, Option("Name of the service.")]
+    speeds: Annotated[tuple[float, ...], Option("Speed of each target; 1 is usual.")]
+    n_slots: Annotated[int, Option("Calls that a target runs at once.", minimum=1)] = 9
 
 
-@dataclass(frozen=True, slots=True)
-class InnerCalls:
+class InnerCalls(Struct, frozen=True):
     """Calls that a target makes, one after the other, while it runs a request."""
 
-    route: str = option("Route that is called.")
-    n_times: int = option("Calls for one run.", default=1, minimum=1)
-    share: float = option("Share of runs that make them.", default=1.0, minimum=0)
+    route: Annotated[str, Option("Route that is called.")]
+    n_times: Annotated[int, Option("Calls for one run.", minimum=1)] = 1
+    share: Annotated[float, Option("Share of runs that make them.", minimum=0)] = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class RouteModel:
+class RouteModel(Struct, frozen=True):
     """The requests of one route and the callers that send them."""
 
-    name: str = option("Name of the route.")
-    service: str = option("Service that runs the requests.")
-    per_s: float = option("Requests of clients a second.", default=0.0, minimum=0)
-    work_ms: float = option("Mean work of a request.", default=100.0, minimum=0)
-    spread: float = option("Spread of the logarithm of the work.", default=0.5)
-    priority: str = option("Priority.", default="normal", choices=PRIORITIES)
-    is_idempotent: bool = option("Whether it may run twice.", default=True)
-    objective_ms: int = option("When an answer is wanted.", default=500, minimum=1)
-    timeout_ms: int = option("Longest time of an attempt.", default=1500, minimum=1)
-    patience_ms: int = option("How long a client waits.", default=3000, minimum=1)
-    n_retries: int = option("How often a client comes back.", default=2, minimum=0)
-    n_attempts: int = option("Targets that one attempt may reach.", default=2)
-    worth: float = option("Worth of an answer in time.", default=1.0, minimum=0)
-    late_worth: float = option("Worth of a later answer.", default=0.3, minimum=0)
-    inner: tuple[InnerCalls, ...] = option("Calls to other services.", default=())
-
-
-@dataclass(frozen=True, slots=True)
-class FaultModel:
+    name: Annotated[str, Option("Name of the route.")]
+    service: Annotated[str, Option("Service that runs the requests.")]
+    per_s: Annotated[float, Option("Requests of clients a second.", minimum=0)] = 0.0
+    work_ms: Annotated[float, Option("Mean work of a request.", minimum=0)] = 100.0
+    spread: Annotated[float, Option("Spread of the logarithm of the work.")] = 0.5
+    priority: Annotated[str, Option("Priority.", choices=PRIORITIES)] = "normal"
+    is_idempotent: Annotated[bool, Option("Whether it may run twice.")] = True
+    objective_ms: Annotated[int, Option("When an answer is wanted.", minimum=1)] = 500
+    timeout_ms: Annotated[int, Option("Longest time of an attempt.", minimum=1)] = 1500
+    patience_ms: Annotated[int, Option("How long a client waits.", minimum=1)] = 3000
+    n_retries: Annotated[int, Option("How often a client comes back.", minimum=0)] = 2
+    n_attempts: Annotated[int, Option("Targets that one attempt may reach.")] = 2
+    worth: Annotated[float, Option("Worth of an answer in time.", minimum=0)] = 1.0
+    late_worth: Annotated[float, Option("Worth of a later answer.", minimum=0)] = 0.3
+    inner: Annotated[tuple[InnerCalls, ...], Option("Calls to other services.")] = ()
+
+
+class FaultModel(Struct, frozen=True):
     """Something that goes wrong for a while at some targets of a service."""
 
-    kind: str = option("What goes wrong.", choices=FAULT_KINDS)
-    service: str = option("Service whose targets it meets.")
-    from_s: float = option("When it begins.", minimum=0)
-    for_s: float = option("How long it lasts.", minimum=0)
-    n_targets: int = option("How many targets it meets, the first ones.", minimum=1)
-    factor: float = option(
-        "Times as slow, or share of calls turned away.", default=1.0, minimum=0
-    )
+    kind: Annotated[str, Option("What goes wrong.", choices=FAULT_KINDS)]
+    service: Annotated[str, Option("Service whose targets it meets.")]
+    from_s: Annotated[float, Option("When it begins.", minimum=0)]
+    for_s: Annotated[float, Option("How long it lasts.", minimum=0)]
+    n_targets: Annotated[
+        int, Option("How many targets it meets, the first ones.", minimum=1)
+    ]
+    factor: Annotated[
+        float, Option("Times as slow, or share of calls turned away.", minimum=0)
+    ] = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class ConstantChange:
+class ConstantChange(Struct, frozen=True):
     """Another value for a constant of a decision."""
 
-    name: str = option("Module and constant, as in `service_times.SHORT_SHARE`.")
-    value: float = option("Its value.")
+    name: Annotated[
+        str, Option("Module and constant, as in `service_times.SHORT_SHARE`.")
+    ]
+    value: Annotated[float, Option("Its value.")]
 
 
-@dataclass(frozen=True, slots=True)
-class Policy:
+class Policy(Struct, frozen=True):
     """A variant of the decisions: constants of their modules with other values."""
 
-    name: str = option("Name in the table.")
-    constants: tuple[ConstantChange, ...] = option("What differs.", default=())
-    are_zones_known: bool = option("Whether the own zone is preferred.", default=True)
+    name: Annotated[str, Option("Name in the table.")]
+    constants: Annotated[tuple[ConstantChange, ...], Option("What differs.")] = ()
+    are_zones_known: Annotated[bool, Option("Whether the own zone is preferred.")] = (
+        True
+    )
 
 
-@dataclass(frozen=True, slots=True)
-class Experiment:
+class Experiment(Struct, frozen=True):
     """One load with its faults, and the policies that are compared on it."""
 
-    name: str = option("What the experiment shows.")
-    services: tuple[ServiceModel, ...] = option("Services.")
-    routes: tuple[RouteModel, ...] = option("Routes.")
-    length_s: float = option("How long clients send.", default=20.0, minimum=0)
-    n_zones: int = option("Availability zones.", default=3, minimum=1)
-    zone_ms: float = option("Time between zones, one way.", default=0.5, minimum=0)
-    load: float = option("Factor on all rates.", default=1.0, minimum=0)
-    n_retries_min: int = option("Retries of a service in 10 s.", default=56, minimum=0)
-    retry_ratio: float = option("Further retries for each request.", default=0.016)
-    faults: tuple[FaultModel, ...] = option("Faults.", default=())
-    policies: tuple[Policy, ...] = option("Variants beside the product's.", default=())
+    name: Annotated[str, Option("What the experiment shows.")]
+    services: Annotated[tuple[ServiceModel, ...], Option("Services.")]
+    routes: Annotated[tuple[RouteModel, ...], Option("Routes.")]
+    length_s: Annotated[float, Option("How long clients send.", minimum=0)] = 20.0
+    n_zones: Annotated[int, Option("Availability zones.", minimum=1)] = 3
+    zone_ms: Annotated[float, Option("Time between zones, one way.", minimum=0)] = 0.5
+    load: Annotated[float, Option("Factor on all rates.", minimum=0)] = 1.0
+    n_retries_min: Annotated[
+        int, Option("Retries of a service in 10 s.", minimum=0)
+    ] = 56
+    retry_ratio: Annotated[float, Option("Further retries for each request.")] = 0.016
+    faults: Annotated[tuple[FaultModel, ...], Option("Faults.")] = ()
+    policies: Annotated[
+        tuple[Policy, ...], Option("Variants beside the product's.")
+    ] = ()
 
 
 def parse_experiment_toml(text: str) -> Result[Experiment, list[Fault]]:
--- a/packages/pepperstair-core/pepperstair_core/burn/messages.py
+++ b/packages/pepperstair-core/pepperstair_core/burn/messages.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
+import msgspec
+from msgspec import Struct
+
 from ..intent import Objectives
 from ..schema import Fault, read_record
 
@@ -25,8 +26,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class CallCounts:
+class CallCounts(Struct, frozen=True):
     """Calls of one priority in one window, by how they ended."""
 
     n_good: int = 0
@@ -46,8 +46,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class WindowCounts:
+class WindowCounts(Struct, frozen=True):
     """The calls of one window that ends now."""
 
     window_ms: int
@@ -55,16 +54,14 @@
     normal: CallCounts
 
 
-@dataclass(frozen=True, slots=True)
-class Convergence:
+class Convergence(Struct, frozen=True):
     """One change: how long ago it was in force everywhere, and after how long."""
 
     age_ms: int
     duration_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class CustomerCounts:
+class CustomerCounts(Struct, frozen=True):
     """What a daemon counted for one customer.
 
     `version` is the version that the objectives come from, 0 where the daemon
@@ -78,8 +75,7 @@
     convergences: tuple[Convergence, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class DaemonCounts:
+class DaemonCounts(Struct, frozen=True):
     """What a daemon counted since it was started, `lived_ms` ago."""
 
     vm: str
@@ -89,7 +85,7 @@
 
 def counts_to_table(counts: DaemonCounts) -> dict[str, Any]:
     """Return a daemon's counts as plain tables, ready for JSON."""
-    return dataclasses.asdict(counts)
+    return msgspec.to_builtins(counts)
 
 
 def read_counts(table: object) -> Result[DaemonCounts, list[Fault]]:
--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -6,16 +6,16 @@
 
 from __future__ import annotations
 
-import dataclasses
 import tomllib
-from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
-from typing import Final
+from collections.abc import Iterator
+from typing import Annotated, Final
 
+import msgspec
+from msgspec import Struct
 from result import Err, Result
 
 from .labels import is_label_name, iter_label_faults, parse_selector
-from .schema import Fault, option, read_document
+from .schema import Fault, Option, read_document
 
 # Bounds the time for which the reading of a version holds up a proxy's only thread.
 MAX_ROUTES: Final = 10_000
@@ -23,67 +23,71 @@
 PRIORITIES: Final = ("urgent", "normal", "deferrable")
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(Struct, frozen=True):
     """A set of targets, chosen by their labels."""
 
-    name: str = option("Name that routes refer to.")
-    selector: str = option("Selector over target labels.")
+    name: Annotated[str, Option("Name that routes refer to.")]
+    selector: Annotated[str, Option("Selector over target labels.")]
 
 
-@dataclass(frozen=True, slots=True)
-class Split:
+class Split(Struct, frozen=True):
     """A service that takes a share of a route's requests."""
 
-    service: str = option("Service of the same document.")
-    weight: int = option(
-        "Share of the requests, beside the weights of the other splits.",
-        minimum=0,
-        maximum=1_000_000,
-    )
+    service: Annotated[str, Option("Service of the same document.")]
+    weight: Annotated[
+        int,
+        Option(
+            "Share of the requests, beside the weights of the other splits.",
+            minimum=0,
+            maximum=1_000_000,
+        ),
+    ]
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """Where requests with a host and path prefix go, and how they are treated."""
 
-    name: str = option("Name of the route, unique in the document.")
-    path_prefix: str = option("Path prefix that the route matches.")
-    service: str = option(
-        "Service of the same document that the requests go to; empty with splits.",
-        default="",
-    )
-    host: str = option("Host that the route matches; empty for all.", default="")
-    proxies: str = option(
-        "Selector over proxy labels; empty for every proxy.", default=""
-    )
-    priority: str = option(
-        "Order in which waiting requests are served.",
-        default="normal",
-        choices=PRIORITIES,
-    )
-    is_idempotent: bool = option(
-        "Whether the requests may safely run twice.", default=False
-    )
-    timeout_ms: int = option(
-        "Time within which an answer is due.", default=2000, minimum=1, maximum=600_000
-    )
-    splits: tuple[Split, ...] = option(
-        "Services that share the requests by weight, in place of one service.",
-        default=(),
-    )
-    n_attempts_max: int = option(
-        "Targets that one request may be sent to, one after the other.",
-        default=3,
-        minimum=1,
-        maximum=100,
-    )
-    objective_ms: int = option(
-        "Time within which callers want the answer; 0 for the timeout.",
-        default=0,
-        minimum=0,
-        maximum=600_000,
-    )
+    name: Annotated[str, Option("Name of the route, unique in the document.")]
+    path_prefix: Annotated[str, Option("Path prefix that the route matches.")]
+    service: Annotated[
+        str,
+        Option(
+            "Service of the same document that the requests go to; empty with splits."
+        ),
+    ] = ""
+    host: Annotated[str, Option("Host that the route matches; empty for all.")] = ""
+    proxies: Annotated[
+        str, Option("Selector over proxy labels; empty for every proxy.")
+    ] = ""
+    priority: Annotated[
+        str, Option("Order in which waiting requests are served.", choices=PRIORITIES)
+    ] = "normal"
+    is_idempotent: Annotated[
+        bool, Option("Whether the requests may safely run twice.")
+    ] = False
+    timeout_ms: Annotated[
+        int, Option("Time within which an answer is due.", minimum=1, maximum=600_000)
+    ] = 2000
+    splits: Annotated[
+        tuple[Split, ...],
+        Option("Services that share the requests by weight, in place of one service."),
+    ] = ()
+    n_attempts_max: Annotated[
+        int,
+        Option(
+            "Targets that one request may be sent to, one after the other.",
+            minimum=1,
+            maximum=100,
+        ),
+    ] = 3
+    objective_ms: Annotated[
+        int,
+        Option(
+            "Time within which callers want the answer; 0 for the timeout.",
+            minimum=0,
+            maximum=600_000,
+        ),
+    ] = 0
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -93,71 +97,79 @@
         return (self.service,)
 
 
-@dataclass(frozen=True, slots=True)
-class Policy:
+class Policy(Struct, frozen=True):
     """Limits for the targets that a selector chooses."""
 
-    name: str = option("Name of the policy, unique in the document.")
-    selector: str = option("Selector over target labels.")
-    n_queued_max: int = option(
-        "Requests that may wait beside one target.",
-        default=256,
-        minimum=0,
-        maximum=10_000,
-    )
-    retry_budget_percent: int = option(
-        "Retries allowed for each hundred calls.", default=10, minimum=0, maximum=100
-    )
-    ejection_errors: int = option(
-        "Errors in a row after which a target is ejected for a while.",
-        default=5,
-        minimum=1,
-        maximum=1000,
-    )
-    ejected_percent_max: int = option(
-        "Share of a service's targets that may be ejected at once.",
-        default=50,
-        minimum=0,
-        maximum=100,
-    )
-
-
-@dataclass(frozen=True, slots=True)
-class LabelOverride:
+    name: Annotated[str, Option("Name of the policy, unique in the document.")]
+    selector: Annotated[str, Option("Selector over target labels.")]
+    n_queued_max: Annotated[
+        int,
+        Option("Requests that may wait beside one target.", minimum=0, maximum=10_000),
+    ] = 256
+    retry_budget_percent: Annotated[
+        int, Option("Retries allowed for each hundred calls.", minimum=0, maximum=100)
+    ] = 10
+    ejection_errors: Annotated[
+        int,
+        Option(
+            "Errors in a row after which a target is ejected for a while.",
+            minimum=1,
+            maximum=1000,
+        ),
+    ] = 5
+    ejected_percent_max: Annotated[
+        int,
+        Option(
+            "Share of a service's targets that may be ejected at once.",
+            minimum=0,
+            maximum=100,
+        ),
+    ] = 50
+
+
+class LabelOverride(Struct, frozen=True):
     """Labels that operators set on a workload, over those it announced."""
 
-    workload: str = option("Name of the VM or target that carries the labels.")
-    labels: dict[str, str] = option("Labels to set; an empty value removes one.")
+    workload: Annotated[
+        str, Option("Name of the VM or target that carries the labels.")
+    ]
+    labels: Annotated[
+        dict[str, str], Option("Labels to set; an empty value removes one.")
+    ]
 
 
-@dataclass(frozen=True, slots=True)
-class Objectives:
+class Objectives(Struct, frozen=True):
     """Service-level objectives that the burn report measures against."""
 
-    availability_percent: float = option(
-        "Share of urgent and normal calls that must be answered.",
-        default=99.9,
-        minimum=50,
-        maximum=99.999,
-    )
-    convergence_ms: int = option(
-        "Time within which a change must be in force everywhere.",
-        default=9000,
-        minimum=100,
-        maximum=600_000,
-    )
-
-
-@dataclass(frozen=True, slots=True)
-class Intent:
+    availability_percent: Annotated[
+        float,
+        Option(
+            "Share of urgent and normal calls that must be answered.",
+            minimum=50,
+            maximum=99.999,
+        ),
+    ] = 99.9
+    convergence_ms: Annotated[
+        int,
+        Option(
+            "Time within which a change must be in force everywhere.",
+            minimum=100,
+            maximum=600_000,
+        ),
+    ] = 9000
+
+
+class Intent(Struct, frozen=True):
     """All that the operators of one customer have stated."""
 
-    customer: str = option("Customer whose document this is.")
-    services: tuple[Service, ...] = option("Services.", default=())
-    routes: tuple[Route, ...] = option("Routes.", default=())
-    policies: tuple[Policy, ...] = option("Policies.", default=())
-    label_overrides: tuple[LabelOverride, ...] = option("Label overrides.", default=())
-    objectives: Objectives = option("Objectives.", default=Objectives())
+    customer: Annotated[str, Option("Customer whose document this is.")]
+    services: Annotated[tuple[Service, ...], Option("Services.")] = ()
+    routes: Annotated[tuple[Route, ...], Option("Routes.")] = ()
+    policies: Annotated[tuple[Policy, ...], Option("Policies.")] = ()
+    label_overrides: Annotated[
+        tuple[LabelOverride, ...], Option("Label overrides.")
+    ] = ()
+    objectives: Annotated[Objectives, Option("Objectives.")] = Objectives()
 
 
 def parse_intent_toml(text: str) -> Result[Intent, list[Fault]]:
@@ -213,15 +225,7 @@
 
 def intent_to_table(intent: Intent) -> dict[str, object]:
     """Return the document as plain tables, ready for JSON or msgpack."""
-    return _plain(dataclasses.asdict(intent))
-
-
-def _plain(value: object) -> object:
-    if isinstance(value, Mapping):
-        return {key: _plain(item) for key, item in value.items()}
-    if isinstance(value, (list, tuple)):
-        return [_plain(item) for item in value]
-    return value
+    return msgspec.to_builtins(intent)
 
 
 def _iter_size_faults(intent: Intent) -> Iterator[Fault]:
--- a/packages/pepperstair-core/pepperstair_core/label_edits.py
+++ b/packages/pepperstair-core/pepperstair_core/label_edits.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from dataclasses import replace
 
 from msgspec import Struct
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from .intent import Intent, LabelOverride
--- a/packages/pepperstair-core/pepperstair_core/schema.py
+++ b/packages/pepperstair-core/pepperstair_core/schema.py
@@ -1,27 +1,24 @@
-"""Typed documents: options declared on frozen data classes, read with faults.
+"""Typed documents: options declared on frozen structs, read with faults.
 
-Settings and intent documents are data classes whose fields carry a sentence of
+Settings and intent documents are structs whose fields carry a sentence of
 explanation and a range. `read_record` turns a parsed TOML or JSON table into
-such a class, or lists every fault in it at once:
+such a struct, or lists every fault in it at once:
 
->>> @dataclass(frozen=True)
-... class Door:
-...     width_mm: int = option("Clear width.", default=900, minimum=1)
+>>> class Door(Struct, frozen=True):
+...     width_mm: Annotated[int, Option("Clear width.", minimum=1)] = 900
 >>> read_record(Door, {"width_mm": 0}, "door")
 Err([Fault(where='door.width_mm', expected='an integer of at least 1, not 0')])
 """
 
 from __future__ import annotations
 
-import dataclasses
 import functools
 import types
 import typing
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import MISSING, field
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
-from msgspec import Struct
+from msgspec import NODEFAULT, Struct, structs
 from result import Err, Ok, Result
 
 T = TypeVar("T")
@@ -45,7 +42,7 @@
 
 
 class Option(Struct, frozen=True):
-    """The declaration behind one field of a document."""
+    """The declaration of one field of a document: its sentence and its range."""
 
     doc: str
     minimum: int | float | None = None
@@ -65,38 +62,50 @@
     @property
     def is_required(self) -> bool:
         """Return whether a document must name the option."""
-        return self.default is MISSING
+        return self.default is NODEFAULT
 
 
-def option(
-    doc: str,
-    *,
-    default: Any = MISSING,
-    minimum: int | float | None = None,
-    maximum: int | float | None = None,
-    choices: tuple[str, ...] = (),
-    form: Form | None = None,
-) -> Any:
-    """Declare one option of a document: its sentence, default and range.
+class _Field(Struct, frozen=True):
+    """One field of a document: its type, its default and its declaration."""
 
-    A mapping or data class default is shared between instances, which is safe
-    as documents are never changed after reading.
-    """
-    declared = Option(doc, minimum, maximum, choices, form)
-    metadata = {"option": declared}
-    if isinstance(default, dict):
-        return field(default_factory=dict, metadata=metadata)
-    return field(default=default, metadata=metadata)
+    name: str
+    hint: Any
+    default: Any
+    declared: Option
+
+    @property
+    def is_required(self) -> bool:
+        return self.default is NODEFAULT
 
 
 @functools.cache
-def type_hints(cls: type) -> dict[str, Any]:
-    """Return the resolved annotations of a data class."""
-    return typing.get_type_hints(cls)
+def _fields_of(cls: type[Struct]) -> tuple[_Field, ...]:
+    return tuple(
+        _Field(item.name, *_split_hint(item.type, _default_of(item)))
+        for item in structs.fields(cls)
+    )
+
+
+def _split_hint(hint: Any, default: Any) -> tuple[Any, Any, Option]:
+    """Take the declaration off an annotation."""
+    if typing.get_origin(hint) is not Annotated:
+        return hint, default, Option("")
+    declared = next(m for m in hint.__metadata__ if isinstance(m, Option))
+    return hint.__origin__, default, declared
+
+
+def _default_of(item: structs.FieldInfo) -> Any:
+    if item.default_factory is not NODEFAULT:
+        return item.default_factory()
+    return item.default
+
+
+def _is_struct(hint: Any) -> bool:
+    return isinstance(hint, type) and issubclass(hint, Struct)
 
 
 def read_record(cls: type[T], table: object, where: str) -> Result[T, list[Fault]]:
-    """Read a table into a data class, or return every fault found in it."""
+    """Read a table into a struct, or return every fault found in it."""
     return read_document(cls, table, lambda record: iter(()), where)
 
 
@@ -121,18 +130,14 @@
 
 
 def iter_options(cls: type, where: str = "") -> Iterator[OptionEntry]:
-    """Yield each option below a data class, by its dotted name."""
-    hints = type_hints(cls)
-    for item in dataclasses.fields(cls):
+    """Yield each option of a document class, by its dotted name."""
+    for item in _fields_of(cls):
         name = _join(where, item.name)
-        hint = hints[item.name]
-        if dataclasses.is_dataclass(hint):
-            yield from iter_options(hint, name)
+        if _is_struct(item.hint):
+            yield from iter_options(item.hint, name)
             continue
-        default = item.default
-        if item.default_factory is not MISSING:
-            default = item.default_factory()
-        yield OptionEntry(name, _type_name(hint), default, item.metadata["option"])
+        type_name = _type_name(item.hint)
+        yield OptionEntry(name, type_name, item.default, item.declared)
 
 
 def _type_name(hint: Any) -> str:
@@ -141,7 +146,7 @@
         return f"list of {_type_name(typing.get_args(hint)[0])}s"
     if origin is dict:
         return "table of strings"
-    if dataclasses.is_dataclass(hint):
+    if _is_struct(hint):
         return f"{hint.__name__.lower()} table"
     return {str: "string", int: "integer", float: "number", bool: "boolean"}[hint]
 
@@ -150,42 +155,35 @@
     if not isinstance(table, Mapping):
         faults.append(Fault(where or "document", f"a table, not {_shown(table)}"))
         return _neutral(cls)
-    fields = {item.name: item for item in dataclasses.fields(cls)}
+    fields = {item.name: item for item in _fields_of(cls)}
     for key in table:
         if key not in fields:
             known = ", ".join(sorted(fields))
             faults.append(Fault(_join(where, str(key)), f"one of the keys {known}"))
-    hints = type_hints(cls)
     values = {}
     for name, item in fields.items():
         if name in table:
-            declared = item.metadata.get("option", Option(""))
             values[name] = _read_value(
-                hints[name], table[name], _join(where, name), declared, faults
+                item.hint, table[name], _join(where, name), item.declared, faults
             )
-        elif _is_required(item):
+        elif item.is_required:
             faults.append(Fault(_join(where, name), "a value, this key is required"))
-            values[name] = _neutral(hints[name])
+            values[name] = _neutral(item.hint)
     return cls(**values)
 
 
-def _is_required(item: dataclasses.Field) -> bool:
-    return item.default is MISSING and item.default_factory is MISSING
-
-
 def _neutral(expected: Any) -> Any:
     """Return a value of a type, to stand for one that could not be read."""
-    if dataclasses.is_dataclass(expected):
-        hints = type_hints(expected)
-        required = filter(_is_required, dataclasses.fields(expected))
-        return expected(**{item.name: _neutral(hints[item.name]) for item in required})
+    if _is_struct(expected):
+        required = (item for item in _fields_of(expected) if item.is_required)
+        return expected(**{item.name: _neutral(item.hint) for item in required})
     return (typing.get_origin(expected) or expected)()
 
 
 def _read_value(
     expected: Any, value: Any, where: str, declared: Option, faults: list[Fault]
 ) -> Any:
-    if dataclasses.is_dataclass(expected):
+    if _is_struct(expected):
         return _read_table(expected, value, where, faults)
     origin = typing.get_origin(expected)
     if origin is tuple:
@@ -268,8 +266,6 @@
     "Option",
     "OptionEntry",
     "iter_options",
-    "option",
     "read_document",
     "read_record",
-    "type_hints",
 ]
--- a/packages/pepperstair-core/pepperstair_core/versions.py
+++ b/packages/pepperstair-core/pepperstair_core/versions.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import replace
 from typing import Any, Final
 
 import msgpack
 from msgspec import Struct
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from .array_record import ArrayRecord
--- a/packages/pepperstair-targets/pepperstair_targets/announcements.py
+++ b/packages/pepperstair-targets/pepperstair_targets/announcements.py
@@ -4,34 +4,36 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from typing import Annotated
 
 import structlog
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from pepperstair_core.config import parse_address
 from pepperstair_core.labels import is_label_name
 from pepperstair_core.members import Target, TargetState, label_items
-from pepperstair_core.schema import Fault, option, read_record
+from pepperstair_core.schema import Fault, Option, read_record
 
 from .registry import TargetRegistry
 
 log = structlog.get_logger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class Announcement:
+class Announcement(Struct, frozen=True):
     """What a target says of itself."""
 
-    address: str = option("Address and port that the target serves on.")
-    labels: dict[str, str] = option("Labels, over those of the VM.", default={})
-    n_slots: int = option("Requests it runs at once.", default=1, minimum=1)
-    n_connections_max: int = option("Connections it takes.", default=100, minimum=1)
-    state: str = option(
-        "Whether it takes work.",
-        default="serving",
-        choices=tuple(state.value for state in TargetState),
-    )
+    address: Annotated[str, Option("Address and port that the target serves on.")]
+    labels: Annotated[dict[str, str], Option("Labels, over those of the VM.")] = {}
+    n_slots: Annotated[int, Option("Requests it runs at once.", minimum=1)] = 1
+    n_connections_max: Annotated[int, Option("Connections it takes.", minimum=1)] = 100
+    state: Annotated[
+        str,
+        Option(
+            "Whether it takes work.",
+            choices=tuple(state.value for state in TargetState),
+        ),
+    ] = "serving"
 
 
 def handle_announcement(
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -2,77 +2,124 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Iterator
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Annotated, Final, get_origin
+
+from msgspec import Meta, Struct, structs
 
 from pepperstair_core.calls import ZoneExit
 
 if TYPE_CHECKING:
     from .daemon import Daemon
 
-_DOC: Final = "doc"
-
-
-def counted(doc: str) -> Any:
-    """Declare one count with the sentence that its page has for it."""
-    return field(default=0, metadata={_DOC: doc})
 
+def iter_docs(cls: type[Struct]) -> Iterator[tuple[str, str]]:
+    """Yield each count of a struct with the sentence that its page has for it."""
+    for item in structs.fields(cls):
+        if get_origin(item.type) is Annotated:
+            yield item.name, item.type.__metadata__[0].description
 
-def iter_docs(cls: type) -> Iterator[tuple[str, str]]:
-    """Yield each count of a data class with its sentence."""
-    for item in dataclasses.fields(cls):
-        if _DOC in item.metadata:
-            yield item.name, item.metadata[_DOC]
 
-
-@dataclass(frozen=True, slots=True)
-class DaemonCounters:
+class DaemonCounters(Struct, frozen=True):
     """What happened since the daemon was started; counts only rise."""
 
-    n_calls: int = counted("Requests of callers.")
-    n_calls_failed: int = counted("Requests of callers answered with an error.")
-    n_calls_held_at_start: int = counted("Requests that waited for a starting daemon.")
-    n_calls_taken: int = counted("Calls taken from other daemons.")
-    n_calls_refused: int = counted("Calls refused beside a target as not run.")
-    n_connections: int = counted("Connections of callers.")
-    n_connections_refused: int = counted("Connections of callers over the cap.")
-    n_connections_stalled: int = counted("Connections of callers closed as stalled.")
-    n_requests_malformed: int = counted("Requests of callers that were no HTTP.")
-    n_requests_ahead: int = counted("Requests begun before an earlier answer.")
-    n_requests_dropped: int = counted("Requests read and never begun, at a close.")
-    n_streams_rejected: int = counted("Streams of other daemons that were refused.")
-    n_platform_reads: int = counted("Reads from the platform.")
-    n_platform_watches: int = counted("Reads from the platform that wait for changes.")
-    n_platform_writes: int = counted("Writes to the platform.")
-    n_platform_failures: int = counted("Requests that the platform did not answer.")
-    n_platform_refused: int = counted(
-        "Requests to the platform whose turn did not come in time."
-    )
-    n_pauses: int = counted("Times that this process did not run for a while.")
-    n_metrics_sent: int = counted("Metrics handed to the network.")
-    n_metrics_dropped: int = counted("Metrics dropped, as the receiver was away.")
-    n_versions_ignored: int = counted(
-        "Versions heard that were no newer than the held one."
-    )
-    n_versions_rejected: int = counted(
-        "Versions that failed their digest or validation."
-    )
-    n_deltas_applied: int = counted("Deltas applied to the held version.")
-    n_deltas_refused: int = counted("Deltas whose base version was not held.")
-    n_full_pulls: int = counted("Whole snapshots asked for.")
-    n_full_pulls_served: int = counted("Whole snapshots sent to neighbours.")
-    n_busy_sent: int = counted("Pulls declined for now.")
-    n_prunes: int = counted("Neighbours asked to announce instead of pushing.")
-    n_in_force_alone: int = counted("Versions put in force without a second holder.")
-    n_call_retries: int = counted("Attempts of callers' requests after the first.")
-    n_calls_far_no_target: int = counted("Calls to other zones: no target in the own.")
-    n_calls_far_left_out: int = counted("Calls to other zones: own targets left out.")
-    n_calls_far_full: int = counted("Calls to other zones: own targets full.")
-    n_calls_far_slow: int = counted("Calls to other zones: own targets too slow.")
-    n_streams_replaced: int = counted("Streams lost while calls waited on them.")
-    n_frames_dropped: int = counted("Frames that came for calls which were gone.")
+    n_calls: Annotated[int, Meta(description="Requests of callers.")] = 0
+    n_calls_failed: Annotated[
+        int, Meta(description="Requests of callers answered with an error.")
+    ] = 0
+    n_calls_held_at_start: Annotated[
+        int, Meta(description="Requests that waited for a starting daemon.")
+    ] = 0
+    n_calls_taken: Annotated[
+        int, Meta(description="Calls taken from other daemons.")
+    ] = 0
+    n_calls_refused: Annotated[
+        int, Meta(description="Calls refused beside a target as not run.")
+    ] = 0
+    n_connections: Annotated[int, Meta(description="Connections of callers.")] = 0
+    n_connections_refused: Annotated[
+        int, Meta(description="Connections of callers over the cap.")
+    ] = 0
+    n_connections_stalled: Annotated[
+        int, Meta(description="Connections of callers closed as stalled.")
+    ] = 0
+    n_requests_malformed: Annotated[
+        int, Meta(description="Requests of callers that were no HTTP.")
+    ] = 0
+    n_requests_ahead: Annotated[
+        int, Meta(description="Requests begun before an earlier answer.")
+    ] = 0
+    n_requests_dropped: Annotated[
+        int, Meta(description="Requests read and never begun, at a close.")
+    ] = 0
+    n_streams_rejected: Annotated[
+        int, Meta(description="Streams of other daemons that were refused.")
+    ] = 0
+    n_platform_reads: Annotated[int, Meta(description="Reads from the platform.")] = 0
+    n_platform_watches: Annotated[
+        int, Meta(description="Reads from the platform that wait for changes.")
+    ] = 0
+    n_platform_writes: Annotated[int, Meta(description="Writes to the platform.")] = 0
+    n_platform_failures: Annotated[
+        int, Meta(description="Requests that the platform did not answer.")
+    ] = 0
+    n_platform_refused: Annotated[
+        int,
+        Meta(description="Requests to the platform whose turn did not come in time."),
+    ] = 0
+    n_pauses: Annotated[
+        int, Meta(description="Times that this process did not run for a while.")
+    ] = 0
+    n_metrics_sent: Annotated[
+        int, Meta(description="Metrics handed to the network.")
+    ] = 0
+    n_metrics_dropped: Annotated[
+        int, Meta(description="Metrics dropped, as the receiver was away.")
+    ] = 0
+    n_versions_ignored: Annotated[
+        int, Meta(description="Versions heard that were no newer than the held one.")
+    ] = 0
+    n_versions_rejected: Annotated[
+        int, Meta(description="Versions that failed their digest or validation.")
+    ] = 0
+    n_deltas_applied: Annotated[
+        int, Meta(description="Deltas applied to the held version.")
+    ] = 0
+    n_deltas_refused: Annotated[
+        int, Meta(description="Deltas whose base version was not held.")
+    ] = 0
+    n_full_pulls: Annotated[int, Meta(description="Whole snapshots asked for.")] = 0
+    n_full_pulls_served: Annotated[
+        int, Meta(description="Whole snapshots sent to neighbours.")
+    ] = 0
+    n_busy_sent: Annotated[int, Meta(description="Pulls declined for now.")] = 0
+    n_prunes: Annotated[
+        int, Meta(description="Neighbours asked to announce instead of pushing.")
+    ] = 0
+    n_in_force_alone: Annotated[
+        int, Meta(description="Versions put in force without a second holder.")
+    ] = 0
+    n_call_retries: Annotated[
+        int, Meta(description="Attempts of callers' requests after the first.")
+    ] = 0
+    n_calls_far_no_target: Annotated[
+        int, Meta(description="Calls to other zones: no target in the own.")
+    ] = 0
+    n_calls_far_left_out: Annotated[
+        int, Meta(description="Calls to other zones: own targets left out.")
+    ] = 0
+    n_calls_far_full: Annotated[
+        int, Meta(description="Calls to other zones: own targets full.")
+    ] = 0
+    n_calls_far_slow: Annotated[
+        int, Meta(description="Calls to other zones: own targets too slow.")
+    ] = 0
+    n_streams_replaced: Annotated[
+        int, Meta(description="Streams lost while calls waited on them.")
+    ] = 0
+    n_frames_dropped: Annotated[
+        int, Meta(description="Frames that came for calls which were gone.")
+    ] = 0
     frames: tuple[tuple[str, int], ...] = ()
 
     def iter_named(self) -> Iterator[tuple[str, int]]:
@@ -91,18 +138,27 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class DaemonGauges:
+class DaemonGauges(Struct, frozen=True):
     """What holds right now."""
 
-    n_members: int = counted("Members that are not gone.")
-    n_targets: int = counted("Targets announced to this daemon.")
-    n_customers: int = counted("Customers with a version in force.")
-    n_calls_in_flight: int = counted("Calls that run on targets of this VM.")
-    n_requests_in_flight: int = counted("Requests of callers not yet answered.")
-    configuration_age_ms: int = counted(
-        "Time since the version in force was known to be the newest, 0 if unknown."
-    )
+    n_members: Annotated[int, Meta(description="Members that are not gone.")] = 0
+    n_targets: Annotated[int, Meta(description="Targets announced to this daemon.")] = 0
+    n_customers: Annotated[
+        int, Meta(description="Customers with a version in force.")
+    ] = 0
+    n_calls_in_flight: Annotated[
+        int, Meta(description="Calls that run on targets of this VM.")
+    ] = 0
+    n_requests_in_flight: Annotated[
+        int, Meta(description="Requests of callers not yet answered.")
+    ] = 0
+    configuration_age_ms: Annotated[
+        int,
+        Meta(
+            description="Time since the version in force was known to be the newest, "
+            "0 if unknown."
+        ),
+    ] = 0
 
 
 def read_counters(daemon: Daemon) -> DaemonCounters:
@@ -164,7 +220,6 @@
     "FRAME_COUNTS",
     "DaemonCounters",
     "DaemonGauges",
-    "counted",
     "iter_docs",
     "read_counters",
     "read_gauges",
--- a/packages/pepperstaird/pepperstaird/exposition.py
+++ b/packages/pepperstaird/pepperstaird/exposition.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import bisect
-import dataclasses
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
@@ -77,10 +76,9 @@
             yield CounterMetricFamily(short, doc, value=getattr(counters, name))
         gauges = self._gauges()
         docs = dict(iter_docs(DaemonGauges))
-        for item in dataclasses.fields(gauges):
-            short = _PREFIX + item.name.removeprefix("n_")
-            value = getattr(gauges, item.name)
-            yield GaugeMetricFamily(short, docs[item.name], value=value)
+        for name in gauges.__struct_fields__:
+            short = _PREFIX + name.removeprefix("n_")
+            yield GaugeMetricFamily(short, docs[name], value=getattr(gauges, name))
         times = HistogramMetricFamily(
             _PREFIX + "call_duration_seconds",
             "Time from the head of a caller's request to the end of its answer.",
--- a/packages/pepperstaird/pepperstaird/metrics.py
+++ b/packages/pepperstaird/pepperstaird/metrics.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import socket
 from collections.abc import Callable, Iterable, Iterator
 from typing import Final
@@ -166,8 +165,8 @@
 
     def _write_gauges(self) -> None:
         gauges = self._gauges()
-        for item in dataclasses.fields(gauges):
-            self._buffer.gauge(_short(item.name), getattr(gauges, item.name))
+        for name in gauges.__struct_fields__:
+            self._buffer.gauge(_short(name), getattr(gauges, name))
 
     def _write_timings(self) -> None:
         for priority, timings in self._timings.items():
--- a/packages/pepperstaird/pepperstaird/reports.py
+++ b/packages/pepperstaird/pepperstaird/reports.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 import structlog
 
 from pepperstair_core.decisions import Decision, DecisionKind
@@ -117,7 +117,7 @@
     now_ms = monotonic_ms()
     customers = []
     for counts in daemon.burn.iter_customers(now_ms, objectives):
-        customers.append(asdict(counts))
+        customers.append(msgspec.to_builtins(counts))
         await asyncio.sleep(0)
     vm, lived_ms = daemon.settings.vm.name, daemon.burn.lived_ms(now_ms)
     return json_reply({"vm": vm, "lived_ms": lived_ms, "customers": customers})
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -86,7 +86,7 @@
         ("label_overrides", intent.LabelOverride),
         ("objectives", intent.Objectives),
     ):
-        assert name in Intent.__dataclass_fields__
+        assert name in Intent.__struct_fields__
         yield name, cls
 
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from pathlib import Path
 
 import pytest
+from msgspec.structs import replace
 
 from pepperstair_core.calls import service_times
 from pepperstair_emulator import Fleet, Policy, applied, parse_experiment_toml
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import math
 import random
 import socket
@@ -18,7 +17,7 @@
 from pepperstaird.metrics import DATAGRAM_MAX_BYTES, MetricsSender
 from pepperstaird.timings import Timings
 
-N_GAUGES = len(dataclasses.fields(DaemonGauges))
+N_GAUGES = len(DaemonGauges.__struct_fields__)
 
 
 class Counts:
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from pepperstair_core.intent import (
     Intent,
