A lost neighbour is not waited for: the version is asked of the next one at once

Logs: three neighbours announced version 3 at 8.85 s; two of their streams closed at 8.96 s, as neighbours were chosen anew after a kill of all; the version came at 10.60 s from the third. That is 0.25 s (own watch first), then twice 0.75 s for questions that were put to neighbours that were no longer there.

Ruled out: a frame that was refused (none is in the logs), a stalled loop (other frames passed meanwhile), the new codec (the order of questions is older).

Change: the exchange hears of lost neighbours, forgets them as sources, and where one of them was asked it asks the next at once. Test first: it asked vm-2 and waited.

--- a/packages/pepperstaird/pepperstaird/document_exchange.py
+++ b/packages/pepperstaird/pepperstaird/document_exchange.py
@@ -68,7 +68,8 @@
         # Neighbours that asked for a version that is not here yet, and what they hold.
         self._waiting: dict[str, int] = {}
         self._announced = 0
-        self._asked_version = 0
+        self._asked_vm = ""
+        self._asked_version: int | None = None
         self._asked_s = 0.0
         self._pull_timer: asyncio.TimerHandle | None = None
         # The newest version heard of, and the neighbours to be asked for it in turn.
@@ -82,6 +83,7 @@
     def start(self) -> None:
         """Begin to listen to the neighbours."""
         self._control.on_neighbour_up = self._tell
+        self._control.on_neighbour_down = self._on_neighbour_down
         self._control.on_configuration_frame = self._on_frame
 
     def close(self) -> None:
@@ -150,6 +152,18 @@
         if self.age_ms() >= 0:
             self._control.send(vm, self._fresh())
 
+    def _on_neighbour_down(self, vm: str) -> None:
+        """Ask another neighbour for the version that a lost one was asked for."""
+        self._waiting.pop(vm, None)
+        if vm in self._sources:
+            self._sources.remove(vm)
+        if vm != self._asked_vm:
+            return
+        self._asked_version = None
+        if self._pull_timer is not None:
+            self._pull_timer.cancel()
+            self._pull()
+
     def _on_frame(self, vm: str, frame: Any) -> None:
         """Spread versions among neighbours.
 
@@ -277,6 +291,7 @@
         vm = self._sources.pop(0)
         self._sources.append(vm)
         loop = asyncio.get_running_loop()
+        self._asked_vm = vm
         self._asked_version, self._asked_s = version, loop.time()
         self._control.send(vm, DocumentPull(version))
         self._pull_timer = loop.call_later(_PULL_AGAIN_S, self._pull)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -102,6 +102,7 @@
     def __init__(self, *neighbours: str) -> None:
         self.neighbours = neighbours
         self.sent: list[tuple[str, object]] = []
+        self.on_neighbour_down = lambda vm: None
 
     def send(self, vm, *frames):
         """Keep the frames."""
@@ -125,9 +126,20 @@
 
 
 def follow(
-    table, control, frames=(), for_s=0.05, seed=1, reader=read, wait_s=0.01, **more
+    table,
+    control,
+    frames=(),
+    for_s=0.05,
+    seed=1,
+    reader=read,
+    wait_s=0.01,
+    lost=(),
+    **more,
 ):
-    """Let a follower run for a moment and return it."""
+    """Let a follower run for a moment and return it.
+
+    It gets `frames` from neighbours, then those in `lost` go.
+    """
 
     async def scenario() -> ConfigurationFollower:
         following = ConfigurationFollower(
@@ -145,6 +157,9 @@
         for vm, frame in frames:
             control.on_configuration_frame(vm, frame)
         await asyncio.sleep(for_s)
+        for vm in lost:
+            control.on_neighbour_down(vm)
+        await asyncio.sleep(for_s if lost else 0.0)
         following.close()
         return following
 
@@ -414,6 +429,15 @@
     assert asked[:3] == ["vm-2", "vm-3", "vm-2"]
 
 
+def test_neighbours_that_are_lost_are_not_waited_for():
+    """Guards against a version that comes late as its source is no neighbour now."""
+    control = FakeControl("vm-2", "vm-3", "vm-4")
+    frames = [(vm, DocumentHave(5)) for vm in control.neighbours]
+    follow(FakeTable(), control, frames, lost=("vm-3", "vm-2"), **shared())
+    asked = [vm for vm, frame in control.sent if frame == DocumentPull(0)]
+    assert asked == ["vm-2", "vm-4"]
+
+
 def test_document_that_is_no_good_is_not_asked_for_again(monkeypatch):
     """Guards against copies of a bad version that fill a narrow link for ever."""
     monkeypatch.setattr(document_exchange, "_PULL_AGAIN_S", 0.01)
