Logs and metrics tell why a failed call was not sent to another target

Change: `request_answered` has `given_up`, and seven counters `not_retried_<cause>` count it. Two causes are new: no other target is known, and none has room. Tests first, from the line and from the count.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -15,6 +15,7 @@
     CallEnd,
     EndKind,
     GiveUp,
+    GiveUpCause,
     RetryBudget,
     decide_retry,
 )
@@ -67,6 +68,7 @@
         "_waited_before_ms",
         "compiled",
         "deadline_ms",
+        "given_up",
         "n_attempts",
         "run",
         "timeout_ms",
@@ -103,6 +105,7 @@
         self._attempted_ms = 0.0
         self._latency_ms = 0.0
         self.n_attempts = 0
+        self.given_up: GiveUpCause | None = None
         self.run = Run.NO
         # Each attempt as the log shows it: where, how it ended, after how long.
         self.tried: list[tuple[str, str, str, float]] = []
@@ -259,6 +262,7 @@
             is_room_wanted=self._refused is not None,
         )
         if chosen is None and self._refused is not None:
+            self.given_up = GiveUpCause.NO_ROOM
             raise PepperstairError(self._refused)
         if chosen is None:
             failure = Failure(ErrorKind.NO_TARGET, self.compiled.service.name)
@@ -313,9 +317,11 @@
             attempt.has_run,
         )
         if not has_other:
+            self.given_up = GiveUpCause.NO_OTHER
             raise PepperstairError(final)
         decision = decide_retry(attempt, self._budget, self._context.rng)
         if isinstance(decision, GiveUp):
+            self.given_up = decision.cause
             raise PepperstairError(final)
         # Where one target has no room, another one is asked only if it has: in an
         # overload each call would otherwise be refused several times over.
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from pepperstair_core.calls import CallOutcome, is_sampled
+from pepperstair_core.calls import CallOutcome, GiveUpCause, is_sampled
 from pepperstair_core.errors import ANSWERS, ErrorKind, Failure, PepperstairError, Run
 from pepperstair_core.events import Event
 from pepperstair_core.routing import pick_part
@@ -41,6 +41,8 @@
         self.n_retries = 0
         self.n_in_flight = 0
         self.n_held_at_start = 0
+        # Failed calls by why they were not sent to another target.
+        self.n_given_up = dict.fromkeys(GiveUpCause, 0)
         self._scopes: set[asyncio.Timeout] = set()
 
     async def handle(self, exchange: Exchange) -> None:
@@ -218,6 +220,8 @@
         )
         self._context.on_outcome(outcome)
         if call is not None:
+            if call.given_up is not None:
+                self.n_given_up[call.given_up] += 1
             self._log(call, outcome)
 
     def _log(self, call: ProxiedCall, outcome: CallOutcome) -> None:
@@ -241,6 +245,7 @@
             duration_ms=round(outcome.duration_ms, 1),
             timeout_ms=call.timeout_ms,
             tried=call.tried,
+            given_up=call.given_up,
         )
 
 
--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -21,6 +21,7 @@
 from .retry import (
     Attempt,
     GiveUp,
+    GiveUpCause,
     Retry,
     RetryBudget,
     TokenRetryBudget,
@@ -43,6 +44,7 @@
     "EndKind",
     "FleetRetryBudget",
     "GiveUp",
+    "GiveUpCause",
     "LinkPacer",
     "Load",
     "Patience",
--- a/packages/pepperstair-core/pepperstair_core/calls/retry.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/retry.py
@@ -36,6 +36,8 @@
     ATTEMPTS = "it was tried often enough"
     DEADLINE = "too little time is left"
     BUDGET = "the retry budget is used up"
+    NO_OTHER = "no other target is known"
+    NO_ROOM = "no other target has room"
 
 
 class Attempt(Struct, frozen=True):
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -7,7 +7,7 @@
 
 from msgspec import Meta, Struct, structs
 
-from pepperstair_core.calls import ZoneExit
+from pepperstair_core.calls import GiveUpCause, ZoneExit
 
 if TYPE_CHECKING:
     from .daemon import Daemon
@@ -102,6 +102,30 @@
     n_call_retries: Annotated[
         int, Meta(description="Attempts of callers' requests after the first.")
     ] = 0
+    n_not_retried_may_have_run: Annotated[
+        int, Meta(description="Calls not retried: they may have run.")
+    ] = 0
+    n_not_retried_final: Annotated[
+        int,
+        Meta(description="Calls not retried: another attempt would end the same."),
+    ] = 0
+    n_not_retried_attempts: Annotated[
+        int,
+        Meta(description="Calls not retried: the route allows no more attempts."),
+    ] = 0
+    n_not_retried_deadline: Annotated[
+        int, Meta(description="Calls not retried: too little time is left.")
+    ] = 0
+    n_not_retried_budget: Annotated[
+        int,
+        Meta(description="Calls not retried: the retry budget is used up."),
+    ] = 0
+    n_not_retried_no_other: Annotated[
+        int, Meta(description="Calls not retried: no other target is known.")
+    ] = 0
+    n_not_retried_no_room: Annotated[
+        int, Meta(description="Calls not retried: no other target has room.")
+    ] = 0
     n_calls_far_no_target: Annotated[
         int, Meta(description="Calls to other zones: no target in the own.")
     ] = 0
@@ -188,6 +212,13 @@
         n_platform_failures=daemon.platform.counters.n_failures,
         n_platform_refused=daemon.platform.counters.n_refused,
         n_pauses=daemon.control.n_pauses,
+        n_not_retried_may_have_run=daemon.proxy.n_given_up[GiveUpCause.MAY_HAVE_RUN],
+        n_not_retried_final=daemon.proxy.n_given_up[GiveUpCause.FINAL],
+        n_not_retried_attempts=daemon.proxy.n_given_up[GiveUpCause.ATTEMPTS],
+        n_not_retried_deadline=daemon.proxy.n_given_up[GiveUpCause.DEADLINE],
+        n_not_retried_budget=daemon.proxy.n_given_up[GiveUpCause.BUDGET],
+        n_not_retried_no_other=daemon.proxy.n_given_up[GiveUpCause.NO_OTHER],
+        n_not_retried_no_room=daemon.proxy.n_given_up[GiveUpCause.NO_ROOM],
         n_calls_far_no_target=daemon.chooser.n_left_zone[ZoneExit.NO_TARGET],
         n_calls_far_left_out=daemon.chooser.n_left_zone[ZoneExit.LEFT_OUT],
         n_calls_far_full=daemon.chooser.n_left_zone[ZoneExit.FULL],
--- a/tests/test_call_failures.py
+++ b/tests/test_call_failures.py
@@ -6,7 +6,9 @@
 import functools
 
 import pytest
+from structlog.testing import capture_logs
 
+from pepperstair_core.calls import GiveUpCause
 from pepperstair_core.decisions import DecisionKind
 from pepperstair_core.errors import ErrorKind, Run
 from pepperstair_core.intent import Policy
@@ -463,3 +465,25 @@
         assert (outcome.error, outcome.run) == (None, Run.YES)
         assert outcome.n_retries == 0
         assert outcome.duration_ms > 0
+
+
+@pytest.mark.parametrize(
+    ("n_targets", "is_idempotent", "expected"),
+    [
+        (1, True, GiveUpCause.NO_OTHER),
+        (2, False, GiveUpCause.MAY_HAVE_RUN),
+        (2, True, GiveUpCause.ATTEMPTS),
+    ],
+)
+@on_loop
+async def test_failed_call_tells_why_it_was_not_sent_again(
+    n_targets, is_idempotent, expected
+):
+    """Guards against failures whose logs show no reason for the missing retry."""
+    async with Mesh(is_idempotent=is_idempotent, n_attempts_max=2) as mesh:
+        for name in ("a", "b", "c")[: n_targets + (expected is GiveUpCause.ATTEMPTS)]:
+            await mesh.add(name, cut_before_head)
+        with capture_logs() as lines:
+            await mesh.call()
+        assert mesh.proxy.n_given_up[expected] == 1
+        assert [line["given_up"] for line in lines if "given_up" in line] == [expected]
