--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -201,11 +201,11 @@
     yield from _iter_selector_faults(intent)
     known = {service.name for service in intent.services}
     for index, route in enumerate(intent.routes):
-        where = f"routes[{index}]"
-        yield from _iter_destination_faults(where, route, known)
+        if route.splits or route.service not in known:
+            yield from _iter_destination_faults(f"routes[{index}]", route, known)
         if not route.path_prefix.startswith("/"):
             wanted = f"a path that starts with '/', not {route.path_prefix!r}"
-            yield Fault(f"{where}.path_prefix", wanted)
+            yield Fault(f"routes[{index}].path_prefix", wanted)
     yield from _iter_override_faults(intent)
 
 
@@ -236,6 +236,8 @@
 
 
 def _iter_duplicate_faults(where: str, items: tuple) -> Iterator[Fault]:
+    if len({item.name for item in items}) == len(items):
+        return
     seen = set()
     for index, item in enumerate(items):
         if item.name in seen:
@@ -245,21 +247,19 @@
 
 
 def _iter_selector_faults(intent: Intent) -> Iterator[Fault]:
-    selectors = [
-        *(
-            (f"services[{i}].selector", s.selector)
-            for i, s in enumerate(intent.services)
-        ),
-        *((f"routes[{i}].proxies", r.proxies) for i, r in enumerate(intent.routes)),
-        *(
-            (f"policies[{i}].selector", p.selector)
-            for i, p in enumerate(intent.policies)
-        ),
-    ]
-    for where, text in selectors:
-        parsed = parse_selector(text)
-        if parsed.is_err():
-            yield Fault(where, parsed.unwrap_err())
+    stated = (
+        ("services", "selector", [item.selector for item in intent.services]),
+        ("routes", "proxies", [item.proxies for item in intent.routes]),
+        ("policies", "selector", [item.selector for item in intent.policies]),
+    )
+    for part, key, texts in stated:
+        # Thousands of routes share a few selectors.
+        parsed = {text: parse_selector(text) for text in set(texts)}
+        if all(selector.is_ok() for selector in parsed.values()):
+            continue
+        for index, text in enumerate(texts):
+            if parsed[text].is_err():
+                yield Fault(f"{part}[{index}].{key}", parsed[text].unwrap_err())
 
 
 def _iter_override_faults(intent: Intent) -> Iterator[Fault]:
--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -74,8 +74,11 @@
         self.policies = policies
         self._by_host: dict[str, dict[str, CompiledRoute]] = {}
         for compiled in self.routes:
-            by_prefix = self._by_host.setdefault(compiled.route.host, {})
-            by_prefix.setdefault(compiled.route.path_prefix, compiled)
+            route = compiled.route
+            by_prefix = self._by_host.setdefault(route.host, {})
+            known = by_prefix.setdefault(route.path_prefix, compiled)
+            if known is not compiled and _order(compiled) < _order(known):
+                by_prefix[route.path_prefix] = compiled
 
     def match(self, host: str, path: str) -> CompiledRoute | None:
         """Return the most specific route for a request, or None.
@@ -134,12 +137,11 @@
 def compile_routes(snapshots: Iterable[Snapshot], proxy_labels: Labels) -> RouteTable:
     """Compile the routes that select a proxy, from the snapshots in force.
 
-    The order is total (host given, longest prefix, customer, name), so that
-    every proxy with the same versions and labels decides alike.
+    Of routes with the same host and prefix the first by customer and name counts,
+    so that every proxy with the same versions and labels decides alike.
     """
     held = tuple(snapshots)
-    compiled = sorted(_iter_compiled(held, proxy_labels), key=_specificity)
-    return RouteTable(compiled, compile_policies(held))
+    return RouteTable(_iter_compiled(held, proxy_labels), compile_policies(held))
 
 
 class EndpointTable:
@@ -285,20 +287,23 @@
             service.name: (service, parse_selector(service.selector).unwrap())
             for service in snapshot.intent.services
         }
+        customer, version = snapshot.head.customer, snapshot.head.version
         for route in snapshot.intent.routes:
-            if selects(route.proxies):
-                yield _compile(snapshot.head, route, services)
+            if not selects(route.proxies):
+                continue
+            if route.splits:
+                yield _compile_split(snapshot.head, route, services)
+            else:
+                yield CompiledRoute(customer, version, route, *services[route.service])
 
 
-def _compile(
+def _compile_split(
     head: Head, route: Route, services: Mapping[str, tuple[Service, Selector]]
 ) -> CompiledRoute:
     by_service = [
         CompiledRoute(head.customer, head.version, route, *services[name])
         for name in route.services
     ]
-    if not route.splits:
-        return by_service[0]
     weights = [split.weight for split in route.splits]
     return replace(by_service[0], parts=tuple(zip(weights, by_service, strict=False)))
 
@@ -307,9 +312,8 @@
     return endpoint.key
 
 
-def _specificity(compiled: CompiledRoute) -> tuple[bool, int, str, str]:
-    route = compiled.route
-    return (not route.host, -len(route.path_prefix), compiled.customer, route.name)
+def _order(compiled: CompiledRoute) -> tuple[str, str]:
+    return (compiled.customer, compiled.route.name)
 
 
 __all__ = [
