Calls stay in their zone where the others have no free slot either

One assertion of test_choice_of_better asked that a small answer cross for a queue shorter by half of the slots: that is the policy that changes. It now asks that it stays there, and crosses for more than all of the slots, beside the large answer that never does.

--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -29,6 +29,9 @@
 ZONE_MARGIN_PER_BYTE: Final = 1e-5
 # With more room than one free slot asks for, a call need not wait at all.
 ROOM_WAIT: Final = 1.0
+# How much fuller, in shares of its slots, a target of the own zone must be than one
+# elsewhere that has no free slot either.
+FULL_ZONE_MARGIN: Final = 1.0
 # A target is quick enough for a route if its mean answer takes this share of the
 # time within which one is wanted; what is left is for those that take longer.
 QUICK_SHARE: Final = 0.6
@@ -270,8 +273,9 @@
     ) -> Endpoint:
         """Return the better of two, from the own zone while it has room.
 
-        Bytes between zones are slow and paid for; a large answer goes there
-        only where a slot is free. A target of the own zone that is slower than
+        Bytes between zones are slow and paid for, and where no slot is free there
+        either, a call gains nothing by them unless its own zone is much fuller; a
+        large answer never does. A target of the own zone that is slower than
         others still serves its callers in time while it is quick enough for them:
         left at a third of its slots, it would stand idle while every second call
         crosses zones.
@@ -293,8 +297,10 @@
         other = self._better_of_two(far, wait_of)
         far_wait = wait_of(other)
         margin = n_answer_bytes * ZONE_MARGIN_PER_BYTE
-        if margin > ZONE_MARGIN and far_wait > ROOM_WAIT:
-            return best
+        if far_wait > ROOM_WAIT:
+            is_large = margin > ZONE_MARGIN
+            if is_large or not _is_much_fuller(best, other, wait_of):
+                return best
         if far_wait + margin + ZONE_MARGIN >= near_wait:
             return best
         self.n_left_zone[ZoneExit.FULL if is_full else ZoneExit.SLOW] += 1
@@ -362,6 +368,11 @@
             del self._set_aside[key]
 
 
+def _is_much_fuller(near: Endpoint, far: Endpoint, wait_of: WaitOf) -> bool:
+    near_fill = wait_of(near, is_speed_counted=False)
+    return near_fill > FULL_ZONE_MARGIN + wait_of(far, is_speed_counted=False)
+
+
 def _n_ejected_max(endpoints: Sequence[Endpoint], of: Endpoint) -> int:
     allowed = len(endpoints) * of.policy.ejected_percent_max // 100
     return min(allowed, len(endpoints) - 1)
--- a/tests/test_choice_of_better.py
+++ b/tests/test_choice_of_better.py
@@ -39,14 +39,12 @@
 
 
 def test_large_answers_stay_in_their_zone_while_others_are_full_too():
-    """All targets are full, the ones of another zone a little less.
-
-    Map packs sent across would cost more than they gain, and take slots there
-    from callers who are as many.
-    """
+    """Guards against map packs that cross for a queue instead of a free slot."""
     among = [endpoint(1, "z"), endpoint(2, "y")]
     loads = {"t1": Load(12, 8), "t2": Load(12, 2)}
     load_of = lambda item: loads[item.target.name]
+    assert share(chooser(), among, "t2", load_of) == 0.0
+    loads["t1"] = Load(12, 16)
     small = share(chooser(), among, "t2", load_of)
     large = share(chooser(), among, "t2", load_of, n_answer_bytes=MAP_BYTES)
     assert (small, large) == (1.0, 0.0)
--- a/tests/test_choice_zones.py
+++ b/tests/test_choice_zones.py
@@ -90,6 +90,26 @@
     assert slow.n_left_zone[ZoneExit.SLOW] == 1
 
 
+def chosen_where_all_are_full(n_near_waiting: int, n_far_waiting: int) -> str:
+    """Return the zone chosen where no target has a free slot."""
+    near, far = endpoint(1, "a", N_SLOTS), endpoint(2, "b", N_SLOTS)
+    waiting = {near.key: n_near_waiting, far.key: n_far_waiting}
+    chosen = TargetChooser("a", Random(1)).choose(
+        [near, far], lambda item: Load(N_SLOTS, waiting[item.key]), 0.0
+    )
+    return chosen.availability_zone
+
+
+def test_calls_stay_in_their_zone_where_others_have_no_free_slot_either():
+    """Guards against an overload in which calls are swapped between full zones."""
+    assert chosen_where_all_are_full(N_SLOTS // 2, 0) == "a"
+
+
+def test_zone_that_has_lost_targets_uses_fuller_ones_elsewhere():
+    """Guards against one overfull zone that refuses what others could queue."""
+    assert chosen_where_all_are_full(2 * N_SLOTS, N_SLOTS // 2) == "b"
+
+
 def play_unequal_speeds(objective_ms: float, seed: int) -> tuple[float, float]:
     """Return the shares that cross zones and that are answered in time.
 
