A starting daemon on a narrow link leaves the first read of the store to others

The logs of one of them show nothing for 0.86 s after its peers were connected: having waited 0.1 to 0.35 s for a copy it read the document of 2,415 routes itself, which takes its link of 7 Mbit/s for 0.7 s, and the copy from a neighbour, small as it is, stood behind that.

Ruled out: processor time (cProfile of these 1.3 s: 0.28 s a daemon, inflated, of 0.56 s that its share gives); requests that poll for the end of the start (5% of that).

Change: daemons that are not among the first readers, as far as they know the members by then, wait for what a large document takes on their own link as well. Alone, or with the widest link of those it knows, a daemon reads as soon as before.

--- a/packages/pepperstair-core/pepperstair_core/shared_reading.py
+++ b/packages/pepperstair-core/pepperstair_core/shared_reading.py
@@ -54,7 +54,9 @@
 class ReadSchedule:
     """When this daemon reads the table next, from what it has heard and read.
 
-    `bound_ms` is the time in which a version has to be in force everywhere. Times are
+    `bound_ms` is the time in which a version has to be in force everywhere, and
+    `read_ms` what the VM's link takes for a large document: a daemon that starts
+    leaves the first read to those with wider links for so long. Times are
     in milliseconds of one clock that never goes back, and `place` is the number of
     daemons that come before this one in the order of readers.
 
@@ -67,8 +69,11 @@
     5000.0
     """
 
-    def __init__(self, bound_ms: float, start_ms: float, rng: Random) -> None:
+    def __init__(
+        self, bound_ms: float, start_ms: float, rng: Random, read_ms: float = 0.0
+    ) -> None:
         self._rng = rng
+        self._read_ms = read_ms
         self._start_ms = start_ms
         self._first_ms = start_ms + START_MIN_MS + rng.random() * START_SPREAD_MS
         self._last_read_share = LAST_READ_SHARE + rng.random() * LAST_READ_SPREAD_SHARE
@@ -108,7 +113,7 @@
     def due_ms(self, place: int, now_ms: float) -> float:
         """Return when to read next if nothing is confirmed until then."""
         if not self.is_confirmed:
-            return self._first_ms
+            return self._first_ms + (self._read_ms if place >= N_WATCHERS else 0.0)
         if self.is_watcher(place, now_ms):
             return now_ms
         steps_ms = max(0, place - N_WATCHERS) * READER_STEP_MS
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -289,3 +289,13 @@
     places = [place_among_readers(member, members, "config") for member in members]
     assert places[0] == 4 and places[2] == 3 and places[4] == 0
     assert {places[1], places[3]} == {1, 2}
+
+
+def test_daemons_that_start_together_do_not_all_read_over_narrow_links():
+    """Guards against copies from neighbours that wait behind a read of the store."""
+    schedule = ReadSchedule(BOUND_MS, 0.0, random.Random(1), read_ms=600.0)
+    first_ms = schedule.due_ms(0, 0.0)
+    assert schedule.due_ms(N_WATCHERS - 1, 0.0) == first_ms
+    assert schedule.due_ms(N_WATCHERS, 0.0) == first_ms + 600.0
+    schedule.confirm(first_ms)
+    assert schedule.due_ms(0, first_ms) == first_ms + schedule.max_age_ms
