Members that change within a moment are taken, and told on, together

Cause: a start or a stop of one daemon is several changes of its record, each of which comes over several neighbours; every one renewed the endpoints of all services and looked at all members for those that have come back.

Ruled out: longer times (a caller's daemon should know a new target within some hops).

Change: the daemon takes changes 10 ms after the first of a burst; the control streams gather changes for 20 ms instead of 5 before they pass them on.

--- a/packages/pepperstair-peers/pepperstair_peers/control/plane.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/plane.py
@@ -43,7 +43,7 @@
 
 log = structlog.get_logger(__name__)
 
-_FLUSH_S: Final = 0.005
+_FLUSH_S: Final = 0.02
 _TICKS_PER_HEARTBEAT: Final = 4
 # Without a neighbour failed dials are repeated sooner.
 _TICKS_WHILE_ALONE: Final = 20
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -70,6 +70,8 @@
 log = structlog.get_logger(__name__)
 
 _LEASE_CHECK_S: Final = 0.25
+# Members that change within this time are taken together.
+_BURST_S: Final = 0.01
 
 
 class Daemon:
@@ -194,6 +196,7 @@
         self.registry.on_changed = self.publish_targets
         self.configuration.on_changed = lambda snapshot: self._renew_endpoints()
         self.configuration.on_converged = self._count_convergence
+        self._members_timer: asyncio.TimerHandle | None = None
         self._lease_task: asyncio.Task[None] | None = None
         self._settings_task: asyncio.Task[None] | None = None
 
@@ -213,6 +216,13 @@
         return self.is_ready() and not self.is_stopping
 
     def _members_changed(self) -> None:
+        """Take changed members a little later, those of one burst together."""
+        if self._members_timer is None:
+            loop = asyncio.get_running_loop()
+            self._members_timer = loop.call_later(_BURST_S, self._take_members)
+
+    def _take_members(self) -> None:
+        self._members_timer = None
         self.configuration.members_changed()
         self._forgive_returned()
         self._renew_endpoints()
@@ -267,6 +277,8 @@
     def close(self) -> None:
         """Cancel what runs beside the calls and close every connection."""
         self._lease_task.cancel()
+        if self._members_timer is not None:
+            self._members_timer.cancel()
         if self._settings_task is not None:
             self._settings_task.cancel()
         self.metrics.close()
