The field's words for statistics of routes and for fair queues

old new calls/habits.py calls/route_statistics.py Patience, context.patience CallerTimeouts, context.caller_timeouts Acceptance, context.acceptance AcceptanceRates, context.acceptance_rates calls/route_norms.py, RouteNorms calls/route_latencies.py, RouteLatencies see, see_latency, see_outcome, record, record_latency, record_outcome, see_answer record_answer customer_lines.py, CustomerLines deficit_round_robin.py, DeficitRoundRobin lines of customers queues of customers platform turns.py, RequestTurns platform rate_limiter.py, FairRateLimiter

Settings, metrics and log events keep their names. Left: the other words that the issue lists, and the other packages.

--- a/emulator/pepperstair_emulator/attempts.py
+++ b/emulator/pepperstair_emulator/attempts.py
@@ -183,7 +183,7 @@
         service = self._route.service
         latency_ms = self._fleet.clock.now_ms - self._chosen_ms
         if failure is None:
-            self._daemon.acceptance.see(service, True)
+            self._daemon.acceptance.record(service, True)
             self._end(EndKind.GOOD, latency_ms)
             self._done(Outcome(is_good=True))
             return
@@ -199,7 +199,7 @@
         self._end(kind, latency_ms, int(avoided_ms))
         if failure.kind is ErrorKind.TARGET_REFUSED:
             acceptance = self._daemon.acceptance
-            acceptance.see(service, False)
+            acceptance.record(service, False)
             failure = replace(
                 failure, retry_after_ms=acceptance.retry_after_ms(service)
             )
--- a/emulator/pepperstair_emulator/fleet.py
+++ b/emulator/pepperstair_emulator/fleet.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from pepperstair_core.calls import (
-    Acceptance,
+    AcceptanceRates,
     BudgetTerms,
     FleetRetryBudget,
     Load,
@@ -36,7 +36,7 @@
         self.vm = vm
         self.zone = zone
         self.chooser = TargetChooser(own_zone, fleet.rng)
-        self.acceptance = Acceptance()
+        self.acceptance = AcceptanceRates()
         self.loads: dict[str, Load] = {}
         self._fleet = fleet
         self._budgets: dict[str, FleetRetryBudget] = {}
--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -93,7 +93,7 @@
         self._is_idempotent = compiled.route.is_idempotent or head.is_idempotent
         route_timeout_ms = compiled.route.timeout_ms
         self.timeout_ms = min(head.timeout_ms or route_timeout_ms, route_timeout_ms)
-        self._waited_before_ms = context.patience.waited_ms(
+        self._waited_before_ms = context.caller_timeouts.waited_ms(
             compiled.route.name, head.timeout_ms
         )
         self._endpoint: Endpoint | None = None
@@ -137,11 +137,11 @@
             self.n_attempts += 1
             try:
                 response = await self._attempt(self._endpoint)
-                context.acceptance.see(self.compiled.service.name, True)
+                context.acceptance_rates.record(self.compiled.service.name, True)
                 if self._may_end_better_elsewhere(response):
                     return await self._answer_from_another(response)
                 self._latency_ms = context.now_ms() - self._attempted_ms
-                context.chooser.see_answer(self._endpoint, self._attempted_ms)
+                context.chooser.record_answer(self._endpoint, self._attempted_ms)
                 return response
             except PepperstairError as error:
                 await self._back_off(error.failure)
@@ -232,7 +232,7 @@
         waited = header_value(response.headers, WAITED_HEADER)
         waited_ms = int(waited) if waited.isdigit() else 0
         self._end(kind, max(0.0, self._latency_ms - waited_ms))
-        self._context.answer_sizes.see(self.compiled.route.name, n_bytes)
+        self._context.answer_sizes.record(self.compiled.route.name, n_bytes)
 
     def abandon(self) -> None:
         """Take the end of an answer that the caller did not wait for."""
@@ -335,8 +335,8 @@
         if failure.kind is not ErrorKind.TARGET_REFUSED:
             return failure.retry_after_ms
         service = self.compiled.service.name
-        self._context.acceptance.see(service, False)
-        return self._context.acceptance.retry_after_ms(service)
+        self._context.acceptance_rates.record(service, False)
+        return self._context.acceptance_rates.retry_after_ms(service)
 
     def _call_head(self, endpoint: Endpoint) -> CallHead:
         request = self._request
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -10,11 +10,11 @@
 from msgspec import Struct, field
 
 from pepperstair_core.calls import (
-    Acceptance,
+    AcceptanceRates,
     AnswerSizes,
+    CallerTimeouts,
     CallOutcome,
     Load,
-    Patience,
     RetryBudget,
     TargetChooser,
 )
@@ -61,8 +61,8 @@
     rng: random.Random
     body_max_bytes: Callable[[], int]
     answer_sizes: AnswerSizes = field(default_factory=AnswerSizes)
-    acceptance: Acceptance = field(default_factory=Acceptance)
-    patience: Patience = field(default_factory=Patience)
+    acceptance_rates: AcceptanceRates = field(default_factory=AcceptanceRates)
+    caller_timeouts: CallerTimeouts = field(default_factory=CallerTimeouts)
     header_names: HeaderNames = PRODUCT_HEADERS
     service: str = ""
     time_to_stop_ms: Callable[[], float] = lambda: math.inf
--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -15,7 +15,6 @@
 )
 from .fair_queue import WaitingCall
 from .fleet_budget import BudgetTerms, FleetRetryBudget
-from .habits import Acceptance, AnswerSizes, Patience
 from .outcome import CallOutcome
 from .pacing import LinkPacer
 from .retry import (
@@ -27,12 +26,13 @@
     TokenRetryBudget,
     decide_retry,
 )
+from .route_statistics import AcceptanceRates, AnswerSizes, CallerTimeouts
 from .sampling import is_sampled
 
 __all__ = [
     "FULL_AVOIDED_MS",
     "JOINING_MS",
-    "Acceptance",
+    "AcceptanceRates",
     "Admission",
     "Admitted",
     "AnswerSizes",
@@ -47,7 +47,7 @@
     "GiveUpCause",
     "LinkPacer",
     "Load",
-    "Patience",
+    "CallerTimeouts",
     "RefusalCause",
     "Refused",
     "Retry",
--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -131,7 +131,7 @@
         if service_ms is not None:
             cost = service_ms / max(self._times.mean_ms, 0.01) - 1.0
             self._queues[priority].charge(customer, cost)
-            self._times.see(priority, route, service_ms)
+            self._times.record(priority, route, service_ms)
         return self._grant(now_ms)
 
     def resize(self, n_slots: int, now_ms: float) -> list[Verdict]:
--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -13,7 +13,7 @@
 
 from .call_ends import CallEnd, Ejection, EndKind, ZoneExit
 from .expected_wait import Load, LoadOf, WaitOf, make_wait_of
-from .route_norms import RouteNorms
+from .route_latencies import RouteLatencies
 from .target_group import Candidates, TargetGroup, TargetKey
 from .target_health import TargetHealth
 
@@ -67,7 +67,7 @@
         self._groups: dict[int, TargetGroup] = {}
         # Those that may be ejected or to be avoided: few beside all targets.
         self._set_aside: dict[TargetKey, TargetHealth] = {}
-        self._norms = RouteNorms()
+        self._norms = RouteLatencies()
 
     def choose(
         self,
@@ -138,11 +138,11 @@
             if known_vm == vm:
                 health.forgive()
 
-    def see_answer(self, endpoint: Endpoint, start_ms: float) -> None:
+    def record_answer(self, endpoint: Endpoint, start_ms: float) -> None:
         """Take the head of the answer to a call that was chosen at `start_ms`."""
         health = self._health.get(endpoint.key)
         if health is not None:
-            health.see_answer(start_ms)
+            health.record_answer(start_ms)
 
     def end(
         self,
@@ -156,12 +156,12 @@
         if health is None:
             return None
         health.n_in_flight = max(0, health.n_in_flight - 1)
-        health.see_answer(end.start_ms)
+        health.record_answer(end.start_ms)
         if end.kind is EndKind.GOOD:
-            self._norms.see_outcome(end.route, False)
+            self._norms.record_outcome(end.route, False)
             health.succeed(now_ms)
-            self._norms.see_latency(end.route, end.latency_ms)
-            health.see_latency(end.latency_ms * self._norms.scale(end.route), now_ms)
+            self._norms.record_latency(end.route, end.latency_ms)
+            health.record_latency(end.latency_ms * self._norms.scale(end.route), now_ms)
         elif end.kind is EndKind.REFUSED:
             # A target that refuses at once has nothing in flight and so looks
             # idle: without this it would draw all calls and refuse them all.
@@ -172,7 +172,7 @@
         elif end.kind is EndKind.ABANDONED:
             health.is_probed = False
         else:
-            self._norms.see_outcome(end.route, True)
+            self._norms.record_outcome(end.route, True)
             health.fail(now_ms)
             if end.kind is EndKind.UNREACHABLE:
                 # Every call to a VM that can't be reached would be lost until
@@ -181,7 +181,7 @@
             # A quick failure says nothing of speed, a timeout does.
             latency_ms = end.latency_ms * self._norms.scale(end.route)
             if latency_ms > health.latency_ms(now_ms):
-                health.see_latency(latency_ms, now_ms)
+                health.record_latency(latency_ms, now_ms)
             n_errors_min = endpoint.policy.ejection_errors
             if end.kind is not EndKind.UNREACHABLE:
                 n_errors_min = self._norms.n_errors_to_eject(n_errors_min, end.route)
--- a/packages/pepperstair-core/pepperstair_core/calls/route_norms.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/route_latencies.py
@@ -17,7 +17,7 @@
 N_ROUTES_MAX: Final = 1_000
 
 
-class RouteNorms:
+class RouteLatencies:
     """The usual time of an answer, and how often calls fail, by route."""
 
     def __init__(self) -> None:
@@ -38,7 +38,7 @@
         usual_ms = self._usual_ms.get(route)
         return 1.0 if usual_ms is None else self._usual_overall_ms / usual_ms
 
-    def see_latency(self, route: str, latency_ms: float) -> None:
+    def record_latency(self, route: str, latency_ms: float) -> None:
         """Take a good answer's latency into what is usual."""
         if latency_ms <= 0.0:
             return
@@ -50,7 +50,7 @@
         change_ms = latency_ms - overall_ms
         self._usual_overall_ms = overall_ms + USUAL_WEIGHT * change_ms
 
-    def see_outcome(self, route: str, is_failed: bool) -> None:
+    def record_outcome(self, route: str, is_failed: bool) -> None:
         """Take the end of a call into how often calls of its route fail anywhere."""
         known = self._failing
         if len(known) >= N_ROUTES_MAX and route not in known:
@@ -72,4 +72,4 @@
         return max(n_errors, math.ceil(n_unlikely))
 
 
-__all__ = ["RouteNorms"]
+__all__ = ["RouteLatencies"]
--- a/packages/pepperstair-core/pepperstair_core/calls/habits.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/route_statistics.py
@@ -23,7 +23,7 @@
     """The mean size of a route's answers, in bytes.
 
     >>> sizes = AnswerSizes()
-    >>> sizes.see("map", 90_000)
+    >>> sizes.record("map", 90_000)
     >>> sizes.of("map"), sizes.of("award")
     (90000.0, 0.0)
     """
@@ -31,7 +31,7 @@
     def __init__(self) -> None:
         self._mean_bytes: dict[str, float] = {}
 
-    def see(self, route: str, n_bytes: int) -> None:
+    def record(self, route: str, n_bytes: int) -> None:
         """Take the size of one answer."""
         known = self._mean_bytes
         if len(known) >= N_ROUTES_MAX and route not in known:
@@ -44,17 +44,17 @@
         return self._mean_bytes.get(route, 0.0)
 
 
-class Patience:
+class CallerTimeouts:
     """How long the callers of a route usually say that they wait.
 
     A caller that was refused and comes back states what is left of its time.
     Its answer can't be in time any more as often, and serving it like a new one
     would make a new one late too.
 
-    >>> patience = Patience()
-    >>> [patience.waited_ms("r", 800) for _ in range(3)]
+    >>> timeouts = CallerTimeouts()
+    >>> [timeouts.waited_ms("r", 800) for _ in range(3)]
     [0, 0, 0]
-    >>> patience.waited_ms("r", 500) > 250
+    >>> timeouts.waited_ms("r", 500) > 250
     True
     """
 
@@ -77,7 +77,7 @@
         return int(median_ms - timeout_ms)
 
 
-class Acceptance:
+class AcceptanceRates:
     """Which share of the calls that reach a service's targets is taken in.
 
     A target that turns calls away though its slots are free does so by its own
@@ -86,7 +86,7 @@
     call for some seconds, callers get their answer within the wanted time far more
     often when they come back at once. The fewer are taken, the longer it is.
 
-    >>> acceptance = Acceptance()
+    >>> acceptance = AcceptanceRates()
     >>> acceptance.retry_after_ms("ledger")
     50
     """
@@ -94,7 +94,7 @@
     def __init__(self) -> None:
         self._shares: dict[str, float] = {}
 
-    def see(self, service: str, is_accepted: bool) -> None:
+    def record(self, service: str, is_accepted: bool) -> None:
         """Take whether a target took a call in."""
         if len(self._shares) >= N_ROUTES_MAX and service not in self._shares:
             self._shares.clear()
@@ -107,4 +107,4 @@
         return int(min(LATEST_RETURN_MS, SOON_MS / max(share, 0.01)))
 
 
-__all__ = ["Acceptance", "AnswerSizes", "Patience"]
+__all__ = ["AcceptanceRates", "AnswerSizes", "CallerTimeouts"]
--- a/packages/pepperstair-core/pepperstair_core/calls/service_times.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/service_times.py
@@ -29,7 +29,7 @@
     """The times that calls held a slot, by priority and by route, in milliseconds.
 
     >>> times = ServiceTimes()
-    >>> times.see("normal", "map", 90.0)
+    >>> times.record("normal", "map", 90.0)
     >>> times.longest_ms
     90.0
     """
@@ -42,7 +42,7 @@
         self._mean_ms_by_route: dict[str, float] = {}
         self._deviation_ms_by_route: dict[str, float] = {}
 
-    def see(self, priority: str, route: str, service_ms: float) -> None:
+    def record(self, priority: str, route: str, service_ms: float) -> None:
         """Take how long a call held its slot."""
         self.mean_ms += SERVICE_WEIGHT * (service_ms - self.mean_ms)
         change_ms = service_ms - self._mean_ms_of[priority]
--- a/packages/pepperstair-core/pepperstair_core/calls/target_health.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/target_health.py
@@ -113,14 +113,14 @@
         if weight:
             self._starts.append((now_ms, weight))
 
-    def see_answer(self, start_ms: float) -> None:
+    def record_answer(self, start_ms: float) -> None:
         """Take the head of an answer, whose body may go on for long."""
         for index, (started_ms, _) in enumerate(self._starts):
             if started_ms == start_ms:
                 del self._starts[index]
                 return
 
-    def see_latency(self, latency_ms: float, now_ms: float) -> None:
+    def record_latency(self, latency_ms: float, now_ms: float) -> None:
         """Take the time that an answer took."""
         if self._latency_ms == 0.0:
             self._latency_ms = latency_ms
@@ -142,7 +142,7 @@
 
     def succeed(self, now_ms: float) -> None:
         """Take a good answer: the target is back, or still there."""
-        self._see_outcome(0.0, now_ms)
+        self._record_outcome(0.0, now_ms)
         self.n_errors = 0
         self.is_ejected = False
         self.is_probed = False
@@ -152,7 +152,7 @@
 
     def fail(self, now_ms: float) -> None:
         """Take an error that the target or its daemon caused."""
-        self._see_outcome(1.0, now_ms)
+        self._record_outcome(1.0, now_ms)
         self.n_errors += 1
         self._n_successes = 0
 
@@ -164,7 +164,7 @@
         self.n_ejections = 0
         self.avoided_until_ms = 0.0
 
-    def _see_outcome(self, failed: float, now_ms: float) -> None:
+    def _record_outcome(self, failed: float, now_ms: float) -> None:
         rate = _faded(self._failure_rate, now_ms - self._failure_seen_ms)
         if rate < _FORGOTTEN_RATE:
             self._n_failures = 0
--- a/packages/pepperstair-core/pepperstair_core/customer_lines.py
+++ b/packages/pepperstair-core/pepperstair_core/deficit_round_robin.py
@@ -1,14 +1,14 @@
 """Deficit round robin over customers, and the token bucket behind it.
 
-A large customer's burst waits in that customer's own line: a small customer's
+A large customer's burst waits in that customer's own queue: a small customer's
 item is taken after at most one turn of each other customer (Shreedhar and
 Varghese 1995).
 
->>> lines = CustomerLines(quantum=10)
+>>> queue = DeficitRoundRobin(quantum=10)
 >>> for number in range(3):
-...     lines.put("sayaw", f"sayaw {number}", 10)
->>> lines.put("lantern", "lantern 0", 10)
->>> [lines.take() for _ in range(2)]
+...     queue.put("sayaw", f"sayaw {number}", 10)
+>>> queue.put("lantern", "lantern 0", 10)
+>>> [queue.take() for _ in range(2)]
 ['sayaw 0', 'lantern 0']
 """
 
@@ -20,34 +20,34 @@
 Item = TypeVar("Item")
 
 
-class CustomerLines(Generic[Item]):
-    """Lines of items by customer, taken in turns of equal cost."""
+class DeficitRoundRobin(Generic[Item]):
+    """A queue of items for each customer, taken in turns of equal cost."""
 
     def __init__(self, quantum: int) -> None:
         self._quantum = quantum
-        self._lines: dict[str, deque[tuple[int, Item]]] = {}
+        self._queues: dict[str, deque[tuple[int, Item]]] = {}
         self._turns: deque[str] = deque()
         self._deficits: dict[str, int] = {}
         self._costs: dict[str, int] = {}
 
     def __len__(self) -> int:
-        return sum(len(line) for line in self._lines.values())
+        return sum(len(queue) for queue in self._queues.values())
 
     def put(self, customer: str, item: Item, cost: int) -> None:
-        """Add an item to the end of a customer's line."""
-        if customer not in self._lines:
-            self._lines[customer] = deque()
+        """Add an item to the end of a customer's queue."""
+        if customer not in self._queues:
+            self._queues[customer] = deque()
             self._turns.append(customer)
             self._deficits[customer] = 0
             self._costs[customer] = 0
-        self._lines[customer].append((cost, item))
+        self._queues[customer].append((cost, item))
         self._costs[customer] += cost
 
     def take(self) -> Item | None:
         """Remove and return the next item, or None from an empty queue."""
         while self._turns:
             customer = self._turns[0]
-            cost, item = self._lines[customer][0]
+            cost, item = self._queues[customer][0]
             if self._deficits[customer] >= cost:
                 return self._remove_first(customer, cost, item)
             self._deficits[customer] += self._quantum
@@ -59,25 +59,25 @@
         return self._costs.get(customer, 0)
 
     def drop(self, customer: str) -> tuple[Item, ...]:
-        """Remove a customer's whole line and return what was in it."""
-        line = self._lines.get(customer, ())
-        items = tuple(item for _, item in line)
-        if line:
+        """Remove a customer's whole queue and return what was in it."""
+        queue = self._queues.get(customer, ())
+        items = tuple(item for _, item in queue)
+        if queue:
             self._forget(customer)
         return items
 
     def _remove_first(self, customer: str, cost: int, item: Item) -> Item:
         self._deficits[customer] -= cost
         self._costs[customer] -= cost
-        line = self._lines[customer]
-        line.popleft()
-        if not line:
+        queue = self._queues[customer]
+        queue.popleft()
+        if not queue:
             self._forget(customer)
         return item
 
     def _forget(self, customer: str) -> None:
-        """Drop an empty line with its deficit, so that idling earns no credit."""
-        del self._lines[customer], self._deficits[customer], self._costs[customer]
+        """Drop an empty queue with its deficit, so that idling earns no credit."""
+        del self._queues[customer], self._deficits[customer], self._costs[customer]
         self._turns.remove(customer)
 
 
@@ -101,4 +101,4 @@
         return int((1 - self._n_tokens) * 1000 / self._n_per_s) + 1
 
 
-__all__ = ["CustomerLines", "TokenBucket"]
+__all__ = ["DeficitRoundRobin", "TokenBucket"]
--- a/packages/pepperstair-core/pepperstair_core/distribution/outbox.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/outbox.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from ..customer_lines import CustomerLines
+from ..deficit_round_robin import DeficitRoundRobin
 from ..wire import ControlFrame, DeltaPush, Have, SnapshotPart
 from .state import PART_MAX_BYTES
 
@@ -17,7 +17,7 @@
     """One fair queue for each neighbour, with a bound on queued deltas."""
 
     def __init__(self) -> None:
-        self._queues: dict[str, CustomerLines[ControlFrame]] = {}
+        self._queues: dict[str, DeficitRoundRobin[ControlFrame]] = {}
 
     def put(self, vm: str, customer: str, frame: ControlFrame) -> None:
         """Queue a frame in a customer's line to a neighbour.
@@ -28,7 +28,7 @@
         """
         queue = self._queues.get(vm)
         if queue is None:
-            queue = self._queues[vm] = CustomerLines(PART_MAX_BYTES)
+            queue = self._queues[vm] = DeficitRoundRobin(PART_MAX_BYTES)
         is_delta = isinstance(frame, DeltaPush)
         if is_delta and queue.cost_of(customer) > BACKLOG_MAX_BYTES:
             for waiting in queue.drop(customer):
--- a/packages/pepperstair-core/pepperstair_core/distribution/state.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/state.py
@@ -10,7 +10,7 @@
 
 from msgspec import Struct, field
 
-from ..customer_lines import CustomerLines
+from ..deficit_round_robin import DeficitRoundRobin
 from ..intent import Intent
 from ..members import Member, MemberState
 from ..versions import Delta, Head, Snapshot, digest_of, encode_intent
@@ -176,8 +176,8 @@
     rng: Random
     timing: Timing = field(default_factory=Timing)
     customers: dict[str, CustomerState] = field(default_factory=dict)
-    inbox: CustomerLines[ReceivedDelta | ReceivedBody] = field(
-        default_factory=lambda: CustomerLines(PART_MAX_BYTES)
+    inbox: DeficitRoundRobin[ReceivedDelta | ReceivedBody] = field(
+        default_factory=lambda: DeficitRoundRobin(PART_MAX_BYTES)
     )
     served: dict[tuple[str, str], int] = field(default_factory=dict)
     anti_entropy_due_ms: int = 0
--- a/packages/pepperstair-platform/pepperstair_platform/platform.py
+++ b/packages/pepperstair-platform/pepperstair_platform/platform.py
@@ -18,7 +18,7 @@
 from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_http import ConnectionLostError, Fetcher, Response
 
-from .turns import RequestTurns
+from .rate_limiter import FairRateLimiter
 
 log = structlog.get_logger(__name__)
 
@@ -59,7 +59,7 @@
     def __init__(self, settings: PlatformSettings) -> None:
         host, port = parse_address(settings.address)
         self._fetcher = Fetcher(host, port, settings.timeout_ms)
-        self._turns = RequestTurns(settings.requests_per_s)
+        self._turns = FairRateLimiter(settings.requests_per_s)
         self._timeout_ms = settings.timeout_ms
         self.counters = PlatformCounters()
 
--- a/packages/pepperstair-platform/pepperstair_platform/turns.py
+++ b/packages/pepperstair-platform/pepperstair_platform/rate_limiter.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from pepperstair_core.customer_lines import CustomerLines, TokenBucket
+from pepperstair_core.deficit_round_robin import DeficitRoundRobin, TokenBucket
 
 log = structlog.get_logger(__name__)
 
@@ -17,7 +17,7 @@
 N_WAITING_MAX: Final = 64
 
 
-class RequestTurns:
+class FairRateLimiter:
     """Lets requests to the platform pass one by one, each customer in turn.
 
     Without it one customer's bulk would use up the platform's capacity, and a
@@ -30,7 +30,9 @@
     def __init__(self, n_per_s: int, now_ms: Callable[[], int] | None = None) -> None:
         self._now_ms = now_ms or _monotonic_ms
         self._bucket = TokenBucket(n_per_s, self._now_ms())
-        self._queue: CustomerLines[asyncio.Future[None]] = CustomerLines(quantum=1)
+        self._queue: DeficitRoundRobin[asyncio.Future[None]] = DeficitRoundRobin(
+            quantum=1
+        )
         self._n_waiting: dict[str, int] = {}
         self._task: asyncio.Task[None] | None = None
         self.n_refused = 0
@@ -89,4 +91,4 @@
     return time.monotonic_ns() // 1_000_000
 
 
-__all__ = ["N_WAITING_MAX", "RequestTurns"]
+__all__ = ["N_WAITING_MAX", "FairRateLimiter"]
--- a/tests/test_turns.py
+++ b/tests/test_rate_limiter.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from pepperstair_platform.turns import N_WAITING_MAX, RequestTurns
+from pepperstair_platform.rate_limiter import N_WAITING_MAX, FairRateLimiter
 
 
 class SetClock:
@@ -28,7 +28,7 @@
         # With the machine's own clock a pause of it before the small customer
         # asks would let more of the large one's changes pass, and rightly so.
         clock = SetClock()
-        turns = RequestTurns(200, clock)
+        turns = FairRateLimiter(200, clock)
         taken: list[str] = []
 
         async def take(customer: str) -> None:
@@ -59,7 +59,7 @@
     """
 
     async def run() -> bool:
-        turns = RequestTurns(1, SetClock())
+        turns = FairRateLimiter(1, SetClock())
         waiting = [
             asyncio.create_task(turns.take("lantern", 0, 60_000))
             for _ in range(N_WAITING_MAX + 1)
--- a/tests/test_returning_callers.py
+++ b/tests/test_returning_callers.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from pepperstair_core.calls import Acceptance
+from pepperstair_core.calls import AcceptanceRates
 from pepperstair_http import Response
 
 from .call_mesh import Mesh, retry_after_ms, run_of
@@ -21,19 +21,21 @@
 N_RETRIES = 2
 
 
-def play(accepted_share: float, return_ms_of: Callable[[Acceptance], float]) -> float:
+def play(
+    accepted_share: float, return_ms_of: Callable[[AcceptanceRates], float]
+) -> float:
     """Return the share of callers whose answer came in time.
 
     Targets take calls in with the same probability at any time, and every caller
     comes back up to twice, when it is told to, at most after a third of its time.
     """
-    rng, acceptance = Random(5), Acceptance()
+    rng, acceptance = Random(5), AcceptanceRates()
     events = [(index * 10.0, index, 0, index * 10.0) for index in range(1_500)]
     n_in_time = 0
     while events:
         now_ms, caller, n_returns, first_ms = heapq.heappop(events)
         is_accepted = rng.random() < accepted_share
-        acceptance.see("s", is_accepted)
+        acceptance.record("s", is_accepted)
         if is_accepted:
             n_in_time += now_ms + WORK_MS - first_ms <= WANTED_MS
         elif n_returns < N_RETRIES:
@@ -57,9 +59,9 @@
 
 
 def test_callers_of_targets_that_take_nothing_are_sent_away_for_longer():
-    acceptance = Acceptance()
+    acceptance = AcceptanceRates()
     for _ in range(300):
-        acceptance.see("s", False)
+        acceptance.record("s", False)
     assert acceptance.retry_after_ms("s") == 1_000
     assert acceptance.retry_after_ms("other") == 50
 
--- a/tests/test_splits.py
+++ b/tests/test_splits.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from pepperstair_core.calls import AnswerSizes, Patience
+from pepperstair_core.calls import AnswerSizes, CallerTimeouts
 from pepperstair_core.intent import Intent, Route, Service, Split, iter_intent_faults
 from pepperstair_core.routing import compile_routes, pick_part
 from pepperstair_core.versions import Head, Snapshot
@@ -52,7 +52,7 @@
 
 
 def test_caller_that_comes_back_is_told_from_a_new_one():
-    patience = Patience()
+    patience = CallerTimeouts()
     rng = Random(2)
     for _ in range(200):
         patience.waited_ms("r", 800 if rng.random() < 0.7 else 530)
@@ -64,6 +64,6 @@
 def test_size_of_answers_follows_what_is_seen():
     sizes = AnswerSizes()
     for _ in range(200):
-        sizes.see("map", 90_000)
-    sizes.see("map", 0)
+        sizes.record("map", 90_000)
+    sizes.record("map", 0)
     assert 80_000 < sizes.of("map") < 90_000
