--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 .PHONY: install test lint format demo docs clean bench-path bench-idle bench-http \
 	bench-ahead bench-burn bench-listening bench-floor bench-neighbours \
-	bench-convergence bench-control-bytes bench-calls
+	bench-convergence bench-control-bytes bench-calls bench-start
 
 install: $(VENV)/installed
 
@@ -44,6 +44,9 @@
 bench-idle: install
 	$(PYTHON) -m benchmarks.idle
 
+bench-start: install
+	$(PYTHON) -m benchmarks.start
+
 bench-listening: install
 	$(PYTHON) -m benchmarks.listening
 
--- /dev/null
+++ b/benchmarks/start.py
@@ -0,0 +1,47 @@
+"""What the imports of a daemon cost before it can do anything.
+
+`python -m benchmarks.start` prints the median processor time and memory of starts of
+a Python without its site module, as the users' platform starts the daemon.
+"""
+
+from __future__ import annotations
+
+import os
+import statistics
+import subprocess
+import sys
+
+_N_STARTS = 9
+_IMPORTS = """
+import gc, resource
+from pepperstaird import light_imports
+light_imports.leave_out()
+gc.disable()
+from pepperstaird.running import run_daemon
+from pepperstair_adapter.composition import platform_edges
+usage = resource.getrusage(resource.RUSAGE_SELF)
+print(usage.ru_utime + usage.ru_stime, usage.ru_maxrss)
+"""
+
+
+def main() -> None:
+    """Print one line."""
+    starts = [_start() for _ in range(_N_STARTS)]
+    time_ms = 1000 * statistics.median(time_s for time_s, _ in starts)
+    memory_mb = statistics.median(memory_kb for _, memory_kb in starts) / 1024
+    print(f"{_N_STARTS} starts: {time_ms:.0f} ms of processor time, {memory_mb:.1f} MB")
+
+
+def _start() -> tuple[float, float]:
+    """Return the seconds of processor time and the KB of memory of one start."""
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
+    command = [sys.executable, "-S", "-c", _IMPORTS]
+    ended = subprocess.run(
+        command, env=environment, capture_output=True, text=True, check=True
+    )
+    time_s, memory_kb = ended.stdout.split()
+    return float(time_s), float(memory_kb)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -38,6 +38,19 @@
         assert [frame for chunk in chunks for frame in decoder.feed(chunk)] == FRAMES
 
 
+def test_frames_have_the_form_that_older_daemons_read():
+    """Guards against a rolling upgrade in which daemons lose their streams."""
+    arrays = [msgpack.unpackb(encode_frame(frame)) for frame in FRAMES]
+    target = ["ledger-1", "127.0.0.1:1", [["app", "ledger"]], 12, 130, "serving"]
+    member = ["a", 1, 2, 0, "z", "127.0.0.1:2", [], [target], "", 0.0]
+    assert arrays == [
+        [3, 7, [["ledger-1", 3, 4]]],
+        [45, 1, "overloaded", "no", "full", 250, 0, 0],
+        [41, 9, b"loot"],
+        [20, [member]],
+    ]
+
+
 @pytest.mark.parametrize(
     "array",
     [
