--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,6 +8,7 @@
 from pepperstair_core.errors import ErrorKind, Run
 from pepperstair_core.members import Member, MemberState, Target, TargetState
 from pepperstair_core.wire import (
+    AnswerHead,
     BodyPart,
     CallFailed,
     FrameDecoder,
@@ -95,3 +96,13 @@
     with pytest.raises(FrameError):
         for start in range(0, len(data), 1000):
             list(decoder.feed(data[start : start + 1000]))
+
+
+def test_frame_without_its_newest_fields_is_taken():
+    """Guards against an upgrade in which older daemons' frames end their streams."""
+    answer_of_older_daemon = msgpack.packb([44, 1, 200, []])
+    assert list(FrameDecoder(4096).feed(answer_of_older_daemon)) == [
+        AnswerHead(1, 200, (), 0, 0)
+    ]
+    with pytest.raises(FrameError):
+        list(FrameDecoder(4096).feed(msgpack.packb([44, 1, 200, [], 0, 0, 7])))
