Log lines tell which requests are the same

Requests have a new id for each attempt of a client, so the logs of the incident could not tell whether one request ended target after target, or the targets ended for another reason. Each call now carries a fingerprint: a digest of method, host, path, caller and body, logged with its answer and with each failure beside a target, there with the path too.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -18,6 +18,7 @@
     GiveUpCause,
     RetryBudget,
     decide_retry,
+    fingerprint,
 )
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
 from pepperstair_core.routing import CompiledRoute, Endpoint
@@ -68,6 +69,7 @@
         "_waited_before_ms",
         "compiled",
         "deadline_ms",
+        "fingerprint",
         "given_up",
         "n_attempts",
         "run",
@@ -105,6 +107,7 @@
         self._attempted_ms = 0.0
         self._latency_ms = 0.0
         self.n_attempts = 0
+        self.fingerprint = b""
         self.given_up: GiveUpCause | None = None
         self.run = Run.NO
         # Each attempt as the log shows it: where, how it ended, after how long.
@@ -126,6 +129,7 @@
         percent = min(context.retry_budget_percent, self._budget_percent())
         self._budget.add_call(percent)
         await self._read_body()
+        self.fingerprint = self._take_fingerprint()
         return await self.carry_on()
 
     async def carry_on(self) -> StreamedResponse:
@@ -248,6 +252,16 @@
             failure = Failure(ErrorKind.DEADLINE_BEFORE_RUN, "reading the body")
             raise PepperstairError(failure) from error
 
+    def _take_fingerprint(self) -> bytes:
+        request = self._request
+        return fingerprint(
+            request.method,
+            request.host,
+            request.path,
+            self._context.service,
+            self._body.kept,
+        )
+
     def _choose(self) -> Endpoint:
         context = self._context
         chosen = context.chooser.choose(
@@ -355,6 +369,7 @@
             has_body=self._head.has_body,
             route=self.compiled.route.name,
             wanted_left_ms=self._wanted_left_ms(),
+            fingerprint=self.fingerprint,
         )
 
     def _wanted_left_ms(self) -> int:
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -236,6 +236,7 @@
         log.info(
             Event.REQUEST_ANSWERED,
             request_id=call.request_id,
+            fingerprint=call.fingerprint.hex(),
             route=outcome.route,
             service=call.compiled.service.name,
             version=call.compiled.version,
--- a/packages/pepperstair-callers/pepperstair_callers/request_body.py
+++ b/packages/pepperstair-callers/pepperstair_callers/request_body.py
@@ -36,6 +36,11 @@
         """Return whether another attempt would send the same body."""
         return self._streamed is None or not self._streamed.was_read
 
+    @property
+    def kept(self) -> bytes:
+        """Return what was read before the first attempt, all of a small body."""
+        return self._kept
+
     def keep_nowait(self) -> bool:
         """Keep a small body that is here already, and say whether it was."""
         source = self._source
--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -14,6 +14,7 @@
     ZoneExit,
 )
 from .fair_queue import WaitingCall
+from .fingerprint import fingerprint
 from .fleet_budget import BudgetTerms, FleetRetryBudget
 from .outcome import CallOutcome
 from .pacing import LinkPacer
@@ -58,5 +59,6 @@
     "WaitingCall",
     "ZoneExit",
     "decide_retry",
+    "fingerprint",
     "is_sampled",
 ]
--- a/packages/pepperstair-core/pepperstair_core/wire/data.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/data.py
@@ -25,6 +25,7 @@
     `time_left_ms` is relative, as clocks of two VMs differ. `has_body` says
     that body parts and an end follow. `wanted_left_ms` is the time in which the
     answer is worth most to the caller, negative where the route states none.
+    `fingerprint` is equal for requests that ask for the same work.
     """
 
     call_id: int
@@ -40,6 +41,7 @@
     has_body: bool
     route: str = ""
     wanted_left_ms: int = -1
+    fingerprint: bytes = b""
 
 
 class BodyPart(Frame, tag=41):
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -242,6 +242,8 @@
     log.info(
         Event.TARGET_CALL_FAILED,
         request_id=head.request_id,
+        fingerprint=head.fingerprint.hex(),
+        path=head.path,
         route=head.route,
         target=head.target,
         kind=failure.kind,
