--- a/tests/adapter/mesh.py
+++ b/tests/adapter/mesh.py
@@ -23,6 +23,8 @@
 from tests.adapter.store_stand_in import StoreStandIn
 from tests.adapter.test_settings import BOUNDS, filled
 
+# How long an instance works on a request that crashes it.
+POISON_S = 0.03
 ROOT = Path(__file__).parent.parent.parent
 
 
@@ -41,6 +43,13 @@
     process: subprocess.Popen | None = None
     work_s: float = 0.0
     bounds: str = BOUNDS
+    # Requests to this path crash the instance, and another one starts in its place.
+    poison_path: str = ""
+    restart_s: float = 0.4
+    n_poisoned: int = 0
+    server: HttpServer | None = None
+    crashing: asyncio.Task | None = None
+    incarnation: int = 1
 
     def settings_text(self) -> str:
         """Return the settings that the platform would place."""
@@ -81,9 +90,24 @@
 
     async def serve(self) -> HttpServer:
         """Run the instance."""
-        server = HttpServer(self._handle, ServerLimits())
-        self.ports["app"] = await server.listen("127.0.0.1", 0)
-        return server
+        self.server = HttpServer(self._handle, ServerLimits())
+        port = self.ports.get("app", 0)
+        self.ports["app"] = await self.server.listen("127.0.0.1", port)
+        return self.server
+
+    @property
+    def instance(self) -> str:
+        """Return the id of the instance, which is new after each crash."""
+        suffix = f"-{self.incarnation}" if self.incarnation > 1 else ""
+        return f"i-{self.name}{suffix}"
+
+    async def crash(self) -> None:
+        """End the instance with all that it runs, and start the next one later."""
+        self.server.close()
+        self.incarnation += 1
+        await asyncio.sleep(self.restart_s)
+        await self.serve()
+        await self.heartbeat()
 
     async def heartbeat(self, state: str = "ready") -> int:
         """Announce the instance and return the status of the answer."""
@@ -97,9 +121,9 @@
             "state": state,
             "cold_remaining_ms": 0,
             "sequence": self.sequence,
-            "born": 1,
+            "born": self.incarnation,
         }
-        path = f"/Instances.Heartbeat/i-{self.name}"
+        path = f"/Instances.Heartbeat/{self.instance}"
         body = json.dumps(beat).encode()
         return (await self.fetch("control_plane", "POST", path, body))[0]
 
@@ -142,6 +166,12 @@
         headers = exchange.request.headers
         self.heads.append(headers)
         await exchange.body.read_all(1_000_000)
+        if self.poison_path and exchange.request.path == self.poison_path:
+            self.n_poisoned += 1
+            await asyncio.sleep(POISON_S)
+            # Its task outlives the connection of the request.
+            self.crashing = asyncio.create_task(self.crash())
+            return
         await asyncio.sleep(self.work_s)
         answer = (
             (b"x-request-id", header_value(headers, b"x-request-id")),
@@ -158,13 +188,12 @@
         self.store = StoreStandIn()
         self.address = ""
         self.vms: list[Vm] = []
-        self.servers: list[HttpServer] = []
         self.bounds = BOUNDS
 
     async def add(self, name: str, service: str) -> Vm:
         """Start a VM whose instance has announced itself."""
         vm = Vm(name, service, self.folder, self.address, bounds=self.bounds)
-        self.servers.append(await vm.serve())
+        await vm.serve()
         self.vms.append(vm)
         vm.start_daemon()
         await until(lambda: self._announce(vm), f"{name} takes heartbeats")
@@ -191,8 +220,8 @@
             with contextlib.suppress(ProcessLookupError):
                 vm.process.kill()
             vm.process.wait()
-        for server in self.servers:
-            server.close()
+        for vm in self.vms:
+            vm.server.close()
         self.store.close()
 
 
--- /dev/null
+++ b/tests/adapter/test_poison_request.py
@@ -0,0 +1,56 @@
+"""Requests that crash whatever instance runs them, among others that do no harm."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from tests.adapter.documents import document
+from tests.adapter.mesh import on_platform
+
+POISON = "/logs/poison"
+N_VMS = 5
+# Three crashes tell which request it is; each daemon may have one more under way.
+N_RUNS_MAX = 6
+N_ROUNDS = 60
+
+
+async def serving_fleet(mesh):
+    """Start some instances of one service, each of which the poison crashes."""
+    mesh.store.put("op", "config", document(7))
+    for index in range(N_VMS):
+        vm = await mesh.add(f"vm-{index}", "ledger")
+        vm.poison_path = POISON
+        vm.work_s = 0.02
+    await mesh.ready()
+    return mesh.vms
+
+
+async def call_all(vms, n_rounds: int, label: str):
+    """Send the poison and other requests at once through each VM in turn."""
+    calls = []
+    for index, vm in zip(range(n_rounds), itertools.cycle(vms), strict=False):
+        calls += [
+            asyncio.create_task(
+                vm.call(f"/logs/{index}-{item}", f"{label}{index}{item}")
+            )
+            for item in range(3)
+        ]
+        calls.append(asyncio.create_task(vm.call(POISON, f"{label}{index}p")))
+        await asyncio.sleep(0.05)
+    return await asyncio.gather(*calls)
+
+
+def n_poisoned(vms) -> int:
+    """Return how many instances have begun to run the poison."""
+    return sum(vm.n_poisoned for vm in vms)
+
+
+@on_platform
+async def test_request_that_crashes_targets_is_kept_from_the_next_ones(mesh):
+    """Guards against a request that takes down one target after another."""
+    vms = await serving_fleet(mesh)
+    await call_all(vms, N_ROUNDS, "a")
+    assert n_poisoned(vms) <= N_RUNS_MAX
+    answered = [await vm.call(f"/logs/after-{vm.name}") for vm in vms]
+    assert [status for status, _ in answered] == [200] * N_VMS
