A request that crashes its targets is kept from all of them after three crashes

Cause: what a request did to its target was forgotten with the attempt. The same request under another id, through another daemon, was a new one, and a cut connection looked the same whether the target had broken it or had ended.

Now the daemon beside a target tells the two apart: where every connection to it is gone and nobody listens at its address, it has ended, and the requests that it was running are suspects (target_crashed, a new kind). Suspicions go by fingerprint from neighbour to neighbour and merge to the same in any order; a target's answer clears a request everywhere. Of the requests at a crash only those are charged that were at the most crashes before, and from two crashes on suspects run on a target one at a time. At three crashes a request is refused at once, as not run, by the daemon that its caller speaks to and beside every target, for ten minutes, then for twice as long with each crash that follows. It is kept in the platform's table, which a daemon reads at its start anyway.

Why this works: a request that crashes whatever runs it is the only one that is at crash after crash and never answered.

--- a/packages/pepperstair-callers/pepperstair_callers/attempt_ends.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempt_ends.py
@@ -26,6 +26,7 @@
     {
         ErrorKind.OUTCOME_UNKNOWN,
         ErrorKind.PEER_UNREACHABLE,
+        ErrorKind.TARGET_CRASHED,
         ErrorKind.TARGET_FAILED,
         ErrorKind.TARGET_UNREACHABLE,
     }
@@ -44,6 +45,7 @@
         ErrorKind.NO_TARGET,
         ErrorKind.OVERLOADED,
         ErrorKind.PEER_UNREACHABLE,
+        ErrorKind.QUARANTINED,
         ErrorKind.TARGET_UNREACHABLE,
         ErrorKind.DEADLINE_BEFORE_RUN,
     }
--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -17,6 +17,7 @@
     GiveUp,
     GiveUpCause,
     RetryBudget,
+    Standing,
     decide_retry,
     fingerprint,
 )
@@ -130,6 +131,7 @@
         self._budget.add_call(percent)
         await self._read_body()
         self.fingerprint = self._take_fingerprint()
+        self._refuse_quarantined()
         return await self.carry_on()
 
     async def carry_on(self) -> StreamedResponse:
@@ -262,6 +264,12 @@
             self._body.kept,
         )
 
+    def _refuse_quarantined(self) -> None:
+        """Refuse what no target may run, without asking one."""
+        quarantine, now_ms = self._context.quarantine, self._context.now_ms()
+        if quarantine.standing(self.fingerprint, now_ms) is Standing.QUARANTINED:
+            raise PepperstairError(quarantine.refusal(self.fingerprint, now_ms))
+
     def _choose(self) -> Endpoint:
         context = self._context
         chosen = context.chooser.choose(
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -15,6 +15,7 @@
     CallerTimeouts,
     CallOutcome,
     Load,
+    Quarantine,
     RetryBudget,
     TargetChooser,
 )
@@ -63,6 +64,7 @@
     answer_sizes: AnswerSizes = field(default_factory=AnswerSizes)
     acceptance_rates: AcceptanceRates = field(default_factory=AcceptanceRates)
     caller_timeouts: CallerTimeouts = field(default_factory=CallerTimeouts)
+    quarantine: Quarantine = field(default_factory=Quarantine)
     header_names: HeaderNames = PRODUCT_HEADERS
     service: str = ""
     time_to_stop_ms: Callable[[], float] = lambda: math.inf
--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -18,6 +18,7 @@
 from .fleet_budget import BudgetTerms, FleetRetryBudget
 from .outcome import CallOutcome
 from .pacing import LinkPacer
+from .quarantine import Quarantine, Standing, Suspicion
 from .retry import (
     Attempt,
     GiveUp,
@@ -48,11 +49,14 @@
     "GiveUpCause",
     "LinkPacer",
     "Load",
+    "Quarantine",
     "CallerTimeouts",
     "RefusalCause",
     "Refused",
     "Retry",
     "RetryBudget",
+    "Standing",
+    "Suspicion",
     "TargetChooser",
     "TokenRetryBudget",
     "Verdict",
--- a/packages/pepperstair-core/pepperstair_core/calls/retry.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/retry.py
@@ -25,7 +25,9 @@
 RESERVED_PERCENT: Final = {"urgent": 0, "normal": 500, "deferrable": 900}
 
 # What an idempotent call may be sent again after, though it may have run.
-_LOST_ANSWERS: Final = frozenset({ErrorKind.TARGET_FAILED, ErrorKind.OUTCOME_UNKNOWN})
+_LOST_ANSWERS: Final = frozenset(
+    {ErrorKind.TARGET_FAILED, ErrorKind.TARGET_CRASHED, ErrorKind.OUTCOME_UNKNOWN}
+)
 
 
 class GiveUpCause(StrEnum):
--- a/packages/pepperstair-core/pepperstair_core/decisions.py
+++ b/packages/pepperstair-core/pepperstair_core/decisions.py
@@ -27,6 +27,7 @@
     IN_FORCE = "in_force"
     REJECTED = "rejected"
     CONFLICT = "conflict"
+    QUARANTINED = "quarantined"
 
 
 class Decision(Struct, frozen=True):
--- a/packages/pepperstair-core/pepperstair_core/errors.py
+++ b/packages/pepperstair-core/pepperstair_core/errors.py
@@ -41,6 +41,8 @@
     TIMEOUT = "timeout"
     TARGET_REFUSED = "target_refused"
     TARGET_FAILED = "target_failed"
+    TARGET_CRASHED = "target_crashed"
+    QUARANTINED = "quarantined"
     OUTCOME_UNKNOWN = "outcome_unknown"
     CANCELLED = "cancelled"
     INVALID_INTENT = "invalid_intent"
@@ -86,6 +88,10 @@
     ErrorKind.TIMEOUT: Answer(504, _UNKNOWN, False, "no answer before the timeout"),
     ErrorKind.TARGET_REFUSED: Answer(503, _NO, True, "the target refused it unrun"),
     ErrorKind.TARGET_FAILED: Answer(502, _UNKNOWN, False, "the target cut its answer"),
+    ErrorKind.TARGET_CRASHED: Answer(502, _UNKNOWN, False, "the target ended under it"),
+    ErrorKind.QUARANTINED: Answer(
+        503, _NO, False, "requests like it have crashed their targets"
+    ),
     ErrorKind.OUTCOME_UNKNOWN: Answer(502, _UNKNOWN, False, "the answer was lost"),
     ErrorKind.CANCELLED: Answer(499, _UNKNOWN, False, "the caller left"),
     ErrorKind.INVALID_INTENT: Answer(422, _NO, False, "the intent is not valid"),
--- a/packages/pepperstair-core/pepperstair_core/wire/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/__init__.py
@@ -27,6 +27,7 @@
     Pull,
     SnapshotPart,
     StreamKind,
+    Suspicions,
     Welcome,
 )
 from .data import (
@@ -79,6 +80,7 @@
     "Reset",
     "SnapshotPart",
     "StreamKind",
+    "Suspicions",
     "Welcome",
     "encode_frame",
     "pack",
--- a/packages/pepperstair-core/pepperstair_core/wire/control.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 from typing import Final
 
+from ..calls.quarantine import Suspicion
 from ..members import Member, MemberRank
 from ..versions import Delta, Head
 from .codec import Frame
@@ -235,6 +236,12 @@
     age_ms: int = -1
 
 
+class Suspicions(Frame, tag=29):
+    """Tells which requests were running when targets crashed."""
+
+    suspicions: tuple[Suspicion, ...]
+
+
 ControlFrame = (
     Hello
     | Welcome
@@ -258,6 +265,7 @@
     | DocumentCopy
     | DocumentFresh
     | DocumentDelta
+    | Suspicions
 )
 
 __all__ = [
@@ -285,5 +293,6 @@
     "Pull",
     "SnapshotPart",
     "StreamKind",
+    "Suspicions",
     "Welcome",
 ]
--- a/packages/pepperstair-peers/pepperstair_peers/control/plane.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/plane.py
@@ -31,6 +31,7 @@
     MembersPull,
     MemberUpdate,
     StreamKind,
+    Suspicions,
     Welcome,
 )
 
@@ -101,6 +102,8 @@
         self.on_neighbour_up: Callable[[str], None] = lambda vm: None
         self.on_neighbour_down: Callable[[str], None] = lambda vm: None
         self.on_configuration_frame: Callable[[str, Any], None] = lambda vm, frame: None
+        self.on_suspicions: Callable[[str, Suspicions], None] = lambda vm, frame: None
+        self.on_suspicions_wanted: Callable[[str], None] = lambda vm: None
 
     @property
     def neighbours(self) -> tuple[str, ...]:
@@ -247,6 +250,7 @@
         now_ms = self._clock_ms()
         self._carry_out(self._membership.open(vm, address, link.is_dialler, now_ms))
         self.on_neighbour_up(vm)
+        self.on_suspicions_wanted(vm)
 
     def _on_closed(self, link: ControlLink) -> None:
         if not self._links.remove(link) or self._is_closed:
@@ -260,7 +264,9 @@
             return
         now_ms = self._clock_ms()
         self._carry_out(self._membership.receive(link.vm, frame, now_ms))
-        if not isinstance(frame, _MEMBER_FRAMES):
+        if isinstance(frame, Suspicions):
+            self.on_suspicions(link.vm, frame)
+        elif not isinstance(frame, _MEMBER_FRAMES):
             self.on_configuration_frame(link.vm, frame)
 
     def _run(self, coroutine: Any) -> None:
--- /dev/null
+++ b/packages/pepperstair-targets/pepperstair_targets/crashes.py
@@ -0,0 +1,73 @@
+"""Tells a target that has ended from one that broke a connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import structlog
+
+from .pool import ConnectionPool
+from .target_call import TargetCall
+
+log = structlog.get_logger(__name__)
+
+# The connections of a process that ends close together, and are seen one by one.
+_CLOSING_S: Final = 0.002
+
+
+class CrashWatch:
+    """The calls that one target is running, and whether it has ended under them."""
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self._pool = pool
+        self._running: dict[TargetCall, bytes] = {}
+        self._checking: asyncio.Task[bool] | None = None
+        self._is_reported = False
+
+    def begin(self, call: TargetCall, fingerprint: bytes) -> None:
+        """Take the start of a call."""
+        self._running[call] = fingerprint
+
+    def end(self, call: TargetCall) -> None:
+        """Take the end of a call, however it ended."""
+        del self._running[call]
+
+    def answer(self) -> None:
+        """Take that the target has answered, so that it lives."""
+        self._is_reported = False
+
+    def runs_any(self, is_wanted: Callable[[bytes], bool]) -> bool:
+        """Return whether a request with a wanted fingerprint is running."""
+        return any(is_wanted(fingerprint) for fingerprint in self._running.values())
+
+    async def has_ended(self) -> bool:
+        """Return whether the target is gone, after one of its calls was cut.
+
+        Calls that are cut together wait for one look at the target.
+        """
+        if self._checking is None or self._checking.done():
+            checking = asyncio.get_running_loop().create_task(self._check())
+            self._checking = checking
+        return await asyncio.shield(self._checking)
+
+    def take_cut(self) -> tuple[bytes, ...]:
+        """Return once what the target was running when it ended."""
+        if self._is_reported:
+            return ()
+        self._is_reported = True
+        return tuple(
+            fingerprint
+            for call, fingerprint in self._running.items()
+            if call.is_sent and fingerprint
+        )
+
+    async def _check(self) -> bool:
+        await asyncio.sleep(_CLOSING_S)
+        if self._pool.has_open or any(call.is_connected for call in self._running):
+            return False
+        return await self._pool.is_refused()
+
+
+__all__ = ["CrashWatch"]
--- a/packages/pepperstair-targets/pepperstair_targets/pool.py
+++ b/packages/pepperstair-targets/pepperstair_targets/pool.py
@@ -10,6 +10,7 @@
 
 from pepperstair_core.config import parse_address
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
+from pepperstair_core.events import Event
 from pepperstair_http import ClientConnection, connect
 
 log = structlog.get_logger(__name__)
@@ -18,6 +19,8 @@
 # A target on the own VM acknowledges within a millisecond; half a second leaves
 # room for a pause of it and is still short beside the deadline of a call.
 UNACKNOWLEDGED_MS: Final = 500
+# A refusal from the own VM comes at once, also to a busy loop.
+_PROBE_TIMEOUT_S: Final = 0.1
 # A call that must not run twice is not sent on a connection that the target
 # may just be closing: its outcome would be unknown. Targets close theirs after
 # some seconds without use.
@@ -40,6 +43,11 @@
         self._idle: deque[ClientConnection] = deque()
         self._is_closed = False
 
+    @property
+    def has_open(self) -> bool:
+        """Return whether a kept connection is still open."""
+        return any(not connection.is_closed for connection in self._idle)
+
     def take_idle(self, *, is_fresh_wanted: bool = False) -> ClientConnection | None:
         """Return a kept connection that is still open, or None.
 
@@ -67,6 +75,23 @@
         connection.notice_silence(UNACKNOWLEDGED_MS)
         return connection
 
+    async def is_refused(self) -> bool:
+        """Return whether nobody listens at the target's address any more.
+
+        A connection that opens instead is kept for the next call.
+        """
+        try:
+            async with asyncio.timeout(_PROBE_TIMEOUT_S):
+                connection = await connect(self._host, self._port)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError) as error:
+            log.info(Event.TARGET_PROBE_FAILED, cause=repr(error))
+            return False
+        connection.notice_silence(UNACKNOWLEDGED_MS)
+        self.give_back(connection)
+        return False
+
     def give_back(self, connection: ClientConnection) -> None:
         """Keep a connection for the next call, if it may carry one.
 
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -8,7 +8,7 @@
 import structlog
 from msgspec.structs import replace
 
-from pepperstair_core.calls import Load, Refused
+from pepperstair_core.calls import Load, Quarantine, Refused, Standing, Suspicion
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
 from pepperstair_core.events import Event
@@ -17,6 +17,7 @@
 from pepperstair_core.wire import CallHead
 from pepperstair_http import BodyBuffer, StreamedResponse
 
+from .crashes import CrashWatch
 from .pool import ConnectionPool
 from .registry import TargetRegistry
 from .slots import SlotGate
@@ -29,6 +30,12 @@
 _OWN_PREFIX: Final = b"pepperstair-"
 
 _REFUSALS_LOGGED_EVERY_MS: Final = 1000
+_FAILED_STATUS: Final = 500
+
+# What a call ends with where its target ends under it.
+_CUT_KINDS: Final = frozenset({ErrorKind.TARGET_FAILED, ErrorKind.TARGET_UNREACHABLE})
+# A call that may not run beside another suspect may come back when that is over.
+_ISOLATED_RETRY_MS: Final = 200
 
 PolicyOf = Callable[[str, Target], Policy]
 
@@ -44,6 +51,7 @@
     ) -> None:
         self.target = target
         self.pool = ConnectionPool(target.address, target.n_connections_max)
+        self.crashes = CrashWatch(self.pool)
         self.gate = SlotGate(
             _n_running_max(target),
             now_ms,
@@ -71,7 +79,9 @@
     """Carries a call to a local target, within the target's slots.
 
     `policy_of` gives the policy of a customer for a target. Refusals go to the
-    decision log, at most one a second for each target, with their count.
+    decision log, at most one a second for each target, with their count. `on_crash` is
+    told of a target that has ended and of the fingerprints of what it was running,
+    `on_exonerated` of a suspected request that was answered.
     """
 
     def __init__(
@@ -81,8 +91,12 @@
         policy_of: PolicyOf,
         decisions: DecisionLog,
         options: TargetOptions = DEFAULT_OPTIONS,
+        quarantine: Quarantine | None = None,
     ) -> None:
         self._options = options
+        self._quarantine = quarantine or Quarantine()
+        self.on_crash: Callable[[str, tuple[bytes, ...]], None] = lambda *told: None
+        self.on_exonerated: Callable[[Suspicion], None] = lambda suspicion: None
         self._registry = registry
         self._now_ms = now_ms
         self._policy_of = policy_of
@@ -92,6 +106,8 @@
         self._refusals: dict[str, tuple[float, int]] = {}
         self.is_draining = False
         self.n_refused = 0
+        self.n_crashes = 0
+        self.n_quarantined = 0
 
     @property
     def n_in_flight(self) -> int:
@@ -115,6 +131,7 @@
     async def run(self, head: CallHead, body: BodyBuffer) -> StreamedResponse:
         """Run a call and return its answer, or raise PepperstairError."""
         start_ms = self._now_ms()
+        self._refuse_quarantined(head, start_ms)
         deadline_ms = start_ms + head.time_left_ms
         target = self._usable_target(head, start_ms)
         local = self._local(target)
@@ -125,17 +142,29 @@
             _log_refused(head, local, error.failure, self._now_ms() - start_ms)
             raise
         admitted_ms = self._now_ms()
+        try:
+            self._screen(head, local, admitted_ms)
+        except PepperstairError:
+            local.gate.leave(head, None)
+            raise
 
         def leave(was_sent: bool) -> None:
             service_ms = self._now_ms() - admitted_ms if was_sent else None
             local.gate.leave(head, service_ms)
 
         call = TargetCall(local.pool, head, body, leave, self._options)
+        local.crashes.begin(call, head.fingerprint)
         try:
             response = await call.run(deadline_ms - admitted_ms)
         except PepperstairError as error:
-            _log_failed(head, error.failure, self._now_ms() - admitted_ms)
-            raise
+            failure = error.failure
+            if call.is_sent and failure.kind in _CUT_KINDS:
+                failure = await self._explain_cut(local, failure)
+            _log_failed(head, failure, self._now_ms() - admitted_ms)
+            raise PepperstairError(failure) from error
+        finally:
+            local.crashes.end(call)
+        self._take_answer(local, head, response)
         return _with_wait(response, int(admitted_ms - start_ms))
 
     def follow_registry(self) -> None:
@@ -165,6 +194,52 @@
         for local in self._iter_all():
             local.pool.close()
 
+    def _refuse_quarantined(self, head: CallHead, now_ms: float) -> None:
+        standing = self._quarantine.standing(head.fingerprint, now_ms)
+        if standing is not Standing.QUARANTINED:
+            return
+        self.n_quarantined += 1
+        raise PepperstairError(self._quarantine.refusal(head.fingerprint, now_ms))
+
+    def _screen(self, head: CallHead, local: LocalTarget, now_ms: float) -> None:
+        """Refuse a call that may not run now, beside what the target is running."""
+        self._refuse_quarantined(head, now_ms)
+
+        def is_suspect(fingerprint: bytes) -> bool:
+            standing = self._quarantine.standing(fingerprint, now_ms)
+            return standing is not Standing.TRUSTED
+
+        if is_suspect(head.fingerprint) and local.crashes.runs_any(is_suspect):
+            detail = f"{head.target}, it runs another suspect"
+            failure = Failure(ErrorKind.OVERLOADED, detail, _ISOLATED_RETRY_MS, Run.NO)
+            raise PepperstairError(failure)
+
+    async def _explain_cut(self, local: LocalTarget, failure: Failure) -> Failure:
+        """Return why a call was cut, and tell of its target if that has ended.
+
+        A target that leaves may end with calls that it has not finished.
+        """
+        target = self._registry.get(local.target.name, self._now_ms())
+        if target is None or target.state is TargetState.DRAINING:
+            return failure
+        if not await local.crashes.has_ended():
+            return failure
+        cut = local.crashes.take_cut()
+        if cut:
+            self.n_crashes += 1
+            self.on_crash(target.name, cut)
+        return Failure(ErrorKind.TARGET_CRASHED, failure.detail)
+
+    def _take_answer(
+        self, local: LocalTarget, head: CallHead, response: StreamedResponse
+    ) -> None:
+        local.crashes.answer()
+        if response.status >= _FAILED_STATUS or not response.body.is_whole:
+            return
+        cleared = self._quarantine.exonerate(head.fingerprint)
+        if cleared is not None:
+            self.on_exonerated(cleared)
+
     def _usable_target(self, head: CallHead, now_ms: float) -> Target:
         """Return the target of a call, or refuse it as not run.
 
--- a/packages/pepperstair-targets/pepperstair_targets/target_call.py
+++ b/packages/pepperstair-targets/pepperstair_targets/target_call.py
@@ -92,6 +92,16 @@
         self._sent_s = 0.0
         self._is_ended = False
 
+    @property
+    def is_sent(self) -> bool:
+        """Return whether the target may have begun to run the request."""
+        return self._is_sent
+
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the connection of the call is open."""
+        return self._connection is not None and not self._connection.is_closed
+
     async def run(self, time_left_ms: float) -> StreamedResponse:
         """Return the answer, whose end frees the slot, or raise."""
         try:
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -9,6 +9,8 @@
 
 from pepperstair_core.calls import GiveUpCause, ZoneExit
 
+from .clock import precise_ms
+
 if TYPE_CHECKING:
     from .daemon import Daemon
 
@@ -36,6 +38,13 @@
     n_calls_refused: Annotated[
         int, Meta(description="Calls refused beside a target as not run.")
     ] = 0
+    n_calls_quarantined: Annotated[
+        int,
+        Meta(description="Calls refused, as requests like them crashed targets."),
+    ] = 0
+    n_targets_crashed: Annotated[
+        int, Meta(description="Targets of this VM that ended while they ran calls.")
+    ] = 0
     n_connections: Annotated[int, Meta(description="Connections of callers.")] = 0
     n_connections_refused: Annotated[
         int, Meta(description="Connections of callers over the cap.")
@@ -176,6 +185,9 @@
     n_requests_in_flight: Annotated[
         int, Meta(description="Requests of callers not yet answered.")
     ] = 0
+    n_requests_quarantined: Annotated[
+        int, Meta(description="Requests, by content, that no target may run.")
+    ] = 0
     configuration_age_ms: Annotated[
         int,
         Meta(
@@ -199,6 +211,8 @@
         n_calls_held_at_start=daemon.proxy.n_held_at_start,
         n_calls_taken=daemon.call_server.n_calls,
         n_calls_refused=daemon.runner.n_refused,
+        n_calls_quarantined=daemon.runner.n_quarantined,
+        n_targets_crashed=daemon.runner.n_crashes,
         n_connections=daemon.callers.counters.n_connections,
         n_connections_refused=daemon.callers.counters.n_refused,
         n_connections_stalled=daemon.callers.counters.n_stalled,
@@ -242,6 +256,7 @@
         n_customers=len(daemon.configuration.versions()),
         n_calls_in_flight=daemon.runner.n_in_flight,
         n_requests_in_flight=daemon.proxy.n_in_flight,
+        n_requests_quarantined=daemon.quarantine.n_quarantined(precise_ms()),
         # Below zero a gauge of statsd would count as a difference.
         configuration_age_ms=max(0, daemon.configuration.age_ms()),
     )
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -19,6 +19,7 @@
     CallOutcome,
     LinkPacer,
     Load,
+    Quarantine,
     TargetChooser,
 )
 from pepperstair_core.config import Settings, parse_address
@@ -62,9 +63,11 @@
 
 from .clock import boot_ms, monotonic_ms, precise_ms, wall_ms
 from .counters import read_counters, read_gauges
+from .crash_reports import CrashReports
 from .edges import Edges, FurtherServer
 from .exposition import Exposition
 from .metrics import MetricsSender
+from .quarantine_rows import QuarantineRows
 from .stopping import stop_daemon
 
 log = structlog.get_logger(__name__)
@@ -119,6 +122,7 @@
             )
         )
         self.platform = edges.make_platform(settings)
+        self.quarantine = Quarantine()
         self.registry = TargetRegistry(settings.members.target_lease_ms)
         self.runner = TargetRunner(
             self.registry,
@@ -126,6 +130,7 @@
             self._policy_of,
             self.decisions,
             edges.target_options,
+            self.quarantine,
         )
         self.chooser = TargetChooser(
             settings.vm.availability_zone, self.rng, JOINING_MS
@@ -158,6 +163,18 @@
             monotonic_ms,
             boot_ms,
         )
+        self.crash_reports = CrashReports(
+            self.identity,
+            self.control,
+            self.quarantine,
+            QuarantineRows(
+                edges.make_row_table(self), wall_ms, settings.vm.is_first_start
+            ),
+            self.decisions,
+            precise_ms,
+        )
+        self.runner.on_crash = self.crash_reports.report_crash
+        self.runner.on_exonerated = self.crash_reports.exonerate
         self.configuration = edges.make_configuration(self)
         self.member_table = edges.make_member_table(self)
         self.listener = PeerListener(
@@ -262,6 +279,7 @@
         self.configuration.start()
         self.control.start()
         self.member_table.start()
+        self.crash_reports.start()
         self.metrics.start()
         loop = asyncio.get_running_loop()
         self._lease_task = loop.create_task(self._check_leases())
@@ -283,6 +301,7 @@
             self._settings_task.cancel()
         self.metrics.close()
         self.configuration.close()
+        self.crash_reports.close()
         self.control.close()
         self.call_client.close()
         self.call_server.close()
@@ -312,6 +331,7 @@
             retry_budget_percent=self.settings.calls.retry_budget_percent,
             now_ms=precise_ms,
             rng=self.rng,
+            quarantine=self.quarantine,
             body_max_bytes=lambda: self.body_max_bytes,
             header_names=self.edges.target_options.names,
             service=self.edges.service,
--- a/packages/pepperstaird/pepperstaird/edges.py
+++ b/packages/pepperstaird/pepperstaird/edges.py
@@ -18,7 +18,7 @@
 from pepperstair_core.versions import Snapshot
 from pepperstair_http import HttpServer
 from pepperstair_operators import OperatorServer
-from pepperstair_platform import PlatformCounters
+from pepperstair_platform import PlatformCounters, RowTable
 from pepperstair_targets import TargetOptions
 
 if TYPE_CHECKING:
@@ -97,6 +97,7 @@
     make_member_table: Callable[[Daemon], MemberTable]
     add_operations: Callable[[OperatorServer, Daemon], None]
     make_budget_of: Callable[[Daemon], Callable[[str], RetryBudget]]
+    make_row_table: Callable[[Daemon], RowTable]
     iter_servers: Callable[[Daemon], Iterator[FurtherServer]] = lambda daemon: iter(())
     reload: Callable[[Daemon], None] = lambda daemon: None
     follow_settings: Callable[[Daemon], Coroutine[Any, Any, None]] | None = None
--- a/packages/pepperstaird/pepperstaird/product.py
+++ b/packages/pepperstaird/pepperstaird/product.py
@@ -30,6 +30,7 @@
         ),
         add_operations=_add_operations,
         make_budget_of=_one_budget,
+        make_row_table=lambda daemon: daemon.platform,
     )
 
 
--- /dev/null
+++ b/packages/pepperstaird/pepperstaird/quarantine_rows.py
@@ -0,0 +1,105 @@
+"""The quarantined requests, kept in the platform's table for daemons that start."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Coroutine, Iterable, Iterator
+from typing import Any, Final
+
+import structlog
+from result import Result
+
+from pepperstair_core.calls import Suspicion
+from pepperstair_core.calls.quarantine import QUARANTINE_MAX_MS
+from pepperstair_core.errors import Failure
+from pepperstair_core.events import Event
+from pepperstair_platform import Row, RowTable
+
+log = structlog.get_logger(__name__)
+
+_PREFIX: Final = "quarantine/"
+_N_DELETED_MAX: Final = 10
+_RETRY_MIN_S: Final = 0.1
+_RETRY_MAX_S: Final = 2.0
+
+
+class QuarantineRows:
+    """Keeps one row for each quarantined request.
+
+    With `is_first_start` there are no rows of an earlier process to read.
+    """
+
+    def __init__(
+        self, table: RowTable, wall_ms: Callable[[], int], is_first_start: bool = False
+    ) -> None:
+        self._table = table
+        self._wall_ms = wall_ms
+        self._is_first_start = is_first_start
+        self._writing: dict[bytes, asyncio.Task[None]] = {}
+        self._reading: asyncio.Task[None] | None = None
+
+    def start(self, on_read: Callable[[Iterable[Suspicion]], None]) -> None:
+        """Read what was kept, and hand it over when it is there."""
+        if not self._is_first_start:
+            self._reading = _run(self._read(on_read))
+
+    def save(self, suspicion: Suspicion) -> None:
+        """Write the row of a quarantined request, in place of an earlier one."""
+        fingerprint = suspicion.fingerprint
+        earlier = self._writing.pop(fingerprint, None)
+        if earlier is not None:
+            earlier.cancel()
+        self._writing[fingerprint] = _run(self._write(suspicion))
+
+    def close(self) -> None:
+        """Stop reading and writing."""
+        for task in (self._reading, *self._writing.values()):
+            if task is not None:
+                task.cancel()
+
+    async def _read(self, on_read: Callable[[Iterable[Suspicion]], None]) -> None:
+        read = await _repeat(lambda: self._table.read_rows(_PREFIX))
+        oldest_ms = self._wall_ms() - QUARANTINE_MAX_MS
+        kept = [
+            (row, suspicion, noted_ms)
+            for row in read.unwrap()
+            for suspicion, noted_ms in _iter_suspicions(row)
+        ]
+        on_read(found for _, found, noted_ms in kept if noted_ms >= oldest_ms)
+        old = [row.key for row, _, noted_ms in kept if noted_ms < oldest_ms]
+        for key in old[:_N_DELETED_MAX]:
+            await self._table.delete_row(key)
+
+    async def _write(self, suspicion: Suspicion) -> None:
+        value = json.dumps([suspicion.crash_ids, self._wall_ms()])
+        row = Row(f"{_PREFIX}{suspicion.fingerprint.hex()}", value)
+        await _repeat(lambda: self._table.commit((), (row,)))
+
+
+def _run(coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    return asyncio.get_running_loop().create_task(coroutine)
+
+
+async def _repeat(call: Callable) -> Result:
+    """Call the platform until it answers, less and less often."""
+    retry_s = _RETRY_MIN_S
+    while True:
+        answered: Result[object, Failure] = await call()
+        if answered.is_ok():
+            return answered
+        await asyncio.sleep(retry_s)
+        retry_s = min(_RETRY_MAX_S, 2 * retry_s)
+
+
+def _iter_suspicions(row: Row) -> Iterator[tuple[Suspicion, int]]:
+    """Yield what a row says; another release may write what can't be read."""
+    try:
+        fingerprint = bytes.fromhex(row.key.removeprefix(_PREFIX))
+        crash_ids, noted_ms = json.loads(row.value)
+        yield Suspicion(fingerprint, tuple(map(str, crash_ids))), int(noted_ms)
+    except (ValueError, TypeError) as error:
+        log.warning(Event.ROW_IGNORED, key=row.key, cause=repr(error))
+
+
+__all__ = ["QuarantineRows"]
--- a/tests/adapter/test_poison_request.py
+++ b/tests/adapter/test_poison_request.py
@@ -6,7 +6,7 @@
 import itertools
 
 from tests.adapter.documents import document
-from tests.adapter.mesh import on_platform
+from tests.adapter.mesh import is_ready, on_platform, until
 
 POISON = "/logs/poison"
 N_VMS = 5
@@ -54,3 +54,29 @@
     assert n_poisoned(vms) <= N_RUNS_MAX
     answered = [await vm.call(f"/logs/after-{vm.name}") for vm in vms]
     assert [status for status, _ in answered] == [200] * N_VMS
+
+
+@on_platform
+async def test_quarantine_outlives_the_kill_of_every_daemon(mesh):
+    """Guards against daemons that start anew and learn by further crashes."""
+    vms = await serving_fleet(mesh)
+    await call_all(vms, N_ROUNDS // 2, "a")
+    n_before = n_poisoned(vms)
+    assert n_before <= N_RUNS_MAX
+
+    async def is_kept() -> bool:
+        return any(key.startswith("quarantine/") for key in mesh.store.keys("members"))
+
+    await until(is_kept, "the quarantine is written")
+    for vm in vms:
+        vm.process.kill()
+        vm.process.wait()
+    for vm in vms:
+        vm.start_daemon()
+    for vm in vms:
+        await until(lambda vm=vm: is_ready(vm), f"{vm.name} is ready")
+        await vm.heartbeat()
+    await call_all(vms, N_ROUNDS // 2, "b")
+    assert n_poisoned(vms) == n_before
+    answered = [await vm.call(f"/logs/after-{vm.name}") for vm in vms]
+    assert [status for status, _ in answered] == [200] * N_VMS
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -127,7 +127,9 @@
         self.time_to_stop_ms = math.inf
         self.is_joining = False
         self.is_known = True
-        self.proxy = Proxy(self._context(body_max_bytes))
+        self.fingerprints: list[bytes] = []
+        self.context = self._context(body_max_bytes)
+        self.proxy = Proxy(self.context)
         self.server = HttpServer(
             self.proxy.handle, ServerLimits(), self.proxy.is_repeatable
         )
@@ -189,6 +191,10 @@
             for name, node in self.nodes.items()
         )
 
+    async def _carry(self, item, head, body):
+        self.fingerprints.append(head.fingerprint)
+        return await self.nodes[item.vm].runner.run(head, body)
+
     def _context(self, body_max_bytes: int) -> ProxyContext:
         rng = random.Random(4)
         budget = TokenRetryBudget()
@@ -198,7 +204,7 @@
             endpoints=lambda compiled: self.endpoints(),
             chooser=TargetChooser("z", rng),
             load_of=lambda endpoint: None,
-            carry=lambda item, head, body: self.nodes[item.vm].runner.run(head, body),
+            carry=self._carry,
             is_ready=lambda: self.is_known,
             is_joining=lambda: self.is_joining,
             is_draining=lambda: self.is_draining,
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,143 @@
+"""Which requests are suspected of crashing targets, and which are kept from them."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+from pepperstair_core.calls.quarantine import (
+    N_CRASHES_MAX,
+    QUARANTINE_MS,
+    SUSPICION_MS,
+    Quarantine,
+    Standing,
+    Suspicion,
+)
+from pepperstair_core.errors import Run
+
+POISON = b"poison"
+
+
+def crashed(quarantine, *running, crash_id="", now_ms=0):
+    """Take a crash at which some requests were running."""
+    crash_id = crash_id or f"vm/{crashed.count}"
+    crashed.count += 1
+    return quarantine.charge(running, crash_id, now_ms)
+
+
+crashed.count = 1
+
+
+def test_request_is_quarantined_after_three_crashes():
+    quarantine = Quarantine()
+    standings = []
+    for _ in range(N_CRASHES_MAX):
+        crashed(quarantine, POISON)
+        standings.append(quarantine.standing(POISON, 0))
+    assert standings == [Standing.TRUSTED, Standing.SUSPECT, Standing.QUARANTINED]
+    refusal = quarantine.refusal(POISON, 1000)
+    assert refusal.has_run is Run.NO
+    assert refusal.retry_after_ms == QUARANTINE_MS - 1000
+
+
+def test_what_ran_beside_a_suspect_is_not_charged():
+    """Guards against refusing requests that were only near the crashes."""
+    quarantine = Quarantine()
+    crashed(quarantine, POISON, b"a", b"b")
+    for index in range(N_CRASHES_MAX):
+        crashed(quarantine, POISON, b"a%d" % index, b"c")
+    assert quarantine.standing(POISON, 0) is Standing.QUARANTINED
+    assert quarantine.standing(b"c", 0) is Standing.TRUSTED
+    assert quarantine.n_quarantined(0) == 1
+
+
+def test_answered_request_is_no_longer_suspected():
+    """Guards against refusing a common request that runs at most crashes."""
+    quarantine = Quarantine()
+    for _ in range(3 * N_CRASHES_MAX):
+        crashed(quarantine, b"common")
+        quarantine.exonerate(b"common")
+    assert quarantine.standing(b"common", 0) is Standing.TRUSTED
+    assert quarantine.exonerate(b"common") is None
+    assert quarantine.exonerate(b"never seen") is None
+
+
+def test_quarantine_ends_and_is_longer_the_next_time():
+    quarantine = Quarantine()
+    for _ in range(N_CRASHES_MAX):
+        crashed(quarantine, POISON)
+    assert quarantine.standing(POISON, QUARANTINE_MS - 1) is Standing.QUARANTINED
+    assert quarantine.standing(POISON, QUARANTINE_MS) is Standing.SUSPECT
+    crashed(quarantine, POISON, now_ms=QUARANTINE_MS)
+    until_ms = 3 * QUARANTINE_MS
+    assert quarantine.standing(POISON, until_ms - 1) is Standing.QUARANTINED
+    assert quarantine.standing(POISON, until_ms) is Standing.SUSPECT
+
+
+def test_old_suspicion_counts_no_more():
+    quarantine = Quarantine()
+    crashed(quarantine, POISON)
+    crashed(quarantine, POISON)
+    assert quarantine.standing(POISON, SUSPICION_MS - 1) is Standing.SUSPECT
+    assert quarantine.standing(POISON, SUSPICION_MS) is Standing.TRUSTED
+
+
+def test_records_merge_to_the_same_in_any_order():
+    """Guards against daemons that disagree for good on what they were told."""
+    told = [
+        Suspicion(POISON, ("a/1",)),
+        Suspicion(POISON, ("b/1", "a/1")),
+        Suspicion(POISON, ("c/1",)),
+        Suspicion(POISON, ("a/1", "d/1"), ("a/1",)),
+        Suspicion(b"other", ("b/1",), ("b/1",)),
+    ]
+    results = set()
+    for order in itertools.permutations(told):
+        quarantine = Quarantine()
+        for suspicion in order:
+            quarantine.merge(suspicion, 0)
+            assert not quarantine.merge(suspicion, 0)
+        results.add(tuple(sorted(quarantine.suspicions(), key=lambda s: s.fingerprint)))
+        assert quarantine.standing(POISON, 0) is Standing.QUARANTINED
+    assert len(results) == 1
+
+
+def test_late_report_of_a_crash_does_not_undo_a_later_answer():
+    """Guards against a suspicion that comes back over a slower way."""
+    quarantine = Quarantine()
+    report = crashed(quarantine, b"common", crash_id="vm/1")
+    quarantine.exonerate(b"common")
+    assert not quarantine.merge(report[0], 0)
+    assert next(quarantine.suspicions()).cleared_ids == ("vm/1",)
+
+
+def test_table_of_suspects_keeps_the_quarantined_when_it_is_full():
+    """Guards against a wave of crashes that pushes a poison request out of memory."""
+    quarantine = Quarantine(n_tracked_max=8)
+    for _ in range(N_CRASHES_MAX):
+        crashed(quarantine, POISON)
+    for index in range(100):
+        crashed(quarantine, b"%d" % index, now_ms=index)
+    assert quarantine.standing(POISON, 100) is Standing.QUARANTINED
+    assert len(list(quarantine.suspicions())) == 8
+
+
+def test_two_poison_requests_at_once_are_both_found_among_many():
+    """Guards against crashes with several causes, or with none, that hide a cause."""
+    rng = random.Random(5)
+    quarantine = Quarantine()
+    poison = [b"first", b"second"]
+    others = [b"%d" % index for index in range(2000)]
+    n_crashes = 0
+    while quarantine.n_quarantined(n_crashes) < 2 and n_crashes < 40:
+        n_crashes += 1
+        running = rng.sample(others, 11)
+        if n_crashes % 4:
+            running.append(poison[n_crashes % 2])
+        crashed(quarantine, *running, now_ms=n_crashes)
+        for answered in rng.sample(others, 400):
+            quarantine.exonerate(answered)
+    standings = [quarantine.standing(found, n_crashes) for found in poison]
+    assert standings == [Standing.QUARANTINED] * 2
+    assert quarantine.n_quarantined(n_crashes) == 2
+    assert n_crashes <= 12
--- /dev/null
+++ b/tests/test_target_crashes.py
@@ -0,0 +1,149 @@
+"""Targets that end while they run calls, and targets that only look like it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from pepperstair_core.calls import Standing
+from pepperstair_core.errors import ErrorKind
+from pepperstair_core.members import TargetState
+from tests.call_mesh import Mesh, answer_ok, http, run_of, seen
+
+N_CRASHES = 3
+
+
+async def crash(target, writer, head):
+    """End the target with every connection that it has."""
+    await asyncio.sleep(0.02)
+    await target.close()
+
+
+async def cut(target, writer, head):
+    """Break one connection of a target that lives."""
+    await asyncio.sleep(0.02)
+    writer.transport.abort()
+
+
+def answer_by_path(**answers):
+    """Return an answer that depends on the last part of the path."""
+
+    async def answer(target, writer, head):
+        path = head.split()[1].rsplit(b"/", 1)[1].decode()
+        await answers.get(path, answer_ok)(target, writer, head)
+
+    return answer
+
+
+def on_mesh(**route):
+    """Run a test on a mesh whose crashes are noted in `mesh.crashes`."""
+
+    def decorate(test):
+        def run():
+            async def scenario():
+                async with Mesh(**route) as mesh:
+                    mesh.crashes = []
+                    await test(mesh)
+
+            asyncio.run(asyncio.wait_for(scenario(), 15))
+
+        run.__name__, run.__doc__ = test.__name__, test.__doc__
+        return run
+
+    return decorate
+
+
+async def add(mesh, name, answer):
+    """Start a target whose crashes are noted."""
+    raw = await mesh.add(name, answer, n_slots=4)
+    runner = mesh.nodes[name].runner
+    runner.on_crash = lambda target, cut: mesh.crashes.append((target, sorted(cut)))
+    return raw
+
+
+@on_mesh()
+async def test_end_of_a_target_is_told_from_a_cut_connection(mesh):
+    """Guards against suspecting requests whose target lost a single connection."""
+    await add(mesh, "a", answer_by_path(cut=cut, crash=crash))
+    assert run_of(await mesh.call(path="/cut")) == (502, "unknown")
+    assert mesh.outcomes[-1].error is ErrorKind.TARGET_FAILED
+    assert mesh.crashes == []
+    assert run_of(await mesh.call(path="/crash")) == (502, "unknown")
+    assert mesh.outcomes[-1].error is ErrorKind.TARGET_CRASHED
+    (report,) = mesh.crashes
+    assert len(report[1]) == 1
+
+
+@on_mesh()
+async def test_all_that_a_target_was_running_is_reported_once(mesh):
+    """Guards against a report for each cut call, each of them counted as a crash."""
+
+    async def never(target, writer, head):
+        await asyncio.Event().wait()
+
+    await add(mesh, "a", answer_by_path(one=never, two=never, crash=crash))
+    paths = ("/one", "/two", "/crash")
+    await asyncio.gather(*(mesh.call(path=path) for path in paths))
+    (report,) = mesh.crashes
+    assert len(report[1]) == len(paths)
+    kinds = [outcome.error for outcome in mesh.outcomes]
+    assert kinds == [ErrorKind.TARGET_CRASHED] * len(paths)
+
+
+@on_mesh()
+async def test_target_that_leaves_and_ends_is_no_crash(mesh):
+    """Guards against blaming a request for the planned end of its target."""
+    raw = await add(mesh, "a", answer_by_path(crash=crash))
+    calling = asyncio.ensure_future(mesh.call(path="/crash"))
+    await seen(lambda: raw.heads)
+    mesh.announce("a", TargetState.DRAINING)
+    assert run_of(await calling) == (502, "unknown")
+    assert mesh.outcomes[-1].error is ErrorKind.TARGET_FAILED
+    assert mesh.crashes == []
+
+
+@on_mesh()
+async def test_quarantined_request_is_refused_without_a_target(mesh):
+    """Guards against asking a target to run what is known to crash it."""
+    raw = await add(mesh, "a", answer_ok)
+    runner = mesh.nodes["a"].runner
+    for quarantine in (runner._quarantine, mesh.context.quarantine):
+        assert run_of(await mesh.call(path="/poison")) == (200, "yes")
+        (fingerprint,) = mesh.fingerprints[-1:]
+        for index in range(N_CRASHES):
+            quarantine.charge([fingerprint], f"vm/{index}", mesh.now_ms())
+        n_before = len(raw.heads)
+        refused = await mesh.call(path="/poison")
+        assert run_of(refused) == (503, "no")
+        assert len(raw.heads) == n_before
+        assert run_of(await mesh.call(path="/other")) == (200, "yes")
+        quarantine.exonerate(fingerprint)
+
+
+@on_mesh()
+async def test_suspects_do_not_run_side_by_side(mesh):
+    """Guards against a crash of which nobody can tell which suspect caused it."""
+    release = asyncio.Event()
+
+    async def wait(target, writer, head):
+        await release.wait()
+        writer.write(http(b"done"))
+
+    raw = await add(mesh, "a", answer_by_path(one=wait, two=wait))
+    quarantine = mesh.nodes["a"].runner._quarantine
+    release.set()
+    for path in ("/one", "/two"):
+        await mesh.call(path=path)
+        for index in range(N_CRASHES - 1):
+            found = mesh.fingerprints[-1]
+            quarantine.charge([found], f"{path}/{index}", mesh.now_ms())
+        assert quarantine.standing(found, mesh.now_ms()) is Standing.SUSPECT
+    release.clear()
+    raw.heads.clear()
+    first = asyncio.ensure_future(mesh.call(path="/one"))
+    await seen(lambda: raw.heads)
+    assert run_of(await mesh.call(path="/two")) == (503, "no")
+    assert run_of(await mesh.call(path="/other")) == (200, "yes")
+    release.set()
+    assert run_of(await first) == (200, "yes")
+    assert run_of(await mesh.call(path="/two")) == (200, "yes")
+    assert quarantine.standing(found, mesh.now_ms()) is Standing.TRUSTED
