A daemon that sees a crash reads which requests are quarantined

On the other side of a partition between daemons a request that is quarantined here could take three targets more, as suspicions go from neighbour to neighbour only. A daemon whose target has crashed now reads the rows of the quarantined requests, unless it has just quarantined one itself: one read a crash.

--- a/packages/pepperstaird/pepperstaird/crash_reports.py
+++ b/packages/pepperstaird/pepperstaird/crash_reports.py
@@ -69,10 +69,13 @@
             n_running=len(running),
         )
         self._spread(charged)
-        for suspicion in charged:
-            if self._is_quarantined(suspicion):
-                self._note_quarantined(suspicion)
-                self._rows.save(suspicion)
+        quarantined = [found for found in charged if self._is_quarantined(found)]
+        for suspicion in quarantined:
+            self._note_quarantined(suspicion)
+            self._rows.save(suspicion)
+        if not quarantined:
+            # Neighbours can't tell what is known on the other side of a partition.
+            self._rows.read()
 
     def exonerate(self, cleared: Suspicion) -> None:
         """Take that a suspected request was answered by a target of this VM."""
--- a/packages/pepperstaird/pepperstaird/quarantine_rows.py
+++ b/packages/pepperstaird/pepperstaird/quarantine_rows.py
@@ -38,11 +38,18 @@
         self._is_first_start = is_first_start
         self._writing: dict[bytes, asyncio.Task[None]] = {}
         self._reading: asyncio.Task[None] | None = None
+        self._on_read: Callable[[Iterable[Suspicion]], None] = lambda kept: None
 
     def start(self, on_read: Callable[[Iterable[Suspicion]], None]) -> None:
-        """Read what was kept, and hand it over when it is there."""
+        """Read what was kept, and hand over what is read now and later."""
+        self._on_read = on_read
         if not self._is_first_start:
-            self._reading = _run(self._read(on_read))
+            self.read()
+
+    def read(self) -> None:
+        """Read what any daemon has kept, unless that is under way."""
+        if self._reading is None or self._reading.done():
+            self._reading = _run(self._read())
 
     def save(self, suspicion: Suspicion) -> None:
         """Write the row of a quarantined request, in place of an earlier one."""
@@ -58,7 +65,7 @@
             if task is not None:
                 task.cancel()
 
-    async def _read(self, on_read: Callable[[Iterable[Suspicion]], None]) -> None:
+    async def _read(self) -> None:
         read = await _repeat(lambda: self._table.read_rows(_PREFIX))
         oldest_ms = self._wall_ms() - QUARANTINE_MAX_MS
         kept = [
@@ -66,7 +73,7 @@
             for row in read.unwrap()
             for suspicion, noted_ms in _iter_suspicions(row)
         ]
-        on_read(found for _, found, noted_ms in kept if noted_ms >= oldest_ms)
+        self._on_read(found for _, found, noted_ms in kept if noted_ms >= oldest_ms)
         old = [row.key for row, _, noted_ms in kept if noted_ms < oldest_ms]
         for key in old[:_N_DELETED_MAX]:
             await self._table.delete_row(key)
--- a/tests/adapter/test_poison_request.py
+++ b/tests/adapter/test_poison_request.py
@@ -80,3 +80,24 @@
     assert n_poisoned(vms) == n_before
     answered = [await vm.call(f"/logs/after-{vm.name}") for vm in vms]
     assert [status for status, _ in answered] == [200] * N_VMS
+
+
+@on_platform
+async def test_daemon_cut_off_from_the_others_learns_from_the_platform(mesh):
+    """Guards against one more round of crashes on each side of a partition."""
+    first = await serving_fleet(mesh)
+    await call_all(first, N_ROUNDS // 2, "a")
+    (key,) = [key for key in mesh.store.keys("members") if key.startswith("quar")]
+    kept = mesh.store.rows["members", key]
+    for vm in first:
+        vm.process.kill()
+        vm.process.wait()
+    mesh.store.rows.clear()
+    mesh.store.put("op", "config", document(7))
+    alone = await mesh.add("alone", "ledger")
+    alone.poison_path = POISON
+    mesh.store.rows["members", key] = kept
+    await until(lambda: is_ready(alone), "the daemon is ready")
+    assert (await alone.call("/logs/1"))[0] == 200
+    await call_all([alone], N_ROUNDS // 2, "b")
+    assert alone.n_poisoned == 1
