News of crashes is gathered before it goes out

A crash puts up to twelve requests under suspicion, and within a second the answers to eleven of them clear them again: a frame for each and neighbour. They are gathered for 50 ms and go out together, and a new neighbour is told only what is still suspected.

--- a/packages/pepperstair-core/pepperstair_core/calls/quarantine.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/quarantine.py
@@ -41,6 +41,11 @@
     crash_ids: tuple[str, ...]
     cleared_ids: tuple[str, ...] = ()
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether there is a crash that the request may have caused."""
+        return not set(self.crash_ids) <= set(self.cleared_ids)
+
 
 class Standing(Enum):
     """How a request may be run."""
--- a/packages/pepperstaird/pepperstaird/crash_reports.py
+++ b/packages/pepperstaird/pepperstaird/crash_reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 from collections.abc import Callable, Iterable
 from typing import Final
@@ -19,6 +20,9 @@
 log = structlog.get_logger(__name__)
 
 _N_PER_FRAME_MAX: Final = 64
+# News of this long goes out together: a crash is followed by as many answers that
+# clear what ran beside its cause.
+_GATHER_S: Final = 0.05
 
 
 class CrashReports:
@@ -45,6 +49,9 @@
         self._decisions = decisions
         self._now_ms = now_ms
         self._numbers = itertools.count(1)
+        # What is to be told, and by which neighbour it came, if by a single one.
+        self._pending: dict[bytes, str] = {}
+        self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Begin to listen to the neighbours, and read what the platform keeps."""
@@ -53,7 +60,9 @@
         self._rows.start(self._restore)
 
     def close(self) -> None:
-        """Stop reading and writing rows."""
+        """Stop telling, reading and writing."""
+        if self._timer is not None:
+            self._timer.cancel()
         self._rows.close()
 
     def report_crash(self, target: str, running: tuple[bytes, ...]) -> None:
@@ -83,10 +92,10 @@
         self._spread((cleared,))
 
     def _take(self, vm: str, frame: Suspicions) -> None:
-        self._spread(tuple(self._merge(frame.suspicions)), vm)
+        self._spread(self._merge(frame.suspicions), vm)
 
     def _restore(self, kept: Iterable[Suspicion]) -> None:
-        self._spread(tuple(self._merge(kept)))
+        self._spread(self._merge(kept))
 
     def _merge(self, told: Iterable[Suspicion]) -> Iterable[Suspicion]:
         """Yield what was news."""
@@ -119,20 +128,34 @@
         )
 
     def _tell_all(self, vm: str) -> None:
-        for frame in _iter_frames(self._quarantine.suspicions()):
-            self._control.send(vm, frame)
-
-    def _spread(self, suspicions: tuple[Suspicion, ...], sender: str = "") -> None:
-        for frame in _iter_frames(suspicions):
-            for vm in self._control.neighbours:
-                if vm != sender:
-                    self._control.send(vm, frame)
-
-
-def _iter_frames(suspicions: Iterable[Suspicion]) -> Iterable[Suspicions]:
-    left = iter(suspicions)
-    while taken := tuple(itertools.islice(left, _N_PER_FRAME_MAX)):
-        yield Suspicions(taken)
+        """Tell a new neighbour what is suspected; what was cleared it need not know."""
+        suspicions = self._quarantine.suspicions()
+        self._tell(vm, (found for found in suspicions if found.is_open))
+
+    def _spread(self, suspicions: Iterable[Suspicion], sender: str = "") -> None:
+        for suspicion in suspicions:
+            known = self._pending.setdefault(suspicion.fingerprint, sender)
+            if known != sender:
+                self._pending[suspicion.fingerprint] = ""
+        if self._pending and self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(_GATHER_S, self._flush)
+
+    def _flush(self) -> None:
+        self._timer = None
+        pending, self._pending = self._pending, {}
+        told = [
+            suspicion
+            for suspicion in self._quarantine.suspicions()
+            if suspicion.fingerprint in pending
+        ]
+        for vm in self._control.neighbours:
+            self._tell(vm, (item for item in told if pending[item.fingerprint] != vm))
+
+    def _tell(self, vm: str, suspicions: Iterable[Suspicion]) -> None:
+        left = iter(suspicions)
+        while taken := tuple(itertools.islice(left, _N_PER_FRAME_MAX)):
+            self._control.send(vm, Suspicions(taken))
 
 
 __all__ = ["CrashReports"]
