The end of a target is seen through a listener that outlives it

Where something listens in front of a target, a new connection is accepted after the target has ended and closed at once. The daemon took that for a target that lives: nothing was charged with the crash, and the request went on from target to target.

The new test failed before.

--- a/packages/pepperstair-targets/pepperstair_targets/pool.py
+++ b/packages/pepperstair-targets/pepperstair_targets/pool.py
@@ -21,6 +21,8 @@
 UNACKNOWLEDGED_MS: Final = 500
 # A refusal from the own VM comes at once, also to a busy loop.
 _PROBE_TIMEOUT_S: Final = 0.1
+# A listener that stands in for a target which has ended closes what it accepts.
+_PROBE_HOLD_S: Final = 0.02
 # A call that must not run twice is not sent on a connection that the target
 # may just be closing: its outcome would be unknown. Targets close theirs after
 # some seconds without use.
@@ -76,9 +78,9 @@
         return connection
 
     async def is_refused(self) -> bool:
-        """Return whether nobody listens at the target's address any more.
+        """Return whether nobody serves at the target's address any more.
 
-        A connection that opens instead is kept for the next call.
+        A connection that opens instead, and stays open, is kept for the next call.
         """
         try:
             async with asyncio.timeout(_PROBE_TIMEOUT_S):
@@ -89,8 +91,10 @@
             log.info(Event.TARGET_PROBE_FAILED, cause=repr(error))
             return False
         connection.notice_silence(UNACKNOWLEDGED_MS)
+        await asyncio.sleep(_PROBE_HOLD_S)
+        is_refused = connection.is_closed
         self.give_back(connection)
-        return False
+        return is_refused
 
     def give_back(self, connection: ClientConnection) -> None:
         """Keep a connection for the next call, if it may carry one.
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -50,6 +50,8 @@
         self.answer = answer
         self.heads: list[bytes] = []
         self.n_closed = 0
+        # Set where a listener in front of the target outlives it.
+        self.is_down = False
         self.writers: list[asyncio.StreamWriter] = []
         self._server: asyncio.Server | None = None
 
@@ -67,6 +69,9 @@
 
     async def _serve(self, reader, writer) -> None:
         self.writers.append(writer)
+        if self.is_down:
+            writer.close()
+            return
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -18,6 +18,14 @@
     await target.close()
 
 
+async def crash_behind_listener(target, writer, head):
+    """End the target behind a listener that goes on accepting connections."""
+    await asyncio.sleep(0.02)
+    target.is_down = True
+    for each in target.writers:
+        each.transport.abort()
+
+
 async def cut(target, writer, head):
     """Break one connection of a target that lives."""
     await asyncio.sleep(0.02)
@@ -73,6 +81,15 @@
     assert len(report[1]) == 1
 
 
+@on_mesh()
+async def test_end_of_a_target_is_seen_through_a_listener_that_outlives_it(mesh):
+    """Guards against a crash that is taken for cut connections, again and again."""
+    await add(mesh, "a", answer_by_path(crash=crash_behind_listener))
+    assert run_of(await mesh.call(path="/crash")) == (502, "unknown")
+    assert mesh.outcomes[-1].error is ErrorKind.TARGET_CRASHED
+    assert len(mesh.crashes) == 1
+
+
 @on_mesh()
 async def test_all_that_a_target_was_running_is_reported_once(mesh):
     """Guards against a report for each cut call, each of them counted as a crash."""
