--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -33,9 +33,14 @@
     faults_s: Annotated[float, Parameter(help="How long faults go on, in s.")] = 10.0,
     recover_s: Annotated[float, Parameter(help="Time to recover, in s.")] = 8.0,
     n_vms: Annotated[int, Parameter(help="VMs, each with its daemon.")] = 6,
+    poison: Annotated[
+        bool, Parameter(help="Send requests that crash targets.")
+    ] = False,
 ) -> int:
     """Play each seed and return 1 if any has broken a promise."""
-    terms = SoakTerms(n_vms=n_vms, faults_s=faults_s, recover_s=recover_s)
+    terms = SoakTerms(
+        n_vms=n_vms, faults_s=faults_s, recover_s=recover_s, has_poison=poison
+    )
     n_broken = 0
     for seed in iter_seeds(seeds):
         result = asyncio.run(play(seed, terms))
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -74,10 +74,7 @@
             await asyncio.sleep(self.pause_s * self._rng.uniform(0.5, 1.5))
 
     async def _call(self, request_id: str) -> None:
-        route = self._rng.choice(self._routes())
-        call, body = draw_call(
-            request_id, self._place, route, self._rng, _BODY_MAX_BYTES, self._now_s()
-        )
+        call, body = self._draw(request_id)
         self._history.calls[request_id] = call
         is_leaving = self._rng.random() < _LEAVING_SHARE
         patience_s = call.timeout_s + PATIENCE_S
@@ -94,6 +91,12 @@
             answer = Answer(0, b"", "", self._now_s())
         self._history.answers[request_id] = answer
 
+    def _draw(self, request_id: str) -> tuple[Call, bytes]:
+        route = self._rng.choice(self._routes())
+        return draw_call(
+            request_id, self._place, route, self._rng, _BODY_MAX_BYTES, self._now_s()
+        )
+
     async def _ask(self, call: Call, body: bytes) -> Answer:
         connection = await self._open()
         headers = [
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -27,6 +27,8 @@
 # A connection that a daemon has closed may take a moment to be seen as such by the
 # instance, whose next request has arrived meanwhile.
 N_CLOSING_MAX = 2
+N_POISONED_MAX = 3
+N_POISONED_LATE_MAX = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -288,7 +290,11 @@
 def iter_not_recovered(history: History) -> Iterator[Broken]:
     """Yield that too few requests are served once everything is well again."""
     from_s = history.healed_s + history.recover_s
-    late = [call for call in history.calls.values() if call.sent_s >= from_s]
+    late = [
+        call
+        for call in history.calls.values()
+        if call.sent_s >= from_s and not call.is_poison
+    ]
     found = [history.answers.get(call.request_id) for call in late]
     answers = [item for item in found if item is not None and not item.is_abandoned]
     n_served = sum(item.status == 200 for item in answers)
@@ -296,6 +302,24 @@
         yield Broken("recovers", f"{n_served} of {len(answers)} served afterwards")
 
 
+def iter_poisoned(history: History) -> Iterator[Broken]:
+    """Yield that a request ran on, long after three instances had ended under it."""
+    if len(history.poisoned_s) < N_POISONED_MAX:
+        return
+    known_s = sorted(history.poisoned_s)[N_POISONED_MAX - 1]
+    from_s = known_s + CALM_S + history.longest_stall_s
+    late = [
+        request_id
+        for request_id, call in history.calls.items()
+        if call.is_poison and call.sent_s >= from_s
+        for arrival in history.arrivals[request_id]
+        if history.is_calm(call.vm, call.sent_s - CALM_S, call.sent_s)
+        if history.is_store_calm(call.sent_s - CALM_S, call.sent_s)
+    ]
+    if len(late) > N_POISONED_LATE_MAX:
+        yield Broken("poison", f"{len(late)} runs too late, as {late[:3]}")
+
+
 ALL_CHECKS: tuple[Check, ...] = (
     iter_mixed,
     iter_cut_bodies,
@@ -313,6 +337,7 @@
     iter_late_answers,
     iter_cut_by_planned_work,
     iter_not_recovered,
+    iter_poisoned,
 )
 
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -39,6 +39,7 @@
     is_idempotent: bool
     timeout_s: float
     sent_s: float
+    is_poison: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +107,8 @@
     arrivals: dict[str, list[Arrival]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    # When an instance ended under a poison request.
+    poisoned_s: list[float] = field(default_factory=list)
     leavings: dict[str, Leaving] = field(default_factory=dict)
     disturbances: list[Disturbance] = field(default_factory=list)
     slots: dict[str, int] = field(default_factory=dict)
--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -18,7 +18,8 @@
 )
 
 from .checks import answer_body
-from .history import Arrival, History, Leaving
+from .history import Arrival, Disturbance, History, Leaving
+from .poison import POISON_PATH
 
 _HEARTBEAT_S = 1.0
 _RETRY_S = 0.2
@@ -54,6 +55,7 @@
         self._server: HttpServer | None = None
         self._beating: asyncio.Task[None] | None = None
         self._is_changing = False
+        self._poisoning: asyncio.Task[None] | None = None
         self._port = 0
         self.address = ""
         self.heartbeat_address = ""
@@ -80,11 +82,15 @@
         """End at once, as a crash would."""
         if self._beating is not None:
             self._beating.cancel()
-        for connection in list(self._server.connections):
-            connection.abort()
+        self.stop_connections()
         self._server.close()
         self._n_running = 0
 
+    def stop_connections(self) -> None:
+        """Break every connection, whatever runs on it."""
+        for connection in list(self._server.connections):
+            connection.abort()
+
     async def crash(self, for_s: float) -> None:
         """Crash without a sign, and start again under another name."""
         if self._is_changing:
@@ -94,6 +100,18 @@
         await asyncio.sleep(max(for_s, _SUCCESSOR_S))
         await self._start_again()
 
+    async def _end_under_poison(self) -> None:
+        """Crash, as the request that runs makes every instance do."""
+        if self._is_changing:
+            # The instance that leaves, or its successor, ends by itself.
+            self.stop_connections()
+            return
+        from_s = self._now_s()
+        self._history.poisoned_s.append(from_s)
+        await self.crash(0.0)
+        ended = Disturbance(self._vm, "poisoned", from_s, self._now_s())
+        self._history.disturbances.append(ended)
+
     async def leave(self, *, is_abrupt: bool) -> None:
         """Say that it leaves, serve on for a while and end; another one follows.
 
@@ -197,6 +215,9 @@
         finally:
             # Another instance at this address begins its own count.
             self._n_running -= name == self.name
+        if exchange.request.path == POISON_PATH:
+            self._poisoning = asyncio.create_task(self._end_under_poison())
+            return
         await self._answer(exchange, request_id)
 
     async def _answer(self, exchange: Exchange, request_id: str) -> None:
--- /dev/null
+++ b/tests/soak/poison.py
@@ -0,0 +1,34 @@
+"""A request that crashes each instance that runs it, sent again and again."""
+
+from __future__ import annotations
+
+import hashlib
+
+from .callers import Caller
+from .history import Call
+
+POISON_PREFIX = "/logs/"
+POISON_PATH = f"{POISON_PREFIX}poison/400"
+
+
+class PoisonCaller(Caller):
+    """A caller that sends the same request each time, under another id."""
+
+    def _draw(self, request_id: str) -> tuple[Call, bytes]:
+        routes = {route.prefix: route for route in self._routes()}
+        call = Call(
+            request_id=request_id,
+            vm=self._place.vm,
+            process=self._place.process(),
+            path=POISON_PATH,
+            prefix=POISON_PREFIX,
+            digest=hashlib.sha256(b"").hexdigest(),
+            is_idempotent=True,
+            timeout_s=routes[POISON_PREFIX].timeout_s,
+            sent_s=self._now_s(),
+            is_poison=True,
+        )
+        return call, b""
+
+
+__all__ = ["POISON_PATH", "POISON_PREFIX", "PoisonCaller"]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,6 +22,7 @@
 from .machines import DaemonVm, Machine
 from .operator import SERVICES, Operator
 from .plan import PLANNED, Fault, FaultKind, draw_plan
+from .poison import PoisonCaller
 
 # What is measured after the recovery.
 _AFTERWARDS_S = 3.0
@@ -42,6 +43,7 @@
     n_callers: int = 3
     faults_s: float = 10.0
     recover_s: float = 8.0
+    has_poison: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +111,8 @@
         self._spawn(self._watch_stalls())
         for machine in self.machines:
             self._add_callers(machine)
+        if self._terms.has_poison:
+            self._add_poison()
         start_s = self.now_s()
         faults = [self._spawn(self._bring(fault, start_s)) for fault in self.plan]
         await asyncio.sleep(self._terms.faults_s)
@@ -158,6 +162,30 @@
         self._callers.append(ahead)
         self._spawn(ahead.run())
 
+    def _add_poison(self) -> None:
+        """Let the VMs of one service send the poison, as one caller would."""
+        rng = random.Random(len(self.plan))
+        service = rng.choice(SERVICES)
+        for machine in self.machines:
+            vm = machine.vm
+            if vm.service != service:
+                continue
+            poison = PoisonCaller(
+                f"{vm.name}-poison",
+                Place(
+                    vm.name,
+                    f"127.0.0.1:{vm.ports['outbound']}",
+                    lambda machine=machine: machine.n_starts,
+                ),
+                self.history,
+                self.operator.routes,
+                rng,
+                self.now_s,
+                is_fresh=False,
+            )
+            self._callers.append(poison)
+            self._spawn(poison.run())
+
     def _spawn(self, work: Awaitable[None]) -> asyncio.Task[None]:
         task = self._loop.create_task(work)
         self._tasks.add(task)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 import asyncio
 import shutil
 import tomllib
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -45,6 +46,11 @@
     assert_unbroken(seed, SHORT)
 
 
+def test_short_soak_with_a_poison_request_breaks_no_promise():
+    """Guards against a request that takes down target after target beside faults."""
+    assert_unbroken(12, replace(SHORT, has_poison=True))
+
+
 @pytest.mark.parametrize("case", FAILED_SEEDS.get("case", []), ids=lambda c: c["seed"])
 def test_seed_that_failed_once_breaks_nothing(case):
     """Each of these seeds broke a promise; `seeds.toml` says by what cause."""
