--- a/packages/pepperstaird/pepperstaird/departure_rows.py
+++ b/packages/pepperstaird/pepperstaird/departure_rows.py
@@ -149,7 +149,7 @@
     try:
         for name, start_ms, sequence, noted_ms in json.loads(row.value):
             yield Departure(str(name), int(start_ms), int(sequence), int(noted_ms))
-    except (ValueError, TypeError) as error:
+    except (ValueError, TypeError, RecursionError) as error:
         log.warning(Event.ANNOUNCEMENT_IGNORED, target=row.key, cause=repr(error))
 
 
--- a/packages/pepperstaird/pepperstaird/member_rows.py
+++ b/packages/pepperstaird/pepperstaird/member_rows.py
@@ -149,7 +149,7 @@
         try:
             value = json.loads(row.value)
             address, written_ms = value["peer_address"], value["written_ms"]
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
             continue
         yield MemberRow(row.key.removeprefix(_PREFIX), str(address), int(written_ms))
 
--- a/packages/pepperstaird/pepperstaird/quarantine_rows.py
+++ b/packages/pepperstaird/pepperstaird/quarantine_rows.py
@@ -105,7 +105,7 @@
         fingerprint = bytes.fromhex(row.key.removeprefix(_PREFIX))
         crash_ids, noted_ms = json.loads(row.value)
         yield Suspicion(fingerprint, tuple(map(str, crash_ids))), int(noted_ms)
-    except (ValueError, TypeError) as error:
+    except (ValueError, TypeError, RecursionError) as error:
         log.warning(Event.ROW_IGNORED, key=row.key, cause=repr(error))
 
 
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -77,6 +77,15 @@
         1,
         rule("a", "/a/", "", action={"traffic_split": [{"service": "ledger"}]}),
     ),
+    "a timeout beyond any number": document(
+        1, rule("a", "/a/", "ledger", action={"timeout_ms": 10**400})
+    ),
+    "a version beyond any number": document(version="r" + "9" * 5000),
+    "a table nested without end": document()[:-1]
+    + b',"x":'
+    + b"[" * 200_000
+    + b"]" * 200_000
+    + b"}",
     "an empty split": document(1, rule("a", "/a/", "", action={"traffic_split": []})),
     "a name used twice": document(
         1, rule("a", "/a/", "ledger"), rule("a", "/b/", "ledger")
--- a/tests/adapter/test_heartbeats.py
+++ b/tests/adapter/test_heartbeats.py
@@ -67,6 +67,8 @@
         {"cold_remaining_ms": None},
         {"born": "yesterday"},
         {"born": 1.5},
+        {"born": 10**20},
+        {"slots": 10**20},
         {"zone": 7},
     ],
 )
@@ -79,6 +81,8 @@
     assert read(**changes).is_err()
 
 
-@pytest.mark.parametrize("body", [b"", b"\xff", b"[]", b"7", b'{"service":'])
+@pytest.mark.parametrize(
+    "body", [b"", b"\xff", b"[]", b"7", b'{"service":', b"[" * 60_000]
+)
 def test_bytes_that_can_not_be_read_name_no_instance(body):
     assert read_heartbeat("i-1", body, SETTINGS).is_err()
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -128,7 +128,12 @@
 async def test_row_that_can_not_be_read_is_left_out():
     """Guards against a start that fails on a row of another writer."""
     table = Table()
-    for key, value in (("zz", "[[], 1]"), ("00", "{"), ("01", "[1, 2, 3]")):
+    for key, value in (
+        ("zz", "[[], 1]"),
+        ("00", "{"),
+        ("01", "[1, 2, 3]"),
+        ("02", "[" * 60_000),
+    ):
         table.rows[f"quarantine/{key}"] = Row(f"quarantine/{key}", value)
     daemon = Daemon(table=table, is_first_start=False)
     await settled()
