A crash is seen beside silent connections and without its caller

Two ways in which nobody was charged with a crash, found by reading. An idle connection that went silent earlier stays open after its target has ended, and the target looked alive. And the look at a target belonged to the calls that were cut: had their callers left within its 2 ms, nothing was reported.

A cut call is now always followed by a new connection to its target, one for all that are cut together, and only where nothing else seems open is that one watched for 20 ms. The watch reports by itself. Both tests failed before (target_failed in the one, no report in the other).

Requests that the caller's own daemon refuses are counted in calls_quarantined as well; before, those beside the target alone were.

--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -41,6 +41,7 @@
         self.n_retries = 0
         self.n_in_flight = 0
         self.n_held_at_start = 0
+        self.n_quarantined = 0
         # Failed calls by why they were not sent to another target.
         self.n_given_up = dict.fromkeys(GiveUpCause, 0)
         self._scopes: set[asyncio.Timeout] = set()
@@ -206,6 +207,7 @@
     ) -> None:
         self.n_in_flight -= 1
         self.n_failed += error is not None
+        self.n_quarantined += error is ErrorKind.QUARANTINED
         n_retries = max(0, call.n_attempts - 1) if call is not None else 0
         self.n_retries += n_retries
         outcome = CallOutcome(
--- a/packages/pepperstair-targets/pepperstair_targets/crashes.py
+++ b/packages/pepperstair-targets/pepperstair_targets/crashes.py
@@ -15,14 +15,23 @@
 
 # The connections of a process that ends close together, and are seen one by one.
 _CLOSING_S: Final = 0.002
+# A listener that outlives its target closes what it accepts.
+_HOLD_S: Final = 0.02
 
 
 class CrashWatch:
-    """The calls that one target is running, and whether it has ended under them."""
+    """The calls that one target is running, and whether it has ended under them.
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    `on_ended` is told once of each end, with the fingerprints of what was running.
+    """
+
+    def __init__(
+        self, pool: ConnectionPool, on_ended: Callable[[tuple[bytes, ...]], None]
+    ) -> None:
         self._pool = pool
+        self._on_ended = on_ended
         self._running: dict[TargetCall, bytes] = {}
+        self._cut: set[bytes] = set()
         self._checking: asyncio.Task[bool] | None = None
         self._is_reported = False
 
@@ -42,32 +51,35 @@
         """Return whether a request with a wanted fingerprint is running."""
         return any(is_wanted(fingerprint) for fingerprint in self._running.values())
 
-    async def has_ended(self) -> bool:
+    async def has_ended(self, call: TargetCall) -> bool:
         """Return whether the target is gone, after one of its calls was cut.
 
-        Calls that are cut together wait for one look at the target.
+        Calls that are cut together wait for one look at the target, which goes on
+        where their callers leave.
         """
+        self._cut.add(self._running[call])
         if self._checking is None or self._checking.done():
             checking = asyncio.get_running_loop().create_task(self._check())
             self._checking = checking
         return await asyncio.shield(self._checking)
 
-    def take_cut(self) -> tuple[bytes, ...]:
-        """Return once what the target was running when it ended."""
-        if self._is_reported:
-            return ()
-        self._is_reported = True
-        return tuple(
-            fingerprint
-            for call, fingerprint in self._running.items()
-            if call.is_sent and fingerprint
-        )
-
     async def _check(self) -> bool:
         await asyncio.sleep(_CLOSING_S)
-        if self._pool.has_open or any(call.is_connected for call in self._running):
-            return False
-        return await self._pool.is_refused()
+        # A connection that went silent seems open for as long as it is kept.
+        seems_alive = self._pool.has_open or any(
+            call.is_connected for call in self._running
+        )
+        is_refused = await self._pool.is_refused(0.0 if seems_alive else _HOLD_S)
+        cut, self._cut = self._cut, set()
+        if is_refused and not self._is_reported:
+            self._is_reported = True
+            self._on_ended(tuple(sorted((cut | self._sent()) - {b""})))
+        return is_refused
+
+    def _sent(self) -> set[bytes]:
+        return {
+            fingerprint for call, fingerprint in self._running.items() if call.is_sent
+        }
 
 
 __all__ = ["CrashWatch"]
--- a/packages/pepperstair-targets/pepperstair_targets/pool.py
+++ b/packages/pepperstair-targets/pepperstair_targets/pool.py
@@ -21,8 +21,6 @@
 UNACKNOWLEDGED_MS: Final = 500
 # A refusal from the own VM comes at once, also to a busy loop.
 _PROBE_TIMEOUT_S: Final = 0.1
-# A listener that stands in for a target which has ended closes what it accepts.
-_PROBE_HOLD_S: Final = 0.02
 # A call that must not run twice is not sent on a connection that the target
 # may just be closing: its outcome would be unknown. Targets close theirs after
 # some seconds without use.
@@ -77,10 +75,11 @@
         connection.notice_silence(UNACKNOWLEDGED_MS)
         return connection
 
-    async def is_refused(self) -> bool:
+    async def is_refused(self, hold_s: float) -> bool:
         """Return whether nobody serves at the target's address any more.
 
-        A connection that opens instead, and stays open, is kept for the next call.
+        A connection that opens instead, and stays open for `hold_s`, is kept for the
+        next call.
         """
         try:
             async with asyncio.timeout(_PROBE_TIMEOUT_S):
@@ -91,7 +90,7 @@
             log.info(Event.TARGET_PROBE_FAILED, cause=repr(error))
             return False
         connection.notice_silence(UNACKNOWLEDGED_MS)
-        await asyncio.sleep(_PROBE_HOLD_S)
+        await asyncio.sleep(hold_s)
         is_refused = connection.is_closed
         self.give_back(connection)
         return is_refused
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -48,10 +48,11 @@
         target: Target,
         now_ms: Callable[[], float],
         on_refused: Callable[[str, Refused], None],
+        on_ended: Callable[[LocalTarget, tuple[bytes, ...]], None],
     ) -> None:
         self.target = target
         self.pool = ConnectionPool(target.address, target.n_connections_max)
-        self.crashes = CrashWatch(self.pool)
+        self.crashes = CrashWatch(self.pool, lambda cut: on_ended(self, cut))
         self.gate = SlotGate(
             _n_running_max(target),
             now_ms,
@@ -107,7 +108,6 @@
         self.is_draining = False
         self.n_refused = 0
         self.n_crashes = 0
-        self.n_quarantined = 0
 
     @property
     def n_in_flight(self) -> int:
@@ -159,7 +159,7 @@
         except PepperstairError as error:
             failure = error.failure
             if call.is_sent and failure.kind in _CUT_KINDS:
-                failure = await self._explain_cut(local, failure)
+                failure = await self._explain_cut(local, call, failure)
             _log_failed(head, failure, self._now_ms() - admitted_ms)
             raise PepperstairError(failure) from error
         finally:
@@ -198,7 +198,6 @@
         standing = self._quarantine.standing(head.fingerprint, now_ms)
         if standing is not Standing.QUARANTINED:
             return
-        self.n_quarantined += 1
         raise PepperstairError(self._quarantine.refusal(head.fingerprint, now_ms))
 
     def _screen(self, head: CallHead, local: LocalTarget, now_ms: float) -> None:
@@ -214,22 +213,25 @@
             failure = Failure(ErrorKind.OVERLOADED, detail, _ISOLATED_RETRY_MS, Run.NO)
             raise PepperstairError(failure)
 
-    async def _explain_cut(self, local: LocalTarget, failure: Failure) -> Failure:
-        """Return why a call was cut, and tell of its target if that has ended.
+    async def _explain_cut(
+        self, local: LocalTarget, call: TargetCall, failure: Failure
+    ) -> Failure:
+        """Return why a call was cut.
 
         A target that leaves may end with calls that it has not finished.
         """
         target = self._registry.get(local.target.name, self._now_ms())
         if target is None or target.state is TargetState.DRAINING:
             return failure
-        if not await local.crashes.has_ended():
+        if not await local.crashes.has_ended(call):
             return failure
-        cut = local.crashes.take_cut()
-        if cut:
-            self.n_crashes += 1
-            self.on_crash(target.name, cut)
         return Failure(ErrorKind.TARGET_CRASHED, failure.detail)
 
+    def _on_ended(self, local: LocalTarget, cut: tuple[bytes, ...]) -> None:
+        self.n_crashes += 1
+        if cut:
+            self.on_crash(local.target.name, cut)
+
     def _take_answer(
         self, local: LocalTarget, head: CallHead, response: StreamedResponse
     ) -> None:
@@ -262,7 +264,7 @@
     def _local(self, target: Target) -> LocalTarget:
         local = self._locals.get(target.name)
         if local is None:
-            local = LocalTarget(target, self._now_ms, self._on_refused)
+            local = LocalTarget(target, self._now_ms, self._on_refused, self._on_ended)
             self._locals[target.name] = local
         return local
 
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -40,7 +40,7 @@
     ] = 0
     n_calls_quarantined: Annotated[
         int,
-        Meta(description="Calls refused, as requests like them crashed targets."),
+        Meta(description="Requests refused, as those like them crashed targets."),
     ] = 0
     n_targets_crashed: Annotated[
         int, Meta(description="Targets of this VM that ended while they ran calls.")
@@ -211,7 +211,7 @@
         n_calls_held_at_start=daemon.proxy.n_held_at_start,
         n_calls_taken=daemon.call_server.n_calls,
         n_calls_refused=daemon.runner.n_refused,
-        n_calls_quarantined=daemon.runner.n_quarantined,
+        n_calls_quarantined=daemon.proxy.n_quarantined,
         n_targets_crashed=daemon.runner.n_crashes,
         n_connections=daemon.callers.counters.n_connections,
         n_connections_refused=daemon.callers.counters.n_refused,
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -26,6 +26,12 @@
         each.transport.abort()
 
 
+async def slow(target, writer, head):
+    """Answer after a while."""
+    await asyncio.sleep(0.05)
+    await answer_ok(target, writer, head)
+
+
 async def cut(target, writer, head):
     """Break one connection of a target that lives."""
     await asyncio.sleep(0.02)
@@ -90,6 +96,35 @@
     assert len(mesh.crashes) == 1
 
 
+@on_mesh()
+async def test_end_of_a_target_is_seen_beside_a_connection_that_went_silent(mesh):
+    """Guards against a dead connection that makes an ended target look alive."""
+
+    async def crash_but_one(target, writer, head):
+        target._server.close()
+        silent = next(each for each in target.writers if each is not writer)
+        for each in target.writers:
+            if each is not silent:
+                each.transport.abort()
+
+    raw = await add(mesh, "a", answer_by_path(slow=slow, crash=crash_but_one))
+    await asyncio.gather(mesh.call(path="/slow"), mesh.call(path="/slow"))
+    assert len(raw.writers) == 2
+    assert run_of(await mesh.call(path="/crash")) == (502, "unknown")
+    assert mesh.outcomes[-1].error is ErrorKind.TARGET_CRASHED
+    assert len(mesh.crashes) == 1
+
+
+@on_mesh()
+async def test_crash_is_reported_though_the_caller_has_left(mesh):
+    """Guards against a crash that nobody is charged with."""
+    raw = await add(mesh, "a", answer_by_path(crash=crash_behind_listener))
+    calling = asyncio.ensure_future(mesh.call(path="/crash"))
+    await seen(lambda: raw.is_down)
+    calling.cancel()
+    await seen(lambda: mesh.crashes)
+
+
 @on_mesh()
 async def test_all_that_a_target_was_running_is_reported_once(mesh):
     """Guards against a report for each cut call, each of them counted as a crash."""
