A quarantine is kept also where no daemon saw the third crash

Only a daemon that was charged with a third crash wrote the row, so that nobody did: after a kill of all daemons the request would have taken three targets more.

Now a daemon writes the row when it first sees the request quarantined, if any of the crashes was its own. The new test failed before; the process tests wait for the row. The line request_quarantined gives the crashes of the record, not those of the message.

The calls of the platform that are repeated until it answers stood twice, here and for departures: call_until_answered.

--- a/packages/pepperstair-core/pepperstair_core/calls/quarantine.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/quarantine.py
@@ -123,7 +123,7 @@
         )
         for suspicion in charged:
             self.merge(suspicion, now_ms)
-        return tuple(self._told(suspicion.fingerprint) for suspicion in charged)
+        return tuple(self.record(suspicion.fingerprint) for suspicion in charged)
 
     def exonerate(self, fingerprint: bytes) -> Suspicion | None:
         """Take that a request was answered, and return its record if that is news."""
@@ -131,7 +131,7 @@
         if record is None or not record.n_crashes:
             return None
         record.cleared_ids |= record.crash_ids
-        return self._told(fingerprint)
+        return self.record(fingerprint)
 
     def merge(self, told: Suspicion, now_ms: float) -> bool:
         """Take what another daemon knows, and return whether it was news."""
@@ -152,9 +152,10 @@
     def suspicions(self) -> Iterator[Suspicion]:
         """Yield every record, for a daemon that may know none of them."""
         for fingerprint in self._records:
-            yield self._told(fingerprint)
+            yield self.record(fingerprint)
 
-    def _told(self, fingerprint: bytes) -> Suspicion:
+    def record(self, fingerprint: bytes) -> Suspicion:
+        """Return all that is known of a request under suspicion."""
         record = self._records[fingerprint]
         crash_ids, cleared_ids = sorted(record.crash_ids), sorted(record.cleared_ids)
         return Suspicion(fingerprint, tuple(crash_ids), tuple(cleared_ids))
--- a/packages/pepperstaird/pepperstaird/crash_reports.py
+++ b/packages/pepperstaird/pepperstaird/crash_reports.py
@@ -80,8 +80,7 @@
         self._spread(charged)
         quarantined = [found for found in charged if self._is_quarantined(found)]
         for suspicion in quarantined:
-            self._note_quarantined(suspicion)
-            self._rows.save(suspicion)
+            self._note_quarantined(suspicion.fingerprint)
         if not quarantined:
             # Neighbours can't tell what is known on the other side of a partition.
             self._rows.read()
@@ -104,16 +103,25 @@
             if not self._quarantine.merge(suspicion, self._now_ms()):
                 continue
             if self._is_quarantined(suspicion) and not was_quarantined:
-                self._note_quarantined(suspicion)
+                self._note_quarantined(suspicion.fingerprint)
             yield suspicion
 
     def _is_quarantined(self, suspicion: Suspicion) -> bool:
         standing = self._quarantine.standing(suspicion.fingerprint, self._now_ms())
         return standing is Standing.QUARANTINED
 
-    def _note_quarantined(self, suspicion: Suspicion) -> None:
-        fingerprint = suspicion.fingerprint.hex()
-        n_crashes = len(suspicion.crash_ids)
+    def _note_quarantined(self, quarantined: bytes) -> None:
+        """Say that a request is quarantined; keep it where a target here has crashed.
+
+        Crashes that happen together are added up elsewhere than where they were seen,
+        so that any of the daemons that saw one keeps the row.
+        """
+        record = self._quarantine.record(quarantined)
+        own = f"{self._identity.vm}/{self._identity.start_id}/"
+        if any(crash_id.startswith(own) for crash_id in record.crash_ids):
+            self._rows.save(record)
+        fingerprint = quarantined.hex()
+        n_crashes = len(record.crash_ids)
         log.warning(
             Event.REQUEST_QUARANTINED, fingerprint=fingerprint, n_crashes=n_crashes
         )
--- a/packages/pepperstaird/pepperstaird/departure_rows.py
+++ b/packages/pepperstaird/pepperstaird/departure_rows.py
@@ -15,13 +15,13 @@
 
 import structlog
 from msgspec.structs import astuple
-from result import Result
 
-from pepperstair_core.errors import Failure
 from pepperstair_core.events import Event
 from pepperstair_platform import Row, RowTable
 from pepperstair_targets import LAST_SEQUENCE, Departure, OrderedAnnouncements
 
+from .repeating import call_until_answered
+
 log = structlog.get_logger(__name__)
 
 _PREFIX: Final = "departure/"
@@ -32,8 +32,6 @@
 # How long an acknowledgement waits for its row, and the first announcement for
 # what was kept. Targets wait a second for the answer; a row takes some 20 ms.
 WAIT_MAX_S: Final = 0.4
-_RETRY_MIN_S: Final = 0.1
-_RETRY_MAX_S: Final = 2.0
 
 
 class DepartureRows:
@@ -101,12 +99,12 @@
     async def _restore(self) -> None:
         if self._is_first_start:
             return
-        read = await self._repeat(lambda: self._table.read_rows(_PREFIX))
-        rows = [row for row in read.unwrap() if row.key == self._key]
+        found = await call_until_answered(lambda: self._table.read_rows(_PREFIX))
+        rows = [row for row in found if row.key == self._key]
         oldest_ms = self._wall_ms() - KEPT_MS
         self._old_keys = [
             row.key
-            for row in read.unwrap()
+            for row in found
             if row.key != self._key and _newest_ms(row) < oldest_ms
         ]
         kept = [item for row in rows for item in _iter_departures(row)]
@@ -124,7 +122,7 @@
         departures = self._announcements.departures()
         kept = [astuple(item) for item in departures if item.noted_ms >= oldest_ms]
         row = Row(self._key, json.dumps(kept))
-        await self._repeat(lambda: self._table.commit((), (row,)))
+        await call_until_answered(lambda: self._table.commit((), (row,)))
         await self._delete_old()
 
     async def _delete_old(self) -> None:
@@ -133,16 +131,6 @@
         for key in old:
             await self._table.delete_row(key)
 
-    async def _repeat(self, call: Callable) -> Result:
-        """Call the platform until it answers, less and less often."""
-        retry_s = _RETRY_MIN_S
-        while True:
-            answered: Result[object, Failure] = await call()
-            if answered.is_ok():
-                return answered
-            await asyncio.sleep(retry_s)
-            retry_s = min(_RETRY_MAX_S, 2 * retry_s)
-
 
 def _iter_departures(row: Row) -> Iterator[Departure]:
     """Yield what a row says; another release may write what can't be read."""
--- a/packages/pepperstaird/pepperstaird/quarantine_rows.py
+++ b/packages/pepperstaird/pepperstaird/quarantine_rows.py
@@ -8,20 +8,18 @@
 from typing import Any, Final
 
 import structlog
-from result import Result
 
 from pepperstair_core.calls import Suspicion
 from pepperstair_core.calls.quarantine import QUARANTINE_MAX_MS
-from pepperstair_core.errors import Failure
 from pepperstair_core.events import Event
 from pepperstair_platform import Row, RowTable
 
+from .repeating import call_until_answered
+
 log = structlog.get_logger(__name__)
 
 _PREFIX: Final = "quarantine/"
 _N_DELETED_MAX: Final = 10
-_RETRY_MIN_S: Final = 0.1
-_RETRY_MAX_S: Final = 2.0
 
 
 class QuarantineRows:
@@ -66,11 +64,11 @@
                 task.cancel()
 
     async def _read(self) -> None:
-        read = await _repeat(lambda: self._table.read_rows(_PREFIX))
+        rows = await call_until_answered(lambda: self._table.read_rows(_PREFIX))
         oldest_ms = self._wall_ms() - QUARANTINE_MAX_MS
         kept = [
             (row, suspicion, noted_ms)
-            for row in read.unwrap()
+            for row in rows
             for suspicion, noted_ms in _iter_suspicions(row)
         ]
         self._on_read(found for _, found, noted_ms in kept if noted_ms >= oldest_ms)
@@ -81,24 +79,13 @@
     async def _write(self, suspicion: Suspicion) -> None:
         value = json.dumps([suspicion.crash_ids, self._wall_ms()])
         row = Row(f"{_PREFIX}{suspicion.fingerprint.hex()}", value)
-        await _repeat(lambda: self._table.commit((), (row,)))
+        await call_until_answered(lambda: self._table.commit((), (row,)))
 
 
 def _run(coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
     return asyncio.get_running_loop().create_task(coroutine)
 
 
-async def _repeat(call: Callable) -> Result:
-    """Call the platform until it answers, less and less often."""
-    retry_s = _RETRY_MIN_S
-    while True:
-        answered: Result[object, Failure] = await call()
-        if answered.is_ok():
-            return answered
-        await asyncio.sleep(retry_s)
-        retry_s = min(_RETRY_MAX_S, 2 * retry_s)
-
-
 def _iter_suspicions(row: Row) -> Iterator[tuple[Suspicion, int]]:
     """Yield what a row says; another release may write what can't be read."""
     try:
--- a/tests/adapter/test_poison_request.py
+++ b/tests/adapter/test_poison_request.py
@@ -46,6 +46,20 @@
     return sum(vm.n_poisoned for vm in vms)
 
 
+async def kept_row(mesh) -> str:
+    """Wait for the row of the quarantined request and return its key."""
+
+    def keys() -> list[str]:
+        return [key for key in mesh.store.keys("members") if key.startswith("quaran")]
+
+    async def is_kept() -> bool:
+        return bool(keys())
+
+    await until(is_kept, "the quarantine is written")
+    (key,) = keys()
+    return key
+
+
 @on_platform
 async def test_request_that_crashes_targets_is_kept_from_the_next_ones(mesh):
     """Guards against a request that takes down one target after another."""
@@ -63,11 +77,7 @@
     await call_all(vms, N_ROUNDS // 2, "a")
     n_before = n_poisoned(vms)
     assert n_before <= N_RUNS_MAX
-
-    async def is_kept() -> bool:
-        return any(key.startswith("quarantine/") for key in mesh.store.keys("members"))
-
-    await until(is_kept, "the quarantine is written")
+    await kept_row(mesh)
     for vm in vms:
         vm.process.kill()
         vm.process.wait()
@@ -87,7 +97,7 @@
     """Guards against one more round of crashes on each side of a partition."""
     first = await serving_fleet(mesh)
     await call_all(first, N_ROUNDS // 2, "a")
-    (key,) = [key for key in mesh.store.keys("members") if key.startswith("quar")]
+    key = await kept_row(mesh)
     kept = mesh.store.rows["members", key]
     for vm in first:
         vm.process.kill()
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -124,6 +124,20 @@
     assert later.standing(b"poison") is Standing.QUARANTINED
 
 
+@on_loop
+async def test_crashes_that_are_added_up_by_the_neighbours_are_kept_too():
+    """Guards against a quarantine that nobody writes, as nobody saw the third crash."""
+    daemon, other = Daemon(), Daemon("vm-2")
+    daemon.reports.report_crash("ledger-1", (b"poison",))
+    told = Suspicions((Suspicion(b"poison", ("vm-2/1/1", "vm-3/1/1")),))
+    for each in (daemon, other):
+        each.control.on_suspicions("a", told)
+    await settled()
+    assert daemon.standing(b"poison") is Standing.QUARANTINED
+    assert list(daemon.table.rows) == [f"quarantine/{b'poison'.hex()}"]
+    assert other.table.rows == {}
+
+
 @on_loop
 async def test_row_that_can_not_be_read_is_left_out():
     """Guards against a start that fails on a row of another writer."""
