Crash records: old crashes stay forgotten, and no request gets immune

Found by reading. Two crashes of eleven minutes ago counted again with the next one, so that a request could be quarantined for a single crash in hours. And a common request that ran at sixteen harmless crashes could not be suspected any more, as no further crash was taken into its record.

The words of the code follow the field: crash records in place of suspicions, which is what members have of each other; answers clear a record.

--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -18,7 +18,7 @@
 from .fleet_budget import BudgetTerms, FleetRetryBudget
 from .outcome import CallOutcome
 from .pacing import LinkPacer
-from .quarantine import Quarantine, Standing, Suspicion
+from .quarantine import CrashRecord, Quarantine, Standing
 from .retry import (
     Attempt,
     GiveUp,
@@ -56,7 +56,7 @@
     "Retry",
     "RetryBudget",
     "Standing",
-    "Suspicion",
+    "CrashRecord",
     "TargetChooser",
     "TokenRetryBudget",
     "Verdict",
--- a/packages/pepperstair-core/pepperstair_core/calls/quarantine.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/quarantine.py
@@ -24,13 +24,14 @@
 # How long a request is kept away; doubled with each crash that follows.
 QUARANTINE_MS: Final = 600_000
 QUARANTINE_MAX_MS: Final = 86_400_000
-SUSPICION_MS: Final = 600_000
+# How long crashes count that are too few for that.
+RECORD_KEPT_MS: Final = 600_000
 N_TRACKED_MAX: Final = 1024
 # More crashes of one request change nothing, and records have to fit frames.
 N_CRASH_IDS_MAX: Final = 16
 
 
-class Suspicion(ArrayRecord):
+class CrashRecord(ArrayRecord):
     """The crashes at which a request was running.
 
     `cleared_ids` are those crashes that it can't have caused, as a target has answered
@@ -58,7 +59,7 @@
 class _Record(Struct):
     crash_ids: set[str]
     cleared_ids: set[str]
-    charged_ms: float
+    crashed_ms: float
 
     @property
     def n_crashes(self) -> int:
@@ -70,7 +71,7 @@
 
     >>> quarantine = Quarantine()
     >>> for crash_id in ("vm-1/1", "vm-2/1", "vm-3/1"):
-    ...     charged = quarantine.charge([b"poison"], crash_id, now_ms=0)
+    ...     charged = quarantine.record_crash([b"poison"], crash_id, now_ms=0)
     >>> quarantine.standing(b"poison", now_ms=0)
     <Standing.QUARANTINED: 'quarantined'>
     """
@@ -87,14 +88,14 @@
         n_crashes = self._n_crashes(fingerprint, now_ms)
         if n_crashes < N_CRASHES_ISOLATED:
             return Standing.TRUSTED
-        if now_ms < record.charged_ms + _quarantine_ms(n_crashes):
+        if now_ms < record.crashed_ms + _quarantine_ms(n_crashes):
             return Standing.QUARANTINED
         return Standing.SUSPECT
 
     def refusal(self, fingerprint: bytes, now_ms: float) -> Failure:
         """Return the failure of a quarantined request, and when it may run again."""
         record = self._records[fingerprint]
-        until_ms = record.charged_ms + _quarantine_ms(record.n_crashes)
+        until_ms = record.crashed_ms + _quarantine_ms(record.n_crashes)
         left_ms = max(0, int(until_ms - now_ms))
         return Failure(ErrorKind.QUARANTINED, fingerprint.hex(), left_ms, Run.NO)
 
@@ -105,9 +106,9 @@
             for fingerprint in self._records
         )
 
-    def charge(
+    def record_crash(
         self, running: Iterable[bytes], crash_id: str, now_ms: float
-    ) -> tuple[Suspicion, ...]:
+    ) -> tuple[CrashRecord, ...]:
         """Take the crash of a target that was running some requests.
 
         Only those that stood at the most crashes before are charged: they explain this
@@ -119,54 +120,62 @@
         counts = {found: self._n_crashes(found, now_ms) for found in running}
         most = max(counts.values())
         charged = tuple(
-            Suspicion(found, (crash_id,)) for found in counts if counts[found] == most
+            CrashRecord(found, (crash_id,)) for found in counts if counts[found] == most
         )
-        for suspicion in charged:
-            self.merge(suspicion, now_ms)
-        return tuple(self.record(suspicion.fingerprint) for suspicion in charged)
+        for record in charged:
+            self.merge(record, now_ms)
+        return tuple(self.get(record.fingerprint) for record in charged)
 
-    def exonerate(self, fingerprint: bytes) -> Suspicion | None:
+    def record_answer(self, fingerprint: bytes) -> CrashRecord | None:
         """Take that a request was answered, and return its record if that is news."""
         record = self._records.get(fingerprint)
         if record is None or not record.n_crashes:
             return None
         record.cleared_ids |= record.crash_ids
-        return self.record(fingerprint)
+        return self.get(fingerprint)
 
-    def merge(self, told: Suspicion, now_ms: float) -> bool:
+    def merge(self, told: CrashRecord, now_ms: float) -> bool:
         """Take what another daemon knows, and return whether it was news."""
         record = self._records.get(told.fingerprint)
         if record is None:
             self._make_room(now_ms)
             record = _Record(set(), set(), now_ms)
             self._records[told.fingerprint] = record
+        elif self._is_old(record, now_ms):
+            record.cleared_ids |= record.crash_ids
+        if len(record.crash_ids) >= N_CRASH_IDS_MAX and not record.n_crashes:
+            record.crash_ids.clear()
+            record.cleared_ids.clear()
         n_crashes, n_known = record.n_crashes, len(record.crash_ids)
         n_cleared = len(record.cleared_ids)
         record.cleared_ids |= set(told.cleared_ids)
         if n_known < N_CRASH_IDS_MAX:
             record.crash_ids |= set(told.crash_ids)
         if record.n_crashes > n_crashes:
-            record.charged_ms = now_ms
+            record.crashed_ms = now_ms
         return (n_known, n_cleared) != (len(record.crash_ids), len(record.cleared_ids))
 
-    def suspicions(self) -> Iterator[Suspicion]:
+    def records(self) -> Iterator[CrashRecord]:
         """Yield every record, for a daemon that may know none of them."""
         for fingerprint in self._records:
-            yield self.record(fingerprint)
+            yield self.get(fingerprint)
 
-    def record(self, fingerprint: bytes) -> Suspicion:
+    def get(self, fingerprint: bytes) -> CrashRecord:
         """Return all that is known of a request under suspicion."""
         record = self._records[fingerprint]
         crash_ids, cleared_ids = sorted(record.crash_ids), sorted(record.cleared_ids)
-        return Suspicion(fingerprint, tuple(crash_ids), tuple(cleared_ids))
+        return CrashRecord(fingerprint, tuple(crash_ids), tuple(cleared_ids))
 
     def _n_crashes(self, fingerprint: bytes, now_ms: float) -> int:
         record = self._records.get(fingerprint)
         if record is None:
             return 0
-        n_crashes = record.n_crashes
-        is_old = now_ms >= record.charged_ms + SUSPICION_MS
-        return 0 if n_crashes < N_CRASHES_MAX and is_old else n_crashes
+        return 0 if self._is_old(record, now_ms) else record.n_crashes
+
+    def _is_old(self, record: _Record, now_ms: float) -> bool:
+        """Return whether the crashes are too few and too long ago to mean anything."""
+        is_quarantined = record.n_crashes >= N_CRASHES_MAX
+        return not is_quarantined and now_ms >= record.crashed_ms + RECORD_KEPT_MS
 
     def _make_room(self, now_ms: float) -> None:
         """Forget the oldest record, one that keeps nothing from targets if there is."""
@@ -177,7 +186,7 @@
                 self._records,
                 key=lambda found: (
                     self.standing(found, now_ms) is Standing.QUARANTINED,
-                    self._records[found].charged_ms,
+                    self._records[found].crashed_ms,
                 ),
             )
         )
@@ -190,12 +199,13 @@
 
 
 __all__ = [
+    "N_CRASH_IDS_MAX",
     "N_CRASHES_ISOLATED",
     "N_CRASHES_MAX",
     "QUARANTINE_MAX_MS",
     "QUARANTINE_MS",
-    "SUSPICION_MS",
+    "RECORD_KEPT_MS",
+    "CrashRecord",
     "Quarantine",
     "Standing",
-    "Suspicion",
 ]
--- a/packages/pepperstair-core/pepperstair_core/events.py
+++ b/packages/pepperstair-core/pepperstair_core/events.py
@@ -41,7 +41,7 @@
     TARGET_CRASHED = "target_crashed"
     TARGET_PROBE_FAILED = "target_probe_failed"
     REQUEST_QUARANTINED = "request_quarantined"
-    REQUEST_EXONERATED = "request_exonerated"
+    REQUEST_CLEARED = "request_cleared"
     REQUEST_ANSWERED = "request_answered"
     REQUEST_REFUSED = "request_refused"
     TARGET_CALL_FAILED = "target_call_failed"
--- a/packages/pepperstair-core/pepperstair_core/wire/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/__init__.py
@@ -7,6 +7,7 @@
     Acknowledge,
     Busy,
     ControlFrame,
+    CrashRecords,
     DeltaPush,
     DocumentCopy,
     DocumentDelta,
@@ -27,7 +28,6 @@
     Pull,
     SnapshotPart,
     StreamKind,
-    Suspicions,
     Welcome,
 )
 from .data import (
@@ -80,7 +80,7 @@
     "Reset",
     "SnapshotPart",
     "StreamKind",
-    "Suspicions",
+    "CrashRecords",
     "Welcome",
     "encode_frame",
     "pack",
--- a/packages/pepperstair-core/pepperstair_core/wire/control.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 from typing import Final
 
-from ..calls.quarantine import Suspicion
+from ..calls.quarantine import CrashRecord
 from ..members import Member, MemberRank
 from ..versions import Delta, Head
 from .codec import Frame
@@ -236,10 +236,10 @@
     age_ms: int = -1
 
 
-class Suspicions(Frame, tag=29):
+class CrashRecords(Frame, tag=29):
     """Tells which requests were running when targets crashed."""
 
-    suspicions: tuple[Suspicion, ...]
+    records: tuple[CrashRecord, ...]
 
 
 ControlFrame = (
@@ -265,7 +265,7 @@
     | DocumentCopy
     | DocumentFresh
     | DocumentDelta
-    | Suspicions
+    | CrashRecords
 )
 
 __all__ = [
@@ -293,6 +293,6 @@
     "Pull",
     "SnapshotPart",
     "StreamKind",
-    "Suspicions",
+    "CrashRecords",
     "Welcome",
 ]
--- a/packages/pepperstair-peers/pepperstair_peers/control/plane.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/plane.py
@@ -24,6 +24,7 @@
     Send,
 )
 from pepperstair_core.wire import (
+    CrashRecords,
     Heartbeat,
     Hello,
     MemberRanks,
@@ -31,7 +32,6 @@
     MembersPull,
     MemberUpdate,
     StreamKind,
-    Suspicions,
     Welcome,
 )
 
@@ -102,8 +102,8 @@
         self.on_neighbour_up: Callable[[str], None] = lambda vm: None
         self.on_neighbour_down: Callable[[str], None] = lambda vm: None
         self.on_configuration_frame: Callable[[str, Any], None] = lambda vm, frame: None
-        self.on_suspicions: Callable[[str, Suspicions], None] = lambda vm, frame: None
-        self.on_suspicions_wanted: Callable[[str], None] = lambda vm: None
+        self.on_crash_records: Callable[[str, Any], None] = lambda vm, frame: None
+        self.on_crash_records_wanted: Callable[[str], None] = lambda vm: None
 
     @property
     def neighbours(self) -> tuple[str, ...]:
@@ -250,7 +250,7 @@
         now_ms = self._clock_ms()
         self._carry_out(self._membership.open(vm, address, link.is_dialler, now_ms))
         self.on_neighbour_up(vm)
-        self.on_suspicions_wanted(vm)
+        self.on_crash_records_wanted(vm)
 
     def _on_closed(self, link: ControlLink) -> None:
         if not self._links.remove(link) or self._is_closed:
@@ -264,8 +264,8 @@
             return
         now_ms = self._clock_ms()
         self._carry_out(self._membership.receive(link.vm, frame, now_ms))
-        if isinstance(frame, Suspicions):
-            self.on_suspicions(link.vm, frame)
+        if isinstance(frame, CrashRecords):
+            self.on_crash_records(link.vm, frame)
         elif not isinstance(frame, _MEMBER_FRAMES):
             self.on_configuration_frame(link.vm, frame)
 
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -8,7 +8,7 @@
 import structlog
 from msgspec.structs import replace
 
-from pepperstair_core.calls import Load, Quarantine, Refused, Standing, Suspicion
+from pepperstair_core.calls import CrashRecord, Load, Quarantine, Refused, Standing
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, Run
 from pepperstair_core.events import Event
@@ -82,7 +82,7 @@
     `policy_of` gives the policy of a customer for a target. Refusals go to the
     decision log, at most one a second for each target, with their count. `on_crash` is
     told of a target that has ended and of the fingerprints of what it was running,
-    `on_exonerated` of a suspected request that was answered.
+    `on_cleared` of a suspected request that was answered.
     """
 
     def __init__(
@@ -97,7 +97,7 @@
         self._options = options
         self._quarantine = quarantine or Quarantine()
         self.on_crash: Callable[[str, tuple[bytes, ...]], None] = lambda *told: None
-        self.on_exonerated: Callable[[Suspicion], None] = lambda suspicion: None
+        self.on_cleared: Callable[[CrashRecord], None] = lambda record: None
         self._registry = registry
         self._now_ms = now_ms
         self._policy_of = policy_of
@@ -238,9 +238,9 @@
         local.crashes.answer()
         if response.status >= _FAILED_STATUS or not response.body.is_whole:
             return
-        cleared = self._quarantine.exonerate(head.fingerprint)
+        cleared = self._quarantine.record_answer(head.fingerprint)
         if cleared is not None:
-            self.on_exonerated(cleared)
+            self.on_cleared(cleared)
 
     def _usable_target(self, head: CallHead, now_ms: float) -> Target:
         """Return the target of a call, or refuse it as not run.
--- a/packages/pepperstaird/pepperstaird/crash_reports.py
+++ b/packages/pepperstaird/pepperstaird/crash_reports.py
@@ -9,10 +9,10 @@
 
 import structlog
 
-from pepperstair_core.calls import Quarantine, Standing, Suspicion
+from pepperstair_core.calls import CrashRecord, Quarantine, Standing
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
 from pepperstair_core.events import Event
-from pepperstair_core.wire import Suspicions
+from pepperstair_core.wire import CrashRecords
 from pepperstair_peers import ControlPlane, Identity
 
 from .quarantine_rows import QuarantineRows
@@ -26,7 +26,7 @@
 
 
 class CrashReports:
-    """Spreads suspicions over the fleet, from neighbour to neighbour.
+    """Spreads records of crashes over the fleet, from neighbour to neighbour.
 
     Each daemon passes on what is new to it, and tells a new neighbour all it knows.
     A request that is quarantined is kept in the platform's table too: after a kill of
@@ -55,8 +55,8 @@
 
     def start(self) -> None:
         """Begin to listen to the neighbours, and read what the platform keeps."""
-        self._control.on_suspicions = self._take
-        self._control.on_suspicions_wanted = self._tell_all
+        self._control.on_crash_records = self._take
+        self._control.on_crash_records_wanted = self._tell_all
         self._rows.start(self._restore)
 
     def close(self) -> None:
@@ -69,8 +69,8 @@
         """Take that a target of this VM has ended, and what it was running."""
         identity = self._identity
         crash_id = f"{identity.vm}/{identity.start_id}/{next(self._numbers)}"
-        charged = self._quarantine.charge(running, crash_id, self._now_ms())
-        suspects = [suspicion.fingerprint.hex() for suspicion in charged]
+        charged = self._quarantine.record_crash(running, crash_id, self._now_ms())
+        suspects = [record.fingerprint.hex() for record in charged]
         log.warning(
             Event.TARGET_CRASHED,
             target=target,
@@ -79,35 +79,35 @@
         )
         self._spread(charged)
         quarantined = [found for found in charged if self._is_quarantined(found)]
-        for suspicion in quarantined:
-            self._note_quarantined(suspicion.fingerprint)
+        for record in quarantined:
+            self._note_quarantined(record.fingerprint)
         if not quarantined:
             # Neighbours can't tell what is known on the other side of a partition.
             self._rows.read()
 
-    def exonerate(self, cleared: Suspicion) -> None:
+    def report_cleared(self, cleared: CrashRecord) -> None:
         """Take that a suspected request was answered by a target of this VM."""
-        log.info(Event.REQUEST_EXONERATED, fingerprint=cleared.fingerprint.hex())
+        log.info(Event.REQUEST_CLEARED, fingerprint=cleared.fingerprint.hex())
         self._spread((cleared,))
 
-    def _take(self, vm: str, frame: Suspicions) -> None:
-        self._spread(self._merge(frame.suspicions), vm)
+    def _take(self, vm: str, frame: CrashRecords) -> None:
+        self._spread(self._merge(frame.records), vm)
 
-    def _restore(self, kept: Iterable[Suspicion]) -> None:
+    def _restore(self, kept: Iterable[CrashRecord]) -> None:
         self._spread(self._merge(kept))
 
-    def _merge(self, told: Iterable[Suspicion]) -> Iterable[Suspicion]:
+    def _merge(self, told: Iterable[CrashRecord]) -> Iterable[CrashRecord]:
         """Yield what was news."""
-        for suspicion in told:
-            was_quarantined = self._is_quarantined(suspicion)
-            if not self._quarantine.merge(suspicion, self._now_ms()):
+        for record in told:
+            was_quarantined = self._is_quarantined(record)
+            if not self._quarantine.merge(record, self._now_ms()):
                 continue
-            if self._is_quarantined(suspicion) and not was_quarantined:
-                self._note_quarantined(suspicion.fingerprint)
-            yield suspicion
+            if self._is_quarantined(record) and not was_quarantined:
+                self._note_quarantined(record.fingerprint)
+            yield record
 
-    def _is_quarantined(self, suspicion: Suspicion) -> bool:
-        standing = self._quarantine.standing(suspicion.fingerprint, self._now_ms())
+    def _is_quarantined(self, record: CrashRecord) -> bool:
+        standing = self._quarantine.standing(record.fingerprint, self._now_ms())
         return standing is Standing.QUARANTINED
 
     def _note_quarantined(self, quarantined: bytes) -> None:
@@ -116,7 +116,7 @@
         Crashes that happen together are added up elsewhere than where they were seen,
         so that any of the daemons that saw one keeps the row.
         """
-        record = self._quarantine.record(quarantined)
+        record = self._quarantine.get(quarantined)
         own = f"{self._identity.vm}/{self._identity.start_id}/"
         if any(crash_id.startswith(own) for crash_id in record.crash_ids):
             self._rows.save(record)
@@ -137,14 +137,14 @@
 
     def _tell_all(self, vm: str) -> None:
         """Tell a new neighbour what is suspected; what was cleared it need not know."""
-        suspicions = self._quarantine.suspicions()
-        self._tell(vm, (found for found in suspicions if found.is_open))
+        records = self._quarantine.records()
+        self._tell(vm, (found for found in records if found.is_open))
 
-    def _spread(self, suspicions: Iterable[Suspicion], sender: str = "") -> None:
-        for suspicion in suspicions:
-            known = self._pending.setdefault(suspicion.fingerprint, sender)
+    def _spread(self, records: Iterable[CrashRecord], sender: str = "") -> None:
+        for record in records:
+            known = self._pending.setdefault(record.fingerprint, sender)
             if known != sender:
-                self._pending[suspicion.fingerprint] = ""
+                self._pending[record.fingerprint] = ""
         if self._pending and self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(_GATHER_S, self._flush)
@@ -153,17 +153,17 @@
         self._timer = None
         pending, self._pending = self._pending, {}
         told = [
-            suspicion
-            for suspicion in self._quarantine.suspicions()
-            if suspicion.fingerprint in pending
+            record
+            for record in self._quarantine.records()
+            if record.fingerprint in pending
         ]
         for vm in self._control.neighbours:
             self._tell(vm, (item for item in told if pending[item.fingerprint] != vm))
 
-    def _tell(self, vm: str, suspicions: Iterable[Suspicion]) -> None:
-        left = iter(suspicions)
+    def _tell(self, vm: str, records: Iterable[CrashRecord]) -> None:
+        left = iter(records)
         while taken := tuple(itertools.islice(left, _N_PER_FRAME_MAX)):
-            self._control.send(vm, Suspicions(taken))
+            self._control.send(vm, CrashRecords(taken))
 
 
 __all__ = ["CrashReports"]
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -174,7 +174,7 @@
             precise_ms,
         )
         self.runner.on_crash = self._on_target_crashed
-        self.runner.on_exonerated = self.crash_reports.exonerate
+        self.runner.on_cleared = self.crash_reports.report_cleared
         self.configuration = edges.make_configuration(self)
         self.member_table = edges.make_member_table(self)
         self.listener = PeerListener(
--- a/packages/pepperstaird/pepperstaird/quarantine_rows.py
+++ b/packages/pepperstaird/pepperstaird/quarantine_rows.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from pepperstair_core.calls import Suspicion
+from pepperstair_core.calls import CrashRecord
 from pepperstair_core.calls.quarantine import QUARANTINE_MAX_MS
 from pepperstair_core.events import Event
 from pepperstair_platform import Row, RowTable
@@ -36,9 +36,9 @@
         self._is_first_start = is_first_start
         self._writing: dict[bytes, asyncio.Task[None]] = {}
         self._reading: asyncio.Task[None] | None = None
-        self._on_read: Callable[[Iterable[Suspicion]], None] = lambda kept: None
+        self._on_read: Callable[[Iterable[CrashRecord]], None] = lambda kept: None
 
-    def start(self, on_read: Callable[[Iterable[Suspicion]], None]) -> None:
+    def start(self, on_read: Callable[[Iterable[CrashRecord]], None]) -> None:
         """Read what was kept, and hand over what is read now and later."""
         self._on_read = on_read
         if not self._is_first_start:
@@ -49,13 +49,13 @@
         if self._reading is None or self._reading.done():
             self._reading = _run(self._read())
 
-    def save(self, suspicion: Suspicion) -> None:
+    def save(self, record: CrashRecord) -> None:
         """Write the row of a quarantined request, in place of an earlier one."""
-        fingerprint = suspicion.fingerprint
+        fingerprint = record.fingerprint
         earlier = self._writing.pop(fingerprint, None)
         if earlier is not None:
             earlier.cancel()
-        self._writing[fingerprint] = _run(self._write(suspicion))
+        self._writing[fingerprint] = _run(self._write(record))
 
     def close(self) -> None:
         """Stop reading and writing."""
@@ -67,18 +67,18 @@
         rows = await call_until_answered(lambda: self._table.read_rows(_PREFIX))
         oldest_ms = self._wall_ms() - QUARANTINE_MAX_MS
         kept = [
-            (row, suspicion, noted_ms)
+            (row, record, noted_ms)
             for row in rows
-            for suspicion, noted_ms in _iter_suspicions(row)
+            for record, noted_ms in _iter_records(row)
         ]
         self._on_read(found for _, found, noted_ms in kept if noted_ms >= oldest_ms)
         old = [row.key for row, _, noted_ms in kept if noted_ms < oldest_ms]
         for key in old[:_N_DELETED_MAX]:
             await self._table.delete_row(key)
 
-    async def _write(self, suspicion: Suspicion) -> None:
-        value = json.dumps([suspicion.crash_ids, self._wall_ms()])
-        row = Row(f"{_PREFIX}{suspicion.fingerprint.hex()}", value)
+    async def _write(self, record: CrashRecord) -> None:
+        value = json.dumps([record.crash_ids, self._wall_ms()])
+        row = Row(f"{_PREFIX}{record.fingerprint.hex()}", value)
         await call_until_answered(lambda: self._table.commit((), (row,)))
 
 
@@ -86,12 +86,12 @@
     return asyncio.get_running_loop().create_task(coroutine)
 
 
-def _iter_suspicions(row: Row) -> Iterator[tuple[Suspicion, int]]:
+def _iter_records(row: Row) -> Iterator[tuple[CrashRecord, int]]:
     """Yield what a row says; another release may write what can't be read."""
     try:
         fingerprint = bytes.fromhex(row.key.removeprefix(_PREFIX))
         crash_ids, noted_ms = json.loads(row.value)
-        yield Suspicion(fingerprint, tuple(map(str, crash_ids))), int(noted_ms)
+        yield CrashRecord(fingerprint, tuple(map(str, crash_ids))), int(noted_ms)
     except (ValueError, TypeError, RecursionError) as error:
         log.warning(Event.ROW_IGNORED, key=row.key, cause=repr(error))
 
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -7,9 +7,9 @@
 
 from result import Ok
 
-from pepperstair_core.calls import Quarantine, Standing, Suspicion
+from pepperstair_core.calls import CrashRecord, Quarantine, Standing
 from pepperstair_core.decisions import DecisionKind, DecisionLog
-from pepperstair_core.wire import Suspicions
+from pepperstair_core.wire import CrashRecords
 from pepperstair_peers import Identity
 from pepperstair_platform import Row
 from pepperstaird.crash_reports import CrashReports
@@ -83,29 +83,29 @@
 
 @on_loop
 async def test_news_goes_on_once_and_not_back_to_where_it_came_from():
-    """Guards against suspicions that go round in the fleet for ever."""
+    """Guards against records that go round in the fleet for ever."""
     daemon = Daemon()
-    frame = Suspicions((Suspicion(b"poison", ("vm-2/1/1",)),))
-    daemon.control.on_suspicions("a", frame)
+    frame = CrashRecords((CrashRecord(b"poison", ("vm-2/1/1",)),))
+    daemon.control.on_crash_records("a", frame)
     await settled()
-    daemon.control.on_suspicions("a", frame)
-    daemon.control.on_suspicions("b", frame)
+    daemon.control.on_crash_records("a", frame)
+    daemon.control.on_crash_records("b", frame)
     await settled()
     assert daemon.control.sent == {"b": [frame]}
 
 
 @on_loop
 async def test_what_follows_a_crash_goes_out_in_one_frame():
-    """Guards against a frame for each request that a crash put under suspicion."""
+    """Guards against a frame for each request that a crash put under record."""
     daemon = Daemon()
     running = tuple(b"%d" % index for index in range(12))
     daemon.reports.report_crash("ledger-1", running)
     for fingerprint in running[1:]:
-        daemon.reports.exonerate(daemon.quarantine.exonerate(fingerprint))
+        daemon.reports.report_cleared(daemon.quarantine.record_answer(fingerprint))
     await settled()
     assert [len(frames) for frames in daemon.control.sent.values()] == [1, 1]
-    daemon.control.on_suspicions_wanted("new")
-    (told,) = daemon.control.sent["new"][0].suspicions
+    daemon.control.on_crash_records_wanted("new")
+    (told,) = daemon.control.sent["new"][0].records
     assert told.fingerprint == b"0"
 
 
@@ -129,9 +129,9 @@
     """Guards against a quarantine that nobody writes, as nobody saw the third crash."""
     daemon, other = Daemon(), Daemon("vm-2")
     daemon.reports.report_crash("ledger-1", (b"poison",))
-    told = Suspicions((Suspicion(b"poison", ("vm-2/1/1", "vm-3/1/1")),))
+    told = CrashRecords((CrashRecord(b"poison", ("vm-2/1/1", "vm-3/1/1")),))
     for each in (daemon, other):
-        each.control.on_suspicions("a", told)
+        each.control.on_crash_records("a", told)
     await settled()
     assert daemon.standing(b"poison") is Standing.QUARANTINED
     assert list(daemon.table.rows) == [f"quarantine/{b'poison'.hex()}"]
@@ -151,4 +151,4 @@
         table.rows[f"quarantine/{key}"] = Row(f"quarantine/{key}", value)
     daemon = Daemon(table=table, is_first_start=False)
     await settled()
-    assert list(daemon.quarantine.suspicions()) == []
+    assert list(daemon.quarantine.records()) == []
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -6,12 +6,13 @@
 import random
 
 from pepperstair_core.calls.quarantine import (
+    N_CRASH_IDS_MAX,
     N_CRASHES_MAX,
     QUARANTINE_MS,
-    SUSPICION_MS,
+    RECORD_KEPT_MS,
+    CrashRecord,
     Quarantine,
     Standing,
-    Suspicion,
 )
 from pepperstair_core.errors import Run
 
@@ -22,7 +23,7 @@
     """Take a crash at which some requests were running."""
     crash_id = crash_id or f"vm/{crashed.count}"
     crashed.count += 1
-    return quarantine.charge(running, crash_id, now_ms)
+    return quarantine.record_crash(running, crash_id, now_ms)
 
 
 crashed.count = 1
@@ -56,10 +57,10 @@
     quarantine = Quarantine()
     for _ in range(3 * N_CRASHES_MAX):
         crashed(quarantine, b"common")
-        quarantine.exonerate(b"common")
+        quarantine.record_answer(b"common")
     assert quarantine.standing(b"common", 0) is Standing.TRUSTED
-    assert quarantine.exonerate(b"common") is None
-    assert quarantine.exonerate(b"never seen") is None
+    assert quarantine.record_answer(b"common") is None
+    assert quarantine.record_answer(b"never seen") is None
 
 
 def test_quarantine_ends_and_is_longer_the_next_time():
@@ -78,18 +79,31 @@
     quarantine = Quarantine()
     crashed(quarantine, POISON)
     crashed(quarantine, POISON)
-    assert quarantine.standing(POISON, SUSPICION_MS - 1) is Standing.SUSPECT
-    assert quarantine.standing(POISON, SUSPICION_MS) is Standing.TRUSTED
+    assert quarantine.standing(POISON, RECORD_KEPT_MS - 1) is Standing.SUSPECT
+    assert quarantine.standing(POISON, RECORD_KEPT_MS) is Standing.TRUSTED
+    crashed(quarantine, POISON, now_ms=RECORD_KEPT_MS)
+    assert quarantine.standing(POISON, RECORD_KEPT_MS) is Standing.TRUSTED
+
+
+def test_request_that_turns_harmful_is_quarantined_after_many_harmless_crashes():
+    """Guards against a common request that can't be suspected any more."""
+    quarantine = Quarantine()
+    for _ in range(2 * N_CRASH_IDS_MAX):
+        crashed(quarantine, b"common")
+        quarantine.record_answer(b"common")
+    for _ in range(N_CRASHES_MAX):
+        crashed(quarantine, b"common")
+    assert quarantine.standing(b"common", 0) is Standing.QUARANTINED
 
 
 def test_records_merge_to_the_same_in_any_order():
     """Guards against daemons that disagree for good on what they were told."""
     told = [
-        Suspicion(POISON, ("a/1",)),
-        Suspicion(POISON, ("b/1", "a/1")),
-        Suspicion(POISON, ("c/1",)),
-        Suspicion(POISON, ("a/1", "d/1"), ("a/1",)),
-        Suspicion(b"other", ("b/1",), ("b/1",)),
+        CrashRecord(POISON, ("a/1",)),
+        CrashRecord(POISON, ("b/1", "a/1")),
+        CrashRecord(POISON, ("c/1",)),
+        CrashRecord(POISON, ("a/1", "d/1"), ("a/1",)),
+        CrashRecord(b"other", ("b/1",), ("b/1",)),
     ]
     results = set()
     for order in itertools.permutations(told):
@@ -97,7 +111,7 @@
         for suspicion in order:
             quarantine.merge(suspicion, 0)
             assert not quarantine.merge(suspicion, 0)
-        results.add(tuple(sorted(quarantine.suspicions(), key=lambda s: s.fingerprint)))
+        results.add(tuple(sorted(quarantine.records(), key=lambda s: s.fingerprint)))
         assert quarantine.standing(POISON, 0) is Standing.QUARANTINED
     assert len(results) == 1
 
@@ -106,9 +120,9 @@
     """Guards against a suspicion that comes back over a slower way."""
     quarantine = Quarantine()
     report = crashed(quarantine, b"common", crash_id="vm/1")
-    quarantine.exonerate(b"common")
+    quarantine.record_answer(b"common")
     assert not quarantine.merge(report[0], 0)
-    assert next(quarantine.suspicions()).cleared_ids == ("vm/1",)
+    assert next(quarantine.records()).cleared_ids == ("vm/1",)
 
 
 def test_table_of_suspects_keeps_the_quarantined_when_it_is_full():
@@ -119,7 +133,7 @@
     for index in range(100):
         crashed(quarantine, b"%d" % index, now_ms=index)
     assert quarantine.standing(POISON, 100) is Standing.QUARANTINED
-    assert len(list(quarantine.suspicions())) == 8
+    assert len(list(quarantine.records())) == 8
 
 
 def test_two_poison_requests_at_once_are_both_found_among_many():
@@ -136,7 +150,7 @@
             running.append(poison[n_crashes % 2])
         crashed(quarantine, *running, now_ms=n_crashes)
         for answered in rng.sample(others, 400):
-            quarantine.exonerate(answered)
+            quarantine.record_answer(answered)
     standings = [quarantine.standing(found, n_crashes) for found in poison]
     assert standings == [Standing.QUARANTINED] * 2
     assert quarantine.n_quarantined(n_crashes) == 2
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -162,13 +162,13 @@
         assert run_of(await mesh.call(path="/poison")) == (200, "yes")
         (fingerprint,) = mesh.fingerprints[-1:]
         for index in range(N_CRASHES):
-            quarantine.charge([fingerprint], f"vm/{index}", mesh.now_ms())
+            quarantine.record_crash([fingerprint], f"vm/{index}", mesh.now_ms())
         n_before = len(raw.heads)
         refused = await mesh.call(path="/poison")
         assert run_of(refused) == (503, "no")
         assert len(raw.heads) == n_before
         assert run_of(await mesh.call(path="/other")) == (200, "yes")
-        quarantine.exonerate(fingerprint)
+        quarantine.record_answer(fingerprint)
 
 
 @on_mesh()
@@ -187,7 +187,7 @@
         await mesh.call(path=path)
         for index in range(N_CRASHES - 1):
             found = mesh.fingerprints[-1]
-            quarantine.charge([found], f"{path}/{index}", mesh.now_ms())
+            quarantine.record_crash([found], f"{path}/{index}", mesh.now_ms())
         assert quarantine.standing(found, mesh.now_ms()) is Standing.SUSPECT
     release.clear()
     raw.heads.clear()
