A single cut call beside running ones costs no connection

Each cut call was followed by a new connection to its target, to see whether that had ended. On a target that breaks off part of its answers under load this is one connection for each, which callers wait for and users pay for. Where one call was cut and others go on, the target has not ended; the look is left out.

A crash whose requests carry no fingerprint still withdraws its target.

--- a/packages/pepperstair-targets/pepperstair_targets/crashes.py
+++ b/packages/pepperstair-targets/pepperstair_targets/crashes.py
@@ -31,7 +31,7 @@
         self._pool = pool
         self._on_ended = on_ended
         self._running: dict[TargetCall, bytes] = {}
-        self._cut: set[bytes] = set()
+        self._cut: list[bytes] = []
         self._checking: asyncio.Task[bool] | None = None
         self._is_reported = False
 
@@ -57,7 +57,7 @@
         Calls that are cut together wait for one look at the target, which goes on
         where their callers leave.
         """
-        self._cut.add(self._running[call])
+        self._cut.append(self._running[call])
         if self._checking is None or self._checking.done():
             checking = asyncio.get_running_loop().create_task(self._check())
             self._checking = checking
@@ -65,16 +65,20 @@
 
     async def _check(self) -> bool:
         await asyncio.sleep(_CLOSING_S)
-        # A connection that went silent seems open for as long as it is kept.
-        seems_alive = self._pool.has_open or any(
-            call.is_connected for call in self._running
-        )
-        is_refused = await self._pool.is_refused(0.0 if seems_alive else _HOLD_S)
-        cut, self._cut = self._cut, set()
-        if is_refused and not self._is_reported:
+        has_ended = await self._look()
+        cut, self._cut = self._cut, []
+        if has_ended and not self._is_reported:
             self._is_reported = True
-            self._on_ended(tuple(sorted((cut | self._sent()) - {b""})))
-        return is_refused
+            self._on_ended(tuple(sorted({*cut, *self._sent()} - {b""})))
+        return has_ended
+
+    async def _look(self) -> bool:
+        is_other_running = any(call.is_connected for call in self._running)
+        if is_other_running and len(self._cut) == 1:
+            return False
+        # Not trusted alone: a connection that went silent seems open until it is used.
+        seems_alive = is_other_running or self._pool.has_open
+        return await self._pool.is_refused(0.0 if seems_alive else _HOLD_S)
 
     def _sent(self) -> set[bytes]:
         return {
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -229,8 +229,7 @@
 
     def _on_ended(self, local: LocalTarget, cut: tuple[bytes, ...]) -> None:
         self.n_crashes += 1
-        if cut:
-            self.on_crash(local.target.name, cut)
+        self.on_crash(local.target.name, cut)
 
     def _take_answer(
         self, local: LocalTarget, head: CallHead, response: StreamedResponse
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -115,6 +115,18 @@
     assert len(mesh.crashes) == 1
 
 
+@on_mesh()
+async def test_cut_beside_running_calls_costs_no_connection(mesh):
+    """Guards against a new connection for each answer that a target cuts off."""
+    raw = await add(mesh, "a", answer_by_path(slow=slow, cut=cut))
+    running = [asyncio.ensure_future(mesh.call(path="/slow")) for _ in range(2)]
+    await seen(lambda: len(raw.heads) == 2)
+    assert run_of(await mesh.call(path="/cut")) == (502, "unknown")
+    await asyncio.gather(*running)
+    assert len(raw.writers) == 3
+    assert mesh.crashes == []
+
+
 @on_mesh()
 async def test_crash_is_reported_though_the_caller_has_left(mesh):
     """Guards against a crash that nobody is charged with."""
