--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from tests.soak.checks import Broken, answer_body, iter_broken
+from dataclasses import replace
+
+from tests.soak.checks import N_POISONED_LATE_MAX, Broken, answer_body, iter_broken
 from tests.soak.history import (
     Answer,
     Arrival,
@@ -194,6 +196,22 @@
     assert broken == [Broken("recovers", "0 of 1 served afterwards")]
 
 
+def test_poison_that_runs_on_is_seen():
+    """Guards against a check that misses runs long after the third crash."""
+    for n_late in (N_POISONED_LATE_MAX, N_POISONED_LATE_MAX + 1):
+        seen = Seen()
+        seen.history.poisoned_s += [SENT_S - 60.0, SENT_S - 50.0, SENT_S - 40.0]
+        for index in range(n_late):
+            request_id = f"p{index}"
+            seen.call(request_id)
+            call = seen.history.calls[request_id]
+            seen.history.calls[request_id] = replace(call, is_poison=True)
+            seen.arrive(request_id)
+            seen.answer(request_id, 502)
+        is_broken = n_late > N_POISONED_LATE_MAX
+        assert seen.promises() == (["poison"] if is_broken else [])
+
+
 def test_request_that_ran_behind_a_closing_answer_is_seen():
     """A daemon stops, and a booking stood behind the answer that closed its connection.
 
