Simpler: a quarantined request has its refusal, any other one none

The caller's daemon and the daemon beside the target each asked for a request's standing and then for its refusal. The quarantine answers both with one call.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -17,7 +17,6 @@
     GiveUp,
     GiveUpCause,
     RetryBudget,
-    Standing,
     decide_retry,
     fingerprint,
 )
@@ -266,9 +265,10 @@
 
     def _refuse_quarantined(self) -> None:
         """Refuse what no target may run, without asking one."""
-        quarantine, now_ms = self._context.quarantine, self._context.now_ms()
-        if quarantine.standing(self.fingerprint, now_ms) is Standing.QUARANTINED:
-            raise PepperstairError(quarantine.refusal(self.fingerprint, now_ms))
+        context = self._context
+        refusal = context.quarantine.refusal(self.fingerprint, context.now_ms())
+        if refusal is not None:
+            raise PepperstairError(refusal)
 
     def _choose(self) -> Endpoint:
         context = self._context
--- a/packages/pepperstair-core/pepperstair_core/calls/quarantine.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/quarantine.py
@@ -92,8 +92,13 @@
             return Standing.QUARANTINED
         return Standing.SUSPECT
 
-    def refusal(self, fingerprint: bytes, now_ms: float) -> Failure:
-        """Return the failure of a quarantined request, and when it may run again."""
+    def refusal(self, fingerprint: bytes, now_ms: float) -> Failure | None:
+        """Return the failure of a quarantined request, None for any other one.
+
+        It says when such a request may run again.
+        """
+        if self.standing(fingerprint, now_ms) is not Standing.QUARANTINED:
+            return None
         record = self._records[fingerprint]
         until_ms = record.crashed_ms + _quarantine_ms(record.n_crashes)
         left_ms = max(0, int(until_ms - now_ms))
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -195,10 +195,9 @@
             local.pool.close()
 
     def _refuse_quarantined(self, head: CallHead, now_ms: float) -> None:
-        standing = self._quarantine.standing(head.fingerprint, now_ms)
-        if standing is not Standing.QUARANTINED:
-            return
-        raise PepperstairError(self._quarantine.refusal(head.fingerprint, now_ms))
+        refusal = self._quarantine.refusal(head.fingerprint, now_ms)
+        if refusal is not None:
+            raise PepperstairError(refusal)
 
     def _screen(self, head: CallHead, local: LocalTarget, now_ms: float) -> None:
         """Refuse a call that may not run now, beside what the target is running."""
