Simpler: how much of a body tells requests apart stands with what is kept of it

The fingerprint had a limit of its own with the same figure as the one up to which bodies are read before their first attempt. Only together are they right: with a higher one, the same large body could get another fingerprint each time it is sent. Now the body gives its beginning, by the limit that it is kept by.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -260,7 +260,7 @@
             request.host,
             request.path,
             self._context.service,
-            self._body.kept,
+            self._body.beginning,
         )
 
     def _refuse_quarantined(self) -> None:
--- a/packages/pepperstair-callers/pepperstair_callers/request_body.py
+++ b/packages/pepperstair-callers/pepperstair_callers/request_body.py
@@ -37,9 +37,12 @@
         return self._streamed is None or not self._streamed.was_read
 
     @property
-    def kept(self) -> bytes:
-        """Return what was read before the first attempt, all of a small body."""
-        return self._kept
+    def beginning(self) -> bytes:
+        """Return as many of the first bytes as are kept of any body.
+
+        However a larger body arrives, these are the same each time that it is sent.
+        """
+        return self._kept[:REPLAY_MAX_BYTES]
 
     def keep_nowait(self) -> bool:
         """Keep a small body that is here already, and say whether it was."""
