Simpler: a crash is reported once as its target is withdrawn with it

The watch of a target kept a flag against second reports, which each answer set back. The daemon withdrew the crashed target right after the report, and of a target that is withdrawn no cut call is looked into: the flag only mattered where nobody withdrew it. The runner, which has the registry, does that itself now, and the flag, its reset on each answer and the daemon's method are gone.

The watch kept fingerprints beside the calls that have them. Connections for calls and for looks at a target are opened in one place.

--- a/packages/pepperstair-targets/pepperstair_targets/crashes.py
+++ b/packages/pepperstair-targets/pepperstair_targets/crashes.py
@@ -22,7 +22,8 @@
 class CrashWatch:
     """The calls that one target is running, and whether it has ended under them.
 
-    `on_ended` is told once of each end, with the fingerprints of what was running.
+    `on_ended` is told of its end, with the fingerprints of what was running, and keeps
+    further calls from the target.
     """
 
     def __init__(
@@ -30,26 +31,21 @@
     ) -> None:
         self._pool = pool
         self._on_ended = on_ended
-        self._running: dict[TargetCall, bytes] = {}
-        self._cut: list[bytes] = []
+        self._running: set[TargetCall] = set()
+        self._cut: list[TargetCall] = []
         self._checking: asyncio.Task[bool] | None = None
-        self._is_reported = False
 
-    def begin(self, call: TargetCall, fingerprint: bytes) -> None:
+    def begin(self, call: TargetCall) -> None:
         """Take the start of a call."""
-        self._running[call] = fingerprint
+        self._running.add(call)
 
     def end(self, call: TargetCall) -> None:
         """Take the end of a call, however it ended."""
-        del self._running[call]
-
-    def answer(self) -> None:
-        """Take that the target has answered, so that it lives."""
-        self._is_reported = False
+        self._running.remove(call)
 
     def runs_any(self, is_wanted: Callable[[bytes], bool]) -> bool:
         """Return whether a request with a wanted fingerprint is running."""
-        return any(is_wanted(fingerprint) for fingerprint in self._running.values())
+        return any(is_wanted(call.fingerprint) for call in self._running)
 
     async def has_ended(self, call: TargetCall) -> bool:
         """Return whether the target is gone, after one of its calls was cut.
@@ -57,7 +53,7 @@
         Calls that are cut together wait for one look at the target, which goes on
         where their callers leave.
         """
-        self._cut.append(self._running[call])
+        self._cut.append(call)
         if self._checking is None or self._checking.done():
             checking = asyncio.get_running_loop().create_task(self._check())
             self._checking = checking
@@ -67,9 +63,10 @@
         await asyncio.sleep(_CLOSING_S)
         has_ended = await self._look()
         cut, self._cut = self._cut, []
-        if has_ended and not self._is_reported:
-            self._is_reported = True
-            self._on_ended(tuple(sorted({*cut, *self._sent()} - {b""})))
+        if has_ended:
+            sent = [call for call in self._running if call.is_sent]
+            fingerprints = {call.fingerprint for call in (*cut, *sent)}
+            self._on_ended(tuple(sorted(fingerprints - {b""})))
         return has_ended
 
     async def _look(self) -> bool:
@@ -80,10 +77,5 @@
         seems_alive = is_other_running or self._pool.has_open
         return await self._pool.is_refused(0.0 if seems_alive else _HOLD_S)
 
-    def _sent(self) -> set[bytes]:
-        return {
-            fingerprint for call, fingerprint in self._running.items() if call.is_sent
-        }
-
 
 __all__ = ["CrashWatch"]
--- a/packages/pepperstair-targets/pepperstair_targets/pool.py
+++ b/packages/pepperstair-targets/pepperstair_targets/pool.py
@@ -67,13 +67,10 @@
     async def open(self) -> ClientConnection:
         """Open a connection; a failure proves that nothing was sent."""
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                connection = await connect(self._host, self._port)
+            return await self._connect(CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError) as error:
             failure = Failure(ErrorKind.TARGET_UNREACHABLE, str(error), run=Run.NO)
             raise PepperstairError(failure) from error
-        connection.notice_silence(UNACKNOWLEDGED_MS)
-        return connection
 
     async def is_refused(self, hold_s: float) -> bool:
         """Return whether nobody serves at the target's address any more.
@@ -82,14 +79,12 @@
         next call.
         """
         try:
-            async with asyncio.timeout(_PROBE_TIMEOUT_S):
-                connection = await connect(self._host, self._port)
+            connection = await self._connect(_PROBE_TIMEOUT_S)
         except ConnectionRefusedError:
             return True
         except (OSError, TimeoutError) as error:
             log.info(Event.TARGET_PROBE_FAILED, cause=repr(error))
             return False
-        connection.notice_silence(UNACKNOWLEDGED_MS)
         await asyncio.sleep(hold_s)
         is_refused = connection.is_closed
         self.give_back(connection)
@@ -120,6 +115,12 @@
         while self._idle:
             self._idle.pop().close()
 
+    async def _connect(self, timeout_s: float) -> ClientConnection:
+        async with asyncio.timeout(timeout_s):
+            connection = await connect(self._host, self._port)
+        connection.notice_silence(UNACKNOWLEDGED_MS)
+        return connection
+
 
 def _idle_max_s(connection: ClientConnection) -> float:
     """Return for how long a connection may be kept without use."""
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -153,7 +153,7 @@
             local.gate.leave(head, service_ms)
 
         call = TargetCall(local.pool, head, body, leave, self._options)
-        local.crashes.begin(call, head.fingerprint)
+        local.crashes.begin(call)
         try:
             response = await call.run(deadline_ms - admitted_ms)
         except PepperstairError as error:
@@ -164,7 +164,7 @@
             raise PepperstairError(failure) from error
         finally:
             local.crashes.end(call)
-        self._take_answer(local, head, response)
+        self._take_answer(head, response)
         return _with_wait(response, int(admitted_ms - start_ms))
 
     def follow_registry(self) -> None:
@@ -227,13 +227,15 @@
         return Failure(ErrorKind.TARGET_CRASHED, failure.detail)
 
     def _on_ended(self, local: LocalTarget, cut: tuple[bytes, ...]) -> None:
+        """Tell what may have crashed a target, and that it takes no more calls.
+
+        Every other daemon would learn of its end by failed calls of its own.
+        """
         self.n_crashes += 1
         self.on_crash(local.target.name, cut)
+        self._registry.leave(local.target.name)
 
-    def _take_answer(
-        self, local: LocalTarget, head: CallHead, response: StreamedResponse
-    ) -> None:
-        local.crashes.answer()
+    def _take_answer(self, head: CallHead, response: StreamedResponse) -> None:
         if response.status >= _FAILED_STATUS or not response.body.is_whole:
             return
         cleared = self._quarantine.record_answer(head.fingerprint)
--- a/packages/pepperstair-targets/pepperstair_targets/target_call.py
+++ b/packages/pepperstair-targets/pepperstair_targets/target_call.py
@@ -92,6 +92,11 @@
         self._sent_s = 0.0
         self._is_ended = False
 
+    @property
+    def fingerprint(self) -> bytes:
+        """Return what is equal for requests that ask for the same work."""
+        return self._head.fingerprint
+
     @property
     def is_sent(self) -> bool:
         """Return whether the target may have begun to run the request."""
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -173,7 +173,7 @@
             self.decisions,
             precise_ms,
         )
-        self.runner.on_crash = self._on_target_crashed
+        self.runner.on_crash = self.crash_reports.report_crash
         self.runner.on_cleared = self.crash_reports.report_cleared
         self.configuration = edges.make_configuration(self)
         self.member_table = edges.make_member_table(self)
@@ -260,14 +260,6 @@
                 self.chooser.forgive(vm)
         self._alive = returned
 
-    def _on_target_crashed(self, target: str, running: tuple[bytes, ...]) -> None:
-        """Tell what may have crashed a target, and that it takes no more calls.
-
-        Every other daemon would learn of its end by failed calls of its own.
-        """
-        self.crash_reports.report_crash(target, running)
-        self.registry.leave(target)
-
     def _on_paused(self) -> None:
         """Stop carrying calls until the configuration has caught up."""
         self.configuration.catch_up()
