Simpler: whoever wants to hear of neighbours asks the same way

The control plane had one place for a function to call as a neighbour comes up, taken by the configuration, and got a second one beside it for crash records. Both are lists now, as the callbacks of streams are.

--- a/packages/pepperstair-peers/pepperstair_peers/control/plane.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/plane.py
@@ -99,11 +99,10 @@
         self.n_pauses = 0
         self.on_paused: Callable[[], None] = lambda: None
         self.on_members_changed: Callable[[], None] = lambda: None
-        self.on_neighbour_up: Callable[[str], None] = lambda vm: None
-        self.on_neighbour_down: Callable[[str], None] = lambda vm: None
+        self.neighbour_up_callbacks: list[Callable[[str], None]] = []
+        self.neighbour_down_callbacks: list[Callable[[str], None]] = []
         self.on_configuration_frame: Callable[[str, Any], None] = lambda vm, frame: None
         self.on_crash_records: Callable[[str, Any], None] = lambda vm, frame: None
-        self.on_crash_records_wanted: Callable[[str], None] = lambda vm: None
 
     @property
     def neighbours(self) -> tuple[str, ...]:
@@ -245,19 +244,18 @@
         replaced = self._links.put(link)
         if replaced is not None:
             replaced.stream.close()
-            self.on_neighbour_down(vm)
+            _call_all(self.neighbour_down_callbacks, vm)
         log.info(Event.PEER_CONNECTED, peer=vm)
         now_ms = self._clock_ms()
         self._carry_out(self._membership.open(vm, address, link.is_dialler, now_ms))
-        self.on_neighbour_up(vm)
-        self.on_crash_records_wanted(vm)
+        _call_all(self.neighbour_up_callbacks, vm)
 
     def _on_closed(self, link: ControlLink) -> None:
         if not self._links.remove(link) or self._is_closed:
             return
         log.info(Event.PEER_LOST, peer=link.vm)
         self._carry_out(self._membership.close(link.vm, self._clock_ms()))
-        self.on_neighbour_down(link.vm)
+        _call_all(self.neighbour_down_callbacks, link.vm)
 
     def _on_frame(self, link: ControlLink, frame: Any) -> None:
         if self._links.get(link.vm) is not link:
@@ -275,4 +273,9 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _call_all(callbacks: Iterable[Callable[[str], None]], vm: str) -> None:
+    for callback in callbacks:
+        callback(vm)
+
+
 __all__ = ["ControlPlane"]
--- a/packages/pepperstaird/pepperstaird/configuration/agent.py
+++ b/packages/pepperstaird/pepperstaird/configuration/agent.py
@@ -111,9 +111,10 @@
 
     def start(self) -> None:
         """Begin to listen to the neighbours and to the clock."""
-        self._control.on_neighbour_up = lambda vm: self._handle(NeighbourUp(vm))
-        self._control.on_neighbour_down = self._on_neighbour_down
-        self._control.on_configuration_frame = lambda vm, frame: self._handle(
+        control = self._control
+        control.neighbour_up_callbacks.append(lambda vm: self._handle(NeighbourUp(vm)))
+        control.neighbour_down_callbacks.append(self._on_neighbour_down)
+        control.on_configuration_frame = lambda vm, frame: self._handle(
             FrameReceived(vm, frame)
         )
         loop = asyncio.get_running_loop()
--- a/packages/pepperstaird/pepperstaird/crash_reports.py
+++ b/packages/pepperstaird/pepperstaird/crash_reports.py
@@ -56,7 +56,7 @@
     def start(self) -> None:
         """Begin to listen to the neighbours, and read what the platform keeps."""
         self._control.on_crash_records = self._take
-        self._control.on_crash_records_wanted = self._tell_all
+        self._control.neighbour_up_callbacks.append(self._tell_all)
         self._rows.start(self._restore)
 
     def close(self) -> None:
--- a/packages/pepperstaird/pepperstaird/document_exchange.py
+++ b/packages/pepperstaird/pepperstaird/document_exchange.py
@@ -82,8 +82,8 @@
 
     def start(self) -> None:
         """Begin to listen to the neighbours."""
-        self._control.on_neighbour_up = self._tell
-        self._control.on_neighbour_down = self._on_neighbour_down
+        self._control.neighbour_up_callbacks.append(self._tell)
+        self._control.neighbour_down_callbacks.append(self._on_neighbour_down)
         self._control.on_configuration_frame = self._on_frame
 
     def close(self) -> None:
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -137,7 +137,7 @@
             seen: set[MemberState | None] = set()
             first.plane.on_members_changed = lambda: seen.add(first.state_of("b"))
             n_up: list[str] = []
-            first.plane.on_neighbour_up = n_up.append
+            first.plane.neighbour_up_callbacks.append(n_up.append)
             for daemon in (first, second):
                 daemon.relay.silence()
             await wait_for(lambda: bool(n_up))
@@ -190,7 +190,7 @@
             async with asyncio.timeout(10):
                 await asyncio.gather(*dials)
             await asyncio.sleep(0.05)
-            first.plane.on_neighbour_down = lost.append
+            first.plane.neighbour_down_callbacks.append(lost.append)
             await asyncio.sleep(0.05)
             assert first.plane.is_writable("b") and second.plane.is_writable("a")
             assert lost == []
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -24,6 +24,7 @@
     def __init__(self):
         self.neighbours = ("a", "b")
         self.sent = defaultdict(list)
+        self.neighbour_up_callbacks = []
 
     def send(self, vm, *frames):
         self.sent[vm] += frames
@@ -104,7 +105,8 @@
         daemon.reports.report_cleared(daemon.quarantine.record_answer(fingerprint))
     await settled()
     assert [len(frames) for frames in daemon.control.sent.values()] == [1, 1]
-    daemon.control.on_crash_records_wanted("new")
+    (tell_all,) = daemon.control.neighbour_up_callbacks
+    tell_all("new")
     (told,) = daemon.control.sent["new"][0].records
     assert told.fingerprint == b"0"
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -102,7 +102,8 @@
     def __init__(self, *neighbours: str) -> None:
         self.neighbours = neighbours
         self.sent: list[tuple[str, object]] = []
-        self.on_neighbour_down = lambda vm: None
+        self.neighbour_up_callbacks: list = []
+        self.neighbour_down_callbacks: list = []
 
     def send(self, vm, *frames):
         """Keep the frames."""
@@ -158,7 +159,8 @@
             control.on_configuration_frame(vm, frame)
         await asyncio.sleep(for_s)
         for vm in lost:
-            control.on_neighbour_down(vm)
+            for callback in control.neighbour_down_callbacks:
+                callback(vm)
         await asyncio.sleep(for_s if lost else 0.0)
         following.close()
         return following
