--- a/packages/pepperstaird/pepperstaird/departure_rows.py
+++ b/packages/pepperstaird/pepperstaird/departure_rows.py
@@ -20,7 +20,7 @@
 from pepperstair_platform import Row, RowTable
 from pepperstair_targets import LAST_SEQUENCE, Departure, OrderedAnnouncements
 
-from .repeating import call_until_answered
+from .row_calls import call_until_answered, delete_some
 
 log = structlog.get_logger(__name__)
 
@@ -28,7 +28,6 @@
 # Announcements are held up for seconds; ten minutes are room for any of them, and
 # rows that are older are deleted by whoever writes one next.
 KEPT_MS: Final = 600_000
-_N_DELETED_MAX: Final = 10
 # How long an acknowledgement waits for its row, and the first announcement for
 # what was kept. Targets wait a second for the answer; a row takes some 20 ms.
 WAIT_MAX_S: Final = 0.4
@@ -127,9 +126,8 @@
 
     async def _delete_old(self) -> None:
         """Delete rows that counted no more at the start, as of VMs that are gone."""
-        old, self._old_keys = self._old_keys[:_N_DELETED_MAX], []
-        for key in old:
-            await self._table.delete_row(key)
+        old, self._old_keys = self._old_keys, []
+        await delete_some(self._table, old)
 
 
 def _iter_departures(row: Row) -> Iterator[Departure]:
--- a/packages/pepperstaird/pepperstaird/member_rows.py
+++ b/packages/pepperstaird/pepperstaird/member_rows.py
@@ -25,6 +25,7 @@
 from pepperstair_platform import Row, RowTable
 
 from .clock import wall_ms
+from .row_calls import delete_some
 
 log = structlog.get_logger(__name__)
 
@@ -32,7 +33,6 @@
 ROW_INTERVAL_S: Final = 300.0
 _PREFIX: Final = "member/"
 _JOIN_MAX_S: Final = 2.0
-_N_DELETED_MAX: Final = 10
 # While the own row is not written, or no neighbour is known, the platform is
 # asked again after this; doubled each time, so that an outage is no storm.
 _RETRY_MIN_S: Final = 0.5
@@ -125,8 +125,7 @@
         if rows is None:
             return False
         dead = list(self._sweep.iter_dead(self._directory, rows))
-        for vm in dead[:_N_DELETED_MAX]:
-            await self._platform.delete_row(_key(vm))
+        await delete_some(self._platform, map(_key, dead))
         return True
 
     async def _read_rows(self) -> list[MemberRow] | None:
--- a/packages/pepperstaird/pepperstaird/quarantine_rows.py
+++ b/packages/pepperstaird/pepperstaird/quarantine_rows.py
@@ -14,12 +14,11 @@
 from pepperstair_core.events import Event
 from pepperstair_platform import Row, RowTable
 
-from .repeating import call_until_answered
+from .row_calls import call_until_answered, delete_some
 
 log = structlog.get_logger(__name__)
 
 _PREFIX: Final = "quarantine/"
-_N_DELETED_MAX: Final = 10
 
 
 class QuarantineRows:
@@ -72,9 +71,8 @@
             for record, noted_ms in _iter_records(row)
         ]
         self._on_read(found for _, found, noted_ms in kept if noted_ms >= oldest_ms)
-        old = [row.key for row, _, noted_ms in kept if noted_ms < oldest_ms]
-        for key in old[:_N_DELETED_MAX]:
-            await self._table.delete_row(key)
+        old = (row.key for row, _, noted_ms in kept if noted_ms < oldest_ms)
+        await delete_some(self._table, old)
 
     async def _write(self, record: CrashRecord) -> None:
         value = json.dumps([record.crash_ids, self._wall_ms()])
--- a/packages/pepperstaird/pepperstaird/repeating.py
+++ b/packages/pepperstaird/pepperstaird/row_calls.py
@@ -1,15 +1,17 @@
-"""Calls of the platform that are repeated until it answers."""
+"""What daemons do alike with the rows that they keep on the platform."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import itertools
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Final, TypeVar
 
 import structlog
 from result import Result
 
 from pepperstair_core.errors import Failure
+from pepperstair_platform import RowTable
 
 log = structlog.get_logger(__name__)
 
@@ -17,6 +19,8 @@
 
 _RETRY_MIN_S: Final = 0.1
 _RETRY_MAX_S: Final = 2.0
+# What one daemon deletes at a time; the others do their part.
+_N_DELETED_MAX: Final = 10
 
 
 async def call_until_answered(call: Callable[[], Awaitable[Result[T, Failure]]]) -> T:
@@ -33,4 +37,10 @@
         retry_s = min(_RETRY_MAX_S, 2 * retry_s)
 
 
-__all__ = ["call_until_answered"]
+async def delete_some(table: RowTable, keys: Iterable[str]) -> None:
+    """Delete the first few of some rows that nobody needs any more."""
+    for key in itertools.islice(keys, _N_DELETED_MAX):
+        await table.delete_row(key)
+
+
+__all__ = ["call_until_answered", "delete_some"]
