--- a/packages/pepperstair-core/pepperstair_core/calls/quarantine.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/quarantine.py
@@ -165,6 +165,9 @@
         for fingerprint in self._records:
             yield self.get(fingerprint)
 
+    def __contains__(self, fingerprint: bytes) -> bool:
+        return fingerprint in self._records
+
     def get(self, fingerprint: bytes) -> CrashRecord:
         """Return all that is known of a request under suspicion."""
         record = self._records[fingerprint]
--- a/packages/pepperstaird/pepperstaird/crash_reports.py
+++ b/packages/pepperstaird/pepperstaird/crash_reports.py
@@ -152,11 +152,9 @@
     def _flush(self) -> None:
         self._timer = None
         pending, self._pending = self._pending, {}
-        told = [
-            record
-            for record in self._quarantine.records()
-            if record.fingerprint in pending
-        ]
+        # One may have made room for others meanwhile.
+        known = [found for found in pending if found in self._quarantine]
+        told = [self._quarantine.get(found) for found in known]
         for vm in self._control.neighbours:
             self._tell(vm, (item for item in told if pending[item.fingerprint] != vm))
 
