JSON from outside is parsed in one place, which knows of nesting without end

The change caught RecursionError at four places that parse JSON, each with a tuple of exceptions of its own, and missed two of the same kind: announcements of targets (PUT /v1/targets failed inside the daemon instead of naming the fault) and answers of the platform's store, which end the task that follows the document. All six call parse_json now, which raises ValueError for any text that can't be read.

--- a/packages/pepperstair-targets/pepperstair_targets/announcements.py
+++ b/packages/pepperstair-targets/pepperstair_targets/announcements.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Mapping
 from typing import Annotated
 
@@ -11,6 +10,7 @@
 from result import Err, Ok, Result
 
 from pepperstair_core.config import parse_address
+from pepperstair_core.json_text import parse_json
 from pepperstair_core.labels import is_label_name
 from pepperstair_core.members import Target, TargetState, label_items
 from pepperstair_core.schema import Fault, Option, read_record
@@ -64,7 +64,7 @@
     if not is_label_name(name):
         return Err([Fault("name", f"a name, not {name!r}")])
     try:
-        table = json.loads(body)
+        table = parse_json(body)
     except ValueError as error:
         return Err([Fault("body", f"JSON ({error})")])
     read = read_record(Announcement, table, "")
--- a/packages/pepperstaird/pepperstaird/departure_rows.py
+++ b/packages/pepperstaird/pepperstaird/departure_rows.py
@@ -17,6 +17,7 @@
 from msgspec.structs import astuple
 
 from pepperstair_core.events import Event
+from pepperstair_core.json_text import parse_json
 from pepperstair_platform import Row, RowTable
 from pepperstair_targets import LAST_SEQUENCE, Departure, OrderedAnnouncements
 
@@ -133,9 +134,9 @@
 def _iter_departures(row: Row) -> Iterator[Departure]:
     """Yield what a row says; another release may write what can't be read."""
     try:
-        for name, start_ms, sequence, noted_ms in json.loads(row.value):
+        for name, start_ms, sequence, noted_ms in parse_json(row.value):
             yield Departure(str(name), int(start_ms), int(sequence), int(noted_ms))
-    except (ValueError, TypeError, RecursionError) as error:
+    except (ValueError, TypeError) as error:
         log.warning(Event.ANNOUNCEMENT_IGNORED, target=row.key, cause=repr(error))
 
 
--- a/packages/pepperstaird/pepperstaird/member_rows.py
+++ b/packages/pepperstaird/pepperstaird/member_rows.py
@@ -15,6 +15,7 @@
 
 import structlog
 
+from pepperstair_core.json_text import parse_json
 from pepperstair_core.membership import (
     MemberDirectory,
     MemberRow,
@@ -146,9 +147,9 @@
     """Yield the rows that can be read; another version may write others."""
     for row in rows:
         try:
-            value = json.loads(row.value)
+            value = parse_json(row.value)
             address, written_ms = value["peer_address"], value["written_ms"]
-        except (ValueError, KeyError, TypeError, RecursionError):
+        except (ValueError, KeyError, TypeError):
             continue
         yield MemberRow(row.key.removeprefix(_PREFIX), str(address), int(written_ms))
 
--- a/packages/pepperstaird/pepperstaird/quarantine_rows.py
+++ b/packages/pepperstaird/pepperstaird/quarantine_rows.py
@@ -12,6 +12,7 @@
 from pepperstair_core.calls import CrashRecord
 from pepperstair_core.calls.quarantine import QUARANTINE_MAX_MS
 from pepperstair_core.events import Event
+from pepperstair_core.json_text import parse_json
 from pepperstair_platform import Row, RowTable
 
 from .row_calls import call_until_answered, delete_some
@@ -88,9 +89,9 @@
     """Yield what a row says; another release may write what can't be read."""
     try:
         fingerprint = bytes.fromhex(row.key.removeprefix(_PREFIX))
-        crash_ids, noted_ms = json.loads(row.value)
+        crash_ids, noted_ms = parse_json(row.value)
         yield CrashRecord(fingerprint, tuple(map(str, crash_ids))), int(noted_ms)
-    except (ValueError, TypeError, RecursionError) as error:
+    except (ValueError, TypeError) as error:
         log.warning(Event.ROW_IGNORED, key=row.key, cause=repr(error))
 
 
--- a/tests/adapter/store_stand_in.py
+++ b/tests/adapter/store_stand_in.py
@@ -34,6 +34,8 @@
         self.delay_s = 0.0
         self.n_reads = 0
         self.page = 500
+        # Sent in the place of any answer where it is set.
+        self.content = b""
         self._changed = asyncio.Event()
         self._server = HttpServer(self._handle, ServerLimits(n_connections_max=100))
 
@@ -85,7 +87,8 @@
             exchange.abort()
             return
         content = {**content, "resource_version": self.version, "now_ms": 0}
-        await exchange.respond(status, _JSON, json.dumps(content).encode())
+        answer = self.content or json.dumps(content).encode()
+        await exchange.respond(status, _JSON, answer)
 
     def _transact(self, sent: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         for row in sent["upserts"]:
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -118,3 +118,11 @@
     assert stand_in.keys("members") == ["member/a"]
     assert (await members.delete_row("member/a")).is_ok()
     assert stand_in.keys("members") == []
+
+
+@with_store
+async def test_answer_nested_without_end_is_a_failure(stand_in, store):
+    """Guards against an answer that ends the task which reads it."""
+    stand_in.content = b"[" * 60_000
+    read = await store.read("t")
+    assert read.unwrap_err().kind is ErrorKind.PLATFORM_UNAVAILABLE
