--- a/tests/adapter/test_poison_request.py
+++ b/tests/adapter/test_poison_request.py
@@ -46,6 +46,13 @@
     return sum(vm.n_poisoned for vm in vms)
 
 
+def kill_all(vms) -> None:
+    """End every daemon without a word."""
+    for vm in vms:
+        vm.process.kill()
+        vm.process.wait()
+
+
 async def kept_row(mesh) -> str:
     """Wait for the row of the quarantined request and return its key."""
 
@@ -78,9 +85,7 @@
     n_before = n_poisoned(vms)
     assert n_before <= N_RUNS_MAX
     await kept_row(mesh)
-    for vm in vms:
-        vm.process.kill()
-        vm.process.wait()
+    kill_all(vms)
     for vm in vms:
         vm.start_daemon()
     for vm in vms:
@@ -99,9 +104,7 @@
     await call_all(first, N_ROUNDS // 2, "a")
     key = await kept_row(mesh)
     kept = mesh.store.rows["members", key]
-    for vm in first:
-        vm.process.kill()
-        vm.process.wait()
+    kill_all(first)
     mesh.store.rows.clear()
     mesh.store.put("op", "config", document(7))
     alone = await mesh.add("alone", "ledger")
