--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -12,13 +12,11 @@
 import structlog
 from msgspec.structs import replace
 
-from pepperstair_callers import Proxy, ProxyContext
+from pepperstair_callers import Proxy
 from pepperstair_core.burn import BurnCounts
 from pepperstair_core.calls import (
     JOINING_MS,
-    CallOutcome,
     LinkPacer,
-    Load,
     Quarantine,
     TargetChooser,
 )
@@ -36,19 +34,15 @@
 from pepperstair_core.membership import MemberDirectory
 from pepperstair_core.policies import DEFAULT_POLICY
 from pepperstair_core.routing import (
-    CompiledRoute,
-    Endpoint,
     EndpointTable,
     effective_labels,
 )
-from pepperstair_core.wire import CallHead, StreamKind
+from pepperstair_core.wire import StreamKind
 from pepperstair_core.wire.data import BODY_PART_MAX_BYTES
 from pepperstair_http import (
     AheadLimits,
-    BodyBuffer,
     HttpServer,
     ServerLimits,
-    StreamedResponse,
 )
 from pepperstair_operators import OperatorServer
 from pepperstair_peers import (
@@ -67,6 +61,7 @@
 from .edges import Edges, FurtherServer
 from .exposition import Exposition
 from .metrics import MetricsSender
+from .proxying import make_proxy_context
 from .quarantine_rows import QuarantineRows
 from .stopping import stop_daemon
 
@@ -85,7 +80,7 @@
         self.edges = edges
         self.is_stopping = False
         self.stop_ends_ms = math.inf
-        self._started_ms = precise_ms()
+        self.started_ms = precise_ms()
         self._alive: dict[str, int] = {}
         self.body_max_bytes = settings.callers.body_max_bytes
         self.rng = random.Random()
@@ -190,7 +185,7 @@
         self.call_server.was_paused = self.control.check_pause
         self.control.on_paused = self._on_paused
         self.control.on_members_changed = self._members_changed
-        self.proxy = Proxy(self._proxy_context())
+        self.proxy = Proxy(make_proxy_context(self))
         self.callers = HttpServer(
             self.proxy.handle,
             ServerLimits(
@@ -313,35 +308,6 @@
             further.server.close()
         self.platform.close()
 
-    def _proxy_context(self) -> ProxyContext:
-        return ProxyContext(
-            vm=self.settings.vm.name,
-            route_table=lambda: self.configuration.route_table,
-            endpoints=self._endpoints,
-            chooser=self.chooser,
-            load_of=self._load_of,
-            carry=self._carry,
-            is_ready=self.is_ready,
-            is_joining=lambda: precise_ms() - self._started_ms < JOINING_MS,
-            on_outcome=self._count_outcome,
-            is_draining=lambda: self.runner.is_draining,
-            time_to_stop_ms=lambda: self.stop_ends_ms - precise_ms(),
-            decisions=self.decisions,
-            budget_of=self.edges.make_budget_of(self),
-            retry_budget_percent=self.settings.calls.retry_budget_percent,
-            now_ms=precise_ms,
-            rng=self.rng,
-            quarantine=self.quarantine,
-            body_max_bytes=lambda: self.body_max_bytes,
-            header_names=self.edges.target_options.names,
-            service=self.edges.service,
-        )
-
-    def _count_outcome(self, outcome: CallOutcome) -> None:
-        self.burn.add(outcome, monotonic_ms())
-        self.metrics.add(outcome)
-        self.exposition.add(outcome)
-
     def _iter_metrics_server(self) -> Iterator[FurtherServer]:
         address = self.settings.metrics.prometheus_address
         if address:
@@ -351,11 +317,6 @@
     def _count_convergence(self, customer: str, convergence_ms: int) -> None:
         self.burn.add_convergence(customer, monotonic_ms(), convergence_ms)
 
-    def _endpoints(self, compiled: CompiledRoute) -> tuple[Endpoint, ...]:
-        return self.endpoint_table.endpoints(
-            compiled.target_selector, compiled.customer
-        )
-
     def _renew_endpoints(self) -> None:
         self.endpoint_table = EndpointTable(
             self.directory.members(),
@@ -364,12 +325,6 @@
             self.endpoint_table,
         )
 
-    def _load_of(self, endpoint: Endpoint) -> Load | None:
-        """Return the load of a target: exact beside it, else as last reported."""
-        if endpoint.vm == self.settings.vm.name:
-            return self.runner.load_of(endpoint.target.name)
-        return self.call_client.load_of(endpoint.peer_address, endpoint.target.name)
-
     def _policy_of(self, customer: str, target: Target) -> Policy:
         policies = self.configuration.route_table.policies
         if not policies.policies:
@@ -379,13 +334,6 @@
         )
         return policies.find(customer, labels)
 
-    async def _carry(
-        self, endpoint: Endpoint, head: CallHead, body: BodyBuffer
-    ) -> StreamedResponse:
-        if endpoint.vm == self.settings.vm.name:
-            return await self.runner.run(head, body)
-        return await self.call_client.run(endpoint.peer_address, head, body)
-
     def publish_targets(self) -> None:
         """Tell the fleet which targets this VM has, and whether it leaves."""
         self.runner.follow_registry()
--- /dev/null
+++ b/packages/pepperstaird/pepperstaird/proxying.py
@@ -0,0 +1,77 @@
+"""Gives the proxy what it needs of the daemon around it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from pepperstair_callers import ProxyContext
+from pepperstair_core.calls import JOINING_MS, CallOutcome, Load
+from pepperstair_core.routing import CompiledRoute, Endpoint
+from pepperstair_core.wire import CallHead
+from pepperstair_http import BodyBuffer, StreamedResponse
+
+from .clock import monotonic_ms, precise_ms
+
+if TYPE_CHECKING:
+    from .daemon import Daemon
+
+log = structlog.get_logger(__name__)
+
+
+def make_proxy_context(daemon: Daemon) -> ProxyContext:
+    """Return the state and functions of a daemon that its proxy works with.
+
+    Targets of the own VM are reached through the daemon's runner, all others through
+    the streams to the daemons beside them.
+    """
+    vm = daemon.settings.vm.name
+
+    def endpoints(compiled: CompiledRoute) -> tuple[Endpoint, ...]:
+        table = daemon.endpoint_table
+        return table.endpoints(compiled.target_selector, compiled.customer)
+
+    def load_of(endpoint: Endpoint) -> Load | None:
+        # Exact beside the target, else as the daemon there last reported it.
+        if endpoint.vm == vm:
+            return daemon.runner.load_of(endpoint.target.name)
+        return daemon.call_client.load_of(endpoint.peer_address, endpoint.target.name)
+
+    async def carry(
+        endpoint: Endpoint, head: CallHead, body: BodyBuffer
+    ) -> StreamedResponse:
+        if endpoint.vm == vm:
+            return await daemon.runner.run(head, body)
+        return await daemon.call_client.run(endpoint.peer_address, head, body)
+
+    def count_outcome(outcome: CallOutcome) -> None:
+        daemon.burn.add(outcome, monotonic_ms())
+        daemon.metrics.add(outcome)
+        daemon.exposition.add(outcome)
+
+    return ProxyContext(
+        vm=vm,
+        route_table=lambda: daemon.configuration.route_table,
+        endpoints=endpoints,
+        chooser=daemon.chooser,
+        load_of=load_of,
+        carry=carry,
+        is_ready=daemon.is_ready,
+        is_joining=lambda: precise_ms() - daemon.started_ms < JOINING_MS,
+        on_outcome=count_outcome,
+        is_draining=lambda: daemon.runner.is_draining,
+        time_to_stop_ms=lambda: daemon.stop_ends_ms - precise_ms(),
+        decisions=daemon.decisions,
+        budget_of=daemon.edges.make_budget_of(daemon),
+        retry_budget_percent=daemon.settings.calls.retry_budget_percent,
+        now_ms=precise_ms,
+        rng=daemon.rng,
+        quarantine=daemon.quarantine,
+        body_max_bytes=lambda: daemon.body_max_bytes,
+        header_names=daemon.edges.target_options.names,
+        service=daemon.edges.service,
+    )
+
+
+__all__ = ["make_proxy_context"]
