Read what targets state in their answers, and log and count it

Cause: in the incident of the rate limit, no log line or metric said what a target stated of itself in its answers, nor how many requests it was sent, so 'nobody reads it' and 'each daemon keeps it for itself' looked alike.

The daemon beside a target now reads the headers for a rate limit and for leaving from each answer that the target itself made, logs changes (target_limit_changed, target_limit_invalid, target_leaving), counts the requests that it sends (requests_sent) and shows targets that state a limit (targets_limited). Nothing is decided by them yet.

--- a/packages/pepperstair-http/pepperstair_http/__init__.py
+++ b/packages/pepperstair-http/pepperstair_http/__init__.py
@@ -20,9 +20,11 @@
 from .receiving import ReceivingProtocol
 from .server import HttpServer
 from .sockets import detect_dead_peer
+from .target_statement import NO_STATEMENT, TargetStatement, read_statement
 from .writing import WriteGate
 
 __all__ = [
+    "NO_STATEMENT",
     "PRODUCT_HEADERS",
     "PipelineLimits",
     "BodyBuffer",
@@ -41,9 +43,11 @@
     "ServerConnection",
     "ServerLimits",
     "StreamedResponse",
+    "TargetStatement",
     "WriteGate",
     "connect",
     "end_to_end_headers",
     "header_value",
+    "read_statement",
     "detect_dead_peer",
 ]
--- a/packages/pepperstair-http/pepperstair_http/header_names.py
+++ b/packages/pepperstair-http/pepperstair_http/header_names.py
@@ -17,6 +17,9 @@
     - `expected_target` names the only target that may run the request.
     - `not_run` is set by a target in an answer that refuses the request.
     - `signature` is set by a target in each answer of its own.
+    - `rate_limit` is set by a target in its answers while it limits its requests. The
+      value is the number of requests a second that it accepts from all daemons.
+    - `leaving` is set to 1 by a target in its answers once it is shutting down.
 
     `has_retry_after_fractions` states that callers parse fractions of a second in
     `retry-after`.
@@ -29,6 +32,8 @@
     expected_target: bytes = b""
     not_run: bytes = b""
     signature: bytes = b""
+    rate_limit: bytes = b""
+    leaving: bytes = b""
     is_id_echoed: bool = False
     has_retry_after_fractions: bool = False
 
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -15,7 +15,12 @@
 from pepperstair_core.intent import Policy
 from pepperstair_core.members import Target, TargetState
 from pepperstair_core.wire import CallHead
-from pepperstair_http import BodyBuffer, StreamedResponse
+from pepperstair_http import (
+    NO_STATEMENT,
+    BodyBuffer,
+    StreamedResponse,
+    TargetStatement,
+)
 
 from .crash_detection import CrashDetector
 from .pool import ConnectionPool
@@ -53,6 +58,8 @@
         on_exited: Callable[[LocalTarget, tuple[bytes, ...]], None],
     ) -> None:
         self.target = target
+        # The statement of the target's last answer.
+        self.statement = NO_STATEMENT
         self.pool = ConnectionPool(target.address, target.n_connections_max)
         self.crashes = CrashDetector(
             self.pool, lambda running: on_exited(self, running)
@@ -113,6 +120,15 @@
         self.is_draining = False
         self.n_refused = 0
         self.n_crashes = 0
+        self.n_sent = 0
+
+    @property
+    def n_limited(self) -> int:
+        """Return the number of targets that state a rate limit."""
+        return sum(
+            local.statement.rate_limit_per_s is not None
+            for local in self._local_targets.values()
+        )
 
     @property
     def n_in_flight(self) -> int:
@@ -157,7 +173,18 @@
             service_ms = self._now_ms() - admitted_ms if was_sent else None
             local.slots.release(head, service_ms)
 
-        call = TargetCall(local.pool, head, body, free_slot, self._options)
+        def record_statement(statement: TargetStatement, is_signed: bool) -> None:
+            self._record_statement(local, statement)
+
+        call = TargetCall(
+            local.pool,
+            head,
+            body,
+            free_slot,
+            self._options,
+            self._count_sent,
+            record_statement,
+        )
         local.crashes.begin(call)
         try:
             response = await call.run(deadline_ms - admitted_ms)
@@ -247,6 +274,25 @@
         self.on_crash(local.target.name, running)
         self._registry.deregister(local.target.name)
 
+    def _count_sent(self) -> None:
+        self.n_sent += 1
+
+    def _record_statement(self, local: LocalTarget, statement: TargetStatement) -> None:
+        """Log what a target states about itself if it differs from before."""
+        known = local.statement
+        if statement == known:
+            return
+        local.statement = statement
+        name = local.target.name
+        if statement.rate_limit_per_s != known.rate_limit_per_s:
+            limit_per_s = statement.rate_limit_per_s
+            log.info(Event.TARGET_LIMIT_CHANGED, target=name, limit_per_s=limit_per_s)
+        if statement.invalid_limit:
+            value = statement.invalid_limit[:40].decode("latin-1")
+            log.warning(Event.TARGET_LIMIT_INVALID, target=name, value=value)
+        if statement.is_leaving and not known.is_leaving:
+            log.info(Event.TARGET_LEAVING, target=name)
+
     def _record_answer(self, head: CallHead, response: StreamedResponse) -> None:
         if response.status >= _FAILED_STATUS or not response.body.is_complete:
             return
--- a/packages/pepperstair-targets/pepperstair_targets/target_call.py
+++ b/packages/pepperstair-targets/pepperstair_targets/target_call.py
@@ -20,7 +20,9 @@
     Headers,
     ResponseHead,
     StreamedResponse,
+    TargetStatement,
     header_value,
+    read_statement,
 )
 
 from .answer_body import AnswerBody
@@ -55,7 +57,10 @@
 class TargetCall:
     """A call that holds a slot until `end` is called; repeated calls do nothing.
 
-    `on_end` frees the slot; its argument is whether the request was sent.
+    `on_end` frees the slot; its argument is whether the request was sent. `on_sent` is
+    called whenever the request is sent, which happens again if a reused connection was
+    stale. `on_statement` is called with the statement of each answer that the target
+    itself made, and with whether that answer is signed.
     """
 
     __slots__ = (
@@ -69,6 +74,8 @@
         "_n_buffered_max_bytes",
         "_names",
         "_on_end",
+        "_on_sent",
+        "_on_statement",
         "_pool",
         "_sent_s",
     )
@@ -80,7 +87,11 @@
         body: BodyBuffer,
         on_end: Callable[[bool], None],
         options: TargetOptions = DEFAULT_OPTIONS,
+        on_sent: Callable[[], None] = lambda: None,
+        on_statement: Callable[[TargetStatement, bool], None] = lambda *args: None,
     ) -> None:
+        self._on_sent = on_sent
+        self._on_statement = on_statement
         self._names = options.names
         self._n_buffered_max_bytes = options.n_buffered_max_bytes
         self._pool = pool
@@ -118,6 +129,7 @@
         try:
             async with asyncio.timeout(max(0.0, time_left_ms) / 1000):
                 answer = await self._exchange(time_left_ms)
+                self._report_statement(answer)
                 self._check_answer(answer)
                 await self._buffer_answer(answer)
         except TimeoutError as error:
@@ -180,6 +192,22 @@
             added.append((names.expected_target, self._head.target.encode()))
         return (*self._head.headers, *added)
 
+    def _report_statement(self, answer: ResponseHead) -> None:
+        """Report the target's statement, if the target itself made the answer.
+
+        An unsigned answer may come from another target that has taken over the
+        address. Only an unsigned refusal other than 421 is the target's own.
+        """
+        names = self._names
+        is_signed = not names.signature or bool(
+            header_value(answer.headers, names.signature)
+        )
+        is_refusal = bool(names.not_run) and bool(
+            header_value(answer.headers, names.not_run)
+        )
+        if is_signed or (is_refusal and answer.status != _MISDIRECTED):
+            self._on_statement(read_statement(answer.headers, names), is_signed)
+
     def _check_answer(self, answer: ResponseHead) -> None:
         """Raise if the answer is invalid or states that the request did not run.
 
@@ -240,6 +268,7 @@
         connection.start(self._head.method, self._head.path, headers, body, echo)
         self._is_sent = True
         self._sent_s = asyncio.get_running_loop().time()
+        self._on_sent()
         if body is None:
             loop = asyncio.get_running_loop()
             self._body_sender = loop.create_task(self._send_body(connection))
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -38,6 +38,9 @@
     n_calls_refused: Annotated[
         int, Meta(description="Calls refused beside a target as not run.")
     ] = 0
+    n_requests_sent: Annotated[
+        int, Meta(description="Requests sent to the targets of this VM.")
+    ] = 0
     n_calls_quarantined: Annotated[
         int,
         Meta(description="Requests refused, as those like them crashed targets."),
@@ -177,6 +180,9 @@
 
     n_members: Annotated[int, Meta(description="Members that are not gone.")] = 0
     n_targets: Annotated[int, Meta(description="Targets announced to this daemon.")] = 0
+    n_targets_limited: Annotated[
+        int, Meta(description="Targets of this VM that state a rate limit.")
+    ] = 0
     n_customers: Annotated[
         int, Meta(description="Customers with a version in force.")
     ] = 0
@@ -212,6 +218,7 @@
         n_calls_held_at_start=daemon.proxy.n_held_at_start,
         n_calls_taken=daemon.call_server.n_calls,
         n_calls_refused=daemon.runner.n_refused,
+        n_requests_sent=daemon.runner.n_sent,
         n_calls_quarantined=daemon.proxy.n_quarantined,
         n_targets_crashed=daemon.runner.n_crashes,
         n_connections=daemon.callers.counters.n_connections,
@@ -254,6 +261,7 @@
     return DaemonGauges(
         n_members=sum(member.is_usable for member in daemon.directory.members()),
         n_targets=len(daemon.registry.targets()),
+        n_targets_limited=daemon.runner.n_limited,
         n_customers=len(daemon.configuration.versions()),
         n_calls_in_flight=daemon.runner.n_in_flight,
         n_requests_in_flight=daemon.proxy.n_in_flight,
