--- a/tests/adapter/mesh.py
+++ b/tests/adapter/mesh.py
@@ -39,6 +39,10 @@
     n_slots: int = 4
     ports: dict[str, int] = field(default_factory=dict)
     received_headers: list = field(default_factory=list)
+    # When each request arrived, in seconds of the event loop.
+    arrived_s: list = field(default_factory=list)
+    # Headers that the instance adds to its answers.
+    stated_headers: tuple = ()
     sequence: int = 0
     process: subprocess.Popen | None = None
     work_s: float = 0.0
@@ -50,6 +54,8 @@
     server: HttpServer | None = None
     crash_task: asyncio.Task | None = None
     incarnation: int = 1
+    # The id of the instance if it does not change with its incarnation.
+    fixed_instance: str = ""
 
     def settings_text(self) -> str:
         """Return the settings file that the platform would provide."""
@@ -97,7 +103,9 @@
 
     @property
     def instance(self) -> str:
-        """Return the id of the instance, which changes with each crash."""
+        """Return the id of the instance, which usually changes with each crash."""
+        if self.fixed_instance:
+            return self.fixed_instance
         suffix = f"-{self.incarnation}" if self.incarnation > 1 else ""
         return f"i-{self.name}{suffix}"
 
@@ -165,6 +173,7 @@
     async def _handle(self, exchange: Exchange) -> None:
         headers = exchange.request.headers
         self.received_headers.append(headers)
+        self.arrived_s.append(asyncio.get_running_loop().time())
         await exchange.body.read_all(1_000_000)
         if self.poison_path and exchange.request.path == self.poison_path:
             self.n_poison_runs += 1
@@ -176,6 +185,7 @@
         answer = (
             (b"x-request-id", header_value(headers, b"x-request-id")),
             (b"x-response-signature", b"s"),
+            *self.stated_headers,
         )
         await exchange.respond(200, answer, self.name.encode())
 
