Send a known rate limit in a header, so that older daemons keep their streams

Cause: the limit for a restarted daemon was a new field of CallHead, and the refusal a new error kind. A daemon of an earlier release rejects a frame with either and closes the stream, so that calls would be lost in a rolling upgrade.

The limit travels in a header of the call, which the receiving daemon removes, and a refused call ends with the kind 'busy' (429), which all daemons know and after which the target is avoided for the time that the refusal states.

--- a/packages/pepperstair-callers/pepperstair_callers/attempt_ends.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempt_ends.py
@@ -18,7 +18,6 @@
         ErrorKind.NOT_READY,
         ErrorKind.NO_TARGET,
         ErrorKind.OVERLOADED,
-        ErrorKind.RATE_LIMITED,
         ErrorKind.TARGET_REFUSED,
         ErrorKind.TOO_MANY_CONNECTIONS,
     }
@@ -49,7 +48,6 @@
         ErrorKind.OVERLOADED,
         ErrorKind.PEER_UNREACHABLE,
         ErrorKind.QUARANTINED,
-        ErrorKind.RATE_LIMITED,
         ErrorKind.TARGET_UNREACHABLE,
         ErrorKind.DEADLINE_BEFORE_RUN,
     }
--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -53,6 +53,11 @@
 HOP_MARGIN_MS: Final = 5
 HOP_MARGIN_SHARE: Final = 0.1
 
+# The rate limit that the target stated in its last answer to this daemon, for the
+# daemon on the target's VM, which may have restarted since. It is a header and not a
+# field of the frame, because older daemons reject frames with additional fields.
+KNOWN_LIMIT_HEADER: Final = b"pepperstair-rate-limit"
+
 # Time that the call waited for a slot, set by the daemon on the target's VM.
 WAITED_HEADER: Final = b"pepperstair-waited-ms"
 
@@ -392,7 +397,10 @@
     def _call_head(self, endpoint: Endpoint) -> CallHead:
         request = self._request
         call_id = next(self._call_ids)
+        headers = self._head.forwarded
         limit_per_s = self._context.chooser.limit_of(endpoint)
+        if limit_per_s is not None:
+            headers = (*headers, (KNOWN_LIMIT_HEADER, b"%.3f" % limit_per_s))
         return CallHead(
             call_id=call_id,
             request_id=self._head.request_id or f"{self._context.vm}-{call_id}",
@@ -400,7 +408,7 @@
             target=endpoint.target.name,
             method=request.method,
             path=request.path,
-            headers=self._head.forwarded,
+            headers=headers,
             priority=self.compiled.route.priority,
             is_idempotent=self._is_idempotent,
             time_left_ms=self._timeout_for_ms(endpoint),
@@ -408,7 +416,6 @@
             route=self.compiled.route.name,
             wanted_left_ms=self._objective_left_ms(),
             fingerprint=self.fingerprint,
-            rate_limit_per_s=-1.0 if limit_per_s is None else limit_per_s,
         )
 
     def _objective_left_ms(self) -> int:
--- a/packages/pepperstair-core/pepperstair_core/errors.py
+++ b/packages/pepperstair-core/pepperstair_core/errors.py
@@ -35,7 +35,6 @@
     TARGET_UNREACHABLE = "target_unreachable"
     DRAINING = "draining"
     OVERLOADED = "overloaded"
-    RATE_LIMITED = "rate_limited"
     TOO_MANY_CONNECTIONS = "too_many_connections"
     PEER_UNREACHABLE = "peer_unreachable"
     DEADLINE_BEFORE_RUN = "deadline_before_run"
@@ -84,7 +83,6 @@
     ErrorKind.TARGET_UNREACHABLE: Answer(503, _NO, True, "the target is unreachable"),
     ErrorKind.DRAINING: Answer(503, _NO, True, "the target or daemon is leaving"),
     ErrorKind.OVERLOADED: Answer(503, _NO, True, "no slot in time for the request"),
-    ErrorKind.RATE_LIMITED: Answer(503, _NO, True, "the target limits its rate"),
     ErrorKind.TOO_MANY_CONNECTIONS: Answer(503, _NO, True, "too many connections"),
     ErrorKind.PEER_UNREACHABLE: Answer(503, _NO, True, "the daemon is unreachable"),
     ErrorKind.DEADLINE_BEFORE_RUN: Answer(504, _NO, False, "too late to start it"),
--- a/packages/pepperstair-core/pepperstair_core/wire/data.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/data.py
@@ -26,8 +26,7 @@
     set, `BodyPart` frames and a `BodyEnd` follow. `wanted_left_ms` is the remaining
     time within which the response has its full value for the caller; it is negative if
     the route defines no such time. `fingerprint` is equal for requests that do the
-    same work. `rate_limit_per_s` is the rate limit that the target stated in its last
-    answer to the sender; it is negative if there was none.
+    same work.
     """
 
     call_id: int
@@ -44,7 +43,6 @@
     route: str = ""
     wanted_left_ms: int = -1
     fingerprint: bytes = b""
-    rate_limit_per_s: float = -1.0
 
 
 class BodyPart(Frame, tag=41):
--- a/packages/pepperstair-http/pepperstair_http/__init__.py
+++ b/packages/pepperstair-http/pepperstair_http/__init__.py
@@ -20,7 +20,13 @@
 from .receiving import ReceivingProtocol
 from .server import HttpServer
 from .sockets import detect_dead_peer
-from .target_statement import NO_STATEMENT, TargetStatement, is_signed, read_statement
+from .target_statement import (
+    NO_STATEMENT,
+    TargetStatement,
+    is_signed,
+    parse_rate_limit,
+    read_statement,
+)
 from .writing import WriteGate
 
 __all__ = [
@@ -49,6 +55,7 @@
     "end_to_end_headers",
     "header_value",
     "is_signed",
+    "parse_rate_limit",
     "read_statement",
     "detect_dead_peer",
 ]
--- a/packages/pepperstair-http/pepperstair_http/target_statement.py
+++ b/packages/pepperstair-http/pepperstair_http/target_statement.py
@@ -42,9 +42,19 @@
     is_leaving = bool(names.leaving) and header_value(headers, names.leaving) == b"1"
     if not limit:
         return TargetStatement(is_leaving=True) if is_leaving else NO_STATEMENT
-    if not _DECIMAL.fullmatch(limit):
+    limit_per_s = parse_rate_limit(limit)
+    if limit_per_s is None:
         return TargetStatement(None, is_leaving, limit)
-    return TargetStatement(float(limit), is_leaving)
+    return TargetStatement(limit_per_s, is_leaving)
+
+
+def parse_rate_limit(value: bytes) -> float | None:
+    """Return a rate limit in requests a second, or None if it is no decimal number.
+
+    >>> parse_rate_limit(b"31.4"), parse_rate_limit(b"nan")
+    (31.4, None)
+    """
+    return float(value) if _DECIMAL.fullmatch(value) else None
 
 
 def is_signed(headers: Headers, names: HeaderNames) -> bool:
@@ -55,4 +65,10 @@
     return not names.signature or bool(header_value(headers, names.signature))
 
 
-__all__ = ["NO_STATEMENT", "TargetStatement", "is_signed", "read_statement"]
+__all__ = [
+    "NO_STATEMENT",
+    "TargetStatement",
+    "is_signed",
+    "parse_rate_limit",
+    "read_statement",
+]
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -20,6 +20,8 @@
     BodyBuffer,
     StreamedResponse,
     TargetStatement,
+    header_value,
+    parse_rate_limit,
 )
 
 from .crash_detection import CrashDetector
@@ -31,6 +33,8 @@
 log = structlog.get_logger(__name__)
 
 WAITED_HEADER: Final = b"pepperstair-waited-ms"
+# The rate limit of the target, in a call of a daemon that has been told it.
+KNOWN_LIMIT_HEADER: Final = b"pepperstair-rate-limit"
 
 _OWN_PREFIX: Final = b"pepperstair-"
 
@@ -156,9 +160,8 @@
         deadline_ms = start_ms + head.time_left_ms
         target = self._require_target(head, start_ms)
         local = self._ensure_local_target(target)
+        head = _take_known_limit(head, local, start_ms)
         policy = self._policy_of(head.customer, target)
-        if head.rate_limit_per_s >= 0:
-            local.slots.admission.rate_limiter.suggest(head.rate_limit_per_s, start_ms)
         try:
             await local.slots.acquire(head, deadline_ms, policy.n_queued_max)
         except PepperstairError as error:
@@ -413,6 +416,21 @@
     )
 
 
+def _take_known_limit(head: CallHead, local: LocalTarget, now_ms: float) -> CallHead:
+    """Apply the rate limit that the sender of a call knows of the target.
+
+    Return the head without the header that carries the limit.
+    """
+    value = header_value(head.headers, KNOWN_LIMIT_HEADER)
+    if not value:
+        return head
+    limit_per_s = parse_rate_limit(value)
+    if limit_per_s is not None:
+        local.slots.admission.rate_limiter.suggest(limit_per_s, now_ms)
+    headers = tuple(item for item in head.headers if item[0] != KNOWN_LIMIT_HEADER)
+    return replace(head, headers=headers)
+
+
 def _with_wait_header(response: StreamedResponse, waited_ms: int) -> StreamedResponse:
     """Return the response with a header that states how long the call waited.
 
--- a/packages/pepperstair-targets/pepperstair_targets/slots.py
+++ b/packages/pepperstair-targets/pepperstair_targets/slots.py
@@ -28,7 +28,7 @@
 
 _KIND_OF_CAUSE: Final = {
     RefusalCause.DRAINING: ErrorKind.DRAINING,
-    RefusalCause.RATE_LIMIT: ErrorKind.RATE_LIMITED,
+    RefusalCause.RATE_LIMIT: ErrorKind.BUSY,
 }
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,6 +11,7 @@
     AnswerHead,
     BodyPart,
     CallFailed,
+    CallHead,
     FrameDecoder,
     FrameError,
     Heartbeat,
@@ -25,6 +26,22 @@
     Heartbeat(7, (("ledger-1", 3, 4),)),
     CallFailed(1, ErrorKind.OVERLOADED, RunStatus.NO, "full", 250),
     BodyPart(9, b"loot"),
+    CallHead(
+        2,
+        "call-1",
+        "lantern",
+        "ledger-1",
+        "GET",
+        "/logs/1",
+        ((b"host", b"maps"),),
+        "urgent",
+        True,
+        800,
+        False,
+        "logs",
+        300,
+        b"f",
+    ),
     MemberUpdate(
         (Member("a", 1, 2, MemberState.ALIVE, "z", "127.0.0.1:2", (), (TARGET,)),)
     ),
@@ -43,11 +60,14 @@
     """Guards against lost streams between daemons during a rolling upgrade."""
     arrays = [msgpack.unpackb(encode_frame(frame)) for frame in FRAMES]
     target = ["ledger-1", "127.0.0.1:1", [["app", "ledger"]], 12, 130, "serving"]
+    call = [2, "call-1", "lantern", "ledger-1", "GET", "/logs/1", [[b"host", b"maps"]]]
+    call += ["urgent", True, 800, False, "logs", 300, b"f"]
     member = ["a", 1, 2, 0, "z", "127.0.0.1:2", [], [target], "", 0.0]
     assert arrays == [
         [3, 7, [["ledger-1", 3, 4]]],
         [45, 1, "overloaded", "no", "full", 250, 0, 0],
         [41, 9, b"loot"],
+        [40, *call],
         [20, [member]],
     ]
 
