Send no requests to a target that states its leaving in its answers

What callers would see: requests cut when the target exits, although it had said in each answer that it leaves. Cause: the same as of the rate limit, a statement in answers that nobody read; a departure was known from heartbeats and deregistrations only, which may be late or never come.

A daemon that has passed on such an answer keeps away by itself too, as the other one may restart while the store is away. A later record of the same process that announces the target shows that it has started again; one of a restarted process does not. A target that starts again under its name is registered anew, so that neither the limit nor the load of its earlier start is applied to it.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -175,6 +175,8 @@
         if not is_signed(response.headers, context.header_names):
             return
         statement = read_statement(response.headers, context.header_names)
+        if statement.is_leaving:
+            context.on_leaving(endpoint)
         if not statement.invalid_limit:
             context.chooser.record_limit(
                 endpoint,
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -43,7 +43,8 @@
     it is still receiving its configuration and targets. `service` is the name of the
     service to which the target on this VM belongs, or an empty string if that name is
     not sent to targets. `time_to_stop_ms` returns the time that remains for calls until
-    a stopping daemon exits, or infinity if the daemon is not stopping.
+    a stopping daemon exits, or infinity if the daemon is not stopping. `on_leaving` is
+    called with a target that states in an answer that it is leaving.
     """
 
     vm: str
@@ -69,6 +70,7 @@
     header_names: HeaderNames = PRODUCT_HEADERS
     service: str = ""
     time_to_stop_ms: Callable[[], float] = lambda: math.inf
+    on_leaving: Callable[[Endpoint], None] = lambda endpoint: None
 
 
 __all__ = ["AttemptSender", "ProxyContext"]
--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -16,6 +16,7 @@
 from .fair_queue import WaitingCall
 from .fingerprint import fingerprint
 from .fleet_budget import BudgetTerms, FleetRetryBudget
+from .leaving_targets import LeavingTargets
 from .outcome import CallOutcome
 from .pacing import LinkPacer
 from .quarantine import CrashRecord, Quarantine, TrustLevel
@@ -48,6 +49,7 @@
     "FleetRetryBudget",
     "GiveUp",
     "GiveUpCause",
+    "LeavingTargets",
     "LinkPacer",
     "Load",
     "Quarantine",
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/calls/leaving_targets.py
@@ -0,0 +1,74 @@
+"""Targets of other VMs that have stated in an answer that they are leaving."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from msgspec import Struct
+
+from ..members import Member
+from .target_group import TargetKey
+
+# Time for which a leaving target is remembered, in milliseconds. A target exits some
+# seconds after it states its leaving, at the latest tens of seconds.
+REMEMBERED_MS: Final = 60_000
+# Maximum number of leaving targets that are remembered.
+N_REMEMBERED_MAX: Final = 1_000
+
+
+class _Statement(Struct, frozen=True):
+    """A stated leaving, and the record of the VM's daemon that was known then."""
+
+    member: Member
+    stated_ms: float
+
+    def is_outdated_by(self, member: Member) -> bool:
+        """Return whether the daemon knew of the leaving when it made its record."""
+        known = self.member
+        is_same_process = member.incarnation == known.incarnation
+        return is_same_process and member.sequence > known.sequence
+
+
+class LeavingTargets:
+    """The targets that have stated their leaving to this daemon.
+
+    The daemon on a target's VM hears the statement first and withdraws the target. If a
+    later record of the same process announces the target, it has started again. A
+    record of a restarted process proves nothing, as that process may have forgotten.
+    """
+
+    def __init__(self) -> None:
+        self._statements: dict[TargetKey, _Statement] = {}
+
+    def add(self, key: TargetKey, member: Member, now_ms: float) -> bool:
+        """Record a leaving and return whether it was not known.
+
+        `member` is the current record of the daemon on the target's VM.
+        """
+        known = self._statements.get(key)
+        if known is not None and not known.is_outdated_by(member):
+            return False
+        self._statements[key] = _Statement(member, now_ms)
+        if len(self._statements) > N_REMEMBERED_MAX:
+            del self._statements[next(iter(self._statements))]
+        return True
+
+    def excluded(
+        self, member_of: Callable[[str], Member | None], now_ms: float
+    ) -> frozenset[TargetKey]:
+        """Return the targets that are leaving although their daemon announces them."""
+        self._statements = {
+            key: statement
+            for key, statement in self._statements.items()
+            if now_ms - statement.stated_ms < REMEMBERED_MS
+        }
+        return frozenset(
+            key
+            for key, statement in self._statements.items()
+            if (member := member_of(key[0])) is not None
+            and not statement.is_outdated_by(member)
+        )
+
+
+__all__ = ["N_REMEMBERED_MAX", "REMEMBERED_MS", "LeavingTargets"]
--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import functools
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from random import Random
 from typing import Final
 
@@ -156,7 +156,14 @@
     members change far less often than calls arrive.
     """
 
-    __slots__ = ("_selected", "_members", "_overrides", "_policies", "_reusable")
+    __slots__ = (
+        "_excluded",
+        "_members",
+        "_overrides",
+        "_policies",
+        "_reusable",
+        "_selected",
+    )
 
     def __init__(
         self,
@@ -164,18 +171,23 @@
         overrides: Mapping[str, Labels] | None = None,
         policies: PolicyTable = NO_POLICIES,
         previous: EndpointTable | None = None,
+        excluded: Collection[tuple[str, str]] = frozenset(),
     ) -> None:
         """Build a table that reuses the endpoints of unchanged members.
 
         Members change one at a time, so most endpoints of the `previous` table are
-        still valid. Nothing is reused if the overrides or the policies differ.
+        still valid. Nothing is reused if the overrides, the policies or the `excluded`
+        keys of endpoints differ.
         """
+        self._excluded = excluded
         self._members = tuple(members)
         self._overrides = overrides or {}
         self._policies = policies
         self._selected: dict[tuple[Selector, str], _SelectedEndpoints] = {}
         self._reusable: dict[tuple[Selector, str], _SelectedEndpoints] = {}
-        if previous is not None and previous._was_built_with(self._overrides, policies):
+        if previous is not None and previous._was_built_with(
+            self._overrides, policies, excluded
+        ):
             self._reusable = previous._selected or previous._reusable
 
     def endpoints(self, selector: Selector, customer: str = "") -> tuple[Endpoint, ...]:
@@ -192,9 +204,16 @@
         return selected.endpoints
 
     def _was_built_with(
-        self, overrides: Mapping[str, Labels], policies: PolicyTable
+        self,
+        overrides: Mapping[str, Labels],
+        policies: PolicyTable,
+        excluded: Collection[tuple[str, str]],
     ) -> bool:
-        return self._overrides == overrides and self._policies == policies
+        return (
+            self._overrides == overrides
+            and self._policies == policies
+            and self._excluded == excluded
+        )
 
     def _select(
         self, selector: Selector, customer: str, before: _SelectedEndpoints
@@ -207,7 +226,8 @@
                 selected = iter_endpoints(
                     (member,), selector, self._overrides, policy_of
                 )
-                known = (member, tuple(selected))
+                usable = (item for item in selected if item.key not in self._excluded)
+                known = (member, tuple(usable))
             by_vm[member.vm] = known
         found = [item for _, endpoints in by_vm.values() for item in endpoints]
         endpoints = tuple(sorted(found, key=_endpoint_order))
--- a/packages/pepperstair-targets/pepperstair_targets/ordered_announcements.py
+++ b/packages/pepperstair-targets/pepperstair_targets/ordered_announcements.py
@@ -105,7 +105,7 @@
             )
             return False
         newest = self._newest
-        if newest is not None and newest.target.name != target.name:
+        if newest is not None and _is_other_start(newest, announcement):
             self._registry.deregister(newest.target.name)
         self._newest = announcement
         self._newest_seen_ms = self._now_ms()
@@ -187,6 +187,16 @@
         return self._now_ms() - self._newest_seen_ms >= self._silent_ms
 
 
+def _is_other_start(known: Announcement, announcement: Announcement) -> bool:
+    """Return whether an announcement is of another start than the known one.
+
+    A target that starts again under its name knows nothing of its earlier start, so
+    nothing that was learned about that one may be applied to it.
+    """
+    is_same_name = known.target.name == announcement.target.name
+    return not is_same_name or known.start_ms != announcement.start_ms
+
+
 __all__ = [
     "ANNOUNCEMENT_DELAY_MAX_MS",
     "LAST_SEQUENCE",
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -98,7 +98,8 @@
     decision log, at most one entry a second for each target; an entry states the number
     of refusals since the previous entry.
     `on_crash` is called with a target that has exited and the fingerprints of the calls
-    it was running, `on_cleared` with the record of a suspect request that was answered.
+    it was running, `on_cleared` with the record of a suspect request that was answered,
+    `on_leaving` with a target that states in an answer that it is leaving.
     """
 
     def __init__(
@@ -113,6 +114,7 @@
         self._options = options
         self._quarantine = quarantine or Quarantine()
         self.on_crash: Callable[[str, tuple[bytes, ...]], None] = lambda *args: None
+        self.on_leaving: Callable[[str], None] = lambda name: None
         self.on_cleared: Callable[[CrashRecord], None] = lambda record: None
         self._registry = registry
         self._now_ms = now_ms
@@ -188,7 +190,10 @@
                 local.slots.admission.rate_limiter.take(sent_ms)
 
         def record_statement(statement: TargetStatement, is_signed: bool) -> None:
+            is_leaving_new = statement.is_leaving and not local.statement.is_leaving
             self._log_statement(local, statement)
+            if is_leaving_new:
+                self.on_leaving(local.target.name)
             self._apply_limit(local, statement, is_signed, sent_ms)
 
         call = TargetCall(
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -16,6 +16,7 @@
 from pepperstair_core.burn import BurnCounts
 from pepperstair_core.calls import (
     JOINING_MS,
+    LeavingTargets,
     LinkPacer,
     Quarantine,
     TargetChooser,
@@ -34,6 +35,7 @@
 from pepperstair_core.membership import MemberDirectory
 from pepperstair_core.policies import DEFAULT_POLICY
 from pepperstair_core.routing import (
+    Endpoint,
     EndpointTable,
     effective_labels,
 )
@@ -208,6 +210,7 @@
             *self._iter_metrics_server(),
         )
         self.endpoint_table = EndpointTable()
+        self.leaving_targets = LeavingTargets()
         self.registry.on_changed = self.publish_targets
         self.configuration.on_changed = lambda snapshot: self._rebuild_endpoints()
         self.configuration.on_converged = self._record_convergence
@@ -332,8 +335,20 @@
             self.configuration.overrides,
             self.configuration.route_table.policies,
             self.endpoint_table,
+            self.leaving_targets.excluded(self.directory.get, monotonic_ms()),
         )
 
+    def record_leaving(self, endpoint: Endpoint) -> None:
+        """Send no more calls to a target that states in an answer that it is leaving.
+
+        The daemon on the target's VM refuses them too, but may restart and forget.
+        """
+        member = self.directory.get(endpoint.vm)
+        if member is None:
+            return
+        if self.leaving_targets.add(endpoint.key, member, monotonic_ms()):
+            self._rebuild_endpoints()
+
     def _policy_of(self, customer: str, target: Target) -> Policy:
         policies = self.configuration.route_table.policies
         if not policies.policies:
--- a/packages/pepperstaird/pepperstaird/departure_rows.py
+++ b/packages/pepperstaird/pepperstaird/departure_rows.py
@@ -81,14 +81,19 @@
 
         A write that takes longer continues in the background.
         """
+        if self.save_soon():
+            await asyncio.wait([self._write_task], timeout=WAIT_MAX_S)
+
+    def save_soon(self) -> bool:
+        """Start to write changed departures, and return whether there are any."""
         current = self._current_departures()
         if current == self._saved:
-            return
+            return False
         self._saved = current
         if self._write_task is not None:
             self._write_task.cancel()
         self._write_task = asyncio.get_running_loop().create_task(self._write())
-        await asyncio.wait([self._write_task], timeout=WAIT_MAX_S)
+        return True
 
     def _start_restore(self) -> asyncio.Task[None]:
         """Return the task that reads the row, which the first call starts."""
--- a/packages/pepperstaird/pepperstaird/proxying.py
+++ b/packages/pepperstaird/pepperstaird/proxying.py
@@ -72,6 +72,7 @@
         body_max_bytes=lambda: daemon.body_max_bytes,
         header_names=daemon.dependencies.target_options.names,
         service=daemon.dependencies.service,
+        on_leaving=daemon.record_leaving,
     )
 
 
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -136,6 +136,7 @@
         self.is_starting = False
         self.is_ready = True
         self.fingerprints: list[bytes] = []
+        self.leaving: list[Endpoint] = []
         self.context = self._context(body_max_bytes)
         self.proxy = Proxy(self.context)
         self.server = HttpServer(
@@ -238,6 +239,7 @@
             body_max_bytes=lambda: body_max_bytes,
             header_names=self.options.names,
             service=self.service,
+            on_leaving=self.leaving.append,
         )
 
 
--- a/tests/test_ordered_announcements.py
+++ b/tests/test_ordered_announcements.py
@@ -159,3 +159,13 @@
     fixture.wall_ms += 1
     assert fixture.accept("i-1", 0, 1)
     assert fixture.states() == {"i-1": SERVING}
+
+
+def test_target_that_starts_again_under_its_name_is_registered_anew():
+    """Guards against a limit or load of the earlier start applied to the new one."""
+    fixture = Fixture()
+    fixture.accept("i-1", 100, 5)
+    registered = []
+    fixture.registry.on_changed = lambda: registered.append(fixture.states())
+    fixture.accept("i-1", 200, 1)
+    assert registered == [{}, {"i-1": SERVING}]
--- a/tests/test_rate_limited_target.py
+++ b/tests/test_stating_target.py
@@ -1,4 +1,4 @@
-"""Calls to a target that states a rate limit in its answers."""
+"""Calls to a target that states in its answers a rate limit or that it is leaving."""
 
 from __future__ import annotations
 
@@ -12,7 +12,9 @@
 from tests.call_mesh import Mesh, retry_after_ms, status_and_run
 from tests.test_last_hop import ID, NAMES, answer_bytes
 
-OPTIONS = TargetOptions(replace(NAMES, rate_limit=b"x-limit"), 262_144)
+OPTIONS = TargetOptions(
+    replace(NAMES, rate_limit=b"x-limit", leaving=b"x-leaving"), 262_144
+)
 
 
 def stating(limit: str, answer: bytes) -> bytes:
@@ -134,3 +136,19 @@
         assert [answer.status for answer in answers] == [200, 200]
 
     run_with_mesh(scenario)
+
+
+def test_leaving_in_an_answer_is_reported_by_both_daemons():
+    """Guards against a leaving that only one side of a call acts on."""
+    leaving = answer_bytes().replace(b"\r\n\r\n", b"\r\nx-leaving: 1\r\n\r\n", 1)
+
+    async def scenario(mesh):
+        await mesh.add("a", answering(leaving))
+        withdrawn = []
+        mesh.nodes["a"].runner.on_leaving = withdrawn.append
+        for _ in range(2):
+            await mesh.call(headers=(ID,))
+        assert withdrawn == ["a"]
+        assert [endpoint.vm for endpoint in mesh.leaving] == ["a", "a"]
+
+    run_with_mesh(scenario)
