Choose a limited target by what its limit lets it run

Cause: a limited target has few calls in flight, so it looked idle and attracted the calls of every daemon, most of which it then refused; a second refusal used up the attempts that the route allows, although no target had got the call.

A target counts with the calls that it can run at its limit (rate times latency, Little's law), at least one, instead of with its slots. Refusals by a limit, up to three, are not attempts of the route.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -58,6 +58,11 @@
 # field of the frame, because older daemons reject frames with additional fields.
 KNOWN_LIMIT_HEADER: Final = b"pepperstair-rate-limit"
 
+# Maximum number of attempts refused by a rate limit that do not count as attempts. The
+# route limits the number of targets that a call is sent to, and such a refusal comes
+# from the daemon before the target.
+N_OVER_LIMIT_MAX: Final = 3
+
 # Time that the call waited for a slot, set by the daemon on the target's VM.
 WAITED_HEADER: Final = b"pepperstair-waited-ms"
 
@@ -76,6 +81,7 @@
         "_is_idempotent",
         "_latency_ms",
         "_may_have_reached_target",
+        "_n_over_limit",
         "_overload_failure",
         "_request",
         "_waited_before_ms",
@@ -113,6 +119,7 @@
         self._endpoint: Endpoint | None = None
         self._excluded: frozenset[tuple[str, str]] = frozenset()
         self._may_have_reached_target = False
+        self._n_over_limit = 0
         self._overload_failure: Failure | None = None
         self.compiled = compiled
         self.deadline_ms = arrived_ms + self.timeout_ms
@@ -351,12 +358,14 @@
         avoid_ms = failure.retry_after_ms
         if failure.kind is ErrorKind.OVERLOADED:
             avoid_ms = FULL_AVOIDED_MS
+        elif failure.kind is ErrorKind.BUSY:
+            self._n_over_limit = min(self._n_over_limit + 1, N_OVER_LIMIT_MAX)
         self._record_tried(failure.kind, latency_ms)
         self._end(kind, latency_ms, avoid_ms)
         attempt = Attempt(
             failure,
             self.compiled.route.priority,
-            self.n_attempts,
+            self.n_attempts - self._n_over_limit,
             self._is_idempotent,
             self._body.is_replayable,
             self.time_left_ms,
--- a/packages/pepperstair-core/pepperstair_core/calls/expected_wait.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/expected_wait.py
@@ -83,7 +83,10 @@
         slowness = 1.0
         if fastest_ms and is_speed_counted:
             slowness = max(1.0, latency_ms / fastest_ms)
-        wait = slowness * (n_waiting + 1) / (endpoint.target.n_slots * share)
+        n_slots = endpoint.target.n_slots * share
+        if health.rate_limit_per_s is not None:
+            n_slots = min(n_slots, _n_slots_at_limit(health, now_ms))
+        wait = slowness * (n_waiting + 1) / n_slots
         excess_rate = health.failure_rate(now_ms) - tolerated_rate
         if excess_rate <= 0.0:
             return wait
@@ -92,4 +95,14 @@
     return wait_of
 
 
+def _n_slots_at_limit(health: TargetHealth, now_ms: float) -> float:
+    """Return how many calls a target runs at its rate limit, at least one.
+
+    By Little's law this is the rate times the time of a call. If it counted with all
+    its slots, a limited target would look idle and attract calls that it refuses.
+    """
+    n_calls = health.rate_limit_per_s * health.latency_ms(now_ms) / 1000
+    return max(1.0, n_calls)
+
+
 __all__ = ["Load", "LoadOf", "TargetKey", "WaitOf", "make_wait_of"]
--- a/tests/test_choice_by_load_and_failures.py
+++ b/tests/test_choice_by_load_and_failures.py
@@ -179,3 +179,23 @@
     assert ejections
     assert ejections[0].n_errors <= 6
     assert {ejection.key for ejection in ejections} == {among[0].key}
+
+
+def test_limited_target_that_runs_all_that_it_accepts_is_full():
+    """Guards against a limited target that looks idle and refuses what it attracts."""
+    among = [endpoint(1), endpoint(2)]
+    chooser = make_chooser()
+    answered_in_100_ms = CallEnd(EndKind.GOOD, 0.0, 100.0)
+    for item in among:
+        chooser.choose([item], no_report, 0.0)
+        chooser.end(item, [item], answered_in_100_ms, 0.0)
+    chooser.record_limit(among[0], 20.0, 0.0, 0.0)
+    # The limit of 20 a second and 100 ms a call amount to two calls of twelve slots.
+    loads = {"t1": Load(2, 0), "t2": Load(9, 0)}
+    load_of = lambda item: loads[item.target.name]
+    assert share(chooser, among, "t1", load_of) == 0.0
+    loads["t1"] = Load(0, 0)
+    assert share(chooser, among, "t1", load_of) == 1.0
+    loads["t1"] = Load(2, 0)
+    chooser.record_limit(among[0], None, 1.0, 1.0)
+    assert share(chooser, among, "t1", load_of) == 1.0
--- a/tests/test_stating_target.py
+++ b/tests/test_stating_target.py
@@ -152,3 +152,16 @@
         assert [endpoint.vm for endpoint in mesh.leaving] == ["a", "a"]
 
     run_with_mesh(scenario)
+
+
+def test_refusals_by_limits_do_not_use_up_the_attempts_of_a_route():
+    """Guards against refusals to callers while a third target has room."""
+
+    async def scenario(mesh):
+        for name in ("a", "b"):
+            await mesh.add(name, answering(stating("1", answer_bytes())))
+        await mesh.add("c", answering(answer_bytes()))
+        answers = [await mesh.call(headers=(ID,)) for _ in range(30)]
+        assert {answer.status for answer in answers} == {200}
+
+    run_with_mesh(scenario, n_attempts_max=1)
