Report no convergence from a daemon that has met nobody of its fleet

What operators saw: GET /v1/wait at a daemon that had just started answered is_converged with that daemon alone in in_force; from then on the others were reported as missing for good, as nobody asked them again. Cause: a daemon is ready as soon as it has read its configuration from the platform, some milliseconds before it knows its first member. It counted itself as the whole fleet.

--- a/packages/pepperstair-core/pepperstair_core/distribution/convergence.py
+++ b/packages/pepperstair-core/pepperstair_core/distribution/convergence.py
@@ -170,7 +170,8 @@
             yield Send(return_path.parent, frame)
     for collection in convergence.collections.values():
         yield from _check_converged(collection, state, now_ms)
-        if collection.convergence_ms is None and now_ms >= collection.inquiry_due_ms:
+        is_due = now_ms >= collection.inquiry_due_ms
+        if is_due and _needs_inquiry(collection, state):
             yield from _inquire(collection, state, now_ms)
 
 
@@ -190,6 +191,20 @@
     )
 
 
+def _needs_inquiry(
+    collection: AcknowledgementCollection, state: DistributionState
+) -> bool:
+    """Return whether to ask the fleet for acknowledgements.
+
+    A daemon that has not met its fleet yet counts itself as all of it. Without an
+    inquiry after that, the others would be reported as missing for good.
+    """
+    if collection.convergence_ms is None:
+        return True
+    is_counted_alone = collection.vms == {state.fleet.own_vm}
+    return is_counted_alone and any(True for _ in missing_vms(collection, state))
+
+
 def _inquire(
     collection: AcknowledgementCollection, state: DistributionState, now_ms: int
 ) -> Actions:
--- a/packages/pepperstaird/pepperstaird/configuration_operations.py
+++ b/packages/pepperstaird/pepperstaird/configuration_operations.py
@@ -102,7 +102,7 @@
         "version": version,
         "in_force": sorted(vms),
         "missing": sorted(missing),
-        "is_converged": not missing,
+        "is_converged": not missing and not daemon.is_joining,
         "convergence_ms": convergence_ms,
     }
 
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -228,6 +228,18 @@
         self.control.check_pause()
         return self.configuration.is_floor_known
 
+    @property
+    def is_joining(self) -> bool:
+        """Return whether this daemon has yet to meet the first member of its fleet.
+
+        A daemon may be ready before: it has read its configuration from the platform.
+        After `JOINING_MS`, a daemon that has met nobody counts as the only one.
+        """
+        is_alone = len(self.directory.members()) == 1
+        has_seeds = bool(self.settings.peers.seed_addresses)
+        age_ms = precise_ms() - self.started_ms
+        return is_alone and has_seeds and age_ms < JOINING_MS
+
     @property
     def is_accepting_callers(self) -> bool:
         """Return whether callers should continue to use this daemon."""
--- a/tests/test_process_configuration.py
+++ b/tests/test_process_configuration.py
@@ -9,6 +9,7 @@
 from benchmarks.intents import apply_intent
 from tests.process_fleet import (
     CUSTOMER,
+    FAST_MEMBERS,
     award_document,
     put_in_force,
     start_daemons,
@@ -47,6 +48,21 @@
     assert query(daemons[1], "/v1/wait/nobody")[0] == 404
 
 
+def test_daemon_that_knows_no_other_member_yet_reports_no_convergence(fleet):
+    """Guards against an operator who is told `everywhere` by a daemon that starts."""
+    daemons = start_daemons(fleet, 1)
+    put_in_force(fleet, award_document("ledger"), daemons[0])
+    daemons[0].pause()
+    started = fleet.start_daemon("vm-late", "z-1", "{}", FAST_MEMBERS)
+    wait_in_force([started], 1)
+    wait = f"/v1/wait/{CUSTOMER}?version=1&timeout_ms=200"
+    content = query(started, wait)[1]
+    assert (content["in_force"], content["is_converged"]) == (["vm-late"], False)
+    daemons[0].resume()
+    wait_until(lambda: query(started, wait)[1]["is_converged"], "version 1 everywhere")
+    assert query(started, wait)[1]["in_force"] == [daemons[0].vm, "vm-late"]
+
+
 def test_history_and_explain_report_the_origin_of_a_version(fleet):
     daemons = start_daemons(fleet, 3)
     document = award_document("ledger") + (
