Take no statement of a target from a 421

Cause: a 421 is sent by another target that has taken over the address, also where it is signed; its limit or leaving was applied to the expected target (found by reading the change again). The test failed with a signed 421 before.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -58,6 +58,9 @@
 # field of the frame, because older daemons reject frames with additional fields.
 KNOWN_LIMIT_HEADER: Final = b"pepperstair-rate-limit"
 
+# Status by which another target that has taken over an address refuses a call.
+_MISDIRECTED: Final = 421
+
 # Maximum number of attempts refused by a rate limit that do not count as attempts. The
 # route limits the number of targets that a call is sent to, and such a refusal comes
 # from the daemon before the target.
@@ -179,6 +182,8 @@
     def _record_statement(self, endpoint: Endpoint, response: StreamedResponse) -> None:
         """Record what a target states about itself in an answer of its own."""
         context = self._context
+        if response.status == _MISDIRECTED:
+            return
         if not is_signed(response.headers, context.header_names):
             return
         statement = read_statement(response.headers, context.header_names)
--- a/packages/pepperstair-targets/pepperstair_targets/target_call.py
+++ b/packages/pepperstair-targets/pepperstair_targets/target_call.py
@@ -196,13 +196,15 @@
     def _report_statement(self, answer: ResponseHead) -> None:
         """Report the target's statement, if the target itself made the answer.
 
-        An unsigned answer may come from another target that has taken over the
-        address. Only an unsigned refusal other than 421 is the target's own.
+        A 421 comes from another target that has taken over the address, and so may an
+        unsigned answer that is not a refusal.
         """
+        if answer.status == _MISDIRECTED:
+            return
         names = self._names
         is_answer_signed = is_signed(answer.headers, names)
         is_refusal = names.not_run and header_value(answer.headers, names.not_run)
-        if is_answer_signed or (is_refusal and answer.status != _MISDIRECTED):
+        if is_answer_signed or is_refusal:
             statement = read_statement(answer.headers, names)
             self._on_statement(statement, is_answer_signed)
 
--- a/tests/test_stating_target.py
+++ b/tests/test_stating_target.py
@@ -94,9 +94,10 @@
     run_with_mesh(scenario, n_attempts_max=1)
 
 
-def test_limit_of_another_target_at_the_address_does_not_count():
+@pytest.mark.parametrize("is_signed", [False, True])
+def test_limit_of_another_target_at_the_address_does_not_count(is_signed):
     """Guards against the limit of a target that has taken over the address."""
-    other = stating("1", answer_bytes(status="421 Misdirected", is_signed=False))
+    other = stating("1", answer_bytes(status="421 Misdirected", is_signed=is_signed))
 
     async def scenario(mesh):
         target = await mesh.add("a", answering(other))
