--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -40,10 +40,17 @@
     poison: Annotated[
         bool, Parameter(help="Also send requests that crash targets.")
     ] = False,
+    statements: Annotated[
+        bool, Parameter(help="Instances also state rate limits and their leaving.")
+    ] = False,
 ) -> int:
     """Run each seed and return 1 if any violated a guarantee, else 0."""
     settings = SoakSettings(
-        n_vms=n_vms, faults_s=faults_s, recover_s=recover_s, has_poison=poison
+        n_vms=n_vms,
+        faults_s=faults_s,
+        recover_s=recover_s,
+        has_poison=poison,
+        has_statements=statements,
     )
     n_failed_seeds = 0
     for seed in iter_seeds(seeds):
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from .history import Arrival, Call, History, Version
+from .history import Arrival, Call, History, StatedLimit, Version
 
 # Statuses that state that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -27,6 +28,10 @@
 # An instance may notice late that a daemon has closed a connection, and meanwhile have
 # received the next request, so that it counts more requests than it has slots.
 N_CLOSING_CONNECTIONS_MAX = 2
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+N_LIMIT_SPARE = 5
+TOLD_SLACK_S = 0.5
 N_POISON_CRASHES = 3
 N_LATE_POISON_RUNS_MAX = 3
 
@@ -355,6 +360,80 @@
         yield Violation("poison", f"{len(late)} runs too late, such as {late[:3]}")
 
 
+def iter_exceeded_limits(history: History) -> Iterator[Violation]:
+    """Yield rate limits of instances that the daemons told of them exceeded."""
+    for limit in history.stated_limits:
+        window_s = LIMIT_WINDOW_S + history.longest_stall_s
+        allowed = LIMIT_FACTOR * limit.rate_per_s * window_s + N_LIMIT_SPARE
+        told_s = _told_times_s(history, limit.instance, limit.from_s)
+        arrived_s = sorted(_iter_counted_arrivals(history, limit, told_s))
+        first_end_s = limit.from_s + UNDISTURBED_S
+        ends_s = [first_end_s, *(at_s for at_s in arrived_s if at_s > first_end_s)]
+        most = max(
+            sum(end_s - LIMIT_WINDOW_S < at_s <= end_s for at_s in arrived_s)
+            for end_s in ends_s
+        )
+        if most > allowed:
+            detail = f"{limit.instance}: {most} in 4 s at {limit.rate_per_s} a second"
+            yield Violation("rate limit", detail)
+
+
+def _iter_counted_arrivals(
+    history: History, limit: StatedLimit, told_s: dict[str, float]
+) -> Iterator[float]:
+    """Yield the times of arrivals from VMs whose daemons had been told a limit.
+
+    The faults of a VM excuse it.
+    """
+    for request_id, arrivals in history.arrivals.items():
+        call = history.calls.get(request_id)
+        for arrival in arrivals:
+            if arrival.instance != limit.instance or call is None:
+                continue
+            is_told = arrival.at_s >= told_s.get(call.vm, math.inf) + TOLD_SLACK_S
+            if not is_told or arrival.at_s > limit.to_s:
+                continue
+            from_s = arrival.at_s - LIMIT_WINDOW_S
+            if history.is_undisturbed(call.vm, from_s, arrival.at_s):
+                yield arrival.at_s
+
+
+def _told_times_s(history: History, instance: str, from_s: float) -> dict[str, float]:
+    """Return when each VM's daemon first passed on an answer made after a time."""
+    told_s: dict[str, float] = {}
+    for request_id, answer in history.answers.items():
+        if answer.status != 200:
+            continue
+        # Of several attempts, only the last one was answered.
+        arrival = max(history.arrivals[request_id], key=lambda item: item.at_s)
+        if arrival.instance == instance and arrival.at_s >= from_s:
+            vm = history.calls[request_id].vm
+            told_s[vm] = min(told_s.get(vm, math.inf), answer.at_s)
+    return told_s
+
+
+def iter_runs_after_stated_leaving(history: History) -> Iterator[Violation]:
+    """Yield requests to an instance whose leaving their own daemon had passed on.
+
+    A restart or pause of that daemon in between excuses it.
+    """
+    slack_s = DEPARTURE_SLACK_S + history.longest_stall_s
+    for instance, from_s in history.stated_leaving_s.items():
+        told_s = _told_times_s(history, instance, from_s)
+        for request_id, arrivals in history.arrivals.items():
+            call = history.calls.get(request_id)
+            if call is None or call.vm not in told_s:
+                continue
+            vm_told_s = told_s[call.vm]
+            is_late = call.sent_s > vm_told_s + slack_s
+            if not is_late or instance not in {item.instance for item in arrivals}:
+                continue
+            if history.is_undisturbed(call.vm, vm_told_s, arrivals[-1].at_s):
+                late_s = call.sent_s - vm_told_s
+                detail = f"{request_id} at {instance}, {late_s:.1f} s after the answer"
+                yield Violation("stated leaving", detail)
+
+
 ALL_CHECKS: tuple[Check, ...] = (
     iter_foreign_answers,
     iter_truncated_bodies,
@@ -373,6 +452,8 @@
     iter_lost_by_planned_work,
     iter_not_recovered,
     iter_late_poison_runs,
+    iter_exceeded_limits,
+    iter_runs_after_stated_leaving,
 )
 
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -81,6 +81,16 @@
     at_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class StatedLimit:
+    """A rate limit that an instance stated in all its answers during a period."""
+
+    instance: str
+    rate_per_s: float
+    from_s: float
+    to_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Disturbance:
     """A period in which a fault affects one VM or, if `vm` is empty, the store.
@@ -110,6 +120,9 @@
     # Times at which a poison request crashed an instance.
     poison_crashes_s: list[float] = field(default_factory=list)
     departures: dict[str, Departure] = field(default_factory=dict)
+    stated_limits: list[StatedLimit] = field(default_factory=list)
+    # When each leaving instance began to state its leaving in its answers.
+    stated_leaving_s: dict[str, float] = field(default_factory=dict)
     disturbances: list[Disturbance] = field(default_factory=list)
     slots: dict[str, int] = field(default_factory=dict)
     faults_ended_s: float = 0.0
@@ -144,5 +157,6 @@
     "History",
     "Departure",
     "Route",
+    "StatedLimit",
     "Version",
 ]
--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -18,7 +18,7 @@
 )
 
 from .checks import answer_body
-from .history import Arrival, Departure, Disturbance, History
+from .history import Arrival, Departure, Disturbance, History, StatedLimit
 from .poison import POISON_PATH
 
 _HEARTBEAT_INTERVAL_S = 1.0
@@ -29,6 +29,10 @@
 _SLOW_FACTOR = 10.0
 _DEPARTURE_SERVING_S = 3.0
 _REPLACEMENT_DELAY_S = 2.2
+_UNLIMITED_S = (0.5, 3.0)
+_LIMITED_S = (4.5, 9.0)
+_LIMIT_PER_S = (1.0, 6.0)
+_STATED_BEFORE_DEPARTURE_MAX_S = 2.0
 N_SLOTS = 4
 
 
@@ -36,7 +40,8 @@
     """One address at which instances of a service run, one after another.
 
     Each takes `work_factor` times the usual time, and breaks the connection of the
-    `garbled_share` of its requests.
+    `garbled_share` of its requests. With `has_statements`, instances state rate limits
+    in their answers from time to time, and their leaving before they announce it.
     """
 
     def __init__(
@@ -46,7 +51,14 @@
         service: str,
         rng: random.Random,
         now_s: Callable[[], float],
+        has_statements: bool = False,
     ) -> None:
+        self._has_statements = has_statements
+        # Has its own random generator, so that the draws of the others do not change.
+        self._statement_rng = random.Random(vm)
+        self._limit_task: asyncio.Task[None] | None = None
+        self._limit_per_s: float | None = None
+        self._is_leaving_stated = False
         self._history = history
         self._vm = vm
         self._service = service
@@ -73,6 +85,7 @@
         self.name = f"i-{self._vm}-{self._n_starts}"
         self._sequence = 0
         self._state = "ready"
+        self._is_leaving_stated = False
         self._history.slots[self.name] = N_SLOTS
         self._server = HttpServer(self._handle, ServerLimits())
         self._port = await self._server.listen("127.0.0.1", port)
@@ -80,14 +93,17 @@
 
     def announce(self) -> None:
         """Start sending heartbeats."""
-        self._heartbeat_task = asyncio.get_running_loop().create_task(
-            self._send_heartbeats()
-        )
+        loop = asyncio.get_running_loop()
+        self._heartbeat_task = loop.create_task(self._send_heartbeats())
+        if self._has_statements:
+            self._limit_task = loop.create_task(self._state_limits(self.name))
 
     def stop(self) -> None:
         """End at once, as in a crash."""
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
+        if self._limit_task is not None:
+            self._limit_task.cancel()
         self.abort_connections()
         self._server.close()
         self._n_running = 0
@@ -128,6 +144,12 @@
             return
         self._is_replacing = True
         delayed_heartbeat = self._next_heartbeat()
+        if self._has_statements:
+            self._is_leaving_stated = True
+            self._history.stated_leaving_s[self.name] = self._now_s()
+            await asyncio.sleep(
+                self._statement_rng.uniform(0.0, _STATED_BEFORE_DEPARTURE_MAX_S)
+            )
         self._state = "draining"
         if is_abrupt:
             self._heartbeat_task.cancel()
@@ -154,11 +176,39 @@
         self.work_factor = 1.0
         self.garbled_share = 0.0
 
+    def end_limits(self) -> None:
+        """State no more rate limits, so that all requests can be served."""
+        self._has_statements = False
+        if self._limit_task is not None:
+            self._limit_task.cancel()
+
     async def _start_replacement(self) -> None:
         await self.start(self._port)
         self.announce()
         self._is_replacing = False
 
+    async def _state_limits(self, name: str) -> None:
+        """State a rate limit in all answers of an instance, time and again."""
+        rng = self._statement_rng
+        while True:
+            await asyncio.sleep(rng.uniform(*_UNLIMITED_S))
+            from_s, rate_per_s = self._now_s(), round(rng.uniform(*_LIMIT_PER_S), 1)
+            self._limit_per_s = rate_per_s
+            try:
+                await asyncio.sleep(rng.uniform(*_LIMITED_S))
+            finally:
+                self._limit_per_s = None
+                limit = StatedLimit(name, rate_per_s, from_s, self._now_s())
+                self._history.stated_limits.append(limit)
+
+    def _statements(self) -> tuple[tuple[bytes, bytes], ...]:
+        headers = []
+        if self._limit_per_s is not None:
+            headers.append((b"server-limit", b"%g" % self._limit_per_s))
+        if self._is_leaving_stated:
+            headers.append((b"server-leaving", b"1"))
+        return tuple(headers)
+
     async def _send_heartbeats(self) -> None:
         while True:
             is_accepted = await self._post(*self._next_heartbeat())
@@ -237,6 +287,7 @@
         signed = (
             (b"x-request-id", request_id.encode()),
             (b"x-response-signature", f"signed-{request_id}".encode()),
+            *self._statements(),
         )
         await exchange.respond(200, signed, answer_body(request_id, n_bytes))
 
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -52,9 +52,12 @@
         history: History,
         rng: random.Random,
         now_s: Callable[[], float],
+        has_statements: bool = False,
     ) -> None:
         self.vm = vm
-        self.instance = Instance(history, vm.name, vm.service, rng, now_s)
+        self.instance = Instance(
+            history, vm.name, vm.service, rng, now_s, has_statements
+        )
         self.links: dict[str, Link] = {}
         self.n_starts = 0
         self.unexpected_exits: list[str] = []
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -44,6 +44,7 @@
     faults_s: float = 10.0
     recover_s: float = 8.0
     has_poison: bool = False
+    has_statements: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,7 +129,8 @@
         name = f"vm-{index}"
         self.history.services[name] = service
         vm = DaemonVm(name, service, self._folder, store)
-        machine = Machine(vm, self.history, self._rng, self.now_s)
+        has_statements = self._settings.has_statements
+        machine = Machine(vm, self.history, self._rng, self.now_s, has_statements)
         self.machines.append(machine)
         await machine.start(store, free_port())
 
@@ -208,6 +210,7 @@
         self.store.delay_s = 0.0
         for machine in self.machines:
             machine.heal()
+            machine.instance.end_limits()
         self._set_pause(PAUSE_S)
         self.history.faults_ended_s = self.now_s()
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -18,6 +18,7 @@
     Disturbance,
     History,
     Route,
+    StatedLimit,
     Version,
 )
 
@@ -92,6 +93,12 @@
         }
         self.history.answers[request_id] = Answer(status=status, at_s=at_s, **fields)
 
+    def add_answered(self, request_id: str, sent_s: float) -> None:
+        """Record a request that the instance answered at once."""
+        self.call(request_id, sent_s)
+        self.arrive(request_id, sent_s)
+        self.answer(request_id, at_s=sent_s + 0.01)
+
     def violated_guarantees(self) -> list[str]:
         """Return the names of the violated guarantees."""
         return [violation.guarantee for violation in iter_violations(self.history)]
@@ -242,3 +249,34 @@
         example.arrive("r2")
         example.answer("r2", 0, is_abandoned=True, is_unread=True)
         assert example.violated_guarantees() == ([] if is_idempotent else ["unread"])
+
+
+def test_requests_over_a_stated_limit_are_detected():
+    """Guards against a soak in which daemons may ignore the limits of instances."""
+    example = HistoryExample()
+    example.history.stated_limits.append(
+        StatedLimit("i-1", 2.0, SENT_S - 1.0, SENT_S + 60.0)
+    )
+    for index in range(17):
+        example.add_answered(f"a{index}", SENT_S + 4.0 + index / 10)
+    assert example.violated_guarantees() == []
+    example.add_answered("one-more", SENT_S + 5.9)
+    assert example.violated_guarantees() == ["rate limit"]
+    example.history.disturbances.append(
+        Disturbance("vm-1", "kill", SENT_S + 1.0, SENT_S + 1.5)
+    )
+    assert example.violated_guarantees() == []
+
+
+def test_request_after_a_stated_leaving_is_detected():
+    """Guards against a soak in which only announced departures count."""
+    example = HistoryExample()
+    example.history.stated_leaving_s["i-1"] = SENT_S - 1.0
+    example.add_answered("soon", SENT_S + 1.9)
+    assert example.violated_guarantees() == []
+    example.add_answered("late", SENT_S + 3.0)
+    assert example.violated_guarantees() == ["stated leaving"]
+    example.history.disturbances.append(
+        Disturbance("vm-1", "kill", SENT_S + 1.0, SENT_S + 1.5)
+    )
+    assert example.violated_guarantees() == []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -51,6 +51,11 @@
     assert_no_violations(12, replace(SHORT, has_poison=True))
 
 
+def test_short_soak_with_stated_limits_and_leavings_violates_no_guarantee():
+    """Guards against what instances state in answers being lost during faults."""
+    assert_no_violations(12, replace(SHORT, faults_s=7.0, has_statements=True))
+
+
 @pytest.mark.parametrize("case", FAILED_SEEDS.get("case", []), ids=lambda c: c["seed"])
 def test_seed_that_failed_once_violates_no_guarantee(case):
     """Each of these seeds violated a guarantee; `seeds.toml` states the cause."""
