Try a limited target again when its limit has not been stated for a second

What callers would see: a target whose limit has ended gets no calls for as long as the others have free slots, and the others carry its load. Cause: the choice counted a limited target with one slot until an answer said otherwise, and no call was sent that could bring such an answer.

A stated limit counts in the choice for a second. If it still holds, the next answer states it again, or the refusal beside the target keeps calls away.

--- a/packages/pepperstair-core/pepperstair_core/calls/expected_wait.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/expected_wait.py
@@ -84,8 +84,10 @@
         if fastest_ms and is_speed_counted:
             slowness = max(1.0, latency_ms / fastest_ms)
         n_slots = endpoint.target.n_slots * share
-        if health.rate_limit_per_s is not None:
-            n_slots = min(n_slots, _n_slots_at_limit(health, now_ms))
+        limit_per_s = health.valid_limit_per_s(now_ms)
+        if limit_per_s is not None:
+            n_at_limit = _n_slots_at_limit(limit_per_s, health.latency_ms(now_ms))
+            n_slots = min(n_slots, n_at_limit)
         wait = slowness * (n_waiting + 1) / n_slots
         excess_rate = health.failure_rate(now_ms) - tolerated_rate
         if excess_rate <= 0.0:
@@ -95,14 +97,13 @@
     return wait_of
 
 
-def _n_slots_at_limit(health: TargetHealth, now_ms: float) -> float:
+def _n_slots_at_limit(limit_per_s: float, latency_ms: float) -> float:
     """Return how many calls a target runs at its rate limit, at least one.
 
     By Little's law this is the rate times the time of a call. If it counted with all
     its slots, a limited target would look idle and attract calls that it refuses.
     """
-    n_calls = health.rate_limit_per_s * health.latency_ms(now_ms) / 1000
-    return max(1.0, n_calls)
+    return max(1.0, limit_per_s * latency_ms / 1000)
 
 
 __all__ = ["Load", "LoadOf", "TargetKey", "WaitOf", "make_wait_of"]
--- a/packages/pepperstair-core/pepperstair_core/calls/rate_limit.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/rate_limit.py
@@ -10,8 +10,8 @@
 # seconds. Calls arrive irregularly: without a burst, a target would get less than it
 # accepts.
 BURST_S: Final = 0.5
-# Time before a new or lowered limit whose calls are charged to it, in seconds. A target
-# that is in need has to be relieved of the calls that it has just got.
+# Time before a new or lowered limit whose calls are charged to it, in seconds. An
+# overloaded target states a limit because of the calls that it has just received.
 CHARGED_S: Final = 1.0
 # Maximum time for which the calls charged to a new limit stop all further calls, in
 # seconds. Without calls, the end of the limit would go unnoticed.
--- a/packages/pepperstair-core/pepperstair_core/calls/target_health.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/target_health.py
@@ -17,6 +17,10 @@
 SLOW_START_MIN_SHARE: Final = 0.1
 LATENCY_WEIGHT: Final = 0.2
 LATENCY_HALF_LIFE_MS: Final = 5_000
+# Time for which a stated rate limit affects the choice unless it is stated again. After
+# it, the target is tried again: if it were left out while others have free slots, the
+# end of its limit would go unnoticed.
+LIMIT_VALID_MS: Final = 1_000.0
 # Weight of the newest outcome in the failure rate, which covers about ten calls.
 FAILURE_WEIGHT: Final = 0.1
 # Minimum number of recorded failures for a failure rate; with fewer failures the rate
@@ -104,6 +108,12 @@
             return
         self.rate_limit_per_s = rate_per_s
 
+    def valid_limit_per_s(self, now_ms: float) -> float | None:
+        """Return the rate limit if it was stated recently, or None."""
+        if now_ms - self._limit_stated_ms > LIMIT_VALID_MS:
+            return None
+        return self.rate_limit_per_s
+
     def latency_ms(self, now_ms: float) -> float:
         """Return the recent latency of the target's answers, 0 if unknown.
 
--- a/tests/test_choice_by_load_and_failures.py
+++ b/tests/test_choice_by_load_and_failures.py
@@ -199,3 +199,15 @@
     loads["t1"] = Load(2, 0)
     chooser.record_limit(among[0], None, 1.0, 1.0)
     assert share(chooser, among, "t1", load_of) == 1.0
+
+
+def test_limit_that_is_not_stated_again_does_not_count_for_long():
+    """Guards against a target that gets no calls although its limit has ended."""
+    among = [endpoint(1), endpoint(2)]
+    chooser = make_chooser()
+    chooser.choose(among, no_report, 0.0)
+    chooser.record_limit(among[0], 20.0, 0.0, 0.0)
+    loads = {"t1": Load(1, 0), "t2": Load(6, 0)}
+    load_of = lambda item: loads[item.target.name]
+    assert chooser.choose(among, load_of, 999.0).target.name == "t2"
+    assert chooser.choose(among, load_of, 1_001.0).target.name == "t1"
