--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -24,6 +24,7 @@
 from pepperstair_core.routing import CompiledRoute, Endpoint
 from pepperstair_core.wire import CallHead
 from pepperstair_http import (
+    KNOWN_LIMIT_HEADER,
     Request,
     StreamedResponse,
     header_value,
@@ -53,11 +54,6 @@
 HOP_MARGIN_MS: Final = 5
 HOP_MARGIN_SHARE: Final = 0.1
 
-# The rate limit that the target stated in its last answer to this daemon, for the
-# daemon on the target's VM, which may have restarted since. It is a header and not a
-# field of the frame, because older daemons reject frames with additional fields.
-KNOWN_LIMIT_HEADER: Final = b"pepperstair-rate-limit"
-
 # Status by which another target that has taken over an address refuses a call.
 _MISDIRECTED: Final = 421
 
@@ -182,11 +178,10 @@
     def _record_statement(self, endpoint: Endpoint, response: StreamedResponse) -> None:
         """Record what a target states about itself in an answer of its own."""
         context = self._context
-        if response.status == _MISDIRECTED:
-            return
-        if not is_signed(response.headers, context.header_names):
+        headers, names = response.headers, context.header_names
+        if response.status == _MISDIRECTED or not is_signed(headers, names):
             return
-        statement = read_statement(response.headers, context.header_names)
+        statement = read_statement(headers, names)
         if statement.is_leaving:
             context.on_leaving(endpoint)
         if not statement.invalid_limit:
--- a/packages/pepperstair-http/pepperstair_http/__init__.py
+++ b/packages/pepperstair-http/pepperstair_http/__init__.py
@@ -21,6 +21,7 @@
 from .server import HttpServer
 from .sockets import detect_dead_peer
 from .target_statement import (
+    KNOWN_LIMIT_HEADER,
     NO_STATEMENT,
     TargetStatement,
     is_signed,
@@ -30,6 +31,7 @@
 from .writing import WriteGate
 
 __all__ = [
+    "KNOWN_LIMIT_HEADER",
     "NO_STATEMENT",
     "PRODUCT_HEADERS",
     "PipelineLimits",
--- a/packages/pepperstair-http/pepperstair_http/target_statement.py
+++ b/packages/pepperstair-http/pepperstair_http/target_statement.py
@@ -10,6 +10,10 @@
 from .header_names import HeaderNames
 from .messages import Headers, header_value
 
+# Carries the rate limit that a target stated in its last answer to a daemon, in the
+# calls which that daemon sends to the daemon on the target's VM. It is a header and not
+# a field of the frame, because older daemons reject frames with additional fields.
+KNOWN_LIMIT_HEADER: Final = b"pepperstair-rate-limit"
 # A decimal number without sign or exponent. `float` also accepts "nan", "inf" and
 # underscores.
 _DECIMAL: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
@@ -66,6 +70,7 @@
 
 
 __all__ = [
+    "KNOWN_LIMIT_HEADER",
     "NO_STATEMENT",
     "TargetStatement",
     "is_signed",
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator
 from typing import Final
 
@@ -16,6 +17,7 @@
 from pepperstair_core.members import Target, TargetState
 from pepperstair_core.wire import CallHead
 from pepperstair_http import (
+    KNOWN_LIMIT_HEADER,
     NO_STATEMENT,
     BodyBuffer,
     StreamedResponse,
@@ -33,8 +35,6 @@
 log = structlog.get_logger(__name__)
 
 WAITED_HEADER: Final = b"pepperstair-waited-ms"
-# The rate limit of the target, in a call of a daemon that has been told it.
-KNOWN_LIMIT_HEADER: Final = b"pepperstair-rate-limit"
 
 _OWN_PREFIX: Final = b"pepperstair-"
 
@@ -180,30 +180,13 @@
             service_ms = self._now_ms() - admitted_ms if was_sent else None
             local.slots.release(head, service_ms)
 
-        sent_ms = admitted_ms
-
-        def count_sent(is_resend: bool) -> None:
-            nonlocal sent_ms
-            sent_ms = self._now_ms()
-            self.n_sent += 1
-            if is_resend:
-                local.slots.admission.rate_limiter.take(sent_ms)
-
-        def record_statement(statement: TargetStatement, is_signed: bool) -> None:
-            is_leaving_new = statement.is_leaving and not local.statement.is_leaving
-            self._log_statement(local, statement)
-            if is_leaving_new:
-                self.on_leaving(local.target.name)
-            self._apply_limit(local, statement, is_signed, sent_ms)
-
         call = TargetCall(
             local.pool,
             head,
             body,
             free_slot,
             self._options,
-            count_sent,
-            record_statement,
+            *self._make_observers(local),
         )
         local.crashes.begin(call)
         try:
@@ -294,6 +277,31 @@
         self.on_crash(local.target.name, running)
         self._registry.deregister(local.target.name)
 
+    def _make_observers(
+        self, local: LocalTarget
+    ) -> tuple[Callable[[bool], None], Callable[[TargetStatement, bool], None]]:
+        """Return the functions that a call to a target reports to.
+
+        They are `on_sent` and `on_statement` of `TargetCall`.
+        """
+        sent_ms = -math.inf
+
+        def count_sent(is_resend: bool) -> None:
+            nonlocal sent_ms
+            sent_ms = self._now_ms()
+            self.n_sent += 1
+            if is_resend:
+                local.slots.admission.rate_limiter.take(sent_ms)
+
+        def record_statement(statement: TargetStatement, is_signed: bool) -> None:
+            is_leaving_new = statement.is_leaving and not local.statement.is_leaving
+            self._log_statement(local, statement)
+            if is_leaving_new:
+                self.on_leaving(local.target.name)
+            self._apply_limit(local, statement, is_signed, sent_ms)
+
+        return count_sent, record_statement
+
     def _apply_limit(
         self,
         local: LocalTarget,
