Acknowledge a departure only when its row is written, whoever started the write

What callers would see: after a crash of the daemon, requests to a target that had announced its departure and was acknowledged. Cause: a leaving that is stated in an answer starts the write of the departure; the announcement of the same departure then found nothing to write and was acknowledged at once, while the write was still in progress. The acknowledgement waits for a write in progress, as long as for one of its own (0.4 s at the most). The test failed before (no row written).

--- a/packages/pepperstaird/pepperstaird/departure_rows.py
+++ b/packages/pepperstaird/pepperstaird/departure_rows.py
@@ -77,23 +77,23 @@
             await asyncio.wait([self._start_restore()], timeout=WAIT_MAX_S)
 
     async def save(self) -> None:
-        """Write changed departures, and wait up to `WAIT_MAX_S` for the write.
+        """Write changed departures, and wait up to `WAIT_MAX_S` for writes in progress.
 
         A write that takes longer continues in the background.
         """
-        if self.save_soon():
+        self.save_soon()
+        if self._write_task is not None and not self._write_task.done():
             await asyncio.wait([self._write_task], timeout=WAIT_MAX_S)
 
-    def save_soon(self) -> bool:
-        """Start to write changed departures, and return whether there are any."""
+    def save_soon(self) -> None:
+        """Start to write changed departures, without waiting for the write."""
         current = self._current_departures()
         if current == self._saved:
-            return False
+            return
         self._saved = current
         if self._write_task is not None:
             self._write_task.cancel()
         self._write_task = asyncio.get_running_loop().create_task(self._write())
-        return True
 
     def _start_restore(self) -> asyncio.Task[None]:
         """Return the task that reads the row, which the first call starts."""
--- a/tests/test_departure_rows.py
+++ b/tests/test_departure_rows.py
@@ -154,3 +154,23 @@
         assert list(table.rows) == ["departure/vm-1"]
 
     asyncio.run(scenario())
+
+
+def test_acknowledgement_waits_for_a_write_that_an_answer_has_started():
+    """Guards against an acknowledged departure that a crash right after it loses.
+
+    The target has stated its leaving in an answer, and its announcement of the same
+    departure arrives while the row is being written.
+    """
+
+    async def scenario() -> None:
+        table = FakeTable()
+        process = Process(table)
+        await process.accept(1)
+        process.announcements.deregister("i-1")
+        process.rows.save_soon()
+        await process.accept(2, DRAINING)
+        assert table.n_writes == 1
+        assert not await Process(table).accept(3)
+
+    asyncio.run(scenario())
