--- a/packages/pepperstair-core/pepperstair_core/calls/expected_wait.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/expected_wait.py
@@ -98,10 +98,11 @@
 
 
 def _n_slots_at_limit(limit_per_s: float, latency_ms: float) -> float:
-    """Return how many calls a target runs at its rate limit, at least one.
+    """Return how many calls a target runs at the same time at its rate limit.
 
-    By Little's law this is the rate times the time of a call. If it counted with all
-    its slots, a limited target would look idle and attract calls that it refuses.
+    By Little's law this is the rate times the latency; the result is at least one. If
+    all its slots counted, a limited target would look idle and attract calls that are
+    then refused.
     """
     return max(1.0, limit_per_s * latency_ms / 1000)
 
--- a/packages/pepperstair-core/pepperstair_core/calls/leaving_targets.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/leaving_targets.py
@@ -1,4 +1,4 @@
-"""Targets of other VMs that have stated in an answer that they are leaving."""
+"""Targets that have stated in an answer that they are leaving."""
 
 from __future__ import annotations
 
@@ -11,38 +11,38 @@
 from .target_group import TargetKey
 
 # Time for which a leaving target is remembered, in milliseconds. A target exits some
-# seconds after it states its leaving, at the latest tens of seconds.
+# seconds, at most tens of seconds, after it has stated that it is leaving.
 REMEMBERED_MS: Final = 60_000
 # Maximum number of leaving targets that are remembered.
 N_REMEMBERED_MAX: Final = 1_000
 
 
 class _Statement(Struct, frozen=True):
-    """A stated leaving, and the record of the VM's daemon that was known then."""
+    """A statement of a target, and the record of its VM's daemon at that time."""
 
     member: Member
     stated_ms: float
 
     def is_outdated_by(self, member: Member) -> bool:
-        """Return whether the daemon knew of the leaving when it made its record."""
+        """Return whether the daemon knew of the statement when it made a record."""
         known = self.member
         is_same_process = member.incarnation == known.incarnation
         return is_same_process and member.sequence > known.sequence
 
 
 class LeavingTargets:
-    """The targets that have stated their leaving to this daemon.
+    """The targets that, by the answers relayed by this daemon, are leaving.
 
-    The daemon on a target's VM hears the statement first and withdraws the target. If a
-    later record of the same process announces the target, it has started again. A
-    record of a restarted process proves nothing, as that process may have forgotten.
+    The daemon on a target's VM reads the answer first and withdraws the target. If a
+    later record of the same process announces the target, the target has started again.
+    A record of a restarted process proves nothing, as its memory of the answer is lost.
     """
 
     def __init__(self) -> None:
         self._statements: dict[TargetKey, _Statement] = {}
 
     def add(self, key: TargetKey, member: Member, now_ms: float) -> bool:
-        """Record a leaving and return whether it was not known.
+        """Record that a target is leaving, and return whether this is new.
 
         `member` is the current record of the daemon on the target's VM.
         """
--- a/packages/pepperstair-core/pepperstair_core/calls/rate_limit.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/rate_limit.py
@@ -6,9 +6,8 @@
 from collections import deque
 from typing import Final
 
-# Time over which a limited target may catch up on calls that it was not sent, in
-# seconds. Calls arrive irregularly: without a burst, a target would get less than it
-# accepts.
+# Size of the token bucket, as the time in which the limit fills it, in seconds. Calls
+# arrive irregularly: without a burst, a target would get fewer calls than it accepts.
 BURST_S: Final = 0.5
 # Time before a new or lowered limit whose calls are charged to it, in seconds. An
 # overloaded target states a limit because of the calls that it has just received.
@@ -19,7 +18,7 @@
 # Minimum rate of calls to a target. One that accepts no calls at all still gets a call
 # from time to time, because only an answer shows that its limit has ended.
 RATE_MIN_PER_S: Final = 0.5
-# Maximum time after which a refused call is invited to try the target again.
+# Maximum time after which a refused caller is told to try the target again.
 TURN_MAX_MS: Final = 1_000.0
 
 
@@ -106,10 +105,10 @@
         self._tokens += 1.0
 
     def retry_after_ms(self, now_ms: float) -> int:
-        """Return when a refused call should try again, one after another.
+        """Return the time after which the caller of a refused call should try again.
 
-        If all refused callers came back for the same token, all but one would be
-        refused again.
+        Each refused caller gets a later turn than the one before. If all came back for
+        the same token, all but one would be refused again.
         """
         if self.rate_per_s is None:
             return 0
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -353,7 +353,7 @@
     def record_leaving(self, endpoint: Endpoint) -> None:
         """Send no more calls to a target that states in an answer that it is leaving.
 
-        The daemon on the target's VM refuses them too, but may restart and forget.
+        The daemon on the target's VM refuses them too, but only until it restarts.
         """
         member = self.directory.get(endpoint.vm)
         if member is None:
--- a/tests/adapter/test_leaving_instance.py
+++ b/tests/adapter/test_leaving_instance.py
@@ -8,7 +8,7 @@
 from tests.adapter.mesh import is_ready, wait_until, with_mesh
 
 LEAVING = ((b"server-leaving", b"1"),)
-# Time for which requests may still reach an instance that has stated that it leaves.
+# Time for which requests may still reach an instance that has stated its departure.
 DRAIN_S = 2.0
 
 
@@ -31,7 +31,7 @@
 
 
 async def n_answered_by(callers, answering, n_calls: int = 20) -> int:
-    """Return how many of some calls through each daemon reach an instance."""
+    """Send calls through each daemon and return how many reach an instance."""
     n_before = len(answering.arrived_s)
     for index in range(n_calls):
         for caller in callers:
@@ -53,7 +53,7 @@
 
 @with_mesh
 async def test_stated_leaving_outlives_a_restart_of_the_daemon_beside_it(mesh):
-    """Guards against a restarted daemon that takes the next heartbeat for the truth."""
+    """Guards against a heartbeat that brings the instance back after a restart."""
     leaving, other = await start_pair(mesh)
     leaving.stated_headers = LEAVING
     await call_until_answered_by(other, leaving)
@@ -64,9 +64,9 @@
 
 @with_mesh
 async def test_told_daemon_keeps_away_when_the_restarted_one_has_forgotten(mesh):
-    """Guards against a leaving that was lost with the daemon beside the instance.
+    """Guards against a statement that is lost when the daemon beside it restarts.
 
-    The store is unavailable, so the restarted daemon can't have read of it.
+    The store is unavailable, so the restarted daemon can't read the departure.
     """
     leaving, other = await start_pair(mesh)
     leaving.stated_headers = LEAVING
@@ -79,7 +79,7 @@
 
 @with_mesh
 async def test_instance_that_starts_again_under_its_id_gets_requests(mesh):
-    """Guards against a leaving that outlives the instance which stated it."""
+    """Guards against a statement that is applied to a later start of the instance."""
     leaving, other = await start_pair(mesh)
     name = leaving.instance
     leaving.stated_headers = LEAVING
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -41,7 +41,7 @@
         bool, Parameter(help="Also send requests that crash targets.")
     ] = False,
     statements: Annotated[
-        bool, Parameter(help="Instances also state rate limits and their leaving.")
+        bool, Parameter(help="Instances also state rate limits and departures.")
     ] = False,
 ) -> int:
     """Run each seed and return 1 if any violated a guarantee, else 0."""
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -399,7 +399,7 @@
 
 
 def _told_times_s(history: History, instance: str, from_s: float) -> dict[str, float]:
-    """Return when each VM's daemon first passed on an answer made after a time."""
+    """Return when each VM first relayed an answer of an instance since `from_s`."""
     told_s: dict[str, float] = {}
     for request_id, answer in history.answers.items():
         if answer.status != 200:
@@ -413,9 +413,10 @@
 
 
 def iter_runs_after_stated_leaving(history: History) -> Iterator[Violation]:
-    """Yield requests to an instance whose leaving their own daemon had passed on.
+    """Yield requests to an instance after its stated departure.
 
-    A restart or pause of that daemon in between excuses it.
+    The daemon of the request's VM must have relayed an answer with the statement; a
+    restart or pause of that daemon in between excuses it.
     """
     slack_s = DEPARTURE_SLACK_S + history.longest_stall_s
     for instance, from_s in history.stated_leaving_s.items():
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -121,7 +121,7 @@
     poison_crashes_s: list[float] = field(default_factory=list)
     departures: dict[str, Departure] = field(default_factory=dict)
     stated_limits: list[StatedLimit] = field(default_factory=list)
-    # When each leaving instance began to state its leaving in its answers.
+    # When each instance began to state in its answers that it is leaving.
     stated_leaving_s: dict[str, float] = field(default_factory=dict)
     disturbances: list[Disturbance] = field(default_factory=list)
     slots: dict[str, int] = field(default_factory=dict)
--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -41,7 +41,8 @@
 
     Each takes `work_factor` times the usual time, and breaks the connection of the
     `garbled_share` of its requests. With `has_statements`, instances state rate limits
-    in their answers from time to time, and their leaving before they announce it.
+    in their answers from time to time, and state that they are leaving before they
+    announce it.
     """
 
     def __init__(
--- a/tests/test_departure_rows.py
+++ b/tests/test_departure_rows.py
@@ -159,8 +159,8 @@
 def test_acknowledgement_waits_for_a_write_that_an_answer_has_started():
     """Guards against an acknowledged departure that a crash right after it loses.
 
-    The target has stated its leaving in an answer, and its announcement of the same
-    departure arrives while the row is being written.
+    The target has stated in an answer that it is leaving, and its announcement of the
+    same departure arrives while the row is being written.
     """
 
     async def scenario() -> None:
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -30,7 +30,7 @@
     leaving.add(KEY, MEMBER, 0)
     restarted = replace(MEMBER, incarnation=9, sequence=1)
     assert excluded(leaving, restarted) == {KEY}
-    # The target states it again to the restarted daemon, which then knows it.
+    # An answer through the restarted daemon states it again.
     assert not leaving.add(KEY, restarted, 1)
     assert excluded(leaving, replace(restarted, sequence=7)) == {KEY}
 
@@ -45,7 +45,7 @@
     assert excluded(leaving, announced_again) == {KEY}
 
 
-def test_leaving_is_forgotten_after_a_while():
+def test_leaving_target_is_forgotten_after_a_while():
     leaving = LeavingTargets()
     leaving.add(KEY, MEMBER, 0)
     assert excluded(leaving, MEMBER, REMEMBERED_MS - 1) == {KEY}
--- a/tests/test_stating_target.py
+++ b/tests/test_limited_targets.py
@@ -17,7 +17,7 @@
 )
 
 
-def stating(limit: str, answer: bytes) -> bytes:
+def with_limit(limit: str, answer: bytes) -> bytes:
     """Return an answer with a header that states a rate limit."""
     return answer.replace(b"\r\n\r\n", f"\r\nx-limit: {limit}\r\n\r\n".encode(), 1)
 
@@ -49,7 +49,7 @@
 
 def test_call_over_the_limit_is_refused_as_not_run_with_a_time_to_come_back():
     async def scenario(mesh):
-        target = await mesh.add("a", answering(stating("1", answer_bytes())))
+        target = await mesh.add("a", answering(with_limit("1", answer_bytes())))
         await mesh.call(headers=(ID,))
         refused = await mesh.call(headers=(ID,))
         assert status_and_run(refused) == (429, RunStatus.NO)
@@ -63,7 +63,7 @@
     """Guards against refusals to callers while another target has room."""
 
     async def scenario(mesh):
-        limited = await mesh.add("a", answering(stating("1", answer_bytes())))
+        limited = await mesh.add("a", answering(with_limit("1", answer_bytes())))
         await mesh.add("b", answering(answer_bytes()))
         answers = [await mesh.call(headers=(ID,)) for _ in range(30)]
         assert {answer.status for answer in answers} == {200}
@@ -75,8 +75,8 @@
 @pytest.mark.parametrize(
     "limiting",
     [
-        stating("1", answer_bytes(status="500 Error")),
-        stating("1", answer_bytes(status="503 Busy", is_signed=False)).replace(
+        with_limit("1", answer_bytes(status="500 Error")),
+        with_limit("1", answer_bytes(status="503 Busy", is_signed=False)).replace(
             b"\r\n\r\n", b"\r\nx-not-run: 1\r\n\r\n"
         ),
     ],
@@ -97,7 +97,7 @@
 @pytest.mark.parametrize("is_signed", [False, True])
 def test_limit_of_another_target_at_the_address_does_not_count(is_signed):
     """Guards against the limit of a target that has taken over the address."""
-    other = stating("1", answer_bytes(status="421 Misdirected", is_signed=is_signed))
+    other = with_limit("1", answer_bytes(status="421 Misdirected", is_signed=is_signed))
 
     async def scenario(mesh):
         target = await mesh.add("a", answering(other))
@@ -112,7 +112,7 @@
     """Guards against a full burst until the restarted daemon reads an answer."""
 
     async def scenario(mesh):
-        slow = answering(stating("2", answer_bytes()), 0.2)
+        slow = answering(with_limit("2", answer_bytes()), 0.2)
         target = await mesh.add("a", slow, n_slots=10)
         await mesh.call(headers=(ID,))
         mesh.restart_daemon("a")
@@ -126,7 +126,7 @@
     """Guards against a limit that outlives the start of the target that stated it."""
 
     async def scenario(mesh):
-        target = await mesh.add("a", answering(stating("1", answer_bytes())))
+        target = await mesh.add("a", answering(with_limit("1", answer_bytes())))
         await call_at_once(mesh, 1)
         node = mesh.nodes["a"]
         node.registry.deregister("a")
@@ -139,8 +139,8 @@
     run_with_mesh(scenario)
 
 
-def test_leaving_in_an_answer_is_reported_by_both_daemons():
-    """Guards against a leaving that only one side of a call acts on."""
+def test_departure_stated_in_an_answer_is_reported_by_both_daemons():
+    """Guards against a departure that only one of the two daemons acts on."""
     leaving = answer_bytes().replace(b"\r\n\r\n", b"\r\nx-leaving: 1\r\n\r\n", 1)
 
     async def scenario(mesh):
@@ -160,7 +160,7 @@
 
     async def scenario(mesh):
         for name in ("a", "b"):
-            await mesh.add(name, answering(stating("1", answer_bytes())))
+            await mesh.add(name, answering(with_limit("1", answer_bytes())))
         await mesh.add("c", answering(answer_bytes()))
         answers = [await mesh.call(headers=(ID,)) for _ in range(30)]
         assert {answer.status for answer in answers} == {200}
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -108,7 +108,7 @@
     assert limiter.has_token(0)
 
 
-def test_refused_callers_are_invited_one_after_another():
+def test_refused_callers_get_turns_one_after_another():
     """Guards against callers that all come back for the same call."""
     limiter = RateLimiter()
     limiter.apply_statement(10, 0, 0)
