--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -25,6 +25,7 @@
 from pepperstair_core.wire import CallHead
 from pepperstair_http import (
     KNOWN_LIMIT_HEADER,
+    MISDIRECTED_STATUS,
     Request,
     StreamedResponse,
     header_value,
@@ -54,9 +55,6 @@
 HOP_MARGIN_MS: Final = 5
 HOP_MARGIN_SHARE: Final = 0.1
 
-# Status by which another target that has taken over an address refuses a call.
-_MISDIRECTED: Final = 421
-
 # Maximum number of attempts refused by a rate limit that do not count as attempts. The
 # route limits the number of targets that a call is sent to, and such a refusal comes
 # from the daemon before the target.
@@ -179,7 +177,7 @@
         """Record what a target states about itself in an answer of its own."""
         context = self._context
         headers, names = response.headers, context.header_names
-        if response.status == _MISDIRECTED or not is_signed(headers, names):
+        if response.status == MISDIRECTED_STATUS or not is_signed(headers, names):
             return
         statement = read_statement(headers, names)
         if statement.is_leaving:
--- a/packages/pepperstair-http/pepperstair_http/__init__.py
+++ b/packages/pepperstair-http/pepperstair_http/__init__.py
@@ -22,6 +22,7 @@
 from .sockets import detect_dead_peer
 from .target_statement import (
     KNOWN_LIMIT_HEADER,
+    MISDIRECTED_STATUS,
     NO_STATEMENT,
     TargetStatement,
     is_signed,
@@ -32,6 +33,7 @@
 
 __all__ = [
     "KNOWN_LIMIT_HEADER",
+    "MISDIRECTED_STATUS",
     "NO_STATEMENT",
     "PRODUCT_HEADERS",
     "PipelineLimits",
--- a/packages/pepperstair-http/pepperstair_http/target_statement.py
+++ b/packages/pepperstair-http/pepperstair_http/target_statement.py
@@ -14,6 +14,9 @@
 # calls which that daemon sends to the daemon on the target's VM. It is a header and not
 # a field of the frame, because older daemons reject frames with additional fields.
 KNOWN_LIMIT_HEADER: Final = b"pepperstair-rate-limit"
+# Status by which another target that has taken over an address refuses a request. It
+# says nothing about the target for which the request was meant.
+MISDIRECTED_STATUS: Final = 421
 # A decimal number without sign or exponent. `float` also accepts "nan", "inf" and
 # underscores.
 _DECIMAL: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
@@ -71,6 +74,7 @@
 
 __all__ = [
     "KNOWN_LIMIT_HEADER",
+    "MISDIRECTED_STATUS",
     "NO_STATEMENT",
     "TargetStatement",
     "is_signed",
--- a/packages/pepperstair-targets/pepperstair_targets/target_call.py
+++ b/packages/pepperstair-targets/pepperstair_targets/target_call.py
@@ -12,6 +12,7 @@
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, RunStatus
 from pepperstair_core.wire import CallHead
 from pepperstair_http import (
+    MISDIRECTED_STATUS,
     PRODUCT_HEADERS,
     BodyBuffer,
     ClientConnection,
@@ -31,7 +32,6 @@
 
 log = structlog.get_logger(__name__)
 
-_MISDIRECTED: Final = 421
 # Maximum time after which a reused connection fails if its target had closed it before
 # the request was sent: one round trip on the same VM, some tenths of a millisecond, and
 # a reserve for a busy event loop. If the connection fails later, the target may have
@@ -199,7 +199,7 @@
         A 421 comes from another target that has taken over the address, and so may an
         unsigned answer that is not a refusal.
         """
-        if answer.status == _MISDIRECTED:
+        if answer.status == MISDIRECTED_STATUS:
             return
         names = self._names
         is_answer_signed = is_signed(answer.headers, names)
@@ -224,7 +224,7 @@
             )
             raise PepperstairError(failure)
         is_answer_signed = is_signed(answer.headers, names)
-        if answer.status == _MISDIRECTED and not is_answer_signed:
+        if answer.status == MISDIRECTED_STATUS and not is_answer_signed:
             failure = Failure(ErrorKind.NO_TARGET, self._head.target, run=RunStatus.NO)
             raise PepperstairError(failure)
         is_encoded = bool(header_value(answer.headers, b"content-encoding"))
