Interfaces of rollouts, client accounts and quotas

Cause: five parts are built side by side (docs/design/hard-load.md) and need the same records, frames, settings and header names from the start.

Change: accounts and anonymous routes in the intent, settings [accounts], [quotas] and [rollouts] with the adapter's bounds mapped to them, names of two headers, records of rollouts, frames with the tags 30 to 32, 49 and 50, and handlers by frame type in the control plane in place of one attribute a frame. Nothing uses them yet; all defaults leave a deployment as it was.

Result: the tests of settings, documents, wire, control plane and pages pass.

--- a/packages/pepperstair-core/pepperstair_core/config/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/config/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .settings import (
+    AccountsSettings,
     CallersSettings,
     CallsSettings,
     MembersSettings,
@@ -10,6 +11,8 @@
     OperatorsSettings,
     PeersSettings,
     PlatformSettings,
+    QuotasSettings,
+    RolloutsSettings,
     Settings,
     VmSettings,
     parse_address,
@@ -18,6 +21,7 @@
 )
 
 __all__ = [
+    "AccountsSettings",
     "CallersSettings",
     "CallsSettings",
     "MembersSettings",
@@ -25,6 +29,8 @@
     "OperatorsSettings",
     "PeersSettings",
     "PlatformSettings",
+    "QuotasSettings",
+    "RolloutsSettings",
     "Settings",
     "VmSettings",
     "parse_address",
--- a/packages/pepperstair-core/pepperstair_core/config/settings.py
+++ b/packages/pepperstair-core/pepperstair_core/config/settings.py
@@ -242,6 +242,70 @@
     ] = 50
 
 
+class AccountsSettings(Struct, frozen=True):
+    """Authorization of client accounts at a daemon that may be out of date."""
+
+    proof_age_max_ms: Annotated[
+        int,
+        Option(
+            "Age of the last proof that the configuration is the newest, above which "
+            "requests with a key are refused as not run; 0 for no limit.",
+            minimum=0,
+        ),
+    ] = 0
+    unknown_key_age_max_ms: Annotated[
+        int,
+        Option(
+            "Age of the last proof above which an unknown key is answered with "
+            "`not_ready` instead of `unauthorized`; 0 for no limit.",
+            minimum=0,
+        ),
+    ] = 0
+
+
+class QuotasSettings(Struct, frozen=True):
+    """Limits on how far the fleet may exceed the quota of a client account."""
+
+    window_ms: Annotated[
+        int, Option("Window over which a quota is kept.", minimum=100)
+    ] = 5000
+    overage_percent: Annotated[
+        float, Option("Share by which a window may exceed the quota.", minimum=0)
+    ] = 10.0
+    n_slack: Annotated[
+        int, Option("Requests by which a window may exceed the quota.", minimum=0)
+    ] = 20
+
+
+class RolloutsSettings(Struct, frozen=True):
+    """Limits on the exposure of callers to a new version of a service."""
+
+    exposure_percent: Annotated[
+        float,
+        Option(
+            "Share of a service's requests that a bad version may get, over the "
+            "fleet; 0 if versions of targets are ignored.",
+            minimum=0,
+            maximum=100,
+        ),
+    ] = 0.0
+    n_exposed_extra: Annotated[
+        int,
+        Option(
+            "Requests that a bad version may get in addition to its share.", minimum=0
+        ),
+    ] = 0
+    rollback_ms: Annotated[
+        int,
+        Option("Time within which a bad version gets no more requests.", minimum=100),
+    ] = 5000
+
+    @property
+    def is_enabled(self) -> bool:
+        """Return whether versions of targets are distinguished."""
+        return self.exposure_percent > 0.0
+
+
 class MetricsSettings(Struct, frozen=True):
     """Export of metrics."""
 
@@ -271,6 +335,11 @@
     members: Annotated[MembersSettings, Option("Membership.")] = MembersSettings()
     calls: Annotated[CallsSettings, Option("Calls.")] = CallsSettings()
     metrics: Annotated[MetricsSettings, Option("Metrics.")] = MetricsSettings()
+    accounts: Annotated[AccountsSettings, Option("Client accounts.")] = (
+        AccountsSettings()
+    )
+    quotas: Annotated[QuotasSettings, Option("Quotas.")] = QuotasSettings()
+    rollouts: Annotated[RolloutsSettings, Option("Roll-outs.")] = RolloutsSettings()
 
 
 def parse_settings_toml(text: str) -> Result[Settings, list[Fault]]:
@@ -306,6 +375,7 @@
 
 
 __all__ = [
+    "AccountsSettings",
     "CallersSettings",
     "CallsSettings",
     "MembersSettings",
@@ -313,6 +383,8 @@
     "OperatorsSettings",
     "PeersSettings",
     "PlatformSettings",
+    "QuotasSettings",
+    "RolloutsSettings",
     "Settings",
     "VmSettings",
     "parse_address",
--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -89,6 +89,12 @@
             maximum=600_000,
         ),
     ] = 0
+    allows_anonymous: Annotated[
+        bool,
+        Option(
+            "Whether requests need no key, although the document has client accounts."
+        ),
+    ] = False
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -98,6 +104,41 @@
         return (self.service,)
 
 
+class Account(Struct, frozen=True):
+    """A client account: who may send requests, how urgent they are and how many.
+
+    Keys are secrets. They must not appear in logs, errors or reports.
+    """
+
+    name: Annotated[str, Option("Name of the account, unique in the document.")]
+    keys: Annotated[
+        tuple[str, ...], Option("Keys of the account, each unique in the document.")
+    ] = ()
+    priority: Annotated[
+        str,
+        Option(
+            "Priority of the account's requests; empty for the route's.",
+            choices=("", *PRIORITIES),
+        ),
+    ] = ""
+    rate_per_s: Annotated[
+        float,
+        Option("Requests a second over the whole fleet; 0 for no limit.", minimum=0),
+    ] = 0.0
+    burst: Annotated[
+        int, Option("Requests in addition to the rate at once.", minimum=0)
+    ] = 0
+
+    @property
+    def has_quota(self) -> bool:
+        """Return whether the account's requests are limited."""
+        return self.rate_per_s > 0.0
+
+    def __repr__(self) -> str:
+        """Return the account without its keys."""
+        return f"Account(name={self.name!r}, n_keys={len(self.keys)})"
+
+
 class Policy(Struct, frozen=True):
     """Limits for the targets that a selector matches."""
 
@@ -171,6 +212,7 @@
         tuple[LabelOverride, ...], Option("Label overrides.")
     ] = ()
     objectives: Annotated[Objectives, Option("Objectives.")] = Objectives()
+    accounts: Annotated[tuple[Account, ...], Option("Client accounts.")] = ()
 
 
 def parse_intent_toml(text: str) -> Result[Intent, list[Fault]]:
@@ -280,6 +322,7 @@
     "N_ROUTES_MAX",
     "N_SERVICES_MAX",
     "PRIORITIES",
+    "Account",
     "Intent",
     "LabelOverride",
     "Objectives",
--- a/packages/pepperstair-core/pepperstair_core/wire/control.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/control.py
@@ -11,6 +11,7 @@
 
 from ..calls.quarantine import CrashRecord
 from ..members import Member, MemberRank
+from ..rollout.records import Evidence, RolloutState
 from ..versions import Delta, Head
 from .codec import Frame
 
@@ -251,6 +252,33 @@
     records: tuple[CrashRecord, ...]
 
 
+class RolloutUpdate(Frame, tag=30):
+    """Carries roll-outs and the evidence about their versions.
+
+    Each daemon forwards what is new to it.
+    """
+
+    states: tuple[RolloutState, ...]
+    evidence: tuple[Evidence, ...]
+
+
+class DocumentAsk(Frame, tag=31):
+    """Asks for a proof that the receiver's version of the document is the newest."""
+
+    number: int
+
+
+class DocumentProof(Frame, tag=32):
+    """Answers the question `number`: the version was the newest `age_ms` ago.
+
+    `age_ms` is negative if the sender has no proof.
+    """
+
+    number: int
+    version: int
+    age_ms: int
+
+
 ControlFrame = (
     Hello
     | Welcome
@@ -275,6 +303,9 @@
     | DocumentFresh
     | DocumentDelta
     | CrashRecords
+    | RolloutUpdate
+    | DocumentAsk
+    | DocumentProof
 )
 
 __all__ = [
@@ -303,5 +334,8 @@
     "SnapshotPart",
     "StreamKind",
     "CrashRecords",
+    "DocumentAsk",
+    "DocumentProof",
+    "RolloutUpdate",
     "Welcome",
 ]
--- a/packages/pepperstair-core/pepperstair_core/wire/data.py
+++ b/packages/pepperstair-core/pepperstair_core/wire/data.py
@@ -117,6 +117,29 @@
     call_ids: tuple[int, ...]
 
 
+class QuotaAsk(Frame, tag=49):
+    """Asks the owner of an account's quota for tokens, and returns unused ones."""
+
+    number: int
+    account: str
+    n_wanted: int
+    n_returned: int
+
+
+class QuotaGrant(Frame, tag=50):
+    """Answers a `QuotaAsk`.
+
+    `is_owner` is false if the sender does not own the account's quota. Without tokens,
+    `retry_after_ms` is the time after which the daemon should ask again.
+    """
+
+    number: int
+    account: str
+    n_granted: int
+    retry_after_ms: int
+    is_owner: bool
+
+
 DataFrame = (
     Hello
     | Welcome
@@ -130,6 +153,8 @@
     | Reset
     | CallQuery
     | CallsDone
+    | QuotaAsk
+    | QuotaGrant
 )
 
 __all__ = [
@@ -145,5 +170,7 @@
     "Credit",
     "DataFrame",
     "Headers",
+    "QuotaAsk",
+    "QuotaGrant",
     "Reset",
 ]
--- a/packages/pepperstair-http/pepperstair_http/header_names.py
+++ b/packages/pepperstair-http/pepperstair_http/header_names.py
@@ -20,6 +20,8 @@
     - `rate_limit` is set by a target in its answers while it limits its requests. The
       value is the number of requests a second that it accepts from all daemons.
     - `leaving` is set to 1 by a target in its answers once it is shutting down.
+    - `api_key` carries the key of a client account and is never forwarded.
+    - `account` is set by the daemon to the name of the client account.
 
     `has_retry_after_fractions` states that callers parse fractions of a second in
     `retry-after`.
@@ -34,6 +36,8 @@
     signature: bytes = b""
     rate_limit: bytes = b""
     leaving: bytes = b""
+    api_key: bytes = b"pepperstair-key"
+    account: bytes = b"pepperstair-account"
     is_id_echoed: bool = False
     has_retry_after_fractions: bool = False
 
@@ -45,6 +49,8 @@
             self.idempotent,
             self.caller_service,
             self.expected_target,
+            self.api_key,
+            self.account,
         )
         return frozenset(filter(None, names))
 
--- a/packages/pepperstair-peers/pepperstair_peers/control/plane.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/plane.py
@@ -24,7 +24,6 @@
     Send,
 )
 from pepperstair_core.wire import (
-    CrashRecords,
     Heartbeat,
     Hello,
     MemberRanks,
@@ -103,7 +102,9 @@
         self.neighbour_up_callbacks: list[Callable[[str], None]] = []
         self.neighbour_down_callbacks: list[Callable[[str], None]] = []
         self.on_configuration_frame: Callable[[str, Any], None] = lambda vm, frame: None
-        self.on_crash_records: Callable[[str, Any], None] = lambda vm, frame: None
+        # Maps a type of frame to its handler, which gets the sender's VM too. All
+        # other frames are passed to `on_configuration_frame`.
+        self.frame_handlers: dict[type, Callable[[str, Any], None]] = {}
 
     @property
     def neighbours(self) -> tuple[str, ...]:
@@ -264,10 +265,10 @@
             return
         now_ms = self._clock_ms()
         self._execute(self._membership.receive(link.vm, frame, now_ms))
-        if isinstance(frame, CrashRecords):
-            self.on_crash_records(link.vm, frame)
-        elif not isinstance(frame, _MEMBER_FRAMES):
-            self.on_configuration_frame(link.vm, frame)
+        if isinstance(frame, _MEMBER_FRAMES):
+            return
+        handle = self.frame_handlers.get(type(frame), self.on_configuration_frame)
+        handle(link.vm, frame)
 
     def _start_task(self, coroutine: Any) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/packages/pepperstaird/pepperstaird/crash_reports.py
+++ b/packages/pepperstaird/pepperstaird/crash_reports.py
@@ -59,7 +59,7 @@
 
     def start(self) -> None:
         """Register callbacks with the control plane and read the platform's rows."""
-        self._control.on_crash_records = self._handle_frame
+        self._control.frame_handlers[CrashRecords] = self._handle_frame
         self._control.neighbour_up_callbacks.append(self._send_open_records)
         self._rows.start(self._restore)
 
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -87,3 +87,25 @@
     slow = parse_all_settings(render_settings(**{"limits.link_mbps": "5.0"})).unwrap()
     assert fast.stream_silence_ms == 504
     assert slow.product.calls.stream_silence_ms == 1300
+
+
+def test_bounds_on_keys_quotas_and_rollouts_are_settings_of_the_product():
+    bounds = (
+        "config_apply_ms=2500\nrevoke_fail_closed=true\nrevoke_ms=5000\n"
+        "quota_window_s=5\nquota_overage=0.1\nquota_slack=20\n"
+        "expose_share=0.1\nexpose_slack=50\nrollback_ms=5000\n"
+    )
+    product = parse_all_settings(render_settings(bounds)).unwrap().product
+    assert product.accounts.proof_age_max_ms == 4000
+    assert product.accounts.unknown_key_age_max_ms == 2500
+    assert product.quotas.window_ms == 5000
+    assert product.quotas.n_slack == 20
+    assert product.rollouts.exposure_percent == 10.0
+    assert product.rollouts.n_exposed_extra == 50
+    assert product.rollouts.is_enabled
+
+
+def test_deployment_without_these_bounds_keeps_them_disabled():
+    product = parse_all_settings(render_settings(BOUNDS)).unwrap().product
+    assert product.accounts.proof_age_max_ms == 0
+    assert not product.rollouts.is_enabled
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -25,6 +25,7 @@
         self.neighbours = ("a", "b")
         self.sent = defaultdict(list)
         self.neighbour_up_callbacks = []
+        self.frame_handlers = {}
 
     def send(self, vm, *frames):
         self.sent[vm] += frames
@@ -87,10 +88,10 @@
     """Guards against records that circulate in the fleet forever."""
     daemon = Daemon()
     frame = CrashRecords((CrashRecord(b"poison", ("vm-2/1/1",)),))
-    daemon.control.on_crash_records("a", frame)
+    daemon.control.frame_handlers[CrashRecords]("a", frame)
     await wait_for_batch()
-    daemon.control.on_crash_records("a", frame)
-    daemon.control.on_crash_records("b", frame)
+    daemon.control.frame_handlers[CrashRecords]("a", frame)
+    daemon.control.frame_handlers[CrashRecords]("b", frame)
     await wait_for_batch()
     assert daemon.control.sent == {"b": [frame]}
 
@@ -137,7 +138,7 @@
     daemon.reports.report_crash("ledger-1", (b"poison",))
     reported = CrashRecords((CrashRecord(b"poison", ("vm-2/1/1", "vm-3/1/1")),))
     for each in (daemon, other):
-        each.control.on_crash_records("a", reported)
+        each.control.frame_handlers[CrashRecords]("a", reported)
     await wait_for_batch()
     assert daemon.trust_level(b"poison") is TrustLevel.QUARANTINED
     assert list(daemon.table.rows) == [f"quarantine/{b'poison'.hex()}"]
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -85,6 +85,7 @@
         ("policies", intent.Policy),
         ("label_overrides", intent.LabelOverride),
         ("objectives", intent.Objectives),
+        ("accounts", intent.Account),
     ):
         assert name in Intent.__struct_fields__
         yield name, cls
