Forget what was learnt of a target when it starts again under its name

Cause: targets may keep their id over a restart and state when they were started. Only the daemon beside the target told the starts apart; all others kept ejections, latencies, rate limits and calls in flight of the process that had ended. A deregistration that was held up withdrew the restarted target, since its start was not read.

Change: the start is a label of the target, so that every daemon sees it, and the choice begins a new record of health with it. A deregistration that states an earlier start has no effect on the current one. Where rollouts are enabled the version is a label too. Targets that state no start are treated as before.

--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -11,6 +11,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
+from ..members import START_LABEL
 from .call_ends import CallEnd, CrossZoneCause, Ejection, EndKind
 from .expected_wait import Load, LoadOf, WaitOf, make_wait_of
 from .route_latencies import RouteLatencies
@@ -392,18 +393,35 @@
         seconds and queue them, while the slots of the others stay free.
         """
         known = self._health
-        missing = [item.key for item in endpoints if item.key not in known]
+        self._forget_restarted(endpoints, now_ms)
+        missing = [item for item in endpoints if item.key not in known]
         if self._joined_ms is None:
             self._joined_ms = now_ms
         is_joining = now_ms - self._joined_ms < self._joining_ms
         is_new = len(missing) < len(endpoints) and not is_joining
-        for key in missing:
-            known[key] = TargetHealth(now_ms, is_new=is_new)
+        for item in missing:
+            start = item.target.label(START_LABEL)
+            known[item.key] = TargetHealth(now_ms, is_new=is_new, start=start)
         for endpoint in endpoints:
             known[endpoint.key].seen_ms = now_ms
         if len(known) > N_TRACKED_MAX:
             self._evict_unseen(now_ms)
 
+    def _forget_restarted(self, endpoints: Sequence[Endpoint], now_ms: float) -> None:
+        """Replace the health of targets that have started again under their names.
+
+        Errors, latencies, limits and calls in flight belong to the process that ended.
+        """
+        for item in endpoints:
+            known = self._health.get(item.key)
+            start = item.target.label(START_LABEL)
+            if known is None or known.start == start:
+                continue
+            self._health[item.key] = TargetHealth(now_ms, is_new=True, start=start)
+            self._restricted.pop(item.key, None)
+            # The cached groups refer to the replaced health.
+            self._groups.clear()
+
     def _evict_unseen(self, now_ms: float) -> None:
         """Evict targets that have not been among the endpoints for a while.
 
--- a/packages/pepperstair-core/pepperstair_core/calls/target_health.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/target_health.py
@@ -41,7 +41,7 @@
     An ejected target gets a single call as a probe from `ejected_until_ms` on.
     `seen_ms` is the time at which the target was last among the endpoints.
     `rate_limit_per_s` is the rate limit that the target stated last, None if it stated
-    none.
+    none. `start` identifies the start of the target that this health belongs to.
     """
 
     __slots__ = (
@@ -63,9 +63,11 @@
         "n_in_flight",
         "rate_limit_per_s",
         "seen_ms",
+        "start",
     )
 
-    def __init__(self, seen_ms: float, *, is_new: bool) -> None:
+    def __init__(self, seen_ms: float, *, is_new: bool, start: str = "") -> None:
+        self.start = start
         self.n_in_flight = 0
         self.n_errors = 0
         self.n_ejections = 0
--- a/packages/pepperstair-core/pepperstair_core/members.py
+++ b/packages/pepperstair-core/pepperstair_core/members.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from enum import IntEnum, StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from msgspec.structs import replace
 
@@ -18,6 +18,13 @@
     from .labels import Labels
 
 
+# Label that distinguishes the starts of a target that keeps its name. It is a label and
+# not a field, because older daemons reject records with additional fields.
+START_LABEL: Final = "start"
+# Label with the version of a target's software.
+VERSION_LABEL: Final = "version"
+
+
 class MemberState(IntEnum):
     """The state of a member; within an incarnation the higher value wins."""
 
@@ -48,6 +55,10 @@
     n_connections_max: int
     state: TargetState
 
+    def label(self, name: str) -> str:
+        """Return the value of a label, or an empty string."""
+        return next((value for key, value in self.labels if key == name), "")
+
 
 class Member(ArrayRecord):
     """The record of one daemon.
@@ -114,6 +125,8 @@
 
 
 __all__ = [
+    "START_LABEL",
+    "VERSION_LABEL",
     "Member",
     "MemberRank",
     "MemberState",
--- a/packages/pepperstair-targets/pepperstair_targets/ordered_announcements.py
+++ b/packages/pepperstair-targets/pepperstair_targets/ordered_announcements.py
@@ -114,18 +114,22 @@
         self._registry.announce(target, self._newest_seen_ms)
         return True
 
-    def deregister(self, name: str) -> bool:
+    def deregister(self, name: str, start_ms: int = 0) -> bool:
         """Deregister a target and return whether it was registered.
 
-        The deregistration of an earlier target has no effect on the current one. Every
-        deregistration is recorded, even if the target is unknown: after a restart of
-        this daemon, it may be the first message received from the target, and
-        announcements that the target sent earlier may still arrive.
+        `start_ms` is the start that the target states, 0 if it states none. The
+        deregistration of an earlier target, or of an earlier start of the same target,
+        has no effect on the current one. Every deregistration is recorded, even if the
+        target is unknown: after a restart of this daemon, it may be the first message
+        received from the target, and announcements that the target sent earlier may
+        still arrive.
         """
         newest = self._newest
         is_newest = newest is not None and newest.target.name == name
-        start_ms = newest.start_ms if is_newest else self._wall_ms()
-        self._record_departure(name, start_ms, LAST_SEQUENCE)
+        if is_newest and start_ms and start_ms != newest.start_ms:
+            is_newest = False
+        known_ms = newest.start_ms if is_newest else self._wall_ms()
+        self._record_departure(name, start_ms or known_ms, LAST_SEQUENCE)
         return is_newest and self._registry.deregister(name)
 
     def departures(self) -> tuple[Departure, ...]:
@@ -182,7 +186,10 @@
         target.
         """
         departure = self._departures.get(newest.target.name)
-        if departure is not None and departure.sequence == LAST_SEQUENCE:
+        if departure is not None and departure.order_key >= (
+            newest.start_ms,
+            LAST_SEQUENCE,
+        ):
             return True
         return self._now_ms() - self._newest_seen_ms >= self._silent_ms
 
--- a/tests/adapter/test_heartbeats.py
+++ b/tests/adapter/test_heartbeats.py
@@ -5,9 +5,11 @@
 import json
 
 import pytest
+from msgspec.structs import replace
 
-from pepperstair_adapter.heartbeats import read_heartbeat
+from pepperstair_adapter.heartbeats import read_heartbeat, read_start_ms
 from pepperstair_adapter.settings import AdapterSettings, Bounds
+from pepperstair_core.config import RolloutsSettings
 from pepperstair_core.members import TargetState
 
 SETTINGS = AdapterSettings(
@@ -42,7 +44,8 @@
     target = announcement.target
     assert (target.name, target.n_slots) == ("i-1", 12)
     assert target.state is TargetState.SERVING
-    assert dict(target.labels) == {"service": "ledger"}
+    labels = {"service": "ledger", "start": str(GOOD["born"])}
+    assert dict(target.labels) == labels
     assert (announcement.start_ms, announcement.sequence) == (GOOD["born"], 4)
 
 
@@ -86,3 +89,26 @@
 )
 def test_malformed_heartbeat_body_is_rejected(body):
     assert read_heartbeat("i-1", body, SETTINGS).is_err()
+
+
+def test_version_is_a_label_only_where_versions_are_rolled_out():
+    rollouts = RolloutsSettings(exposure_percent=10.0)
+    bounds = replace(SETTINGS.bounds, rollouts=rollouts)
+    settings = replace(SETTINGS, bounds=bounds)
+    read = read_heartbeat("i-1", json.dumps(GOOD).encode(), settings)
+    assert read.unwrap().target.label("version") == "v1"
+
+
+@pytest.mark.parametrize(
+    ("body", "start_ms"),
+    [
+        (b'{"born": 17}', 17),
+        (b"", 0),
+        (b"\xff", 0),
+        (b"[]", 0),
+        (b'{"born": "17"}', 0),
+        (b'{"born": -1}', 0),
+    ],
+)
+def test_deregistration_states_which_start_has_ended(body, start_ms):
+    assert read_start_ms(body) == start_ms
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from pepperstair_core.calls import (
     JOINING_MS,
@@ -182,3 +183,18 @@
         ended = CallEnd(EndKind.GOOD, now_ms, latencies_ms[chosen.target.name])
         chooser.end(chosen, among, ended, now_ms)
     assert n_chosen["t2"] > 150
+
+
+def test_target_that_starts_again_under_its_name_has_no_history():
+    """An ejected target restarts; its new process is kept away from calls."""
+    among = [endpoint(1), endpoint(2)]
+    chooser = make_chooser()
+    chooser.choose(among, no_report, 0.0)
+    fail_until_ejected(chooser, among[0], among)
+    assert counts(chooser, among) == {"t2": 200}
+    target = replace(among[0].target, labels=(("start", "2"),))
+    restarted = [replace(among[0], target=target), among[1]]
+    load_of = lambda item: Load(12, 30) if item is among[1] else Load(0, 0)
+    assert counts(chooser, among, load_of) == {"t2": 200}
+    assert counts(chooser, restarted, load_of) == {"t1": 200}
+    assert chooser.limit_of(restarted[0]) is None
--- a/tests/test_ordered_announcements.py
+++ b/tests/test_ordered_announcements.py
@@ -169,3 +169,16 @@
     fixture.registry.on_changed = lambda: registered.append(fixture.states())
     fixture.accept("i-1", 200, 1)
     assert registered == [{}, {"i-1": SERVING}]
+
+
+def test_late_deregistration_of_an_earlier_start_keeps_the_target():
+    """A restarted target is withdrawn by the delayed message of its earlier start."""
+    fixture = Fixture()
+    fixture.accept("i-1", 100, 5)
+    fixture.accept("i-1", 200, 1)
+    assert not fixture.announcements.deregister("i-1", 100)
+    assert fixture.states() == {"i-1": SERVING}
+    assert fixture.accept("i-1", 200, 2)
+    assert not fixture.accept("i-1", 100, 6)
+    assert fixture.announcements.deregister("i-1", 200)
+    assert fixture.states() == {}
