--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from collections.abc import Iterator
 from typing import Annotated, Final
@@ -22,6 +23,11 @@
 N_ROUTES_MAX: Final = 10_000
 N_SERVICES_MAX: Final = 500
 PRIORITIES: Final = ("urgent", "normal", "deferrable")
+# Limits on client accounts, for the same reason. A key must fit into a header.
+N_ACCOUNTS_MAX: Final = 10_000
+N_KEYS_MAX: Final = 16
+KEY_MAX_BYTES: Final = 512
+ACCOUNT_NAME_MAX_BYTES: Final = 256
 
 
 class Service(Struct, frozen=True):
@@ -112,7 +118,8 @@
 
     name: Annotated[str, Option("Name of the account, unique in the document.")]
     keys: Annotated[
-        tuple[str, ...], Option("Keys of the account, each unique in the document.")
+        tuple[str, ...],
+        Option("Keys of the account, each unique in the document.", is_secret=True),
     ] = ()
     priority: Annotated[
         str,
@@ -212,7 +219,17 @@
         tuple[LabelOverride, ...], Option("Label overrides.")
     ] = ()
     objectives: Annotated[Objectives, Option("Objectives.")] = Objectives()
-    accounts: Annotated[tuple[Account, ...], Option("Client accounts.")] = ()
+    accounts: Annotated[
+        tuple[Account, ...], Option("Client accounts.", is_secret=True)
+    ] = ()
+    requires_keys: Annotated[
+        bool, Option("Whether requests need a key although there is no account.")
+    ] = False
+
+    @property
+    def uses_accounts(self) -> bool:
+        """Return whether requests need the key of a client account."""
+        return self.requires_keys or bool(self.accounts)
 
 
 def parse_intent_toml(text: str) -> Result[Intent, list[Fault]]:
@@ -250,6 +267,7 @@
             expected = f"a path that starts with '/', not {route.path_prefix!r}"
             yield Fault(f"routes[{index}].path_prefix", expected)
     yield from _iter_override_faults(intent)
+    yield from _iter_account_faults(intent.accounts)
 
 
 def _iter_destination_faults(
@@ -267,8 +285,20 @@
 
 
 def intent_to_table(intent: Intent) -> dict[str, object]:
-    """Return the document as plain dicts and lists, for JSON or msgpack."""
-    return msgspec.to_builtins(intent)
+    """Return the document as plain dicts and lists, for JSON or msgpack.
+
+    What concerns client accounts is left out of a document that does not use them, so
+    that daemons without support for accounts can read it.
+    """
+    table = msgspec.to_builtins(intent)
+    if not intent.requires_keys:
+        del table["requires_keys"]
+    if not intent.accounts:
+        del table["accounts"]
+    for route in table["routes"]:
+        if not route["allows_anonymous"]:
+            del route["allows_anonymous"]
+    return table
 
 
 def _iter_size_faults(intent: Intent) -> Iterator[Fault]:
@@ -276,6 +306,8 @@
         yield Fault("routes", f"at most {N_ROUTES_MAX} routes")
     if len(intent.services) > N_SERVICES_MAX:
         yield Fault("services", f"at most {N_SERVICES_MAX} services")
+    if len(intent.accounts) > N_ACCOUNTS_MAX:
+        yield Fault("accounts", f"at most {N_ACCOUNTS_MAX} accounts")
 
 
 def _iter_duplicate_faults(where: str, items: tuple) -> Iterator[Fault]:
@@ -318,7 +350,47 @@
         yield from iter_label_faults(f"{where}.labels", override.labels)
 
 
+def _iter_account_faults(accounts: tuple[Account, ...]) -> Iterator[Fault]:
+    """Yield every fault of the client accounts, without any of their keys."""
+    yield from _iter_duplicate_faults("accounts", accounts)
+    owners: dict[str, str] = {}
+    for index, account in enumerate(accounts):
+        where = f"accounts[{index}]"
+        if not _is_account_name(account.name):
+            limit = f"1 to {ACCOUNT_NAME_MAX_BYTES} bytes of printable characters"
+            yield Fault(f"{where}.name", f"{limit}, not {account.name[:40]!r}")
+        if not math.isfinite(account.rate_per_s):
+            yield Fault(f"{where}.rate_per_s", "a finite number")
+        if len(account.keys) > N_KEYS_MAX:
+            yield Fault(f"{where}.keys", f"at most {N_KEYS_MAX} keys")
+        for key_index, key in enumerate(account.keys):
+            key_where = f"{where}.keys[{key_index}]"
+            if not 1 <= _n_bytes(key) <= KEY_MAX_BYTES:
+                yield Fault(key_where, f"a key of 1 to {KEY_MAX_BYTES} bytes")
+            owner = owners.setdefault(key, account.name)
+            if owner != account.name:
+                parties = f"{owner!r} and {account.name!r}"
+                yield Fault(key_where, f"a unique key, not one of both {parties}")
+
+
+def _is_account_name(name: str) -> bool:
+    """Return whether a name can be sent as the value of a header."""
+    return (
+        1 <= _n_bytes(name) <= ACCOUNT_NAME_MAX_BYTES
+        and name.isprintable()
+        and name == name.strip()
+    )
+
+
+def _n_bytes(text: str) -> int:
+    return len(text.encode(errors="replace"))
+
+
 __all__ = [
+    "ACCOUNT_NAME_MAX_BYTES",
+    "KEY_MAX_BYTES",
+    "N_ACCOUNTS_MAX",
+    "N_KEYS_MAX",
     "N_ROUTES_MAX",
     "N_SERVICES_MAX",
     "PRIORITIES",
--- a/packages/pepperstair-core/pepperstair_core/schema.py
+++ b/packages/pepperstair-core/pepperstair_core/schema.py
@@ -16,7 +16,7 @@
 import types
 import typing
 from collections.abc import Callable, Iterator, Mapping
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Final, TypeVar
 
 from msgspec import NODEFAULT, Struct, structs
 from result import Err, Ok, Result
@@ -42,13 +42,20 @@
 
 
 class Option(Struct, frozen=True):
-    """The declaration of one field of a document: its description and its range."""
+    """The declaration of one field of a document: its description and its range.
+
+    Faults do not quote a value that `is_secret`.
+    """
 
     doc: str
     minimum: int | float | None = None
     maximum: int | float | None = None
     choices: tuple[str, ...] = ()
     text_format: TextFormat | None = None
+    is_secret: bool = False
+
+
+_ANY: Final = Option("")
 
 
 class OptionEntry(Struct, frozen=True):
@@ -152,9 +159,11 @@
     return {str: "string", int: "integer", float: "number", bool: "boolean"}[hint]
 
 
-def _read_table(cls: Any, table: object, where: str, faults: list[Fault]) -> Any:
+def _read_table(
+    cls: Any, table: object, where: str, faults: list[Fault], option: Option = _ANY
+) -> Any:
     if not isinstance(table, Mapping):
-        faults.append(Fault(where or "document", f"a table, not {_short_repr(table)}"))
+        faults.append(Fault(where or "document", _unlike("a table", table, option)))
         return _placeholder(cls)
     fields = {item.name: item for item in _fields_of(cls)}
     for key in table:
@@ -185,7 +194,7 @@
     hint: Any, value: Any, where: str, option: Option, faults: list[Fault]
 ) -> Any:
     if _is_struct(hint):
-        return _read_table(hint, value, where, faults)
+        return _read_table(hint, value, where, faults, option)
     origin = typing.get_origin(hint)
     if origin is tuple:
         return _read_list(hint, value, where, option, faults)
@@ -201,7 +210,7 @@
     hint: Any, value: Any, where: str, option: Option, faults: list[Fault]
 ) -> tuple[Any, ...]:
     if not isinstance(value, (list, tuple)):
-        faults.append(Fault(where, f"a list, not {_short_repr(value)}"))
+        faults.append(Fault(where, _unlike("a list", value, option)))
         return ()
     inner = typing.get_args(hint)[0]
     return tuple(
@@ -228,7 +237,7 @@
     if hint is float and type(value) is int:
         value = float(value)
     if type(value) is not hint:
-        faults.append(Fault(where, f"{_TYPE_PHRASES[hint]}, not {_short_repr(value)}"))
+        faults.append(Fault(where, _unlike(_TYPE_PHRASES[hint], value, option)))
         return _placeholder(hint)
     if option.text_format is not None and not option.text_format.accepts(value):
         faults.append(
@@ -258,6 +267,10 @@
     return f"{where}.{name}" if where else name
 
 
+def _unlike(expected: str, value: object, option: Option) -> str:
+    return expected if option.is_secret else f"{expected}, not {_short_repr(value)}"
+
+
 def _short_repr(value: object) -> str:
     text = repr(value)
     return text if len(text) <= 40 else f"{text[:37]}..."
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -7,6 +7,7 @@
 import pytest
 
 from pepperstair_adapter.documents import make_document_reader, read_document
+from pepperstair_core.intent import Account
 from tests.adapter.documents import document, rule
 
 
@@ -57,6 +58,98 @@
     ]
 
 
+def tenant(name: str, *keys: str, **more) -> dict:
+    """Return a tenant of the document."""
+    return {"name": name, "api_keys": list(keys), **more}
+
+
+def test_tenants_become_accounts():
+    atlas = tenant("atlas", "k-1", "k-2", priority=0, rate_per_s=640, burst=80)
+    open_rule = rule("open", "/open/", "ledger", allow_anonymous=True)
+    intent = (
+        read_document(
+            document(1, rule("a", "/a/", "ledger"), open_rule, tenants=[atlas])
+        )
+        .unwrap()
+        .intent
+    )
+    assert intent.accounts == (Account("atlas", ("k-1", "k-2"), "urgent", 640.0, 80),)
+    assert [route.allows_anonymous for route in intent.routes] == [False, True]
+
+
+def test_ranks_of_rules_and_tenants_are_ordered_together():
+    tenants = [tenant("a", "1", priority=1), tenant("b", "2", priority=5)]
+    intent = read_document(
+        document(1, rule("r", "/r/", "ledger", priority=3), tenants=tenants)
+    ).unwrap()
+    assert intent.intent.routes[0].priority == "normal"
+    assert [each.priority for each in intent.intent.accounts] == [
+        "urgent",
+        "deferrable",
+    ]
+
+
+def test_changed_rank_of_a_tenant_changes_the_priority_of_cached_routes():
+    """Guards against routes that keep the priority which the ranks before gave them."""
+    reader = make_document_reader()
+    reader(document(1, rule("r", "/r/", "ledger", priority=3), tenants=[]))
+    data = document(
+        2,
+        rule("r", "/r/", "ledger", priority=3),
+        tenants=[tenant("a", "1", priority=1)],
+    )
+    assert reader(data).unwrap().intent.routes[0].priority == "normal"
+
+
+def test_tenant_without_priority_and_quota_uses_those_of_the_route():
+    tenants = [tenant("a", "1"), tenant("b", "2", priority=None, rate_per_s=None)]
+    accounts = read_document(document(1, tenants=tenants)).unwrap().intent.accounts
+    assert [(each.priority, each.has_quota) for each in accounts] == [("", False)] * 2
+
+
+@pytest.mark.parametrize(
+    ("more", "uses_accounts"),
+    [({}, False), ({"tenants": []}, True), ({"tenants": [tenant("a")]}, True)],
+)
+def test_accounts_are_used_where_the_document_has_tenants(more, uses_accounts):
+    intent = read_document(document(1, **more)).unwrap().intent
+    assert intent.uses_accounts is uses_accounts
+
+
+SECRET = "k3y-of-atlas"
+FAULTY_TENANTS = {
+    "a key of two tenants": [tenant("atlas", SECRET), tenant("boreal", SECRET)],
+    "a name used twice": [tenant("atlas", SECRET), tenant("atlas", "other")],
+    "keys that are a string": [{"name": "atlas", "api_keys": SECRET}],
+    "a tenant that is a string": [SECRET],
+    "tenants in a table": {SECRET: [SECRET]},
+    "no tenants": None,
+    "an endless key": [tenant("atlas", SECRET * 100)],
+    "too many keys": [tenant("atlas", *(SECRET + str(n) for n in range(17)))],
+    "an empty key": [tenant("atlas", SECRET, "")],
+    "a name with a line break": [tenant("atlas\r\nx-admin: 1", SECRET)],
+    "an empty name": [tenant("", SECRET)],
+    "a negative rate": [tenant("atlas", SECRET, rate_per_s=-1)],
+    "a burst that is a fraction": [tenant("atlas", SECRET, burst=1.5)],
+    "an endless rate": [tenant("atlas", SECRET, rate_per_s=float("inf"))],
+    "a priority that is a string": [tenant("atlas", SECRET, priority=SECRET)],
+}
+
+
+@pytest.mark.parametrize("fault", FAULTY_TENANTS)
+def test_faulty_tenants_invalidate_the_version_without_showing_a_key(fault):
+    """Guards against keys in the log and in the answers of operators' commands."""
+    read = read_document(document(1, tenants=FAULTY_TENANTS[fault]))
+    assert read.is_err()
+    assert SECRET not in "; ".join(map(str, read.unwrap_err()))
+
+
+def test_truncated_document_shows_no_key():
+    data = document(1, tenants=[tenant("atlas", SECRET)])
+    for n_bytes in range(len(data)):
+        assert SECRET not in str(read_document(data[:n_bytes]).unwrap_err())
+
+
 FAULTY = {
     "truncated JSON": document()[:-9],
     "no object": b"[]",
