Authorize requests by the key of a client account

Cause: the proxy forwarded requests whatever key they had, and targets could not tell for which account a request was sent.

The name of the account is sent to the target; the client's own headers of that name and its key are dropped in every spelling with hyphens and underscores. An account's priority replaces the route's. `unauthorized` serves keys and tokens, and does not count for the burn report, like other faults of a caller. A malformed request is no longer quoted in its 400, as the quoted line may hold a key.

The age of the proof is 0 for a followed document until the proofs exist.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 import structlog
+from msgspec.structs import replace
 
 from pepperstair_core.calls import (
     FULL_AVOIDED_MS,
@@ -21,6 +22,7 @@
     fingerprint,
 )
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, RunStatus
+from pepperstair_core.intent import Account
 from pepperstair_core.routing import CompiledRoute, Endpoint
 from pepperstair_core.wire import CallHead
 from pepperstair_http import (
@@ -42,6 +44,7 @@
     may_have_reached_target,
 )
 from .attempt_reports import report_ejection, report_retry
+from .authorization import find_account
 from .context import ProxyContext
 from .request_body import RequestBody
 from .request_heads import RequestHead
@@ -82,6 +85,7 @@
         "_overload_failure",
         "_request",
         "_waited_before_ms",
+        "account",
         "compiled",
         "deadline_ms",
         "fingerprint",
@@ -98,6 +102,7 @@
         request: Request,
         head: RequestHead,
         compiled: CompiledRoute,
+        account: Account | None,
         body: RequestBody,
         call_ids: Iterator[int],
         arrived_ms: float,
@@ -119,6 +124,7 @@
         self._n_over_limit = 0
         self._overload_failure: Failure | None = None
         self.compiled = compiled
+        self.account = account
         self.deadline_ms = arrived_ms + self.timeout_ms
         self._attempt_start_ms = 0.0
         self._latency_ms = 0.0
@@ -135,6 +141,12 @@
         """Return the caller's request id, or an empty string if it is not set."""
         return self._head.request_id
 
+    @property
+    def priority(self) -> str:
+        """Return the priority of the account or, if it has none, of the route."""
+        own = self.account.priority if self.account is not None else ""
+        return own or self.compiled.route.priority
+
     @property
     def time_left_ms(self) -> float:
         """Return the time until the deadline."""
@@ -155,6 +167,7 @@
         context = self._context
         while True:
             self._attempt_start_ms = context.now_ms()
+            self._update_account()
             self._endpoint = self._choose()
             self.n_attempts += 1
             try:
@@ -173,6 +186,14 @@
                 self.abandon()
                 raise
 
+    def _update_account(self) -> None:
+        """Raise if the request's key was removed while the request waited."""
+        try:
+            self.account = find_account(self._context, self._head, self.compiled)
+        except PepperstairError as error:
+            failure = replace(error.failure, run=self.run)
+            raise PepperstairError(failure) from error
+
     def _record_statement(self, endpoint: Endpoint, response: StreamedResponse) -> None:
         """Record what a target states about itself in an answer of its own."""
         context = self._context
@@ -318,7 +339,7 @@
             context.load_of,
             self._attempt_start_ms,
             self._excluded,
-            is_urgent=self.compiled.route.priority == "urgent",
+            is_urgent=self.priority == "urgent",
             route=self.compiled.route.name,
             n_answer_bytes=context.answer_sizes.of(self.compiled.route.name),
             objective_ms=self.compiled.route.objective_ms,
@@ -362,7 +383,7 @@
         self._end(kind, latency_ms, avoid_ms)
         attempt = Attempt(
             failure,
-            self.compiled.route.priority,
+            self.priority,
             self.n_attempts - self._n_over_limit,
             self._is_idempotent,
             self._body.is_replayable,
@@ -410,6 +431,9 @@
         limit_per_s = self._context.chooser.limit_of(endpoint)
         if limit_per_s is not None:
             headers = (*headers, (KNOWN_LIMIT_HEADER, b"%.3f" % limit_per_s))
+        account_header = self._context.header_names.account
+        if self.account is not None and account_header:
+            headers = (*headers, (account_header, self.account.name.encode()))
         return CallHead(
             call_id=call_id,
             request_id=self._head.request_id or f"{self._context.vm}-{call_id}",
@@ -418,7 +442,7 @@
             method=request.method,
             path=request.path,
             headers=headers,
-            priority=self.compiled.route.priority,
+            priority=self.priority,
             is_idempotent=self._is_idempotent,
             time_left_ms=self._timeout_for_ms(endpoint),
             has_body=self._head.has_body,
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -9,6 +9,7 @@
 import structlog
 from msgspec import Struct, field
 
+from pepperstair_core.accounts import NO_ACCOUNTS, AccountTable
 from pepperstair_core.calls import (
     AcceptanceRates,
     AnswerSizes,
@@ -19,6 +20,7 @@
     RetryBudget,
     TargetChooser,
 )
+from pepperstair_core.config import AccountsSettings
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.routing import CompiledRoute, Endpoint, RouteTable
 from pepperstair_core.wire import CallHead
@@ -44,7 +46,9 @@
     service to which the target on this VM belongs, or an empty string if that name is
     not sent to targets. `time_to_stop_ms` returns the time that remains for calls until
     a stopping daemon exits, or infinity if the daemon is not stopping. `on_leaving` is
-    called with a target that states in an answer that it is leaving.
+    called with a target that states in an answer that it is leaving. `accounts` returns
+    the client accounts in force and `proof_age_ms` the age of the last proof that they
+    are the newest, which `account_limits` bounds.
     """
 
     vm: str
@@ -71,6 +75,9 @@
     service: str = ""
     time_to_stop_ms: Callable[[], float] = lambda: math.inf
     on_leaving: Callable[[Endpoint], None] = lambda endpoint: None
+    accounts: Callable[[], AccountTable] = lambda: NO_ACCOUNTS
+    proof_age_ms: Callable[[], float] = lambda: 0.0
+    account_limits: Callable[[], AccountsSettings] = AccountsSettings
 
 
 __all__ = ["AttemptSender", "ProxyContext"]
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -20,10 +20,11 @@
 from pepperstair_http import ConnectionLostError, Exchange, Request, StreamedResponse
 
 from .attempts import ProxiedCall, count_call_ids
+from .authorization import find_account, is_out_of_date
 from .context import ProxyContext
 from .relay import answer_failure, relay
 from .request_body import RequestBody
-from .request_heads import make_head_reader
+from .request_heads import RequestHead, make_head_reader
 
 log = structlog.get_logger(__name__)
 
@@ -132,18 +133,18 @@
         each of its callers would lose a second and use up one of its few retries; after
         a kill of all daemons, this would affect every caller.
         """
-        timeout_ms = self._read_head(request.headers).timeout_ms
+        head = self._read_head(request.headers)
         wait_max_ms = STARTUP_WAIT_MAX_MS
-        if timeout_ms:
-            wait_max_ms = min(wait_max_ms, timeout_ms * STARTUP_WAIT_SHARE)
+        if head.timeout_ms:
+            wait_max_ms = min(wait_max_ms, head.timeout_ms * STARTUP_WAIT_SHARE)
         end_ms = self._context.now_ms() + wait_max_ms
-        if self._can_route(request):
+        if self._can_route(request, head):
             return
         self.n_held_at_start += 1
-        while not self._can_route(request) and self._context.now_ms() < end_ms:
+        while not self._can_route(request, head) and self._context.now_ms() < end_ms:
             await asyncio.sleep(STARTUP_POLL_INTERVAL_MS / 1000)
 
-    def _can_route(self, request: Request) -> bool:
+    def _can_route(self, request: Request, head: RequestHead) -> bool:
         """Return True if a request can be routed or is certain to be refused.
 
         In both cases, a longer wait for the startup would not help the request.
@@ -156,6 +157,8 @@
         compiled = context.route_table().match(request.host, request.path)
         if compiled is None:
             return True
+        if is_out_of_date(context, head, compiled):
+            return False
         destinations = [part for _, part in compiled.destinations] or [compiled]
         return all(context.endpoints(part) for part in destinations)
 
@@ -174,16 +177,17 @@
         compiled = context.route_table().match(request.host, request.path)
         if compiled is None:
             raise PepperstairError(Failure(ErrorKind.NO_ROUTE, request.path))
+        head = self._read_head(request.headers)
+        account = find_account(context, head, compiled)
         compiled = pick_destination(compiled, context.rng)
         if context.chooser.typical_ms(compiled.route.name) > context.time_to_stop_ms():
             raise PepperstairError(Failure(ErrorKind.DRAINING, context.vm))
-        head = self._read_head(request.headers)
         body_max_bytes = context.body_max_bytes()
         if head.n_body_bytes > body_max_bytes:
             raise PepperstairError(Failure(ErrorKind.BODY_TOO_LARGE))
         body = RequestBody(exchange.body, body_max_bytes)
         return ProxiedCall(
-            context, request, head, compiled, body, self._call_ids, arrived_ms
+            context, request, head, compiled, account, body, self._call_ids, arrived_ms
         )
 
     async def _relay_answer(
@@ -229,7 +233,7 @@
         outcome = CallOutcome(
             customer=call.compiled.customer if call is not None else "",
             route=call.compiled.route.name if call is not None else "",
-            priority=call.compiled.route.priority if call is not None else "",
+            priority=call.priority if call is not None else "",
             status=status,
             error=error,
             run=call.run if call is not None else RunStatus.NO,
--- a/packages/pepperstair-callers/pepperstair_callers/request_heads.py
+++ b/packages/pepperstair-callers/pepperstair_callers/request_heads.py
@@ -21,7 +21,8 @@
     """The parsed headers of a request.
 
     `timeout_ms` and `n_body_bytes` are 0 if the request does not state them.
-    `forwarded` holds the headers for the target.
+    `forwarded` holds the headers for the target. `api_key` is None if the request
+    states no key, and empty, which no account's key is, if it states several.
     """
 
     n_body_bytes: int
@@ -30,6 +31,7 @@
     is_idempotent: bool
     request_id: str
     forwarded: Headers
+    api_key: bytes | None = None
 
     @property
     def has_body(self) -> bool:
@@ -59,7 +61,8 @@
         forwarded = []
         for item in headers:
             name, value = item
-            values.setdefault(name, value)
+            if values.setdefault(name, value) is not value and name == names.api_key:
+                values[name] = value if values[name] == value else b""
             if name not in replaced and not name.startswith(_OWN_PREFIX):
                 forwarded.append(item)
         is_chunked = b"transfer-encoding" in values
@@ -73,6 +76,7 @@
             is_idempotent=values.get(names.idempotent, b"").lower() == b"true",
             request_id=values.get(names.request_id, b"").decode("latin-1"),
             forwarded=(*forwarded, *added),
+            api_key=values.get(names.api_key),
         )
 
     return read_head
--- a/packages/pepperstair-core/pepperstair_core/accounts.py
+++ b/packages/pepperstair-core/pepperstair_core/accounts.py
@@ -77,6 +77,9 @@
         ).digest()
 
 
+NO_ACCOUNTS: Final = AccountTable()
+
+
 def compile_accounts(
     snapshots: Iterable[Snapshot], previous: AccountTable
 ) -> AccountTable:
@@ -138,6 +141,7 @@
 
 
 __all__ = [
+    "NO_ACCOUNTS",
     "RETRY_AFTER_MS",
     "AccountTable",
     "Refusal",
--- a/packages/pepperstair-core/pepperstair_core/burn/counts.py
+++ b/packages/pepperstair-core/pepperstair_core/burn/counts.py
@@ -43,6 +43,7 @@
         ErrorKind.HEADERS_TOO_LARGE,
         ErrorKind.BODY_TOO_LARGE,
         ErrorKind.NO_ROUTE,
+        ErrorKind.UNAUTHORIZED,
         ErrorKind.CANCELLED,
     }
 )
--- a/packages/pepperstair-core/pepperstair_core/errors.py
+++ b/packages/pepperstair-core/pepperstair_core/errors.py
@@ -97,7 +97,7 @@
     ErrorKind.CANCELLED: Answer(499, _UNKNOWN, False, "the caller left"),
     ErrorKind.INVALID_INTENT: Answer(422, _NO, False, "the intent is not valid"),
     ErrorKind.CONFLICT: Answer(409, _NO, False, "the configuration has moved on"),
-    ErrorKind.UNAUTHORIZED: Answer(401, _NO, False, "a bearer token is required"),
+    ErrorKind.UNAUTHORIZED: Answer(401, _NO, False, "a valid key or token is required"),
     ErrorKind.NOT_FOUND: Answer(404, _NO, False, "there is no such thing"),
     ErrorKind.PLATFORM_UNAVAILABLE: Answer(
         503, _NO, True, "the platform is unavailable, nothing was accepted"
--- a/packages/pepperstair-http/pepperstair_http/connection.py
+++ b/packages/pepperstair-http/pepperstair_http/connection.py
@@ -369,7 +369,9 @@
                 self.abort()
                 return
             self._pipeline.remove_newest()
-        self._reject_with(error.error_status_hint, str(error))
+        # The part after the colon quotes the malformed bytes, which may hold a secret.
+        reason = str(error).partition(":")[0]
+        self._reject_with(error.error_status_hint, reason)
 
     def _reject_with(self, status: int, text: str) -> None:
         self._server.counters.n_malformed += 1
--- a/packages/pepperstair-http/pepperstair_http/header_names.py
+++ b/packages/pepperstair-http/pepperstair_http/header_names.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
+from collections.abc import Iterator
+
 from msgspec import Struct
 
 
@@ -43,18 +46,30 @@
 
     @property
     def replaced(self) -> frozenset[bytes]:
-        """Return the headers that are never forwarded unchanged to a target."""
+        """Return the headers that are never forwarded unchanged to a target.
+
+        Some servers take an underscore in a name for a hyphen, so the headers of client
+        accounts are dropped in these spellings too.
+        """
         names = (
             self.timeout_ms,
             self.idempotent,
             self.caller_service,
             self.expected_target,
-            self.api_key,
-            self.account,
+            *_iter_spellings(self.api_key),
+            *_iter_spellings(self.account),
         )
         return frozenset(filter(None, names))
 
 
+def _iter_spellings(name: bytes) -> Iterator[bytes]:
+    """Yield a name with each of its hyphens as a hyphen and as an underscore."""
+    head, *words = name.split(b"-")
+    for joints in itertools.product(b"-_", repeat=len(words)):
+        pairs = zip(joints, words, strict=True)
+        yield head + b"".join(bytes((joint,)) + word for joint, word in pairs)
+
+
 PRODUCT_HEADERS = HeaderNames()
 
 __all__ = ["PRODUCT_HEADERS", "HeaderNames"]
--- a/packages/pepperstaird/pepperstaird/configuration/agent.py
+++ b/packages/pepperstaird/pepperstaird/configuration/agent.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
+import secrets
 from collections import deque
 from collections.abc import Callable, Mapping
 from typing import Any, Final
@@ -12,6 +14,7 @@
 from msgspec.structs import asdict, replace
 from result import Result
 
+from pepperstair_core.accounts import AccountTable, compile_accounts
 from pepperstair_core.config import PlatformSettings
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
 from pepperstair_core.distribution import (
@@ -99,6 +102,7 @@
         self.distribution = Distribution(own.vm, own.availability_zone, rng, timing)
         self.records = VersionRecords()
         self.route_table = RouteTable()
+        self.accounts = AccountTable(secret=secrets.token_bytes())
         self.overrides: Mapping[str, Labels] = {}
         self.on_changed: Callable[[Snapshot], None] = lambda snapshot: None
         self.on_converged: Callable[[str, int], None] = lambda customer, ms: None
@@ -211,6 +215,10 @@
         """
         return -1
 
+    def proof_age_ms(self) -> float:
+        """Return infinity, as no proof is known for the reason given at `age_ms`."""
+        return math.inf
+
     def counters(self) -> dict[str, int]:
         """Return the counts that `status` and the metrics show."""
         return asdict(self.distribution.state.counters)
@@ -269,6 +277,7 @@
         self._in_force[head.customer] = snapshot
         self.overrides = label_overrides_by_workload(self._in_force.values())
         self.route_table = compile_routes(self._in_force.values(), self.proxy_labels())
+        self.accounts = compile_accounts(self._in_force.values(), self.accounts)
         self.records.add(VersionRecord(head, learnt_from, wall_ms()))
         log.info(
             Event.VERSION_IN_FORCE,
--- a/packages/pepperstaird/pepperstaird/dependencies.py
+++ b/packages/pepperstaird/pepperstaird/dependencies.py
@@ -12,6 +12,7 @@
 
 from msgspec import Struct
 
+from pepperstair_core.accounts import AccountTable
 from pepperstair_core.calls import RetryBudget
 from pepperstair_core.config import Settings
 from pepperstair_core.routing import RouteTable
@@ -38,6 +39,7 @@
     """The configuration in force, independent of its source."""
 
     route_table: RouteTable
+    accounts: AccountTable
     overrides: Any
     on_changed: Callable[[Snapshot], None]
     on_converged: Callable[[str, int], None]
@@ -65,6 +67,9 @@
     def age_ms(self) -> int:
         """Return how long ago this version was known to be newest, -1 if unknown."""
 
+    def proof_age_ms(self) -> float:
+        """Return the age of the proof that this version is the newest, inf if none."""
+
     def counters(self) -> dict[str, int]:
         """Return the counts that `status` and the metrics show."""
 
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import random
+import secrets
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 import structlog
 from result import Result
 
+from pepperstair_core.accounts import AccountTable, compile_accounts
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_core.events import Event
@@ -119,6 +121,7 @@
         self.n_ignored = 0
         self.n_rejected = 0
         self.route_table = RouteTable()
+        self.accounts = AccountTable(secret=secrets.token_bytes())
         self.overrides: Mapping[str, Labels] = {}
         self.on_changed: Callable[[Snapshot], None] = lambda snapshot: None
         self.on_converged: Callable[[str, int], None] = lambda customer, ms: None
@@ -178,6 +181,10 @@
         """Return how long ago this version was known to be newest, -1 if unknown."""
         return self._exchange.age_ms()
 
+    def proof_age_ms(self) -> float:
+        """Return the age of the proof that this version is the newest, inf if none."""
+        return 0.0
+
     def counters(self) -> dict[str, int]:
         """Return the counts that `status` and the metrics show."""
         return {
@@ -347,6 +354,7 @@
         self._snapshot = Snapshot(head, document.data, document.intent)
         self.overrides = label_overrides_by_workload((self._snapshot,))
         self.route_table = compile_routes((self._snapshot,), self._proxy_labels)
+        self.accounts = compile_accounts((self._snapshot,), self.accounts)
         log.info(
             Event.VERSION_IN_FORCE,
             customer=customer,
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -12,12 +12,15 @@
 from msgspec.structs import replace
 
 from pepperstair_callers import Proxy, ProxyContext
+from pepperstair_core.accounts import NO_ACCOUNTS
 from pepperstair_core.calls import CallOutcome, TargetChooser, TokenRetryBudget
+from pepperstair_core.config import AccountsSettings
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.intent import Policy, Route, Service
 from pepperstair_core.labels import parse_selector
 from pepperstair_core.members import Target, TargetState
 from pepperstair_core.routing import CompiledRoute, Endpoint, RouteTable
+from pepperstair_core.wire import CallHead
 from pepperstair_http import (
     Fetcher,
     HttpServer,
@@ -137,6 +140,10 @@
         self.is_ready = True
         self.fingerprints: list[bytes] = []
         self.leaving: list[Endpoint] = []
+        self.accounts = NO_ACCOUNTS
+        self.proof_age_ms = 0.0
+        self.account_limits = AccountsSettings()
+        self.heads: list[CallHead] = []
         self.context = self._context(body_max_bytes)
         self.proxy = Proxy(self.context)
         self.server = HttpServer(
@@ -214,6 +221,7 @@
 
     async def _send_attempt(self, item, head, body):
         self.fingerprints.append(head.fingerprint)
+        self.heads.append(head)
         return await self.nodes[item.vm].runner.run(head, body)
 
     def _context(self, body_max_bytes: int) -> ProxyContext:
@@ -240,6 +248,9 @@
             header_names=self.options.names,
             service=self.service,
             on_leaving=self.leaving.append,
+            accounts=lambda: self.accounts,
+            proof_age_ms=lambda: self.proof_age_ms,
+            account_limits=lambda: self.account_limits,
         )
 
 
