Share the slots of a target by client account

Cause: fair queueing at a target counts by customer, and all client accounts of a document have the same one, so a flood of one account delayed all others.

Calls without it count for the customer as before.

--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -60,6 +60,7 @@
         now_ms: Callable[[], float],
         on_refused: Callable[[str, Refused], None],
         on_exited: Callable[[LocalTarget, tuple[bytes, ...]], None],
+        account_header: bytes = b"",
     ) -> None:
         self.target = target
         # The statement of the target's last answer.
@@ -72,6 +73,7 @@
             _n_running_max(target),
             now_ms,
             lambda refused: on_refused(target.name, refused),
+            account_header,
         )
 
     @property
@@ -363,7 +365,13 @@
     def _ensure_local_target(self, target: Target) -> LocalTarget:
         local = self._local_targets.get(target.name)
         if local is None:
-            local = LocalTarget(target, self._now_ms, self._on_refused, self._on_exited)
+            local = LocalTarget(
+                target,
+                self._now_ms,
+                self._on_refused,
+                self._on_exited,
+                self._options.names.account,
+            )
             self._local_targets[target.name] = local
         return local
 
--- a/packages/pepperstair-targets/pepperstair_targets/slots.py
+++ b/packages/pepperstair-targets/pepperstair_targets/slots.py
@@ -22,6 +22,7 @@
 )
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, RunStatus
 from pepperstair_core.wire import CallHead
+from pepperstair_http import header_value
 
 log = structlog.get_logger(__name__)
 
@@ -42,7 +43,8 @@
 class SlotQueue:
     """Lets calls wait for the slots of one target and applies admission verdicts.
 
-    `on_refused` is called with every refusal. `now_ms` is a monotonic clock.
+    `on_refused` is called with every refusal. `now_ms` is a monotonic clock. Calls with
+    an `account_header` share the slots by its value instead of by customer.
     """
 
     def __init__(
@@ -50,7 +52,9 @@
         n_slots: int,
         now_ms: Callable[[], float],
         on_refused: Callable[[Refused], None],
+        account_header: bytes = b"",
     ) -> None:
+        self._account_header = account_header
         self.admission = Admission(n_slots)
         self._now_ms = now_ms
         self._on_refused = on_refused
@@ -65,7 +69,7 @@
         arrived_ms = self._now_ms()
         call = WaitingCall(
             next(self._tickets),
-            head.customer,
+            self._sharer(head),
             head.priority,
             arrived_ms,
             deadline_ms,
@@ -90,7 +94,7 @@
         `service_ms` is how long the call ran, or None if it was not sent to the target.
         """
         verdicts = self.admission.finish(
-            head.customer, head.priority, service_ms, self._now_ms(), head.route
+            self._sharer(head), head.priority, service_ms, self._now_ms(), head.route
         )
         self._apply_verdicts(verdicts)
 
@@ -112,6 +116,11 @@
         """Refuse every waiting call; running calls continue."""
         self._apply_verdicts(self.admission.drain())
 
+    def _sharer(self, head: CallHead) -> str:
+        """Return the account or else the customer that a call counts for."""
+        account = header_value(head.headers, self._account_header)
+        return f"{head.customer}/{account.decode()}" if account else head.customer
+
     async def _wait(self, waiter: _Waiter, target: str) -> None:
         try:
             verdict = await waiter.verdict
