Prove that the accounts in force are the newest

Cause: a daemon that is paused, cut off or served by a late store went on with the keys of its last version, so a removed key could run without bound.

Change: `pepperstair_core.freshness` keeps proofs that no later version had been accepted at a moment of this daemon's clock. A read proves from its start, a neighbour's answer from the question. A daemon asks a neighbour, each in its turn and at most four times a second, when a confirmation claims to be newer by 250 ms or its proof is older than a quarter of the limit; above 60 to 70% of the limit it reads the table itself, at most once a second. A watch is followed by one read that ends at once, as the watch proves only its start. A faulty newest document leaves the proofs as they are unless another daemon has put it in force: it removes no key. A position that goes back, an older row or a removed one proves nothing. Nothing is asked or read without a limit on the age of proofs and accounts in force.

--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/freshness.py
@@ -0,0 +1,218 @@
+"""Proofs that the version in force of a followed document is the newest.
+
+A proof states that at a moment on this daemon's own clock no version above a given one
+had been accepted. It holds for every later version too, so a daemon that puts a newer
+version in force keeps its proofs. A proof comes from a read of the table, which counts
+from its start, or from a neighbour's answer to a question, which counts from the
+question: delays, pauses and late frames only make a proof older than it could be.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Iterable
+from enum import Enum, auto
+from typing import Final
+
+from msgspec import Struct
+
+# Age of a proof, as a share of its limit, above which a neighbour is asked for a newer
+# one.
+ASK_SHARE: Final = 0.25
+# Age of a proof, as a share of its limit, above which this daemon reads the table. Each
+# daemon adds a random part of `READ_SPREAD_SHARE`, as others may lack a proof too.
+READ_SHARE: Final = 0.6
+READ_SPREAD_SHARE: Final = 0.1
+# Minimum difference by which a neighbour's confirmation has to be newer than the proof
+# for a question.
+NEWER_MIN_MS: Final = 250.0
+# Minimum time between two questions.
+ASK_INTERVAL_MS: Final = 250.0
+# Numbers of proofs and questions that are kept. One proof is usually enough; more are
+# needed while neighbours prove a version that has not arrived here yet.
+N_PROOFS_MAX: Final = 4
+N_QUESTIONS_MAX: Final = 8
+
+
+class Proof(Struct, frozen=True):
+    """At `as_of_ms`, no version above `version` had been accepted."""
+
+    version: int
+    as_of_ms: float
+
+
+class FreshnessProof:
+    """The newest proofs, from which the age of the version in force follows.
+
+    >>> proof = FreshnessProof()
+    >>> proof.prove(7, 1000.0)
+    True
+    >>> proof.age_ms(7, 1500.0), proof.age_ms(8, 1500.0), proof.age_ms(6, 1500.0)
+    (500.0, 500.0, inf)
+    """
+
+    __slots__ = ("_proofs",)
+
+    def __init__(self) -> None:
+        # In ascending order of version and of moment.
+        self._proofs: list[Proof] = []
+
+    def prove(self, version: int, as_of_ms: float) -> bool:
+        """Record a proof and return whether it adds to the earlier ones."""
+        known = self.newest(version)
+        if known is not None and known.as_of_ms >= as_of_ms:
+            return False
+        kept = [
+            proof
+            for proof in self._proofs
+            if proof.version < version or proof.as_of_ms > as_of_ms
+        ]
+        kept.append(Proof(version, as_of_ms))
+        kept.sort(key=lambda proof: proof.version)
+        self._proofs = kept[-N_PROOFS_MAX:]
+        return True
+
+    def newest(self, version: int) -> Proof | None:
+        """Return the newest proof that holds for a version, None if there is none."""
+        for proof in reversed(self._proofs):
+            if proof.version <= version:
+                return proof
+        return None
+
+    def age_ms(self, version: int, now_ms: float) -> float:
+        """Return the age of the newest proof for a version, infinity without one."""
+        proof = self.newest(version)
+        return math.inf if proof is None else max(0.0, now_ms - proof.as_of_ms)
+
+
+class RowShown(Enum):
+    """What an answer of the table shows of the document's row."""
+
+    NOTHING = auto()
+    IN_FORCE = auto()
+    REJECTED = auto()
+    OTHER = auto()
+
+
+class ReadStart(Struct, frozen=True):
+    """The state at the start of a read; `position` is None for all rows."""
+
+    at_ms: float
+    version: int
+    position: int | None
+    is_shown: bool
+
+
+class ReadProver:
+    """Derives proofs from this daemon's own reads of the table.
+
+    An answer without changes proves something only if the table showed the version in
+    force before, here or to the neighbour that sent it. `must_reread` is true after the
+    table's position went back, until all rows have been read.
+    """
+
+    def __init__(self) -> None:
+        self._is_shown = False
+        self.must_reread = False
+
+    def adopt(self) -> None:
+        """Record that a neighbour's version was put in force with its position."""
+        self._is_shown = True
+
+    def start(self, now_ms: float, version: int, position: int | None) -> ReadStart:
+        """Return the state at the start of a read."""
+        return ReadStart(now_ms, version, position, self._is_shown)
+
+    def finish(
+        self,
+        start: ReadStart,
+        position: int,
+        shown: RowShown,
+        version: int,
+        is_superseded: bool,
+    ) -> Proof | None:
+        """Return what the answer to a read proves, or None.
+
+        `position` is the table's position in the answer, and `version` the version in
+        force after it. A rejected document changes nothing, so the version in force
+        counts as the newest, unless it `is_superseded`: another daemon has put a newer
+        version in force. A row with an older version, with another document of the same
+        version or without a document proves nothing.
+        """
+        if start.position is not None and position < start.position:
+            self._is_shown = False
+            self.must_reread = True
+            return None
+        if start.position is None:
+            self.must_reread = False
+        if shown is RowShown.IN_FORCE:
+            self._is_shown = True
+            return Proof(version, start.at_ms)
+        if is_superseded:
+            return None
+        if shown is RowShown.REJECTED and version:
+            self._is_shown = True
+            return Proof(version, start.at_ms)
+        if shown is RowShown.NOTHING and start.position is not None:
+            return Proof(start.version, start.at_ms) if start.is_shown else None
+        if start.version == version:
+            self._is_shown = False
+        return None
+
+
+class ProofQuestions:
+    """This daemon's questions to its neighbours for a newer proof.
+
+    An answer counts from its question, whenever it arrives.
+    """
+
+    def __init__(self) -> None:
+        self._n_asked = 0
+        self._asked_ms = -math.inf
+        self._asked_vm = ""
+        # Maps the number of each open question to its neighbour and its time.
+        self._open: OrderedDict[int, tuple[str, float]] = OrderedDict()
+
+    def may_ask(self, now_ms: float) -> bool:
+        """Return whether enough time has passed since the last question."""
+        return now_ms - self._asked_ms >= ASK_INTERVAL_MS
+
+    def next_vm(self, neighbours: Iterable[str]) -> str | None:
+        """Return the neighbour to ask next, each one in its turn."""
+        ordered = sorted(neighbours)
+        later = [vm for vm in ordered if vm > self._asked_vm]
+        return next(iter(later or ordered), None)
+
+    def ask(self, vm: str, now_ms: float) -> int:
+        """Record a question to a neighbour and return its number."""
+        self._n_asked += 1
+        self._asked_ms, self._asked_vm = now_ms, vm
+        self._open[self._n_asked] = (vm, now_ms)
+        while len(self._open) > N_QUESTIONS_MAX:
+            self._open.popitem(last=False)
+        return self._n_asked
+
+    def read_answer(
+        self, vm: str, number: int, version: int, age_ms: int
+    ) -> Proof | None:
+        """Return what a neighbour's answer proves, or None."""
+        asked_vm, asked_ms = self._open.get(number, ("", 0.0))
+        if asked_vm != vm or age_ms < 0:
+            return None
+        return Proof(version, asked_ms - age_ms)
+
+
+__all__ = [
+    "ASK_INTERVAL_MS",
+    "ASK_SHARE",
+    "NEWER_MIN_MS",
+    "READ_SHARE",
+    "READ_SPREAD_SHARE",
+    "FreshnessProof",
+    "Proof",
+    "ProofQuestions",
+    "ReadProver",
+    "ReadStart",
+    "RowShown",
+]
--- a/packages/pepperstaird/pepperstaird/document_exchange.py
+++ b/packages/pepperstaird/pepperstaird/document_exchange.py
@@ -13,10 +13,12 @@
 from pepperstair_core.following import FollowedDocumentState, OfferResult
 from pepperstair_core.shared_reading import ReadSchedule
 from pepperstair_core.wire import (
+    DocumentAsk,
     DocumentCopy,
     DocumentDelta,
     DocumentFresh,
     DocumentHave,
+    DocumentProof,
     DocumentPull,
     compress,
     decompress,
@@ -24,6 +26,7 @@
 from pepperstair_peers import ControlPlane
 
 from .clock import boot_ms
+from .proof_exchange import ProofExchange
 
 log = structlog.get_logger(__name__)
 
@@ -49,7 +52,9 @@
     `schedule`, confirmations that a version was the newest are forwarded too.
     `is_newest_known` is false after this daemon has rejected the newest version in the
     table, which other daemons may accept; meanwhile it does not confirm its own version
-    as the newest.
+    as the newest. `proofs` exchanges what proves that the version in force is the
+    newest, for which confirmations are not strict enough; `on_adopted` is called when a
+    neighbour's document was put in force.
     """
 
     def __init__(
@@ -59,7 +64,11 @@
         offer: Callable[[bytes, str], OfferResult],
         is_watching: Callable[[], bool],
         schedule: ReadSchedule | None,
+        proofs: ProofExchange,
+        on_adopted: Callable[[], None],
     ) -> None:
+        self._proofs = proofs
+        self._on_adopted = on_adopted
         self._control = control
         self._following = following
         self._offer = offer
@@ -97,6 +106,13 @@
         if self._pull_timer is not None:
             self._pull_timer.cancel()
 
+    @property
+    def is_superseded(self) -> bool:
+        """Return whether other daemons have accepted a version rejected here."""
+        return (
+            not self.is_newest_known and self._newest_version > self._following.version
+        )
+
     def publish_version(self) -> None:
         """Announce the version just put in force, and answer pending pulls of it."""
         document = self._following.document
@@ -168,6 +184,7 @@
     def _on_neighbour_down(self, vm: str) -> None:
         """Send a pull that the lost neighbour has not answered to another neighbour."""
         self._pending_pulls.pop(vm, None)
+        self._proofs.forget(vm)
         if vm in self._sources:
             self._sources.remove(vm)
         if vm != self._pulled_vm:
@@ -197,6 +214,10 @@
                 self._handle_copy(vm, frame)
             case DocumentDelta():
                 self._handle_delta(vm, frame)
+            case DocumentAsk():
+                self._proofs.handle_question(vm, frame)
+            case DocumentProof():
+                self._proofs.handle_answer(vm, frame)
             case _:
                 pass
 
@@ -204,6 +225,7 @@
         as_of_ms = boot_ms() - frame.age_ms
         if frame.version == self._following.version:
             self.confirm(frame.position, as_of_ms, vm)
+            self._proofs.handle_confirmation(vm, as_of_ms)
         elif frame.version > self._following.version:
             self._on_newer_version(vm, frame.version)
 
@@ -274,8 +296,11 @@
         # table's history. The position is adopted because a watch from an earlier
         # position would return this version again.
         self._advance_position(frame.position)
+        self._on_adopted()
         if frame.age_ms >= 0:
-            self.confirm(frame.position, boot_ms() - frame.age_ms, vm)
+            as_of_ms = boot_ms() - frame.age_ms
+            self.confirm(frame.position, as_of_ms, vm)
+            self._proofs.handle_confirmation(vm, as_of_ms)
         if self._pull_timer is not None:
             self._pull_timer.cancel()
             self._pull_timer = None
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import secrets
 from collections.abc import Callable, Mapping
@@ -12,6 +13,7 @@
 from result import Result
 
 from pepperstair_core.accounts import AccountTable, compile_accounts
+from pepperstair_core.config import AccountsSettings
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_core.events import Event
@@ -21,6 +23,14 @@
     FollowedDocumentState,
     OfferResult,
 )
+from pepperstair_core.freshness import (
+    ASK_SHARE,
+    READ_SHARE,
+    READ_SPREAD_SHARE,
+    ReadProver,
+    ReadStart,
+    RowShown,
+)
 from pepperstair_core.labels import Labels
 from pepperstair_core.routing import (
     RouteTable,
@@ -34,6 +44,7 @@
 
 from .clock import boot_ms, wall_ms
 from .document_exchange import DocumentExchange
+from .proof_exchange import ProofExchange
 
 log = structlog.get_logger(__name__)
 
@@ -67,6 +78,12 @@
 # each version and delay all calls.
 _WATCHED_TRANSFER_MAX_S: Final = 0.2
 _WATCH_CHECK_INTERVAL_S: Final = 0.5
+# Time between two checks of the age of the proof that the version in force is the
+# newest, and between two checks whether a proof is needed at all.
+_PROOF_CHECK_S: Final = 0.25
+_PROOF_IDLE_S: Final = 1.0
+# Minimum time between two reads for a proof. A random part of the same length is added.
+_PROOF_READ_INTERVAL_S: Final = 1.0
 _EXPIRED: Final = ErrorKind.WATCH_EXPIRED
 _REJECTIONS: Final = (OfferResult.REJECTED, OfferResult.REJECTED_BEFORE)
 
@@ -81,7 +98,8 @@
     regardless of its link speed, because the daemon itself or other daemons may depend
     on that watch for new versions. With a `schedule` the fleet shares its reads;
     `reader_rank` then returns this daemon's rank in the order of readers. Without one,
-    each daemon watches the table.
+    each daemon watches the table. `account_limits` returns the limits on proofs that
+    the client accounts in force are the newest.
     """
 
     def __init__(
@@ -98,7 +116,9 @@
         must_watch: Callable[[], bool] = lambda: True,
         schedule: ReadSchedule | None = None,
         reader_rank: Callable[[], int] = lambda: 0,
+        account_limits: Callable[[], AccountsSettings] = AccountsSettings,
     ) -> None:
+        self._account_limits = account_limits
         self._transfer_s = transfer_s
         self._must_watch = must_watch
         self.schedule = schedule
@@ -115,8 +135,21 @@
         self._watch_task: asyncio.Task[None] | None = None
         self._is_table_unavailable = False
         self._learnt_from = ""
+        self._proof_task: asyncio.Task[None] | None = None
+        self._proof_read_share = READ_SHARE + rng.random() * READ_SPREAD_SHARE
+        self._prover = ReadProver()
+        self._was_polled = False
+        self.proofs = ProofExchange(
+            control, lambda: self._following.version, self._proof_limit_ms
+        )
         self._exchange = DocumentExchange(
-            control, self._following, self._offer, self._is_watching, schedule
+            control,
+            self._following,
+            self._offer,
+            self._is_watching,
+            schedule,
+            self.proofs,
+            self._prover.adopt,
         )
         self.n_ignored = 0
         self.n_rejected = 0
@@ -144,13 +177,17 @@
     def start(self) -> None:
         """Start following the table and processing frames of the neighbours."""
         self._exchange.start()
-        self._watch_task = asyncio.get_running_loop().create_task(self._watch())
+        loop = asyncio.get_running_loop()
+        self._watch_task = loop.create_task(self._watch())
+        self._proof_task = loop.create_task(self._keep_proof())
 
     def close(self) -> None:
         """Stop following."""
         self._exchange.close()
         if self._watch_task is not None:
             self._watch_task.cancel()
+        if self._proof_task is not None:
+            self._proof_task.cancel()
 
     def members_changed(self) -> None:
         """Do nothing: versions are sent to the current neighbours in any case."""
@@ -182,8 +219,15 @@
         return self._exchange.age_ms()
 
     def proof_age_ms(self) -> float:
-        """Return the age of the proof that this version is the newest, inf if none."""
-        return 0.0
+        """Return the age of the proof that this version is the newest, inf if none.
+
+        Where the age of proofs has no limit, the age of the last confirmation is
+        returned, for which neighbours need not be asked.
+        """
+        if self._account_limits().proof_age_max_ms:
+            return self.proofs.age_ms()
+        age_ms = self.age_ms()
+        return math.inf if age_ms < 0 else age_ms
 
     def counters(self) -> dict[str, int]:
         """Return the counts that `status` and the metrics show."""
@@ -207,13 +251,15 @@
             if not is_due:
                 await self._until_due()
             is_due = False
+            if self._prover.must_reread and self._proof_limit_ms():
+                exchange.position = None
             position = exchange.position
+            start = self._start_read(position)
             read = await self._read_or_watch(position, is_first)
             if read.is_ok():
                 self._log_table_state(None)
-                self._apply_rows(read.unwrap())
+                self._apply_answer(start, read.unwrap())
                 is_first = position is None
-                exchange.confirm(read.unwrap().position, boot_ms())
                 backoff_s = _BACKOFF_MIN_S
                 if read.unwrap().rows:
                     await asyncio.sleep(self._pause_after_answer_s(read.unwrap()))
@@ -228,6 +274,52 @@
             await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
             backoff_s = min(self._backoff_max_s(), 2 * backoff_s)
 
+    async def _keep_proof(self) -> None:
+        """Ask neighbours for proofs, and read the table if they have no newer one."""
+        while True:
+            if not self._proof_limit_ms():
+                await asyncio.sleep(_PROOF_IDLE_S)
+                continue
+            await asyncio.sleep(_PROOF_CHECK_S * self._rng.uniform(0.5, 1.0))
+            self.proofs.refresh()
+            if self.proofs.is_older_than(self._proof_read_share):
+                await self._read_for_proof()
+                pause_s = _PROOF_READ_INTERVAL_S * self._rng.uniform(1.0, 2.0)
+                await asyncio.sleep(pause_s)
+
+    async def _read_for_proof(self) -> None:
+        position = self._exchange.position
+        start = self._start_read(position)
+        if position is None:
+            read = await self._table.read()
+        else:
+            read = await self._table.wait(position, 0)
+        if read.is_ok():
+            self._apply_answer(start, read.unwrap())
+
+    def _proof_limit_ms(self) -> int:
+        """Return the maximum age of a proof, 0 if no proof is needed."""
+        if not self.accounts.is_in_use:
+            return 0
+        return self._account_limits().proof_age_max_ms
+
+    def _start_read(self, position: int | None) -> ReadStart:
+        return self._prover.start(boot_ms(), self._following.version, position)
+
+    def _apply_answer(self, start: ReadStart, rows: WatchedRows) -> None:
+        """Apply the rows of an answer, and record what it proves."""
+        exchange = self._exchange
+        proof = self._prover.finish(
+            start,
+            rows.position,
+            self._apply_rows(rows),
+            self._following.version,
+            exchange.is_superseded,
+        )
+        if proof is not None:
+            self.proofs.record(proof)
+        exchange.confirm(rows.position, boot_ms())
+
     def _backoff_max_s(self) -> float:
         """Return the longest pause between reads while the table can't be read."""
         if self.schedule is None or not self.document:
@@ -277,6 +369,11 @@
         now_ms = boot_ms()
         if is_alone or self.schedule.is_watcher(reader_rank, now_ms):
             wait_ms = self.schedule.watch_ms(reader_rank, now_ms)
+        # A watch proves the state at its start, so a read that ends at once follows a
+        # long watch.
+        self._was_polled = not self._was_polled and self.proofs.is_older_than(ASK_SHARE)
+        if self._was_polled:
+            wait_ms = 0
         return await self._table.wait(position, wait_ms)
 
     def _watches_continuously(self) -> bool:
@@ -321,7 +418,8 @@
         else:
             log.info(Event.PLATFORM_RECOVERED, version=self._following.version)
 
-    def _apply_rows(self, rows: WatchedRows) -> None:
+    def _apply_rows(self, rows: WatchedRows) -> RowShown:
+        """Put the newest version of an answer in force; return what it shows."""
         # A removed row leaves the version in force: otherwise all routes of the
         # operators would disappear at once, and callers would be answered with the
         # error `no_route`. An answer may hold several versions, of which only the
@@ -333,7 +431,19 @@
             if index == 0:
                 self._exchange.is_newest_known = is_accepted
             if is_accepted:
-                return
+                break
+        return self._shown_by(row_values)
+
+    def _shown_by(self, row_values: list[bytes | None]) -> RowShown:
+        """Return what the document's row shows after its versions were applied."""
+        if not row_values:
+            return RowShown.NOTHING
+        if row_values[-1] is None:
+            return RowShown.OTHER
+        if not self._exchange.is_newest_known:
+            return RowShown.REJECTED
+        is_in_force = row_values[-1] == self.document.data
+        return RowShown.IN_FORCE if is_in_force else RowShown.OTHER
 
     def _offer(self, data: bytes, learnt_from: str) -> OfferResult:
         result = self._following.offer(data)
