Treat calls that targets make as urgent where clients have accounts

Cause: the priority of an account takes precedence over the route's, so that new requests of urgent accounts came before the look-ups of requests that were already running.

Change: a request without an account that enters while a target of this VM is running something counts as a call of that target and is urgent.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -10,6 +10,7 @@
 import structlog
 from msgspec.structs import replace
 
+from pepperstair_core.accounts import effective_priority
 from pepperstair_core.calls import (
     FULL_AVOIDED_MS,
     Attempt,
@@ -44,7 +45,7 @@
     may_have_reached_target,
 )
 from .attempt_reports import report_ejection, report_retry
-from .authorization import find_account
+from .authorization import find_account, is_inner_call
 from .context import ProxyContext
 from .request_body import RequestBody
 from .request_heads import RequestHead
@@ -79,6 +80,7 @@
         "_excluded",
         "_head",
         "_is_idempotent",
+        "_is_inner_call",
         "_latency_ms",
         "_may_have_reached_target",
         "_n_over_limit",
@@ -125,6 +127,7 @@
         self._overload_failure: Failure | None = None
         self.compiled = compiled
         self.account = account
+        self._is_inner_call = is_inner_call(context, account)
         self.deadline_ms = arrived_ms + self.timeout_ms
         self._attempt_start_ms = 0.0
         self._latency_ms = 0.0
@@ -143,9 +146,10 @@
 
     @property
     def priority(self) -> str:
-        """Return the priority of the account or, if it has none, of the route."""
-        own = self.account.priority if self.account is not None else ""
-        return own or self.compiled.route.priority
+        """Return the priority of the request."""
+        return effective_priority(
+            self.compiled.route.priority, self.account, self._is_inner_call
+        )
 
     @property
     def time_left_ms(self) -> float:
--- a/packages/pepperstair-callers/pepperstair_callers/authorization.py
+++ b/packages/pepperstair-callers/pepperstair_callers/authorization.py
@@ -45,4 +45,13 @@
     return False
 
 
-__all__ = ["find_account", "is_out_of_date"]
+def is_inner_call(context: ProxyContext, account: Account | None) -> bool:
+    """Return whether a request is probably a call of a target of this VM.
+
+    Targets and callers use the same address. Where clients have accounts, the calls of
+    targets are those without one, and they arrive while a target is running a request.
+    """
+    return account is None and context.accounts().is_in_use and context.n_running() > 0
+
+
+__all__ = ["find_account", "is_inner_call", "is_out_of_date"]
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -48,7 +48,8 @@
     a stopping daemon exits, or infinity if the daemon is not stopping. `on_leaving` is
     called with a target that states in an answer that it is leaving. `accounts` returns
     the client accounts in force and `proof_age_ms` the age of the last proof that they
-    are the newest, which `account_limits` bounds.
+    are the newest, which `account_limits` bounds. `n_running` returns the number of
+    calls that the targets of this VM are running.
     """
 
     vm: str
@@ -78,6 +79,7 @@
     accounts: Callable[[], AccountTable] = lambda: NO_ACCOUNTS
     proof_age_ms: Callable[[], float] = lambda: 0.0
     account_limits: Callable[[], AccountsSettings] = AccountsSettings
+    n_running: Callable[[], int] = lambda: 0
 
 
 __all__ = ["AttemptSender", "ProxyContext"]
--- a/packages/pepperstair-core/pepperstair_core/accounts.py
+++ b/packages/pepperstair-core/pepperstair_core/accounts.py
@@ -136,6 +136,20 @@
     return _UNAUTHORIZED
 
 
+def effective_priority(
+    route_priority: str, account: Account | None, is_inner_call: bool
+) -> str:
+    """Return the priority of a request.
+
+    That of its account takes precedence over that of its route. A call that a target
+    makes has no account; it is urgent because its refusal wastes the run that waits for
+    it, whose priority was considered when the run was admitted.
+    """
+    if is_inner_call:
+        return "urgent"
+    return (account.priority if account is not None else "") or route_priority
+
+
 def _is_older(age_ms: float, limit_ms: int) -> bool:
     return limit_ms > 0 and age_ms > limit_ms
 
@@ -147,4 +161,5 @@
     "Refusal",
     "authorize",
     "compile_accounts",
+    "effective_priority",
 ]
--- a/packages/pepperstaird/pepperstaird/proxying.py
+++ b/packages/pepperstaird/pepperstaird/proxying.py
@@ -76,6 +76,7 @@
         accounts=lambda: daemon.configuration.accounts,
         proof_age_ms=lambda: daemon.configuration.proof_age_ms(),
         account_limits=lambda: daemon.settings.accounts,
+        n_running=lambda: daemon.runner.n_in_flight,
     )
 
 
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -143,6 +143,7 @@
         self.accounts = NO_ACCOUNTS
         self.proof_age_ms = 0.0
         self.account_limits = AccountsSettings()
+        self.n_running = 0
         self.heads: list[CallHead] = []
         self.context = self._context(body_max_bytes)
         self.proxy = Proxy(self.context)
@@ -251,6 +252,7 @@
             accounts=lambda: self.accounts,
             proof_age_ms=lambda: self.proof_age_ms,
             account_limits=lambda: self.account_limits,
+            n_running=lambda: self.n_running,
         )
 
 
--- a/tests/test_account_calls.py
+++ b/tests/test_account_calls.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import pytest
+from msgspec.structs import replace
 from structlog.testing import capture_logs
 
 from pepperstair_core.accounts import AccountTable
@@ -257,3 +258,19 @@
         writer.close()
         assert b"400" in answer
         assert b"s3cret" not in answer
+
+
+@pytest.mark.parametrize(
+    ("n_running", "headers", "priority"),
+    [(1, (), "urgent"), (0, (), "normal"), (1, KEYED, "deferrable")],
+)
+@on_loop
+async def test_call_of_a_running_target_goes_before_new_requests(
+    n_running, headers, priority
+):
+    """Guards against runs that fail because their own calls queue behind new work."""
+    async with Mesh(allows_anonymous=True) as mesh:
+        mesh.n_running = n_running
+        await mesh_with_accounts(mesh, replace(ATLAS, priority="deferrable"))
+        assert (await mesh.call(headers=headers)).status == 200
+        assert mesh.heads[0].priority == priority
