Questions between daemons over their data streams

Cause: a daemon has to ask the owner of a quota for tokens. The data stream carries calls only, and opening another stream for each pair of daemons would cost memory and handshakes.

Change: CallClient.ask sends a frame with a number and returns the answer with that number; the server has a table of handlers by type of question. Questions of one loop iteration share a write. A stream on which questions stay unanswered for the silence timeout is replaced. Questions cause no heartbeats, which would double the bytes of a fleet whose daemons all ask each other.

Result: tests/test_data_streams.py passes, with three new tests.

--- a/packages/pepperstair-peers/pepperstair_peers/data/client.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import structlog
 
@@ -64,6 +65,30 @@
         self, peer_address: str, head: CallHead, body: BodyBuffer
     ) -> StreamedResponse:
         """Send a call to a daemon and return its answer, or raise PepperstairError."""
+        return await self._link_to(peer_address).run(head, body)
+
+    async def ask(self, peer_address: str, question: Any, timeout_s: float) -> Any:
+        """Send a frame with a `number` and return the answer to it.
+
+        Raise TimeoutError if the answer does not arrive in time, or PepperstairError if
+        the daemon can't be reached.
+        """
+        async with asyncio.timeout(timeout_s):
+            return await self._link_to(peer_address).ask(question)
+
+    def load_of(self, peer_address: str, target: str) -> Load | None:
+        """Return the load that a daemon last reported for one of its targets."""
+        link = self._links.get(peer_address)
+        return None if link is None else link.loads.get(target)
+
+    def close(self) -> None:
+        """Close every stream and fail the calls in flight."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for link in self._links.values():
+            link.close()
+
+    def _link_to(self, peer_address: str) -> PeerLink:
         link = self._links.get(peer_address)
         if link is None:
             link = PeerLink(
@@ -77,19 +102,7 @@
             if self._timer is None:
                 self._last_tick_ms = self._clock_ms()
                 self._schedule()
-        return await link.run(head, body)
-
-    def load_of(self, peer_address: str, target: str) -> Load | None:
-        """Return the load that a daemon last reported for one of its targets."""
-        link = self._links.get(peer_address)
-        return None if link is None else link.loads.get(target)
-
-    def close(self) -> None:
-        """Close every stream and fail the calls in flight."""
-        if self._timer is not None:
-            self._timer.cancel()
-        for link in self._links.values():
-            link.close()
+        return link
 
     def _schedule(self) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/pepperstair-peers/pepperstair_peers/data/link.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/link.py
@@ -18,6 +18,7 @@
     Credit,
     FrameError,
     Heartbeat,
+    QuotaGrant,
     Reset,
     Welcome,
 )
@@ -29,6 +30,7 @@
 
 log = structlog.get_logger(__name__)
 
+_ANSWERS_TO_QUESTIONS: Final = (QuotaGrant,)
 _N_RECOVERIES_MAX: Final = 3
 N_SILENT_HEARTBEATS: Final = 2
 _N_IDLE_HEARTBEATS: Final = 60
@@ -66,6 +68,11 @@
         self._start_id = 0
         self._calls: dict[int, OutgoingCall] = {}
         self._completed_call_ids: list[int] = []
+        # Maps the numbers of open questions to the futures of their answers.
+        self._questions: dict[int, asyncio.Future[Any]] = {}
+        self._unsent_questions: list[Any] = []
+        # When the first question after the last answer was sent, or None.
+        self._unanswered_since_ms: int | None = None
         self._open_task: asyncio.Task[None] | None = None
         self._recovery_task: asyncio.Task[None] | None = None
         self._n_last_received_bytes = 0
@@ -102,6 +109,21 @@
             answer.status, answer.headers, call.body, lambda: self._abandon(call_id)
         )
 
+    async def ask(self, frame: Any) -> Any:
+        """Send a question and return its answer, the frame with the same `number`.
+
+        Raise PepperstairError if the stream can't be opened or is lost.
+        """
+        answer = asyncio.get_running_loop().create_future()
+        self._questions[frame.number] = answer
+        try:
+            if not self._is_open:
+                await self._ensure_open()
+            self._send_soon(frame)
+            return await answer
+        finally:
+            self._questions.pop(frame.number, None)
+
     @property
     def is_unused(self) -> bool:
         """Return whether the link has no calls and no open or opening stream."""
@@ -120,12 +142,13 @@
         if self._calls:
             self._last_used_ms = now_ms
             self._replace_silent_stream(now_ms)
-        elif now_ms - self._last_used_ms >= _N_IDLE_HEARTBEATS * self._heartbeat_ms:
+        elif self._is_ignored(now_ms) or self._is_idle(now_ms):
             self._stream.close()
 
     def reset_silence_timer(self, now_ms: int) -> None:
         """Restart the silence timeout after this process was paused or blocked."""
         self._last_received_ms = now_ms
+        self._unanswered_since_ms = None
 
     def close(self) -> None:
         """Close the stream, and fail unfinished calls with `outcome_unknown`."""
@@ -136,6 +159,7 @@
         self._calls.clear()
         for call in calls:
             call.fail(Failure(ErrorKind.OUTCOME_UNKNOWN, "this daemon is stopping"))
+        self._fail_questions("this daemon is stopping")
         if self._stream is not None:
             self._stream.finish()
 
@@ -143,6 +167,33 @@
     def _is_open(self) -> bool:
         return self._stream is not None and not self._stream.is_closed
 
+    def _send_soon(self, question: Any) -> None:
+        """Send a question in one write with others of the same loop iteration."""
+        if not self._unsent_questions:
+            asyncio.get_running_loop().call_soon(self._send_questions)
+        self._unsent_questions.append(question)
+
+    def _send_questions(self) -> None:
+        questions, self._unsent_questions = self._unsent_questions, []
+        if self._is_open:
+            self._last_used_ms = now_ms = self._clock_ms()
+            if self._unanswered_since_ms is None:
+                self._unanswered_since_ms = now_ms
+            self._stream.send(*questions)
+
+    def _is_idle(self, now_ms: int) -> bool:
+        return now_ms - self._last_used_ms >= _N_IDLE_HEARTBEATS * self._heartbeat_ms
+
+    def _is_ignored(self, now_ms: int) -> bool:
+        """Return whether questions were not answered for the silence timeout."""
+        since_ms = self._unanswered_since_ms
+        return since_ms is not None and now_ms - since_ms >= self._silence_ms
+
+    def _fail_questions(self, detail: str) -> None:
+        for answer in self._questions.values():
+            if not answer.done():
+                answer.set_exception(_unreachable_error(detail))
+
     def _replace_silent_stream(self, now_ms: int) -> None:
         """Close a stream that is silent while calls are waiting.
 
@@ -196,6 +247,7 @@
 
     def _on_welcome(self, stream: FrameStream, welcome: Welcome) -> None:
         self._stream = stream
+        self._unanswered_since_ms = None
         self._start_id = welcome.start_id
         self._silence_ms = max(self._own_silence_ms, welcome.silence_ms)
         self._last_received_ms = self._last_used_ms = self._clock_ms()
@@ -222,6 +274,9 @@
         if isinstance(frame, Heartbeat):
             self._update_loads(frame)
             return
+        if isinstance(frame, _ANSWERS_TO_QUESTIONS):
+            self._answer_question(frame)
+            return
         call_id = getattr(frame, "call_id", None)
         if call_id is None:
             raise FrameError(f"unexpected {type(frame).__name__} on a data stream")
@@ -247,6 +302,14 @@
             ):
                 self._completed_call_ids.append(call_id)
 
+    def _answer_question(self, frame: Any) -> None:
+        self._unanswered_since_ms = None
+        answer = self._questions.get(frame.number)
+        if answer is None or answer.done():
+            self.n_dropped_frames += 1
+        else:
+            answer.set_result(frame)
+
     def _resend_undelivered(self, call: OutgoingCall, frame: Any) -> bool:
         """Resend a call that did not reach the peer, and return whether it was resent.
 
@@ -278,6 +341,7 @@
         self._stream = None
         self.loads = {}
         self._completed_call_ids.clear()
+        self._fail_questions("the stream was lost")
         for call_id, call in list(self._calls.items()):
             call.stop_sending()
             if call.head.is_idempotent and not call.is_resendable:
--- a/packages/pepperstair-peers/pepperstair_peers/data/server.py
+++ b/packages/pepperstair-peers/pepperstair_peers/data/server.py
@@ -67,6 +67,7 @@
         self.sequence = hello.sequence
         self.calls: dict[int, IncomingCall] = {}
         self.last_active_ms = now_ms
+        self.last_asked_ms = now_ms
 
     def on_stream_lost(self) -> None:
         """Detach the calls from the lost stream."""
@@ -106,6 +107,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self.loads: Callable[[], Loads] = lambda: ()
         self.was_paused: Callable[[], bool] = lambda: False
+        # Maps a type of question to the function that returns the answer. It gets the
+        # sender too.
+        self.question_handlers: dict[type, Callable[[Sender, Any], Any]] = {}
         self.n_calls = 0
         self.n_dropped_frames = 0
 
@@ -165,6 +169,9 @@
         elif isinstance(frame, CallsDone):
             for call_id in frame.call_ids:
                 self._memory.release(CallKey(incoming.sender, call_id))
+        elif (handle := self.question_handlers.get(type(frame))) is not None:
+            incoming.last_asked_ms = self._clock_ms()
+            incoming.stream.send(handle(incoming.sender, frame))
         elif (call_id := getattr(frame, "call_id", None)) is None:
             raise FrameError(f"unexpected {type(frame).__name__} on a data stream")
         elif (call := incoming.calls.get(call_id)) is not None:
@@ -273,7 +280,7 @@
         """Send a heartbeat with the target loads on each stream in use.
 
         Streams without recent calls are skipped, because each daemon may have a stream
-        to every other daemon.
+        to every other daemon. Questions do not need heartbeats.
         """
         now_ms = self._clock_ms()
         heartbeat = Heartbeat(0, self.loads())
@@ -283,7 +290,7 @@
             idle_ms = now_ms - incoming.last_active_ms
             if incoming.calls or idle_ms < active_limit_ms:
                 incoming.stream.send(heartbeat)
-            elif idle_ms > idle_limit_ms:
+            elif min(idle_ms, now_ms - incoming.last_asked_ms) > idle_limit_ms:
                 incoming.stream.close()
         self._schedule()
 
--- a/tests/test_data_streams.py
+++ b/tests/test_data_streams.py
@@ -19,6 +19,8 @@
     CallHead,
     CallQuery,
     Heartbeat,
+    QuotaAsk,
+    QuotaGrant,
     StreamKind,
 )
 from pepperstair_http import BodyBuffer, ConnectionLostError, StreamedResponse
@@ -472,3 +474,65 @@
             assert path.server.calls.n_in_flight == 0
 
     asyncio.run(scenario())
+
+
+def grant_for(question: QuotaAsk) -> QuotaGrant:
+    """Return an answer that grants what is asked for."""
+    wanted = question.n_wanted
+    return QuotaGrant(question.number, question.account, wanted, 0, is_owner=True)
+
+
+def question(number: int) -> QuotaAsk:
+    return QuotaAsk(number, "sayaw", n_wanted=number, n_returned=0)
+
+
+def test_questions_are_answered_by_number():
+    async def scenario() -> None:
+        async with open_path() as path:
+            path.server.calls.question_handlers[QuotaAsk] = lambda sender, frame: (
+                grant_for(frame)
+            )
+            answers = await asyncio.gather(
+                *(path.client.ask(path.relay.address, question(i), 5) for i in (1, 2))
+            )
+            assert [each.n_granted for each in answers] == [1, 2]
+            assert path.client.n_in_flight == 0
+
+    asyncio.run(scenario())
+
+
+def test_question_without_an_answer_fails_in_time():
+    async def scenario() -> None:
+        async with open_path() as path:
+            path.server.calls.question_handlers[QuotaAsk] = lambda sender, frame: (
+                grant_for(frame)
+            )
+            await path.client.ask(path.relay.address, question(1), 5)
+            path.relay.silence()
+            with pytest.raises(TimeoutError):
+                await path.client.ask(path.relay.address, question(2), 0.02)
+            with pytest.raises(PepperstairError):
+                await path.client.ask("127.0.0.1:1", question(3), 5)
+
+    asyncio.run(scenario())
+
+
+def test_stream_on_which_questions_are_not_answered_is_replaced():
+    """Guards against asking on a connection whose state a middlebox has lost."""
+
+    async def scenario() -> None:
+        async with open_path() as path:
+            path.server.calls.question_handlers[QuotaAsk] = lambda sender, frame: (
+                grant_for(frame)
+            )
+            await path.client.ask(path.relay.address, question(1), 5)
+            path.relay.silence()
+            for number in range(2, 100):
+                try:
+                    await path.client.ask(path.relay.address, question(number), 0.05)
+                    break
+                except (TimeoutError, PepperstairError):
+                    continue
+            assert 2 < number < 99
+
+    asyncio.run(scenario())
