Quotas of client accounts in the daemon

Cause: accounts have a rate and a burst, and nothing limits their requests.

Change: pepperstaird.quotas asks the owner of an account for tokens, or grants them where this daemon is the owner. The proxy takes a token once a request after its account is known and gives it back if the request was refused as not run. A request above the quota is answered with the new error kind quota_exceeded (429); busy is also the answer for a target's rate limit, which stays logged and counted as before. Refusals are logged once an account and second, and do not count against the service's objective. Without an account with a quota in force there is no state and no frame.

--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -22,6 +22,8 @@
 )
 from pepperstair_core.config import AccountsSettings
 from pepperstair_core.decisions import DecisionLog
+from pepperstair_core.intent import Account
+from pepperstair_core.quota import Token
 from pepperstair_core.routing import CompiledRoute, Endpoint, RouteTable
 from pepperstair_core.wire import CallHead
 from pepperstair_http import (
@@ -36,6 +38,10 @@
 AttemptSender = Callable[[Endpoint, CallHead, BodyBuffer], Awaitable[StreamedResponse]]
 
 
+async def _take_no_quota(account: Account) -> Token | None:
+    return None
+
+
 class ProxyContext(Struct, frozen=True):
     """The state and the functions that the proxy shares with the daemon.
 
@@ -48,7 +54,9 @@
     a stopping daemon exits, or infinity if the daemon is not stopping. `on_leaving` is
     called with a target that states in an answer that it is leaving. `accounts` returns
     the client accounts in force and `proof_age_ms` the age of the last proof that they
-    are the newest, which `account_limits` bounds.
+    are the newest, which `account_limits` bounds. `take_quota` waits for the right to
+    run one request of an account, or raises PepperstairError; it returns None if no
+    quota applies. `refund_quota` takes back the right of a request that did not run.
     """
 
     vm: str
@@ -78,6 +86,8 @@
     accounts: Callable[[], AccountTable] = lambda: NO_ACCOUNTS
     proof_age_ms: Callable[[], float] = lambda: 0.0
     account_limits: Callable[[], AccountsSettings] = AccountsSettings
+    take_quota: Callable[[Account], Awaitable[Token | None]] = _take_no_quota
+    refund_quota: Callable[[Token], None] = lambda token: None
 
 
 __all__ = ["AttemptSender", "ProxyContext"]
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -16,6 +16,7 @@
     RunStatus,
 )
 from pepperstair_core.events import Event
+from pepperstair_core.quota import Token
 from pepperstair_core.routing import pick_destination
 from pepperstair_http import ConnectionLostError, Exchange, Request, StreamedResponse
 
@@ -61,6 +62,7 @@
         self.n_in_flight += 1
         start_ms = self._context.now_ms() - exchange.queued_s * 1000
         call: ProxiedCall | None = None
+        token: Token | None = None
         # The outcome that is recorded if the caller disconnects: this task is then
         # cancelled before it sets another outcome below.
         status, error = ANSWERS[ErrorKind.CANCELLED].status, ErrorKind.CANCELLED
@@ -69,12 +71,16 @@
                 if self._context.is_starting():
                     await self._wait_for_startup(exchange.request)
                 call = self._create_call(exchange, start_ms)
+                if call.account is not None and call.account.has_quota:
+                    token = await self._context.take_quota(call.account)
                 response = await self._send(call)
             except PepperstairError as failed:
                 failure = failed.failure
                 status, error = failure.answer.status, failure.kind
                 if call is not None:
                     call.run = failure.run_status
+                if token is not None and failure.run_status is RunStatus.NO:
+                    self._context.refund_quota(token)
                 await answer_failure(exchange, failure, self._context.header_names)
                 return
             call.run = RunStatus.YES
@@ -250,9 +256,11 @@
         """Log the outcome of a request and the attempts that led to it.
 
         Requests with an error, a 5xx status or a retry are always logged, other
-        requests only if they are sampled.
+        requests only if they are sampled. Those above a quota are routine, as clients
+        may send many of them; `quota_exceeded` reports them once a second.
         """
-        is_routine = outcome.error is None and outcome.status < 500
+        is_routine = outcome.error in (None, ErrorKind.QUOTA_EXCEEDED)
+        is_routine = is_routine and outcome.status < 500
         is_routine = is_routine and not outcome.n_retries
         if is_routine and not is_sampled(call.request_id):
             return
--- a/packages/pepperstair-core/pepperstair_core/accounts.py
+++ b/packages/pepperstair-core/pepperstair_core/accounts.py
@@ -33,7 +33,14 @@
     ('atlas', None)
     """
 
-    __slots__ = ("_by_digest", "_by_name", "_digests", "_secret", "is_in_use")
+    __slots__ = (
+        "_by_digest",
+        "_by_name",
+        "_digests",
+        "_secret",
+        "has_quotas",
+        "is_in_use",
+    )
 
     def __init__(
         self,
@@ -55,6 +62,8 @@
             for digest in digests:
                 self._by_digest.setdefault(digest, account)
 
+        self.has_quotas = any(each.has_quota for each in self._by_name.values())
+
     def find(self, key: bytes) -> Account | None:
         """Return the account of a key, None if the key is unknown."""
         return self._by_digest.get(self._digest(key))
--- a/packages/pepperstair-core/pepperstair_core/burn/counts.py
+++ b/packages/pepperstair-core/pepperstair_core/burn/counts.py
@@ -44,6 +44,7 @@
         ErrorKind.BODY_TOO_LARGE,
         ErrorKind.NO_ROUTE,
         ErrorKind.UNAUTHORIZED,
+        ErrorKind.QUOTA_EXCEEDED,
         ErrorKind.CANCELLED,
     }
 )
--- a/packages/pepperstair-core/pepperstair_core/errors.py
+++ b/packages/pepperstair-core/pepperstair_core/errors.py
@@ -53,6 +53,7 @@
     CHANGE_OUTCOME_UNKNOWN = "change_outcome_unknown"
     WATCH_EXPIRED = "watch_expired"
     BUSY = "busy"
+    QUOTA_EXCEEDED = "quota_exceeded"
     INTERNAL = "internal"
 
 
@@ -109,6 +110,7 @@
         410, _NO, False, "the history that was asked for is gone, read anew"
     ),
     ErrorKind.BUSY: Answer(429, _NO, True, "too much is asked at once"),
+    ErrorKind.QUOTA_EXCEEDED: Answer(429, _NO, True, "the account's quota is used up"),
     ErrorKind.INTERNAL: Answer(500, _UNKNOWN, False, "an unexpected error"),
 }
 
--- a/packages/pepperstair-core/pepperstair_core/events.py
+++ b/packages/pepperstair-core/pepperstair_core/events.py
@@ -47,6 +47,7 @@
     REQUEST_CLEARED = "request_cleared"
     REQUEST_ANSWERED = "request_answered"
     REQUEST_REFUSED = "request_refused"
+    QUOTA_EXCEEDED = "quota_exceeded"
     TARGET_CALL_FAILED = "target_call_failed"
     LINES_DROPPED = "lines_dropped"
     REQUEST_MALFORMED = "request_malformed"
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -150,6 +150,23 @@
     n_calls_far_slow: Annotated[
         int, Meta(description="Calls to other zones: own targets too slow.")
     ] = 0
+    n_quota_granted: Annotated[
+        int, Meta(description="Requests that got a token of their account's quota.")
+    ] = 0
+    n_quota_refused: Annotated[
+        int, Meta(description="Requests refused, as their account's quota is used up.")
+    ] = 0
+    n_quota_reserved: Annotated[
+        int,
+        Meta(description="Requests on the reserve, as a quota's owner did not answer."),
+    ] = 0
+    n_quota_unanswered: Annotated[
+        int,
+        Meta(description="Requests refused: no answer about a quota, no reserve left."),
+    ] = 0
+    n_quota_asks: Annotated[
+        int, Meta(description="Questions for tokens sent to owners of quotas.")
+    ] = 0
     n_streams_replaced: Annotated[
         int, Meta(description="Streams lost while calls waited on them.")
     ] = 0
@@ -245,6 +262,11 @@
         n_calls_far_left_out=daemon.chooser.n_cross_zone[CrossZoneCause.EXCLUDED],
         n_calls_far_full=daemon.chooser.n_cross_zone[CrossZoneCause.FULL],
         n_calls_far_slow=daemon.chooser.n_cross_zone[CrossZoneCause.SLOW],
+        n_quota_granted=daemon.quotas.n_granted,
+        n_quota_refused=daemon.quotas.n_refused,
+        n_quota_reserved=daemon.quotas.n_reserved,
+        n_quota_unanswered=daemon.quotas.n_unanswered,
+        n_quota_asks=daemon.quotas.n_asks,
         n_streams_replaced=daemon.call_client.n_replaced_streams,
         n_frames_dropped=(
             daemon.call_client.n_dropped_frames + daemon.call_server.n_dropped_frames
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -39,6 +39,7 @@
     EndpointTable,
     effective_labels,
 )
+from pepperstair_core.versions import Snapshot
 from pepperstair_core.wire import StreamKind
 from pepperstair_core.wire.data import BODY_PART_MAX_BYTES
 from pepperstair_http import (
@@ -65,6 +66,7 @@
 from .metrics import MetricsSender
 from .proxying import make_proxy_context
 from .quarantine_rows import QuarantineRows
+from .quotas import Quotas
 from .stopping import stop_daemon
 
 log = structlog.get_logger(__name__)
@@ -183,6 +185,15 @@
             },
             self.frame_counters,
         )
+        self.quotas = Quotas(
+            self.identity,
+            settings.quotas,
+            self.directory,
+            self.call_client,
+            self.call_server,
+            lambda: self.configuration.accounts,
+            boot_ms,
+        )
         self.call_server.loads = self.runner.loads
         self.call_server.was_paused = self.control.check_pause
         self.control.on_paused = self._on_paused
@@ -212,7 +223,7 @@
         self.endpoint_table = EndpointTable()
         self.leaving_targets = LeavingTargets()
         self.registry.on_changed = self.publish_targets
-        self.configuration.on_changed = lambda snapshot: self._rebuild_endpoints()
+        self.configuration.on_changed = self._on_configuration_changed
         self.configuration.on_converged = self._record_convergence
         self._members_timer: asyncio.TimerHandle | None = None
         self._lease_task: asyncio.Task[None] | None = None
@@ -255,6 +266,11 @@
         self._members_timer = None
         self.configuration.members_changed()
         self._clear_ejections_of_returned()
+        self.quotas.members_changed()
+        self._rebuild_endpoints()
+
+    def _on_configuration_changed(self, snapshot: Snapshot) -> None:
+        self.quotas.configuration_changed()
         self._rebuild_endpoints()
 
     def _clear_ejections_of_returned(self) -> None:
@@ -276,6 +292,7 @@
     def _on_paused(self) -> None:
         """Stop proxying calls until the configuration is up to date again."""
         self.configuration.catch_up()
+        self.quotas.resume()
         self.call_server.reset_streams()
 
     async def start(self, callers_socket: socket.socket | None = None) -> None:
@@ -322,6 +339,7 @@
         self.configuration.close()
         self.crash_reports.close()
         self.control.close()
+        self.quotas.close()
         self.call_client.close()
         self.call_server.close()
         self.listener.close()
--- a/packages/pepperstaird/pepperstaird/proxying.py
+++ b/packages/pepperstaird/pepperstaird/proxying.py
@@ -76,6 +76,8 @@
         accounts=lambda: daemon.configuration.accounts,
         proof_age_ms=lambda: daemon.configuration.proof_age_ms(),
         account_limits=lambda: daemon.settings.accounts,
+        take_quota=daemon.quotas.take,
+        refund_quota=daemon.quotas.refund,
     )
 
 
