Tests of quotas at the proxy; a question ahead covers waiting requests

Cause: with ten requests at once, the first answer made the stock ask ahead for two tokens while nine requests waited, and each further answer repeated this: eight questions.

Change: a question ahead includes the requests that wait.

--- a/packages/pepperstair-core/pepperstair_core/quota/stock.py
+++ b/packages/pepperstair-core/pepperstair_core/quota/stock.py
@@ -204,7 +204,7 @@
         stock.n_waiting += 1
         if stock.ask is not None:
             return Waiting()
-        return self._ask(stock, account, stock.n_waiting, now_ms)
+        return self._ask(stock, account, now_ms)
 
     def _ask_ahead(self, stock: _Stock, account: Account, now_ms: float) -> Ask | None:
         """Return a question if half of the expected demand is no longer covered."""
@@ -216,13 +216,11 @@
             return None
         if stock.n_tokens() > n_expected // 2:
             return None
-        return self._ask(stock, account, 0, now_ms)
+        return self._ask(stock, account, now_ms)
 
-    def _ask(
-        self, stock: _Stock, account: Account, n_waiting: int, now_ms: float
-    ) -> Ask:
+    def _ask(self, stock: _Stock, account: Account, now_ms: float) -> Ask:
         n_returned = self._remove_old(stock, now_ms)
-        n_wanted = max(1, n_waiting + self._n_expected(stock) - stock.n_tokens())
+        n_wanted = max(1, stock.n_waiting + self._n_expected(stock) - stock.n_tokens())
         self._n_asks += 1
         stock.ask = Ask(self._n_asks, account.name, n_wanted, n_returned)
         stock.asked_ms = now_ms
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -16,9 +16,10 @@
 from pepperstair_core.calls import CallOutcome, TargetChooser, TokenRetryBudget
 from pepperstair_core.config import AccountsSettings
 from pepperstair_core.decisions import DecisionLog
-from pepperstair_core.intent import Policy, Route, Service
+from pepperstair_core.intent import Account, Policy, Route, Service
 from pepperstair_core.labels import parse_selector
 from pepperstair_core.members import Target, TargetState
+from pepperstair_core.quota import Token
 from pepperstair_core.routing import CompiledRoute, Endpoint, RouteTable
 from pepperstair_core.wire import CallHead
 from pepperstair_http import (
@@ -143,6 +144,9 @@
         self.accounts = NO_ACCOUNTS
         self.proof_age_ms = 0.0
         self.account_limits = AccountsSettings()
+        # Answers of the quota, each a token or an error, and the tokens given back.
+        self.quota: Callable[[Account], Token | None] = lambda account: None
+        self.refunded: list[Token] = []
         self.heads: list[CallHead] = []
         self.context = self._context(body_max_bytes)
         self.proxy = Proxy(self.context)
@@ -224,6 +228,9 @@
         self.heads.append(head)
         return await self.nodes[item.vm].runner.run(head, body)
 
+    async def _take_quota(self, account: Account) -> Token | None:
+        return self.quota(account)
+
     def _context(self, body_max_bytes: int) -> ProxyContext:
         rng = random.Random(4)
         budget = TokenRetryBudget()
@@ -251,6 +258,8 @@
             accounts=lambda: self.accounts,
             proof_age_ms=lambda: self.proof_age_ms,
             account_limits=lambda: self.account_limits,
+            take_quota=self._take_quota,
+            refund_quota=self.refunded.append,
         )
 
 
