--- a/packages/pepperstaird/pepperstaird/proxying.py
+++ b/packages/pepperstaird/pepperstaird/proxying.py
@@ -77,6 +77,8 @@
         proof_age_ms=lambda: daemon.configuration.proof_age_ms(),
         account_limits=lambda: daemon.settings.accounts,
         n_running=lambda: daemon.runner.n_in_flight,
+        take_quota=daemon.quotas.take,
+        refund_quota=daemon.quotas.refund,
     )
 
 
