Make the model check of proofs find seeded faults

Cause: three seeded faults (an answer that counts from its arrival, a read that counts from later than its start, an unchanged table that proves although it never showed the version) passed the model check, as its random steps rarely completed an exchange.

Change: rules that read or ask in one step, beside those that reorder.

--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -273,6 +273,20 @@
         if proof is not None:
             daemon.proof.prove(proof.version, proof.as_of_ms)
 
+    @rule(name=NAMES, is_full=st.booleans())
+    def read_at_once(self, name, is_full):
+        self.start_read(name, is_full)
+        self.store_answers(len(self.reads) - 1)
+        self.finish_read(len(self.answered_reads) - 1, False)
+
+    @rule(name=NAMES, other=NAMES)
+    def ask_at_once(self, name, other):
+        self.ask(name, other)
+        n_before = len(self.answers)
+        self.answer(len(self.asks) - 1)
+        if len(self.answers) > n_before:
+            self.receive_answer(n_before, False)
+
     @rule(name=NAMES)
     def restart(self, name):
         self.daemons[name] = Daemon(self.daemons[name].clock_offset_ms)
