--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -162,6 +162,15 @@
     assert ledger.grant(ACCOUNT, "b", ask(50), START_MS + 1.0).n_granted == 20
 
 
+def test_bucket_fills_only_up_to_the_capacity_less_tokens_that_may_be_unspent():
+    """Guards against spending an old burst and a new one in the same window."""
+    _, ledger = make_ledger()
+    ledger.grant(ACCOUNT, "a", ask(50), START_MS)
+    now_ms = START_MS + TERMS.lifetime_ms(ACCOUNT) - 1.0
+    assert ledger.n_unspent(ACCOUNT, now_ms) == TERMS.capacity(ACCOUNT) == 87.5
+    assert ledger.grant(ACCOUNT, "b", ask(50), now_ms).n_granted == 37
+
+
 def test_stock_asks_ahead_when_half_of_the_expected_demand_is_covered():
     stock = QuotaStock(TERMS)
     for number in range(50):
@@ -198,6 +207,16 @@
     assert isinstance(stock.take_again(ACCOUNT, START_MS + 151.0), Unanswered)
 
 
+def test_answer_to_an_earlier_question_is_not_used():
+    """Guards against tokens that outlive their record at the owner."""
+    stock = QuotaStock(TERMS)
+    first = stock.take(ACCOUNT, START_MS)
+    stock.fail(ACCOUNT.name, first.number, START_MS + 150.0)
+    assert isinstance(stock.take_again(ACCOUNT, START_MS + 200.0), Ask)
+    stock.answer(ACCOUNT.name, first.number, Grant(5), START_MS + 201.0)
+    assert isinstance(stock.take(ACCOUNT, START_MS + 202.0), Waiting)
+
+
 def test_refusal_is_remembered_and_clients_get_different_turns():
     """Guards against a question for each request above the quota."""
     stock = QuotaStock(TERMS)
