Apply changed limits on windows of quotas while the daemon runs

The platform may change its bounds without a restart, as those on keys. The reload named quotas as waiting for a restart. Tests of reloading, settings and quotas pass.

--- a/packages/pepperstaird/pepperstaird/quotas.py
+++ b/packages/pepperstaird/pepperstaird/quotas.py
@@ -76,9 +76,7 @@
         now_ms: Callable[[], float],
     ) -> None:
         self._identity = identity
-        self._terms = QuotaTerms(
-            settings.window_ms, settings.overage_percent / 100.0, settings.n_slack
-        )
+        self._terms = _terms_of(settings)
         self._directory = directory
         self._client = client
         self._accounts = accounts
@@ -97,6 +95,14 @@
         for task in self._tasks:
             task.cancel()
 
+    def apply_settings(self, settings: QuotasSettings) -> None:
+        """Apply changed limits; tokens granted under the former ones are discarded."""
+        terms = _terms_of(settings)
+        if terms != self._terms:
+            self._terms = terms
+            self._state = None
+            self.configuration_changed()
+
     def configuration_changed(self) -> None:
         """Create the state for the first account with a quota, or discard it."""
         if not self._accounts().has_quotas:
@@ -264,4 +270,10 @@
         )
 
 
+def _terms_of(settings: QuotasSettings) -> QuotaTerms:
+    return QuotaTerms(
+        settings.window_ms, settings.overage_percent / 100.0, settings.n_slack
+    )
+
+
 __all__ = ["Quotas"]
--- a/tests/test_quota_calls.py
+++ b/tests/test_quota_calls.py
@@ -223,6 +223,18 @@
     assert fleet.asked == []
 
 
+@on_loop
+async def test_changed_limits_on_windows_apply_without_a_restart():
+    fleet = Fleet(OWNER)
+    before = fleet.quotas._state
+    fleet.quotas.apply_settings(QuotasSettings())
+    assert fleet.quotas._state is before
+    fleet.quotas.apply_settings(QuotasSettings(overage_percent=0.0, n_slack=0))
+    fleet.now_ms += 10_000.0
+    assert (await fleet.kinds(10)).count("taken") == 5
+    assert fleet.quotas._state is not before
+
+
 @on_loop
 async def test_refusals_are_logged_once_a_second():
     """Guards against a line for each request of a client that ignores refusals."""
