Calls follow the version that their target's daemon lets take calls

Cause: a rollout needs requests that go to one version of a service's targets, calls that a replaced version refuses without loss to their callers, and the outcomes of calls beside the target as evidence.

Change: the proxy asks once a call which version it goes to, and again after a failed attempt; a route may be restricted to some targets. The runner refuses calls for versions that take none, as not run, also after the wait for a slot, and reports the outcome of each call that shows how well its target works. Two error kinds distinguish a version that is replaced from one that is on hold. By default no route is restricted and nothing is refused.

--- a/packages/pepperstair-callers/pepperstair_callers/attempt_ends.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempt_ends.py
@@ -20,6 +20,8 @@
         ErrorKind.OVERLOADED,
         ErrorKind.TARGET_REFUSED,
         ErrorKind.TOO_MANY_CONNECTIONS,
+        ErrorKind.VERSION_HELD,
+        ErrorKind.VERSION_SUPERSEDED,
     }
 )
 _TARGET_ERROR_KINDS: Final = frozenset(
@@ -50,6 +52,8 @@
         ErrorKind.QUARANTINED,
         ErrorKind.TARGET_UNREACHABLE,
         ErrorKind.DEADLINE_BEFORE_RUN,
+        ErrorKind.VERSION_HELD,
+        ErrorKind.VERSION_SUPERSEDED,
     }
 )
 _SHEDDING_STATUSES: Final = frozenset({429, 503})
--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -60,6 +60,11 @@
 # from the daemon before the target.
 N_OVER_LIMIT_MAX: Final = 3
 
+# Maximum number of refusals by superseded versions that do not count as attempts. Each
+# is followed by an attempt on the version that has replaced it, so more than one occurs
+# only if that version is replaced at the same time.
+N_SUPERSEDED_MAX: Final = 2
+
 # Time that the call waited for a slot, set by the daemon on the target's VM.
 WAITED_HEADER: Final = b"pepperstair-waited-ms"
 
@@ -72,6 +77,7 @@
         "_body",
         "_call_ids",
         "_context",
+        "_destination",
         "_endpoint",
         "_excluded",
         "_head",
@@ -79,6 +85,7 @@
         "_latency_ms",
         "_may_have_reached_target",
         "_n_over_limit",
+        "_n_superseded",
         "_overload_failure",
         "_request",
         "_waited_before_ms",
@@ -117,8 +124,11 @@
         self._excluded: frozenset[tuple[str, str]] = frozenset()
         self._may_have_reached_target = False
         self._n_over_limit = 0
+        self._n_superseded = 0
         self._overload_failure: Failure | None = None
-        self.compiled = compiled
+        # The route with all versions of its targets; `compiled` is restricted to one.
+        self._destination = compiled
+        self.compiled = context.pick_version(compiled)
         self.deadline_ms = arrived_ms + self.timeout_ms
         self._attempt_start_ms = 0.0
         self._latency_ms = 0.0
@@ -360,6 +370,8 @@
             self._n_over_limit = min(self._n_over_limit + 1, N_OVER_LIMIT_MAX)
         self._record_tried(failure.kind, latency_ms)
         self._end(kind, latency_ms, avoid_ms)
+        if self._switch_version(failed, failure):
+            return
         attempt = Attempt(
             failure,
             self.compiled.route.priority,
@@ -395,6 +407,26 @@
         report_retry(self._context, failed, failure, self.n_attempts)
         await asyncio.sleep(decision.delay_ms / 1000)
 
+    def _switch_version(self, failed: Endpoint, failure: Failure) -> bool:
+        """Continue with another version of the targets after a failed attempt.
+
+        Return whether the next attempt starts at once and does not count as a retry,
+        because the version of the failed attempt has been replaced.
+        """
+        context = self._context
+        other = context.pick_other_version(self._destination, failed, failure)
+        if other is None:
+            return False
+        self.compiled = other
+        if failure.kind is not ErrorKind.VERSION_SUPERSEDED:
+            return False
+        if self._n_superseded >= N_SUPERSEDED_MAX or self.time_left_ms <= 0:
+            return False
+        self._n_superseded += 1
+        self.n_attempts -= 1
+        self._excluded = self._excluded | {failed.key}
+        return True
+
     def _retry_after_ms(self, failure: Failure) -> int:
         """Return the time after which the caller should retry, or 0 if unknown."""
         if failure.kind is not ErrorKind.TARGET_REFUSED:
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -20,6 +20,7 @@
     TargetChooser,
 )
 from pepperstair_core.decisions import DecisionLog
+from pepperstair_core.errors import Failure
 from pepperstair_core.routing import CompiledRoute, Endpoint, RouteTable
 from pepperstair_core.wire import CallHead
 from pepperstair_http import (
@@ -44,7 +45,10 @@
     service to which the target on this VM belongs, or an empty string if that name is
     not sent to targets. `time_to_stop_ms` returns the time that remains for calls until
     a stopping daemon exits, or infinity if the daemon is not stopping. `on_leaving` is
-    called with a target that states in an answer that it is leaving.
+    called with a target that states in an answer that it is leaving. `pick_version`
+    returns a route restricted to the version of the targets that a request goes to, and
+    `pick_other_version` the same after an attempt on a target has failed, or None if
+    the request stays with its version; both get the unrestricted route.
     """
 
     vm: str
@@ -71,6 +75,10 @@
     service: str = ""
     time_to_stop_ms: Callable[[], float] = lambda: math.inf
     on_leaving: Callable[[Endpoint], None] = lambda endpoint: None
+    pick_version: Callable[[CompiledRoute], CompiledRoute] = lambda compiled: compiled
+    pick_other_version: Callable[
+        [CompiledRoute, Endpoint, Failure], CompiledRoute | None
+    ] = lambda compiled, endpoint, failure: None
 
 
 __all__ = ["AttemptSender", "ProxyContext"]
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -266,7 +266,14 @@
             timeout_ms=call.timeout_ms,
             tried=call.tried,
             given_up=call.given_up,
+            **_version_fields(call),
         )
 
 
+def _version_fields(call: ProxiedCall) -> dict[str, str]:
+    """Return why a request went to one version of the targets, if it did."""
+    cause = call.compiled.version_cause
+    return {"version_cause": cause} if cause else {}
+
+
 __all__ = ["Proxy"]
--- a/packages/pepperstair-core/pepperstair_core/errors.py
+++ b/packages/pepperstair-core/pepperstair_core/errors.py
@@ -43,6 +43,8 @@
     TARGET_FAILED = "target_failed"
     TARGET_CRASHED = "target_crashed"
     QUARANTINED = "quarantined"
+    VERSION_HELD = "version_held"
+    VERSION_SUPERSEDED = "version_superseded"
     OUTCOME_UNKNOWN = "outcome_unknown"
     CANCELLED = "cancelled"
     INVALID_INTENT = "invalid_intent"
@@ -93,6 +95,12 @@
     ErrorKind.QUARANTINED: Answer(
         503, _NO, False, "requests like it have crashed their targets"
     ),
+    ErrorKind.VERSION_HELD: Answer(
+        503, _NO, True, "the target's version takes no requests"
+    ),
+    ErrorKind.VERSION_SUPERSEDED: Answer(
+        503, _NO, True, "another version has replaced the target's"
+    ),
     ErrorKind.OUTCOME_UNKNOWN: Answer(502, _UNKNOWN, False, "the answer was lost"),
     ErrorKind.CANCELLED: Answer(499, _UNKNOWN, False, "the caller left"),
     ErrorKind.INVALID_INTENT: Answer(422, _NO, False, "the intent is not valid"),
--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -28,7 +28,9 @@
     """A route of this proxy with its service and the version that defines it.
 
     For a route with splits, `destinations` holds one compiled route per split with its
-    weight, and `service` is the service of the first split.
+    weight, and `service` is the service of the first split. If `target_keys` is not
+    empty, only the targets with these endpoint keys are used. `version_cause` states
+    why the requests go to one version of the targets; it is empty if they do not.
     """
 
     customer: str
@@ -37,6 +39,8 @@
     service: Service
     target_selector: Selector
     destinations: tuple[tuple[int, CompiledRoute], ...] = ()
+    target_keys: frozenset[tuple[str, str]] = frozenset()
+    version_cause: str = ""
 
 
 def pick_destination(compiled: CompiledRoute, rng: Random) -> CompiledRoute:
@@ -183,24 +187,31 @@
         self._members = tuple(members)
         self._overrides = overrides or {}
         self._policies = policies
-        self._selected: dict[tuple[Selector, str], _SelectedEndpoints] = {}
-        self._reusable: dict[tuple[Selector, str], _SelectedEndpoints] = {}
+        self._selected: dict[_Selection, _SelectedEndpoints] = {}
+        self._reusable: dict[_Selection, _SelectedEndpoints] = {}
         if previous is not None and previous._was_built_with(
             self._overrides, policies, excluded
         ):
             self._reusable = previous._selected or previous._reusable
 
-    def endpoints(self, selector: Selector, customer: str = "") -> tuple[Endpoint, ...]:
+    def endpoints(
+        self,
+        selector: Selector,
+        customer: str = "",
+        keys: frozenset[tuple[str, str]] = frozenset(),
+    ) -> tuple[Endpoint, ...]:
         """Return the endpoints that a service's selector matches, in order of `key`.
 
-        Each carries the customer's policy for calls to it. The same tuple is returned
-        until one of its endpoints changes.
+        Each carries the customer's policy for calls to it. If `keys` is not empty, only
+        endpoints with these keys are returned. The same tuple is returned until one of
+        its endpoints changes.
         """
-        selected = self._selected.get((selector, customer))
+        selection = (selector, customer, keys)
+        selected = self._selected.get(selection)
         if selected is None:
-            before = self._reusable.get((selector, customer), _NONE_SELECTED)
-            selected = self._select(selector, customer, before)
-            self._selected[(selector, customer)] = selected
+            before = self._reusable.get(selection, _NONE_SELECTED)
+            selected = self._select(selection, before)
+            self._selected[selection] = selected
         return selected.endpoints
 
     def _was_built_with(
@@ -216,8 +227,9 @@
         )
 
     def _select(
-        self, selector: Selector, customer: str, before: _SelectedEndpoints
+        self, selection: _Selection, before: _SelectedEndpoints
     ) -> _SelectedEndpoints:
+        selector, customer, keys = selection
         policy_of = lambda labels: self._policies.find(customer, labels)
         by_vm: dict[str, tuple[Member, tuple[Endpoint, ...]]] = {}
         for member in self._members:
@@ -226,7 +238,11 @@
                 selected = iter_endpoints(
                     (member,), selector, self._overrides, policy_of
                 )
-                usable = (item for item in selected if item.key not in self._excluded)
+                usable = (
+                    item
+                    for item in selected
+                    if item.key not in self._excluded and (not keys or item.key in keys)
+                )
                 known = (member, tuple(usable))
             by_vm[member.vm] = known
         found = [item for _, endpoints in by_vm.values() for item in endpoints]
@@ -249,6 +265,8 @@
 
 
 _NONE_SELECTED: Final = _SelectedEndpoints()
+# A selector, a customer and the keys of the only endpoints to select, if not empty.
+_Selection = tuple[Selector, str, frozenset[tuple[str, str]]]
 
 
 def iter_endpoints(
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -40,6 +40,7 @@
 
 _REFUSAL_LOG_INTERVAL_MS: Final = 1000
 _FAILED_STATUS: Final = 500
+_SHEDDING_STATUS: Final = 503
 
 # Failure kinds of a call whose target exits while running it.
 _EXIT_FAILURE_KINDS: Final = frozenset(
@@ -99,7 +100,10 @@
     of refusals since the previous entry.
     `on_crash` is called with a target that has exited and the fingerprints of the calls
     it was running, `on_cleared` with the record of a suspect request that was answered,
-    `on_leaving` with a target that states in an answer that it is leaving.
+    `on_leaving` with a target that states in an answer that it is leaving. `on_run` is
+    called with each call whose outcome shows how well its target works: the target, the
+    route, whether the target failed and the time that it took. `version_refusal`
+    returns why a target's version takes no calls, or None if it takes them.
     """
 
     def __init__(
@@ -116,6 +120,8 @@
         self.on_crash: Callable[[str, tuple[bytes, ...]], None] = lambda *args: None
         self.on_leaving: Callable[[str], None] = lambda name: None
         self.on_cleared: Callable[[CrashRecord], None] = lambda record: None
+        self.on_run: Callable[[Target, str, bool, float], None] = lambda *args: None
+        self.version_refusal: Callable[[Target], ErrorKind | None] = lambda target: None
         self._registry = registry
         self._now_ms = now_ms
         self._policy_of = policy_of
@@ -125,6 +131,7 @@
         self._refusals: dict[str, tuple[float, int]] = {}
         self.is_draining = False
         self.n_refused = 0
+        self.n_version_refusals = 0
         self.n_crashes = 0
         self.n_sent = 0
 
@@ -155,6 +162,14 @@
             return None
         return Load(local.n_in_flight, local.slots.admission.n_queued)
 
+    def n_unfinished(self, is_counted: Callable[[Target], bool]) -> int:
+        """Return the number of calls that run on some targets or wait for them."""
+        return sum(
+            local.n_in_flight + local.slots.admission.n_queued
+            for local in self._iter_all()
+            if is_counted(local.target)
+        )
+
     async def run(self, head: CallHead, body: BodyBuffer) -> StreamedResponse:
         """Run a call and return its answer, or raise PepperstairError."""
         start_ms = self._now_ms()
@@ -171,6 +186,8 @@
             raise
         admitted_ms = self._now_ms()
         try:
+            # Another version may have replaced the target's while the call waited.
+            self._refuse_version(target)
             self._refuse_unsafe(head, local, admitted_ms)
         except PepperstairError:
             local.slots.release(head, None)
@@ -195,11 +212,16 @@
             failure = error.failure
             if call.is_sent and failure.kind in _EXIT_FAILURE_KINDS:
                 failure = await self._classify_broken_call(local, call, failure)
-            _log_failed(head, failure, self._now_ms() - admitted_ms)
+            lasted_ms = self._now_ms() - admitted_ms
+            if call.is_sent:
+                self._report_failed_run(target, head, failure, lasted_ms)
+            _log_failed(head, failure, lasted_ms)
             raise PepperstairError(failure) from error
         finally:
             local.crashes.end(call)
         self._record_answer(head, response)
+        is_bad = response.status >= _FAILED_STATUS and not self._is_shedding(response)
+        self.on_run(target, head.route, is_bad, self._now_ms() - admitted_ms)
         return _with_wait_header(response, int(admitted_ms - start_ms))
 
     def sync_with_registry(self) -> None:
@@ -252,6 +274,38 @@
             )
             raise PepperstairError(failure)
 
+    def _refuse_version(self, target: Target) -> None:
+        """Refuse a call for a target whose version takes no calls."""
+        kind = self.version_refusal(target)
+        if kind is not None:
+            self.n_version_refusals += 1
+            raise _not_run(kind, target.name)
+
+    def _is_shedding(self, response: StreamedResponse) -> bool:
+        """Return whether an answer may be the refusal of a full target.
+
+        Targets that mark their refusals with a header give no other answer for them.
+        """
+        is_marked = bool(self._options.names.not_run)
+        return response.status == _SHEDDING_STATUS and not is_marked
+
+    def _report_failed_run(
+        self, target: Target, head: CallHead, failure: Failure, lasted_ms: float
+    ) -> None:
+        """Report a failed call if its end shows how well the target works.
+
+        A call that timed out is reported with its duration, which the target would have
+        exceeded. A target that is leaving may break calls that it can't finish.
+        """
+        if failure.kind is ErrorKind.TIMEOUT:
+            self.on_run(target, head.route, False, lasted_ms)
+        elif failure.kind is ErrorKind.TARGET_CRASHED:
+            self.on_run(target, head.route, True, lasted_ms)
+        elif failure.kind is ErrorKind.TARGET_FAILED:
+            current = self._registry.get(target.name, self._now_ms())
+            if current is not None and current.state is not TargetState.DRAINING:
+                self.on_run(target, head.route, True, lasted_ms)
+
     async def _classify_broken_call(
         self, local: LocalTarget, call: TargetCall, failure: Failure
     ) -> Failure:
@@ -356,6 +410,7 @@
             raise _not_run(ErrorKind.NO_TARGET, head.target)
         if target.state is TargetState.DRAINING:
             raise _not_run(ErrorKind.DRAINING, head.target)
+        self._refuse_version(target)
         if head.time_left_ms <= 0:
             raise _not_run(ErrorKind.DEADLINE_BEFORE_RUN, head.target)
         return target
--- a/packages/pepperstaird/pepperstaird/proxying.py
+++ b/packages/pepperstaird/pepperstaird/proxying.py
@@ -30,7 +30,9 @@
 
     def endpoints(compiled: CompiledRoute) -> tuple[Endpoint, ...]:
         table = daemon.endpoint_table
-        return table.endpoints(compiled.target_selector, compiled.customer)
+        return table.endpoints(
+            compiled.target_selector, compiled.customer, compiled.target_keys
+        )
 
     def load_of(endpoint: Endpoint) -> Load | None:
         # The load of a local target is exact; that of a remote target is the last value
