Decide on rollouts: evidence, sequential test, exposure and phases

Cause: a new version of a service is to get a bounded share of the requests until it is known to be good, without a controller (docs/design/hard-load.md, section 1).

Change: pepperstair_core.rollout has the counters by process and their merging, a sequential probability ratio test by route and over all routes, a caller's part of the exposure, the choice of canary targets and the phases of an order. The exposure budget takes an offset between 0 and 1 that differs by process, because 64 callers would otherwise all spend their first whole request late. A final phase is never left; a process acts on its own verdict by `is_suspended` until the phase is written.

The test's error rates are not measured yet.

--- a/packages/pepperstair-core/pepperstair_core/rollout/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/__init__.py
@@ -2,6 +2,20 @@
 
 from __future__ import annotations
 
+from .exposure import ExposureBudget, RolloutTerms, canary_targets, exposure_offset
 from .records import Evidence, Phase, RolloutOrder, RolloutState, RouteCounts
+from .rollout import Rollout, RolloutFleet
 
-__all__ = ["Evidence", "Phase", "RolloutOrder", "RolloutState", "RouteCounts"]
+__all__ = [
+    "Evidence",
+    "ExposureBudget",
+    "Phase",
+    "Rollout",
+    "RolloutFleet",
+    "RolloutOrder",
+    "RolloutState",
+    "RolloutTerms",
+    "RouteCounts",
+    "canary_targets",
+    "exposure_offset",
+]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/rollout/exposure.py
@@ -0,0 +1,104 @@
+"""A calling daemon's part of the requests that may go to a new version."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Final
+
+from msgspec import Struct
+
+from .. import rendezvous
+from .records import RolloutOrder
+
+# Share of the allowed exposure that is spent before promotion. The remainder covers
+# what a bad version gets in promotion until all daemons know that it is bad.
+CANARY_SHARE: Final = 0.5
+# With a single canary target, a faulty target could not be told from a bad version.
+N_CANARY_TARGETS_MIN: Final = 2
+
+
+class RolloutTerms(Struct, frozen=True):
+    """The limits on a bad version.
+
+    Of the requests to a service it gets at most `exposure_share` plus
+    `n_exposed_extra`, and none later than `rollback_ms` after its 50th bad answer.
+    """
+
+    exposure_share: float
+    n_exposed_extra: int
+    rollback_ms: int
+
+
+class ExposureBudget:
+    """One daemon's part of the requests that may go to the canary targets.
+
+    All daemons keep the limit together without communication. `offset`, from 0 to 1,
+    is the fraction of a request that the daemon may spend ahead. Where it differs
+    between daemons, the fleet spends its parts evenly also if each part is smaller than
+    one request; without it, all daemons would spend their first request late and at
+    the same time.
+
+    >>> budget = ExposureBudget(RolloutTerms(0.1, 50, 5_000))
+    >>> [budget.count(), budget.take(n_members=12), budget.take(n_members=12)]
+    [None, True, True]
+    >>> budget.take(n_members=12)
+    False
+    """
+
+    def __init__(self, terms: RolloutTerms, offset: float = 0.0) -> None:
+        self._terms = terms
+        self._offset = offset
+        self._n_requests = 0
+        self._n_taken = 0
+        self._n_members_max = 1
+
+    def count(self) -> None:
+        """Count a request to the service, whichever version it goes to."""
+        self._n_requests += 1
+
+    def take(self, n_members: int) -> bool:
+        """Use up one request to the new version and return whether one was available.
+
+        The part of the slack is that of the largest fleet seen, because a daemon that
+        is cut off sees fewer members than share the slack.
+        """
+        self._n_members_max = max(self._n_members_max, n_members)
+        extra = self._terms.n_exposed_extra / self._n_members_max
+        allowed = self._terms.exposure_share * self._n_requests + extra
+        if self._n_taken + 1 > CANARY_SHARE * allowed + self._offset:
+            return False
+        self._n_taken += 1
+        return True
+
+
+def exposure_offset(order: RolloutOrder, vm: str, start_id: int) -> float:
+    """Return a process's offset for its budget, spread evenly over processes."""
+    key = f"exposure/{order.service}/{order.number}"
+    return rendezvous.weight(key, f"{vm}/{start_id}") / 2.0**64
+
+
+def canary_targets(
+    service: str, keys: Sequence[tuple[str, str]], n_old: int, exposure_share: float
+) -> tuple[tuple[str, str], ...]:
+    """Return the new targets that get canary requests, the same on every daemon.
+
+    Their number is such that each gets about as much load as one of the `n_old` old
+    targets, because a version that is bad only under load is not detected otherwise.
+    """
+    canary_share = CANARY_SHARE * exposure_share
+    n_targets = round(canary_share * n_old / max(0.01, 1.0 - canary_share))
+    by_name = {f"{vm}\0{target}": (vm, target) for vm, target in keys}
+    names = rendezvous.highest(
+        f"canary/{service}", by_name, max(N_CANARY_TARGETS_MIN, n_targets)
+    )
+    return tuple(by_name[name] for name in names)
+
+
+__all__ = [
+    "CANARY_SHARE",
+    "N_CANARY_TARGETS_MIN",
+    "ExposureBudget",
+    "RolloutTerms",
+    "canary_targets",
+    "exposure_offset",
+]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
@@ -0,0 +1,184 @@
+"""The phases of a rollout."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+from msgspec import Struct
+
+from .evidence import EvidenceStore
+from .exposure import RolloutTerms
+from .records import Evidence, Phase, RolloutOrder, RolloutState
+from .verdict import ALL_ROUTES, SequentialTest
+
+# Time before the deadline at which promotion begins.
+RESERVE_MS: Final = 2_500
+RESERVE_SHARE: Final = 0.2
+RESERVE_SHARE_MAX: Final = 0.4
+# Time before the deadline until which the test continues during promotion, at most this
+# share of the reserve. The remainder is the time to write that the rollout is
+# completed, also if the first writer is dead or the store is slow.
+COMPLETION_MS: Final = 1_000
+COMPLETION_SHARE_MAX: Final = 0.4
+# Share of the old targets' slots that the new ones must have before promotion.
+NEW_SLOTS_SHARE_MIN: Final = 0.5
+
+
+class RolloutFleet(Struct, frozen=True):
+    """The targets of the service as a daemon sees them.
+
+    `vms_with_old` are the usable members with targets of other versions.
+    """
+
+    vms_with_old: frozenset[str]
+    n_old_slots: int
+    n_new_slots: int
+
+
+class Rollout:
+    """One order as one process of a daemon sees it.
+
+    `phase` is the phase that was last agreed on: callers merge what was written to the
+    agreed row, and never what a daemon only proposes, since another one may have
+    written a different final phase. A process acts on its own verdict before that by
+    `is_suspended`.
+    """
+
+    def __init__(
+        self,
+        order: RolloutOrder,
+        age_ms: int,
+        now_ms: float,
+        terms: RolloutTerms,
+        vm: str,
+        start_id: int,
+    ) -> None:
+        self.order = order
+        self.phase = Phase.CANARY
+        self.terms = terms
+        self._ordered_ms = now_ms - age_ms
+        self._store = EvidenceStore(order, vm, start_id)
+        self._test = SequentialTest(now_ms)
+        self._is_bad = False
+
+    @property
+    def is_suspended(self) -> bool:
+        """Return whether no request may go to the new version for now."""
+        if self.phase.is_final:
+            return self.phase is Phase.ROLLED_BACK
+        return self._is_bad
+
+    def state(self, now_ms: float) -> RolloutState:
+        """Return the order with its phase and age, to be sent to other daemons."""
+        return RolloutState(self.order, self.phase, int(self._age_ms(now_ms)))
+
+    def record(
+        self,
+        route: str,
+        is_new: bool,
+        is_bad: bool,
+        service_ms: float | None,
+        is_cold: bool,
+    ) -> None:
+        """Count the outcome of a request at a target of this VM.
+
+        The service time of a bad answer says nothing about the version's speed, nor
+        does that of a cold target. Failures of a cold target are evidence.
+        """
+        is_timed = not (is_bad or is_cold)
+        self._store.record(route, is_new, is_bad, service_ms if is_timed else None)
+
+    def own_evidence(self) -> Evidence | None:
+        """Return this process's evidence if it has changed since it was last taken."""
+        return self._store.take_own()
+
+    def all_evidence(self) -> tuple[Evidence, ...]:
+        """Return all evidence, to be sent to a daemon that may lack it."""
+        return self._store.all()
+
+    def merge(self, evidence: Evidence) -> bool:
+        """Merge evidence of another process and return whether it was new."""
+        return self._store.merge(evidence)
+
+    def merge_phase(self, phase: Phase) -> bool:
+        """Adopt a higher phase and return whether it did; a final phase stays."""
+        if self.phase.is_final or phase <= self.phase:
+            return False
+        self.phase = phase
+        return True
+
+    def set_old_running(self, n: int | None) -> None:
+        """State how many requests run at old targets, None while these accept more."""
+        self._store.set_old_running(n)
+
+    def proposal(self, now_ms: float, fleet: RolloutFleet) -> Phase | None:
+        """Return the next phase to write, or None if the phase stays."""
+        if self.phase.is_final:
+            return None
+        self._test.add(self._store.take_increments(), now_ms)
+        is_promoting = self.phase is Phase.PROMOTING
+        self._is_bad = self._is_bad or self._test.is_bad(is_promoting)
+        if self._is_bad:
+            return Phase.ROLLED_BACK
+        if is_promoting:
+            return self._after_promoting(now_ms, fleet)
+        return self._after_canary(now_ms, fleet)
+
+    def explain(self, now_ms: float) -> dict[str, Any]:
+        """Return the counts, scores and phase for operators."""
+        scores = self._test.scores(self.phase is Phase.PROMOTING)
+        return {
+            "service": self.order.service,
+            "target_version": self.order.target_version,
+            "number": self.order.number,
+            "phase": self.phase.name.lower(),
+            "is_suspended": self.is_suspended,
+            "left_ms": max(0, int(self.order.duration_ms - self._age_ms(now_ms))),
+            "counts": [
+                {
+                    "route": route,
+                    "side": "new" if is_new else "old",
+                    "n_run": int(tally.n_run),
+                    "n_bad": int(tally.n_bad),
+                    "n_timed": int(tally.n_timed),
+                }
+                for (route, is_new), tally in sorted(self._store.totals().items())
+            ],
+            "scores": [
+                {
+                    "fault": fault,
+                    "route": None if route == ALL_ROUTES else route,
+                    "score": round(score.total, 2),
+                }
+                for (fault, route), score in sorted(scores.items())
+            ],
+        }
+
+    def _age_ms(self, now_ms: float) -> float:
+        return max(0.0, now_ms - self._ordered_ms)
+
+    def _reserve_ms(self) -> float:
+        duration_ms = self.order.duration_ms
+        reserve_ms = max(RESERVE_MS, RESERVE_SHARE * duration_ms)
+        return min(reserve_ms, RESERVE_SHARE_MAX * duration_ms)
+
+    def _after_canary(self, now_ms: float, fleet: RolloutFleet) -> Phase | None:
+        age_ms = self._age_ms(now_ms)
+        if age_ms >= self.order.duration_ms:
+            return Phase.ROLLED_BACK
+        if age_ms < self.order.duration_ms - self._reserve_ms():
+            return None
+        n_slots_min = max(1.0, NEW_SLOTS_SHARE_MIN * fleet.n_old_slots)
+        return Phase.PROMOTING if fleet.n_new_slots >= n_slots_min else None
+
+    def _after_promoting(self, now_ms: float, fleet: RolloutFleet) -> Phase | None:
+        completion_ms = min(COMPLETION_MS, COMPLETION_SHARE_MAX * self._reserve_ms())
+        if self._age_ms(now_ms) < self.order.duration_ms - completion_ms:
+            return None
+        is_drained = all(
+            self._store.n_old_running(vm) == 0 for vm in fleet.vms_with_old
+        )
+        return Phase.COMPLETED if is_drained else None
+
+
+__all__ = ["Rollout", "RolloutFleet"]
--- /dev/null
+++ b/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
@@ -0,0 +1,201 @@
+"""The sequential test that decides whether a new version is bad.
+
+The evidence is cut into intervals. In each one, the outcomes of the new version are
+compared with those of the old version on the same route at about the same time, so that
+a fault that concerns both versions doesn't count against the new one. The logarithms of
+the likelihood ratios of all intervals are added up.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from msgspec import Struct
+
+from .evidence import Increment, Tally
+
+# A version is bad beyond this score: error rate of 1 in 1,000.
+BAD_SCORE: Final = math.log(1_000)
+# Score that the other targets must reach without the worst one, so that one faulty
+# target doesn't condemn its version.
+CONFIRMING_SCORE: Final = 2.5
+# The score doesn't fall below this, so that a version that becomes bad some time after
+# its start is still detected soon.
+SCORE_MIN: Final = -math.log(100)
+INTERVAL_MS: Final = 500
+# Difference between the failure rates of a bad version and the old one.
+RATE_DIFFERENCE: Final = 0.25
+# The lowest failure rate that is assumed of the old version.
+RATE_MIN: Final = 0.01
+# Above this failure rate of the old version, nothing is concluded from failures.
+RATE_MAX: Final = 0.7
+# Logarithm of the ratio of service times from which a version is too slow, and the
+# distance of both hypotheses from it.
+LOG_RATIO: Final = math.log(3)
+LOG_RATIO_MARGIN: Final = 0.5
+# The least variance of the logarithm of service times. Targets of one version differ in
+# speed, so their service times don't vary independently.
+LOG_VARIANCE_MIN: Final = 0.25
+N_TIMED_MIN: Final = 5
+# Share of the old version's recent outcomes that remains after each interval.
+_RECENT_KEPT: Final = 0.8
+# Weights of prior knowledge, as numbers of requests.
+_N_PRIOR_RUN: Final = 50
+_N_RECENT_RUN: Final = 20
+
+# The score over all routes is kept under this key, which is no route's name.
+ALL_ROUTES: Final = ""
+
+
+class Score(Struct):
+    """The sum of log-likelihood ratios, in total and by VM of the new targets."""
+
+    total: float = 0.0
+    by_vm: dict[str, float] = {}
+
+    def add(self, ratios: dict[str, float]) -> None:
+        """Add the log-likelihood ratios of an interval by VM."""
+        self.total = max(SCORE_MIN, self.total + sum(ratios.values()))
+        for vm, ratio in ratios.items():
+            self.by_vm[vm] = max(SCORE_MIN, self.by_vm.get(vm, 0.0) + ratio)
+
+    def copy(self) -> Score:
+        """Return a copy that can be changed independently."""
+        return Score(self.total, dict(self.by_vm))
+
+    def is_bad(self, n_new_vms: int) -> bool:
+        """Return whether the version is bad, and not just its worst target."""
+        if self.total < BAD_SCORE:
+            return False
+        rest = self.total - max(self.by_vm.values())
+        return n_new_vms == 1 or rest >= CONFIRMING_SCORE
+
+
+class _Interval(Struct):
+    old: dict[str, Tally] = {}
+    new: dict[str, dict[str, Tally]] = {}
+
+    def add(self, increment: Increment) -> None:
+        if increment.is_new:
+            by_vm = self.new.setdefault(increment.route, {})
+            by_vm.setdefault(increment.vm, Tally()).add(increment.tally)
+        else:
+            self.old.setdefault(increment.route, Tally()).add(increment.tally)
+
+
+Scores = dict[tuple[str, str], Score]
+
+
+class SequentialTest:
+    """Sequential probability ratio test of a new version against the old one.
+
+    An interval is judged when the next one has ended, because evidence of the old
+    version may arrive later than that of the new one. Where no requests go to the old
+    version any more, there is nothing to wait for.
+    """
+
+    def __init__(self, now_ms: float) -> None:
+        self._opened_ms = now_ms
+        self._before = _Interval()
+        self._closed = _Interval()
+        self._open = _Interval()
+        self._recent: dict[str, Tally] = {}
+        self._scores: Scores = {}
+        self._new_vms: set[str] = set()
+
+    def add(self, increments: Iterable[Increment], now_ms: float) -> None:
+        """Add what was counted since the last call."""
+        if now_ms >= self._opened_ms + INTERVAL_MS:
+            self._close(now_ms)
+        for increment in increments:
+            self._open.add(increment)
+            if increment.is_new:
+                self._new_vms.add(increment.vm)
+
+    def is_bad(self, is_promoting: bool) -> bool:
+        """Return whether the new version is bad."""
+        n_new_vms = len(self._new_vms)
+        scores = self.scores(is_promoting)
+        return any(score.is_bad(n_new_vms) for score in scores.values())
+
+    def scores(self, is_promoting: bool) -> Scores:
+        """Return the score of each kind of fault and route."""
+        if not is_promoting:
+            return self._scores
+        scores = {key: score.copy() for key, score in self._scores.items()}
+        self._judge(scores, self._closed, (self._before, self._closed, self._open))
+        self._judge(scores, self._open, (self._closed, self._open))
+        return scores
+
+    def _close(self, now_ms: float) -> None:
+        self._judge(
+            self._scores, self._closed, (self._before, self._closed, self._open)
+        )
+        for route, tally in self._open.old.items():
+            recent = self._recent.setdefault(route, Tally())
+            recent.scale(_RECENT_KEPT)
+            recent.add(tally)
+        self._before, self._closed, self._open = self._closed, self._open, _Interval()
+        self._opened_ms = now_ms
+
+    def _judge(
+        self, scores: Scores, judged: _Interval, around: tuple[_Interval, ...]
+    ) -> None:
+        """Add to the scores what an interval says, given those around it."""
+        for fault, ratio_of in (("failing", _failing_ratio), ("slow", _slow_ratio)):
+            in_all: dict[str, float] = {}
+            for route, by_vm in judged.new.items():
+                old = _sum(each.old[route] for each in around if route in each.old)
+                recent = self._recent.get(route, Tally())
+                ratios = {
+                    vm: ratio_of(tally, old, recent) for vm, tally in by_vm.items()
+                }
+                scores.setdefault((fault, route), Score()).add(ratios)
+                for vm, ratio in ratios.items():
+                    in_all[vm] = in_all.get(vm, 0.0) + ratio
+            if in_all:
+                scores.setdefault((fault, ALL_ROUTES), Score()).add(in_all)
+
+
+def _sum(tallies: Iterator[Tally]) -> Tally:
+    total = Tally()
+    for tally in tallies:
+        total.add(tally)
+    return total
+
+
+def _failing_ratio(new: Tally, old: Tally, recent: Tally) -> float:
+    """Return the log-likelihood ratio of a higher failure rate of the new version."""
+    recent_rate = (recent.n_bad + 1) / (recent.n_run + _N_PRIOR_RUN)
+    old_rate = (old.n_bad + _N_RECENT_RUN * recent_rate) / (old.n_run + _N_RECENT_RUN)
+    old_rate = max(RATE_MIN, old_rate)
+    if old_rate > RATE_MAX:
+        return 0.0
+    bad_rate = old_rate + RATE_DIFFERENCE
+    of_bad = math.log(bad_rate / old_rate)
+    of_good = math.log((1.0 - bad_rate) / (1.0 - old_rate))
+    return new.n_bad * of_bad + (new.n_run - new.n_bad) * of_good
+
+
+def _slow_ratio(new: Tally, old: Tally, recent: Tally) -> float:
+    """Return the log-likelihood ratio of longer service times of the new version."""
+    known = _sum(iter((old, recent)))
+    if known.n_timed < N_TIMED_MIN or not new.n_timed:
+        return 0.0
+    mean = known.sum_log_ms / known.n_timed
+    variance = known.sum_log2_ms / known.n_timed - mean * mean
+    excess = new.sum_log_ms - new.n_timed * (mean + LOG_RATIO)
+    return 2.0 * LOG_RATIO_MARGIN / max(LOG_VARIANCE_MIN, variance) * excess
+
+
+__all__ = [
+    "ALL_ROUTES",
+    "BAD_SCORE",
+    "CONFIRMING_SCORE",
+    "INTERVAL_MS",
+    "Score",
+    "Scores",
+    "SequentialTest",
+]
--- /dev/null
+++ b/tests/rollout/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of rollouts."""
+
+from __future__ import annotations
