Rows beside the document, their versions, and transactions with conditions

Cause: orders of rollouts are rows of the table that the follower watches, and the agreed state is a row that is changed only if it has not changed since it was read.

Change: the follower passes all rows but the document's to a callback, before it confirms the document to neighbours. Rows that are read carry their version. A transaction of the store may expect versions of rows; the stand-in checks them and reports removed rows.

Result: tests/adapter/test_store.py and tests/test_following.py pass, with three new tests.

--- a/packages/pepperstair-platform/pepperstair_platform/watching.py
+++ b/packages/pepperstair-platform/pepperstair_platform/watching.py
@@ -18,10 +18,14 @@
 
 
 class WatchedRow(Struct, frozen=True):
-    """A row of a watched table; `value` is None if the row was deleted."""
+    """A row of a watched table; `value` is None if the row was deleted.
+
+    `version` is the position of the row's last change in the history of the platform.
+    """
 
     key: str
     value: bytes | None
+    version: int = 0
 
 
 class WatchedRows(Struct, frozen=True):
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -28,7 +28,7 @@
 from pepperstair_core.shared_reading import ReadSchedule
 from pepperstair_core.versions import Head, Snapshot
 from pepperstair_peers import ControlPlane
-from pepperstair_platform import WatchedRows, WatchedTable
+from pepperstair_platform import WatchedRow, WatchedRows, WatchedTable
 
 from .clock import boot_ms, wall_ms
 from .document_exchange import DocumentExchange
@@ -122,6 +122,9 @@
         self.overrides: Mapping[str, Labels] = {}
         self.on_changed: Callable[[Snapshot], None] = lambda snapshot: None
         self.on_converged: Callable[[str, int], None] = lambda customer, ms: None
+        # Called with the rows of each answer other than the document's, and with
+        # whether the answer holds the whole table.
+        self.on_other_rows: Callable[[tuple[WatchedRow, ...], bool], None] | None = None
 
     @property
     def document(self) -> FollowedDocument | None:
@@ -204,6 +207,8 @@
             read = await self._read_or_watch(position, is_first)
             if read.is_ok():
                 self._log_table_state(None)
+                # Neighbours rely on a confirmation only after all rows before it.
+                self._pass_other_rows(read.unwrap(), position is None)
                 self._apply_rows(read.unwrap())
                 is_first = position is None
                 exchange.confirm(read.unwrap().position, boot_ms())
@@ -314,6 +319,13 @@
         else:
             log.info(Event.PLATFORM_RECOVERED, version=self._following.version)
 
+    def _pass_other_rows(self, rows: WatchedRows, is_complete: bool) -> None:
+        if self.on_other_rows is None:
+            return
+        others = tuple(row for row in rows.rows if row.key != self._key)
+        if others or is_complete:
+            self.on_other_rows(others, is_complete)
+
     def _apply_rows(self, rows: WatchedRows) -> None:
         # A removed row leaves the version in force: otherwise all routes of the
         # operators would disappear at once, and callers would be answered with the
--- a/tests/adapter/store_stand_in.py
+++ b/tests/adapter/store_stand_in.py
@@ -26,6 +26,8 @@
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self.extra_rows: list[Any] = []
+        # The version of the removal of each row that `remove` removed.
+        self._removed: dict[tuple[str, str], int] = {}
         self.version = 0
         self.first_kept_version = 0
         self.status = 200
@@ -54,6 +56,13 @@
         self.rows[table, key] = (value, self.version)
         self._notify_watches()
 
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row as the operator would, which watches report."""
+        self.version += 1
+        del self.rows[table, key]
+        self._removed[table, key] = self.version
+        self._notify_watches()
+
     def forget_history(self) -> None:
         """Drop the history of changes up to now, which ends every watch."""
         self.first_kept_version = self.version
@@ -91,6 +100,12 @@
         await exchange.respond(status, _JSON, answer)
 
     def _transact(self, transaction: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for row in transaction["expect"]:
+            name = (row["table"], row["key"])
+            _, version = self.rows.get(name, (b"", 0))
+            if version != row["resource_version"]:
+                known = [self._row(name)] if name in self.rows else []
+                return 412, {"rows": known}
         for row in transaction["upserts"]:
             value = base64.b64decode(row["value"])
             self.put(row["table"], row["key"], value)
@@ -125,6 +140,11 @@
                 for name, (_, version) in self.rows.items()
                 if name[0] == query["table"] and version > after
             ]
+            rows += [
+                {"key": key, "removed": True, "resource_version": version}
+                for (table, key), version in self._removed.items()
+                if table == query["table"] and version > after
+            ]
             remaining_s = deadline_s - asyncio.get_running_loop().time()
             if rows or remaining_s <= 0:
                 return 200, {"rows": rows}
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -8,7 +8,14 @@
 
 import pytest
 
-from pepperstair_adapter.store import MEMBERS_TABLE, Store, StoreTable, TableRows
+from pepperstair_adapter.store import (
+    MEMBERS_TABLE,
+    Store,
+    StoreTable,
+    TableRows,
+    row_name,
+    upsert_of,
+)
 from pepperstair_core.config import PlatformSettings
 from pepperstair_core.errors import ErrorKind
 from pepperstair_platform import Row
@@ -127,3 +134,29 @@
     stand_in.fixed_answer = b"[" * 60_000
     read = await store.read("t")
     assert read.unwrap_err().kind is ErrorKind.PLATFORM_UNAVAILABLE
+
+
+@with_store
+async def test_transaction_with_an_outdated_row_version_writes_nothing(stand_in, store):
+    """Guards against two daemons that both write a different state of a rollout."""
+    stand_in.put("members", "rollout/ledger", b"1")
+    (row,) = (await store.read("members", "rollout/")).unwrap().rows
+    stand_in.put("members", "rollout/ledger", b"2")
+    expected = {
+        **row_name("members", "rollout/ledger"),
+        "resource_version": row.version,
+    }
+    upsert = upsert_of("members", Row("rollout/ledger", "3"))
+    assert (await store.transact([upsert], [], [expected])).unwrap() is False
+    expected["resource_version"] = stand_in.version
+    assert (await store.transact([upsert], [], [expected])).unwrap() is True
+    assert stand_in.rows["members", "rollout/ledger"][0] == b"3"
+
+
+@with_store
+async def test_transaction_that_expects_no_row_fails_if_there_is_one(stand_in, store):
+    """Guards against a state that overwrites the one of an earlier writer."""
+    expected = {**row_name("members", "rollout/ledger"), "resource_version": 0}
+    upsert = upsert_of("members", Row("rollout/ledger", "3"))
+    assert (await store.transact([upsert], [], [expected])).unwrap() is True
+    assert (await store.transact([upsert], [], [expected])).unwrap() is False
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -480,3 +480,40 @@
     ] == []
     assert ("vm-2", DocumentHave(5)) in control.sent
     assert len(table.calls) == 1
+
+
+def test_other_rows_are_passed_on_before_the_document_is_confirmed():
+    """Guards against a confirmation that there is no order while one is being read."""
+    events = []
+    order, removed = WatchedRow("rollout/a", b"{}", 2), WatchedRow("rollout/a", None, 4)
+    table = FakeTable(
+        Ok(WatchedRows((WatchedRow("config", b"5"), order), 3)),
+        Ok(WatchedRows((removed,), 4)),
+    )
+
+    class Control(FakeControl):
+        def send(self, vm, *frames):
+            events.extend(type(frame) for frame in frames)
+
+    schedule = ReadSchedule(1000.0, 0.0, random.Random(1), 0.0)
+
+    async def scenario():
+        following = ConfigurationFollower(
+            table,
+            "config",
+            read,
+            {},
+            Control("vm-2"),
+            DecisionLog(),
+            random.Random(1),
+            schedule=schedule,
+        )
+        following.on_other_rows = lambda *passed: events.append(passed)
+        following.start()
+        await asyncio.sleep(0.6)
+        following.close()
+
+    asyncio.run(scenario())
+    assert events[0] == ((order,), True)
+    assert ((removed,), False) in events
+    assert DocumentFresh in events
