Rollouts: orders, evidence, phases and the version of each request

Cause: requests of a service have to move to another version of its targets on an operator's order, and away from a version that is bad, without a controller.

Change: the daemon follows the orders in the operators' rows, floods orders, phases and evidence to its neighbours, and writes the phases that the decision proposes by compare-and-set, ranked by rendezvous hashing. Its proxy and runner keep to the phase: few requests to canary targets, none to a version that is on hold, bad or replaced. All of it exists only where the settings enable rollouts and the platform has rows for them.

--- a/packages/pepperstair-core/pepperstair_core/decisions.py
+++ b/packages/pepperstair-core/pepperstair_core/decisions.py
@@ -28,6 +28,7 @@
     REJECTED = "rejected"
     CONFLICT = "conflict"
     QUARANTINED = "quarantined"
+    ROLLOUT = "rollout"
 
 
 class Decision(Struct, frozen=True):
--- a/packages/pepperstair-core/pepperstair_core/events.py
+++ b/packages/pepperstair-core/pepperstair_core/events.py
@@ -50,6 +50,9 @@
     TARGET_CALL_FAILED = "target_call_failed"
     LINES_DROPPED = "lines_dropped"
     REQUEST_MALFORMED = "request_malformed"
+    ROLLOUT_ORDERED = "rollout_ordered"
+    ROLLOUT_VERDICT = "rollout_verdict"
+    ROLLOUT_PHASE_CHANGED = "rollout_phase_changed"
     INTERNAL_ERROR = "internal_error"
 
 
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -65,6 +65,7 @@
 from .metrics import MetricsSender
 from .proxying import make_proxy_context
 from .quarantine_rows import QuarantineRows
+from .rolling_out import make_rollouts
 from .stopping import stop_daemon
 
 log = structlog.get_logger(__name__)
@@ -174,6 +175,7 @@
         self.runner.on_cleared = self.crash_reports.report_cleared
         self.configuration = dependencies.make_configuration(self)
         self.member_table = dependencies.make_member_table(self)
+        self.rollouts = make_rollouts(self)
         self.listener = PeerListener(
             self.identity,
             settings.peers.frame_max_bytes,
@@ -292,6 +294,9 @@
         )
         for additional in self.additional_servers:
             await additional.server.listen(*parse_address(additional.address))
+        if self.rollouts is not None:
+            # Before the configuration, so that a new neighbour gets the orders first.
+            self.rollouts.start()
         self.configuration.start()
         self.control.start()
         self.member_table.start()
@@ -320,6 +325,8 @@
             self._settings_task.cancel()
         self.metrics.close()
         self.configuration.close()
+        if self.rollouts is not None:
+            self.rollouts.close()
         self.crash_reports.close()
         self.control.close()
         self.call_client.close()
@@ -349,6 +356,8 @@
             self.endpoint_table,
             self.leaving_targets.excluded(self.directory.get, monotonic_ms()),
         )
+        if self.rollouts is not None:
+            self.rollouts.update_targets()
 
     def record_leaving(self, endpoint: Endpoint) -> None:
         """Send no more calls to a target that states in an answer that it is leaving.
--- a/packages/pepperstaird/pepperstaird/dependencies.py
+++ b/packages/pepperstaird/pepperstaird/dependencies.py
@@ -21,6 +21,8 @@
 from pepperstair_platform import PlatformCounters, RowTable
 from pepperstair_targets import TargetOptions
 
+from .rollout_rows import RolloutRows
+
 if TYPE_CHECKING:
     from .daemon import Daemon
 
@@ -96,6 +98,7 @@
     budget, `iter_servers` yields additional servers, and `reload` is called on
     SIGHUP. `follow_settings` runs as long as the daemon, if given. `service` is the
     service of the VM's own target; its name is sent in a header of forwarded requests.
+    `make_rollout_rows` returns the rows of rollouts, if the platform has them.
     """
 
     make_platform: Callable[[Settings], PlatformClient]
@@ -111,6 +114,7 @@
     follow_settings: Callable[[Daemon], Coroutine[Any, Any, None]] | None = None
     target_options: TargetOptions = TargetOptions()
     service: str = ""
+    make_rollout_rows: Callable[[Daemon], RolloutRows] | None = None
 
 
 __all__ = [
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -69,6 +69,9 @@
 _REJECTIONS: Final = (OfferResult.REJECTED, OfferResult.REJECTED_BEFORE)
 
 
+OtherRowsCallback = Callable[[tuple[WatchedRow, ...], int | None], None]
+
+
 class ConfigurationFollower:
     """Keeps the newest document in force, from the table or from neighbours.
 
@@ -122,9 +125,9 @@
         self.overrides: Mapping[str, Labels] = {}
         self.on_changed: Callable[[Snapshot], None] = lambda snapshot: None
         self.on_converged: Callable[[str, int], None] = lambda customer, ms: None
-        # Called with the rows of each answer other than the document's, and with
-        # whether the answer holds the whole table.
-        self.on_other_rows: Callable[[tuple[WatchedRow, ...], bool], None] | None = None
+        # Called with the rows of each answer other than the document's, and with the
+        # position of the answer if it holds the whole table, else None.
+        self.on_other_rows: OtherRowsCallback | None = None
 
     @property
     def document(self) -> FollowedDocument | None:
@@ -324,7 +327,7 @@
             return
         others = tuple(row for row in rows.rows if row.key != self._key)
         if others or is_complete:
-            self.on_other_rows(others, is_complete)
+            self.on_other_rows(others, rows.position if is_complete else None)
 
     def _apply_rows(self, rows: WatchedRows) -> None:
         # A removed row leaves the version in force: otherwise all routes of the
--- a/packages/pepperstaird/pepperstaird/proxying.py
+++ b/packages/pepperstaird/pepperstaird/proxying.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import structlog
+from msgspec.structs import replace
 
 from pepperstair_callers import ProxyContext
 from pepperstair_core.calls import JOINING_MS, CallOutcome, Load
@@ -53,7 +54,7 @@
         daemon.metrics.add(outcome)
         daemon.exposition.add(outcome)
 
-    return ProxyContext(
+    context = ProxyContext(
         vm=vm,
         route_table=lambda: daemon.configuration.route_table,
         endpoints=endpoints,
@@ -76,6 +77,13 @@
         service=daemon.dependencies.service,
         on_leaving=daemon.record_leaving,
     )
+    if daemon.rollouts is None:
+        return context
+    return replace(
+        context,
+        pick_version=daemon.rollouts.routing.pick_version,
+        pick_other_version=daemon.rollouts.routing.pick_other_version,
+    )
 
 
 __all__ = ["make_proxy_context"]
--- /dev/null
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -0,0 +1,311 @@
+"""Moves the requests of services to other versions of their targets, on order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from typing import Any, Final
+
+import structlog
+
+from pepperstair_core.decisions import DecisionLog
+from pepperstair_core.errors import ErrorKind
+from pepperstair_core.members import VERSION_LABEL, MemberState, Target, TargetState
+from pepperstair_core.membership import MemberDirectory
+from pepperstair_core.rendezvous import highest
+from pepperstair_core.rollout import (
+    Evidence,
+    ExposureBudget,
+    Phase,
+    Rollout,
+    RolloutState,
+    RolloutTerms,
+    exposure_offset,
+)
+from pepperstair_peers import ControlPlane, Identity
+from pepperstair_platform import WatchedRow
+
+from .rollout_exchange import RolloutExchange
+from .rollout_reports import log_order, report_phase, report_verdict
+from .rollout_rows import OrderRow, RolloutRows
+from .rollout_targets import ServiceTargets
+from .rollout_writer import RolloutWriter
+from .version_routing import ActiveRollout, VersionRouting
+
+log = structlog.get_logger(__name__)
+
+_TICK_S: Final = 0.25
+# Number of daemons that write that an order was seen. The other daemons do not hear
+# whether that was written, and each would have to read the rows to find out.
+_N_FIRST_WRITERS: Final = 8
+
+
+class Rollouts:
+    """Follows the orders, and agrees with the other daemons on their phases.
+
+    `confirmed_ms` returns the moment at which all orders were last known here, and
+    `n_unfinished` the number of calls that run on some targets of this VM or wait for
+    them; the former uses the clock `now_ms`. Until the agreed states have been read,
+    the rows of orders wait.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        control: ControlPlane,
+        directory: MemberDirectory,
+        rows: RolloutRows,
+        terms: RolloutTerms,
+        decisions: DecisionLog,
+        n_unfinished: Callable[[Callable[[Target], bool]], int],
+        confirmed_ms: Callable[[], float],
+        now_ms: Callable[[], float],
+    ) -> None:
+        self._identity = identity
+        self._directory = directory
+        self._rows = rows
+        self._terms = terms
+        self._decisions = decisions
+        self._n_unfinished = n_unfinished
+        self._confirmed_ms = confirmed_ms
+        self._now_ms = now_ms
+        self._active: dict[str, ActiveRollout] = {}
+        self._targets = ServiceTargets(rows.service_of)
+        self.routing = VersionRouting(self._targets, terms)
+        self._waiting_rows: list[tuple[tuple[WatchedRow, ...], int | None]] = []
+        self._exchange = RolloutExchange(
+            control,
+            self._merge_state,
+            self._merge_evidence,
+            self._iter_states,
+            self._iter_evidence,
+        )
+        self._writer = RolloutWriter(rows, self._rank, self._adopt, now_ms)
+        self._timer: asyncio.TimerHandle | None = None
+        self.n_bad = 0
+        self.n_completed = 0
+        self.n_rolled_back = 0
+
+    def start(self) -> None:
+        """Start exchanging rollouts, and read the agreed states."""
+        self._exchange.start()
+        self._writer.start(self._on_restored)
+        self._tick()
+
+    def close(self) -> None:
+        """Stop exchanging, reading and writing."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._exchange.close()
+        self._writer.close()
+
+    def update_targets(self) -> None:
+        """Apply a change of the members."""
+        self._targets.update(self._directory.members())
+        self._update_routing()
+
+    def refusal(self, target: Target) -> ErrorKind | None:
+        """Return why a target of this VM takes no calls, or None if it takes them."""
+        return self.routing.refusal(self._rows.service_of(target), target)
+
+    def record(
+        self, target: Target, route: str, is_bad: bool, service_ms: float
+    ) -> None:
+        """Count the outcome of a call on a target of this VM as evidence."""
+        active = self._active.get(self._rows.service_of(target))
+        if active is None or active.rollout.phase.is_final:
+            return
+        is_new = target.label(VERSION_LABEL) == active.rollout.order.target_version
+        self.n_bad += is_new and is_bad
+        is_cold = target.state is TargetState.COLD
+        active.rollout.record(route, is_new, is_bad, service_ms, is_cold)
+
+    def read_rows(self, rows: tuple[WatchedRow, ...], position: int | None) -> None:
+        """Apply rows of the operators' table.
+
+        `position` is the position at which the rows were read if they are the whole
+        table, else None.
+        """
+        if not self.routing.is_restored:
+            self._waiting_rows.append((rows, position))
+            return
+        orders = list(self._rows.read_orders(rows))
+        for row in orders:
+            if row.order is None:
+                self._withdraw(row)
+            elif self._merge_state(RolloutState(row.order, Phase.CANARY, 0)):
+                self._publish(row.service)
+        if position is not None:
+            self._withdraw_missing({row.service for row in orders}, position)
+        self._update_routing()
+
+    def explain(self) -> list[dict[str, Any]]:
+        """Return the state of each rollout and the counts that led to it."""
+        now_ms = self._now_ms()
+        return [active.rollout.explain(now_ms) for active in self._active.values()]
+
+    @property
+    def n_active(self) -> int:
+        """Return the number of rollouts that have not ended."""
+        return sum(not item.rollout.phase.is_final for item in self._active.values())
+
+    @property
+    def n_suspended(self) -> int:
+        """Return the number of ordered versions that get no requests from here."""
+        return sum(item.is_suspended for item in self._active.values())
+
+    def _on_restored(self) -> None:
+        self.routing.is_restored = True
+        waiting, self._waiting_rows = self._waiting_rows, []
+        for rows, position in waiting:
+            self.read_rows(rows, position)
+        self._update_routing()
+
+    def _withdraw(self, row: OrderRow) -> None:
+        active = self._active.get(row.service)
+        if active is None or active.rollout.phase.is_final:
+            return
+        if row.number >= active.rollout.order.number:
+            active.is_withdrawn = True
+
+    def _withdraw_missing(self, found: set[str], position: int) -> None:
+        """Withdraw the orders that a read of the whole table did not find."""
+        for service in self._active.keys() - found:
+            self._withdraw(OrderRow(service, None, position))
+
+    def _adopt(self, state: RolloutState) -> None:
+        """Apply an agreed state that was read from its row or written to it."""
+        service = state.order.service
+        if self._merge_state(state):
+            self._publish(service)
+        active = self._active[service]
+        active.is_stored |= active.rollout.order.number == state.order.number
+
+    def _merge_state(self, state: RolloutState) -> bool:
+        """Apply a state and return whether any of it was new."""
+        active = self._active.get(state.order.service)
+        number = active.rollout.order.number if active is not None else -1
+        if state.order.number < number:
+            return False
+        is_new = state.order.number > number
+        if is_new:
+            active = self._begin(state)
+        is_advanced = active.rollout.merge_phase(state.phase)
+        if is_advanced:
+            self._apply_phase(active.rollout)
+        if is_new or is_advanced:
+            self._update_routing()
+        return is_new or is_advanced
+
+    def _begin(self, state: RolloutState) -> ActiveRollout:
+        order = state.order
+        replaced = self._active.get(order.service)
+        if replaced is not None and replaced.rollout.phase is not Phase.COMPLETED:
+            version = replaced.rollout.order.target_version
+            self.routing.holds.bar(order.service, version)
+        vm, start_id = self._identity.vm, self._identity.start_id
+        active = ActiveRollout(
+            Rollout(order, state.age_ms, self._now_ms(), self._terms, vm, start_id),
+            ExposureBudget(self._terms, exposure_offset(order, vm, start_id)),
+        )
+        self._active[order.service] = active
+        log_order(active.rollout, state.age_ms)
+        return active
+
+    def _apply_phase(self, rollout: Rollout) -> None:
+        report_phase(rollout, self._decisions, self._now_ms())
+        service, version = rollout.order.service, rollout.order.target_version
+        self.n_rolled_back += rollout.phase is Phase.ROLLED_BACK
+        if rollout.phase is Phase.COMPLETED:
+            self.n_completed += 1
+            self.routing.holds.admit(service, version)
+            for other in self._targets.versions(service) - {version}:
+                self.routing.holds.bar(service, other)
+
+    def _publish(self, service: str) -> None:
+        state = self._active[service].rollout.state(self._now_ms())
+        self._exchange.publish_states((state,))
+
+    def _merge_evidence(self, evidence: Evidence) -> bool:
+        active = self._active.get(evidence.service)
+        return active is not None and active.rollout.merge(evidence)
+
+    def _iter_states(self) -> Iterator[RolloutState]:
+        now_ms = self._now_ms()
+        return (active.rollout.state(now_ms) for active in self._active.values())
+
+    def _iter_evidence(self) -> Iterator[Evidence]:
+        for active in self._active.values():
+            if not active.rollout.phase.is_final:
+                yield from active.rollout.all_evidence()
+
+    def _tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(_TICK_S, self._tick)
+        for active in list(self._active.values()):
+            self._propose(active)
+        # A version may be released by now, or considered bad.
+        self._update_routing()
+        for active in self._active.values():
+            self._send_evidence(active)
+
+    def _propose(self, active: ActiveRollout) -> None:
+        rollout, now_ms = active.rollout, self._now_ms()
+        if rollout.phase.is_final:
+            return
+        order = rollout.order
+        fleet = self._targets.fleet(order.service, order.target_version)
+        phase = rollout.proposal(now_ms, fleet)
+        if rollout.is_suspended and not active.is_verdict_logged:
+            active.is_verdict_logged = True
+            report_verdict(rollout, self._decisions, now_ms)
+        if not self.routing.is_restored:
+            return
+        if active.is_withdrawn:
+            phase = Phase.ROLLED_BACK
+        elif phase is None and not active.is_stored:
+            is_writer = self._rank(order.service) < _N_FIRST_WRITERS
+            phase = rollout.phase if is_writer else None
+        if phase is not None:
+            state = RolloutState(order, phase, rollout.state(now_ms).age_ms)
+            self._writer.propose(state, is_withdrawn=active.is_withdrawn)
+
+    def _send_evidence(self, active: ActiveRollout) -> None:
+        rollout, order = active.rollout, active.rollout.order
+        if rollout.phase.is_final:
+            return
+        vm, version = self._identity.vm, order.target_version
+        if vm in self._targets.fleet(order.service, version).vms_with_old:
+            rollout.set_old_running(self._count_old_running(active))
+        evidence = rollout.own_evidence()
+        if evidence is not None:
+            self._exchange.queue_evidence(evidence)
+
+    def _count_old_running(self, active: ActiveRollout) -> int | None:
+        """Return the calls at old targets of this VM, None while these accept calls."""
+        if active.rollout.phase is not Phase.PROMOTING or active.is_suspended:
+            return None
+        order = active.rollout.order
+
+        def is_old(target: Target) -> bool:
+            is_of_service = self._rows.service_of(target) == order.service
+            return is_of_service and target.label(VERSION_LABEL) != order.target_version
+
+        return self._n_unfinished(is_old)
+
+    def _rank(self, service: str) -> int:
+        """Return this daemon's place in the order of writers for a service."""
+        vms = [
+            member.vm
+            for member in self._directory.members()
+            if member.state is MemberState.ALIVE
+        ]
+        order = highest(f"rollout/{service}", vms, len(vms))
+        own = self._identity.vm
+        return order.index(own) if own in order else len(order)
+
+    def _update_routing(self) -> None:
+        self.routing.update(self._active, self._confirmed_ms(), self._now_ms())
+
+
+__all__ = ["Rollouts"]
--- a/tests/adapter/mesh.py
+++ b/tests/adapter/mesh.py
@@ -50,6 +50,9 @@
     # Requests to this path crash the instance, which is then replaced by a new one.
     poison_path: str = ""
     restart_s: float = 0.4
+    version: str = "v1"
+    # The status of the instance's answers.
+    status: int = 200
     n_poison_runs: int = 0
     server: HttpServer | None = None
     crash_task: asyncio.Task | None = None
@@ -124,7 +127,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self.ports['app']}",
             "zone": "pos-a",
-            "version": "v1",
+            "version": self.version,
             "slots": self.n_slots,
             "state": state,
             "cold_remaining_ms": 0,
@@ -187,7 +190,7 @@
             (b"x-response-signature", b"s"),
             *self.stated_headers,
         )
-        await exchange.respond(200, answer, self.name.encode())
+        await exchange.respond(self.status, answer, self.name.encode())
 
 
 class Mesh:
@@ -200,9 +203,10 @@
         self.vms: list[Vm] = []
         self.bounds = BOUNDS
 
-    async def add(self, name: str, service: str) -> Vm:
+    async def add(self, name: str, service: str, version: str = "v1") -> Vm:
         """Start a VM and wait until its daemon has accepted a heartbeat."""
         vm = Vm(name, service, self.folder, self.address, bounds=self.bounds)
+        vm.version = version
         await vm.serve()
         self.vms.append(vm)
         vm.start_daemon()
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -514,6 +514,6 @@
         following.close()
 
     asyncio.run(scenario())
-    assert events[0] == ((order,), True)
-    assert ((removed,), False) in events
+    assert events[0] == ((order,), 3)
+    assert ((removed,), None) in events
     assert DocumentFresh in events
