--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -48,6 +48,22 @@
     n_targets_crashed: Annotated[
         int, Meta(description="Targets of this VM that ended while they ran calls.")
     ] = 0
+    n_requests_exposed: Annotated[
+        int, Meta(description="Requests sent to the canary targets of a rollout.")
+    ] = 0
+    n_rollout_answers_bad: Annotated[
+        int,
+        Meta(description="Bad answers of a version under trial at targets of this VM."),
+    ] = 0
+    n_calls_of_other_version: Annotated[
+        int, Meta(description="Calls refused beside a target for its version.")
+    ] = 0
+    n_rollouts_completed: Annotated[
+        int, Meta(description="Rollouts completed as far as this daemon has heard.")
+    ] = 0
+    n_rollouts_rolled_back: Annotated[
+        int, Meta(description="Rollouts rolled back as far as this daemon has heard.")
+    ] = 0
     n_connections: Annotated[int, Meta(description="Connections of callers.")] = 0
     n_connections_refused: Annotated[
         int, Meta(description="Connections of callers over the cap.")
@@ -195,6 +211,13 @@
     n_requests_quarantined: Annotated[
         int, Meta(description="Requests, by content, that no target may run.")
     ] = 0
+    n_rollouts_active: Annotated[
+        int, Meta(description="Rollouts that have not ended.")
+    ] = 0
+    n_rollouts_suspended: Annotated[
+        int,
+        Meta(description="Ordered versions that get no requests from this daemon."),
+    ] = 0
     configuration_age_ms: Annotated[
         int,
         Meta(
@@ -251,13 +274,28 @@
         ),
         n_metrics_sent=daemon.metrics.n_sent,
         n_metrics_dropped=daemon.metrics.n_dropped,
+        n_calls_of_other_version=daemon.runner.n_version_refusals,
+        **_rollout_counters(daemon),
         **daemon.configuration.counters(),
         frames=tuple(frames),
     )
 
 
+def _rollout_counters(daemon: Daemon) -> dict[str, int]:
+    rollouts = daemon.rollouts
+    if rollouts is None:
+        return {}
+    return {
+        "n_requests_exposed": rollouts.routing.n_exposed,
+        "n_rollout_answers_bad": rollouts.n_bad,
+        "n_rollouts_completed": rollouts.n_completed,
+        "n_rollouts_rolled_back": rollouts.n_rolled_back,
+    }
+
+
 def read_gauges(daemon: Daemon) -> DaemonGauges:
     """Return the current values of all components of a daemon."""
+    rollouts = daemon.rollouts
     return DaemonGauges(
         n_members=sum(member.is_usable for member in daemon.directory.members()),
         n_targets=len(daemon.registry.targets()),
@@ -266,6 +304,8 @@
         n_calls_in_flight=daemon.runner.n_in_flight,
         n_requests_in_flight=daemon.proxy.n_in_flight,
         n_requests_quarantined=daemon.quarantine.n_quarantined(precise_ms()),
+        n_rollouts_active=rollouts.n_active if rollouts is not None else 0,
+        n_rollouts_suspended=rollouts.n_suspended if rollouts is not None else 0,
         # statsd treats a negative value of a gauge as a decrement.
         configuration_age_ms=max(0, daemon.configuration.age_ms()),
     )
--- a/packages/pepperstaird/pepperstaird/reports.py
+++ b/packages/pepperstaird/pepperstaird/reports.py
@@ -57,7 +57,7 @@
 
 def status_content(daemon: Daemon) -> dict[str, Any]:
     """Return the content of `GET /v1/status`."""
-    return {
+    content = {
         "vm": daemon.settings.vm.name,
         "availability_zone": daemon.settings.vm.availability_zone,
         "ready": daemon.is_ready(),
@@ -80,6 +80,9 @@
         "rejected": daemon.configuration.rejected(),
         "counters": dict(read_counters(daemon).iter_named()),
     }
+    if daemon.rollouts is not None:
+        content["rollouts"] = daemon.rollouts.explain()
+    return content
 
 
 def add_explain_operation(server: OperatorServer, daemon: Daemon) -> None:
