--- a/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
@@ -20,6 +20,8 @@
 # completed, also if the first writer is dead or the store is slow.
 COMPLETION_MS: Final = 1_000
 COMPLETION_SHARE_MAX: Final = 0.4
+# Promotion doesn't begin if less time is left for the test in it.
+PROMOTION_TEST_MS: Final = 500
 # Share of the old targets' slots that the new ones must have before promotion.
 NEW_SLOTS_SHARE_MIN: Final = 0.5
 
@@ -105,6 +107,8 @@
         if self.phase.is_final or phase <= self.phase:
             return False
         self.phase = phase
+        if phase is Phase.PROMOTING:
+            self._test.restart()
         return True
 
     def set_old_running(self, n: int | None) -> None:
@@ -162,19 +166,27 @@
         reserve_ms = max(RESERVE_MS, RESERVE_SHARE * duration_ms)
         return min(reserve_ms, RESERVE_SHARE_MAX * duration_ms)
 
+    def _completion_ms(self) -> float:
+        return min(COMPLETION_MS, COMPLETION_SHARE_MAX * self._reserve_ms())
+
     def _after_canary(self, now_ms: float, fleet: RolloutFleet) -> Phase | None:
-        age_ms = self._age_ms(now_ms)
-        if age_ms >= self.order.duration_ms:
+        left_ms = self.order.duration_ms - self._age_ms(now_ms)
+        if left_ms <= 0.0:
             return Phase.ROLLED_BACK
-        if age_ms < self.order.duration_ms - self._reserve_ms():
+        left_min_ms = self._completion_ms() + PROMOTION_TEST_MS
+        if not min(left_min_ms, self._reserve_ms()) <= left_ms <= self._reserve_ms():
             return None
         n_slots_min = max(1.0, NEW_SLOTS_SHARE_MIN * fleet.n_old_slots)
-        return Phase.PROMOTING if fleet.n_new_slots >= n_slots_min else None
+        if fleet.n_new_slots < n_slots_min or self._test.is_doubtful():
+            return None
+        return Phase.PROMOTING
 
     def _after_promoting(self, now_ms: float, fleet: RolloutFleet) -> Phase | None:
-        completion_ms = min(COMPLETION_MS, COMPLETION_SHARE_MAX * self._reserve_ms())
-        if self._age_ms(now_ms) < self.order.duration_ms - completion_ms:
+        left_ms = self.order.duration_ms - self._age_ms(now_ms)
+        if left_ms > self._completion_ms():
             return None
+        if self._test.is_doubtful():
+            return Phase.ROLLED_BACK if left_ms <= 0.0 else None
         is_drained = all(
             self._store.n_old_running(vm) == 0 for vm in fleet.vms_with_old
         )
--- a/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
@@ -21,6 +21,10 @@
 # Score that the other targets must reach without the worst one, so that one faulty
 # target doesn't condemn its version.
 CONFIRMING_SCORE: Final = 2.5
+# From these scores on, in total and without the worst target, a version isn't promoted
+# or completed, because too little was counted to clear it.
+DOUBTFUL_SCORE: Final = 4.0
+DOUBTFUL_REST: Final = -1.0
 # The score doesn't fall below this, so that a version that becomes bad some time after
 # its start is still detected soon.
 SCORE_MIN: Final = -math.log(100)
@@ -29,6 +33,8 @@
 RATE_DIFFERENCE: Final = 0.25
 # The lowest failure rate that is assumed of the old version.
 RATE_MIN: Final = 0.01
+# The old version's failure rate changes if it differs by more between intervals.
+RATE_CHANGE: Final = 0.2
 # Above this failure rate of the old version, nothing is concluded from failures.
 RATE_MAX: Final = 0.7
 # Logarithm of the ratio of service times from which a version is too slow, and the
@@ -39,14 +45,21 @@
 # speed, so their service times don't vary independently.
 LOG_VARIANCE_MIN: Final = 0.25
 N_TIMED_MIN: Final = 5
-# Share of the old version's recent outcomes that remains after each interval.
-_RECENT_KEPT: Final = 0.8
-# Weights of prior knowledge, as numbers of requests.
-_N_PRIOR_RUN: Final = 50
+# Share of the old version's recent outcomes that remains after each interval. They
+# stand for the old version where no requests go to it.
+_RECENT_KEPT: Final = 0.6
+# Weights of prior knowledge, as numbers of requests: of a usual failure rate, of that
+# over all routes, and of the recent rate of the route.
+_N_PRIOR_RUN: Final = 10
+_N_ALL_ROUTES_RUN: Final = 20
 _N_RECENT_RUN: Final = 20
 
+FAILING: Final = "failing"
+SLOW: Final = "slow"
+FAULTS: Final = (FAILING, SLOW)
 # The score over all routes is kept under this key, which is no route's name.
 ALL_ROUTES: Final = ""
+_NOTHING: Final = Tally()
 
 
 class Score(Struct):
@@ -69,8 +82,19 @@
         """Return whether the version is bad, and not just its worst target."""
         if self.total < BAD_SCORE:
             return False
-        rest = self.total - max(self.by_vm.values())
-        return n_new_vms == 1 or rest >= CONFIRMING_SCORE
+        return n_new_vms == 1 or self._rest() >= CONFIRMING_SCORE
+
+    def is_doubtful(self, rest_min: float) -> bool:
+        """Return whether the version may be bad, and not just its worst target."""
+        return self.total >= DOUBTFUL_SCORE and self._rest() >= rest_min
+
+    def forget_good(self) -> None:
+        """Raise negative scores to zero."""
+        self.total = max(0.0, self.total)
+        self.by_vm = {vm: max(0.0, score) for vm, score in self.by_vm.items()}
+
+    def _rest(self) -> float:
+        return self.total - max(self.by_vm.values())
 
 
 class _Interval(Struct):
@@ -120,6 +144,19 @@
         scores = self.scores(is_promoting)
         return any(score.is_bad(n_new_vms) for score in scores.values())
 
+    def is_doubtful(self) -> bool:
+        """Return whether there is bad evidence, though too little for a verdict."""
+        scores = self.scores(is_promoting=True)
+        return any(
+            score.is_doubtful(DOUBTFUL_REST if route == ALL_ROUTES else 0.0)
+            for (_, route), score in scores.items()
+        )
+
+    def restart(self) -> None:
+        """Forget what speaks for the version, as promotion is its first full load."""
+        for score in self._scores.values():
+            score.forget_good()
+
     def scores(self, is_promoting: bool) -> Scores:
         """Return the score of each kind of fault and route."""
         if not is_promoting:
@@ -134,43 +171,91 @@
             self._scores, self._closed, (self._before, self._closed, self._open)
         )
         for route, tally in self._open.old.items():
-            recent = self._recent.setdefault(route, Tally())
-            recent.scale(_RECENT_KEPT)
-            recent.add(tally)
+            self._keep_recent(route, tally)
+        if self._open.old:
+            self._keep_recent(ALL_ROUTES, _sum(self._open.old.values()))
         self._before, self._closed, self._open = self._closed, self._open, _Interval()
         self._opened_ms = now_ms
 
+    def _keep_recent(self, route: str, tally: Tally) -> None:
+        recent = self._recent.setdefault(route, Tally())
+        recent.scale(_RECENT_KEPT)
+        recent.add(tally)
+
     def _judge(
         self, scores: Scores, judged: _Interval, around: tuple[_Interval, ...]
     ) -> None:
         """Add to the scores what an interval says, given those around it."""
-        for fault, ratio_of in (("failing", _failing_ratio), ("slow", _slow_ratio)):
-            in_all: dict[str, float] = {}
-            for route, by_vm in judged.new.items():
-                old = _sum(each.old[route] for each in around if route in each.old)
-                recent = self._recent.get(route, Tally())
-                ratios = {
-                    vm: ratio_of(tally, old, recent) for vm, tally in by_vm.items()
-                }
+        is_changing = _is_changing(around)
+        in_all: dict[tuple[str, str], float] = {}
+        for route, by_vm in judged.new.items():
+            old = [each.old[route] for each in around if route in each.old]
+            for fault, ratios in self._ratios(route, by_vm, old, is_changing):
                 scores.setdefault((fault, route), Score()).add(ratios)
                 for vm, ratio in ratios.items():
-                    in_all[vm] = in_all.get(vm, 0.0) + ratio
-            if in_all:
-                scores.setdefault((fault, ALL_ROUTES), Score()).add(in_all)
-
-
-def _sum(tallies: Iterator[Tally]) -> Tally:
+                    in_all[(fault, vm)] = in_all.get((fault, vm), 0.0) + ratio
+        for fault in FAULTS:
+            ratios = {
+                vm: ratio for (name, vm), ratio in in_all.items() if name == fault
+            }
+            if ratios:
+                scores.setdefault((fault, ALL_ROUTES), Score()).add(ratios)
+
+    def _ratios(
+        self,
+        route: str,
+        by_vm: dict[str, Tally],
+        old: list[Tally],
+        is_changing: bool,
+    ) -> Iterator[tuple[str, dict[str, float]]]:
+        """Yield each kind of fault with the log-likelihood ratios of a route by VM."""
+        recent = self._recent.get(route, _NOTHING)
+        in_all = self._recent.get(ALL_ROUTES, _NOTHING)
+        rate = _old_rate(old, recent, in_all, is_changing)
+        known = _sum([*old, recent])
+        yield FAILING, {vm: _failing_ratio(new, rate) for vm, new in by_vm.items()}
+        yield SLOW, {vm: _slow_ratio(new, known) for vm, new in by_vm.items()}
+
+
+def _sum(tallies: Iterable[Tally]) -> Tally:
     total = Tally()
     for tally in tallies:
         total.add(tally)
     return total
 
 
-def _failing_ratio(new: Tally, old: Tally, recent: Tally) -> float:
+def _old_rate(
+    old: list[Tally], recent: Tally, in_all: Tally, is_changing: bool
+) -> float:
+    """Return the failure rate of the old version on a route at some time.
+
+    While the rate changes, it is the highest of the intervals around that time, because
+    evidence of both versions is not delayed equally. What is not known of a route is
+    taken from all routes.
+    """
+    all_rate = _rate_with_prior(in_all, RATE_MIN, _N_PRIOR_RUN)
+    recent_rate = _rate_with_prior(recent, all_rate, _N_ALL_ROUTES_RUN)
+    if is_changing:
+        rates = [_rate_with_prior(each, recent_rate, _N_RECENT_RUN) for each in old]
+        rate = max(rates, default=recent_rate)
+    else:
+        rate = _rate_with_prior(_sum(old), recent_rate, _N_RECENT_RUN)
+    return max(RATE_MIN, rate)
+
+
+def _is_changing(around: tuple[_Interval, ...]) -> bool:
+    """Return whether the old version's failure rate over all routes changes."""
+    totals = [_sum(each.old.values()) for each in around if each.old]
+    rates = [each.n_bad / each.n_run for each in totals]
+    return bool(rates) and max(rates) - min(rates) > RATE_CHANGE
+
+
+def _rate_with_prior(tally: Tally, prior_rate: float, n_prior_run: int) -> float:
+    return (tally.n_bad + n_prior_run * prior_rate) / (tally.n_run + n_prior_run)
+
+
+def _failing_ratio(new: Tally, old_rate: float) -> float:
     """Return the log-likelihood ratio of a higher failure rate of the new version."""
-    recent_rate = (recent.n_bad + 1) / (recent.n_run + _N_PRIOR_RUN)
-    old_rate = (old.n_bad + _N_RECENT_RUN * recent_rate) / (old.n_run + _N_RECENT_RUN)
-    old_rate = max(RATE_MIN, old_rate)
     if old_rate > RATE_MAX:
         return 0.0
     bad_rate = old_rate + RATE_DIFFERENCE
@@ -179,9 +264,11 @@
     return new.n_bad * of_bad + (new.n_run - new.n_bad) * of_good
 
 
-def _slow_ratio(new: Tally, old: Tally, recent: Tally) -> float:
-    """Return the log-likelihood ratio of longer service times of the new version."""
-    known = _sum(iter((old, recent)))
+def _slow_ratio(new: Tally, known: Tally) -> float:
+    """Return the log-likelihood ratio of longer service times of the new version.
+
+    `known` are the outcomes of the old version that are known.
+    """
     if known.n_timed < N_TIMED_MIN or not new.n_timed:
         return 0.0
     mean = known.sum_log_ms / known.n_timed
