Broken streamed answers count as evidence

Cause: an answer that is larger than the buffer is relayed while it arrives; it was reported as good although its target might break it off later.

Change: the outcome of such a call is reported at its end. A call whose caller left before the end is not reported.

--- a/packages/pepperstair-targets/pepperstair_targets/answer_body.py
+++ b/packages/pepperstair-targets/pepperstair_targets/answer_body.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from pepperstair_http import BodyBuffer, ClientConnection
+from pepperstair_http import BodyBuffer, ClientConnection, ConnectionLostError
 
 log = structlog.get_logger(__name__)
 
@@ -22,7 +22,7 @@
     a large file may take longer than the deadline if its bytes keep arriving.
     """
 
-    __slots__ = ("_connection", "_idle_timeout_s", "_source")
+    __slots__ = ("_connection", "_idle_timeout_s", "_source", "is_broken")
 
     def __init__(
         self, connection: ClientConnection, idle_timeout_s: float = BODY_IDLE_TIMEOUT_S
@@ -31,6 +31,8 @@
         self._connection = connection
         self._source = connection.body
         self._idle_timeout_s = idle_timeout_s
+        # Whether the connection ended before the body while it was read.
+        self.is_broken = False
 
     @property
     def is_complete(self) -> bool:
@@ -54,6 +56,9 @@
         timer = loop.call_later(self._idle_timeout_s, self._connection.close)
         try:
             return await self._source.read()
+        except ConnectionLostError:
+            self.is_broken = True
+            raise
         finally:
             timer.cancel()
 
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -26,6 +26,7 @@
     parse_rate_limit,
 )
 
+from .answer_body import AnswerBody
 from .crash_detection import CrashDetector
 from .pool import ConnectionPool
 from .registry import TargetRegistry
@@ -193,9 +194,13 @@
             local.slots.release(head, None)
             raise
 
+        streamed: StreamedResponse | None = None
+
         def free_slot(was_sent: bool) -> None:
             service_ms = self._now_ms() - admitted_ms if was_sent else None
             local.slots.release(head, service_ms)
+            if streamed is not None:
+                self._report_run(target, head, streamed, answered_ms - admitted_ms)
 
         call = TargetCall(
             local.pool,
@@ -220,8 +225,11 @@
         finally:
             local.crashes.end(call)
         self._record_answer(head, response)
-        is_bad = response.status >= _FAILED_STATUS and not self._is_shedding(response)
-        self.on_run(target, head.route, is_bad, self._now_ms() - admitted_ms)
+        answered_ms = self._now_ms()
+        if response.body.is_complete:
+            self._report_run(target, head, response, answered_ms - admitted_ms)
+        else:
+            streamed = response
         return _with_wait_header(response, int(admitted_ms - start_ms))
 
     def sync_with_registry(self) -> None:
@@ -289,6 +297,22 @@
         is_marked = bool(self._options.names.not_run)
         return response.status == _SHEDDING_STATUS and not is_marked
 
+    def _report_run(
+        self,
+        target: Target,
+        head: CallHead,
+        response: StreamedResponse,
+        service_ms: float,
+    ) -> None:
+        """Report an answered call, unless its caller left before the end."""
+        body = response.body
+        is_broken = isinstance(body, AnswerBody) and body.is_broken
+        if not body.is_complete and not is_broken:
+            return
+        is_failed = response.status >= _FAILED_STATUS
+        is_bad = is_broken or (is_failed and not self._is_shedding(response))
+        self.on_run(target, head.route, is_bad, service_ms)
+
     def _report_failed_run(
         self, target: Target, head: CallHead, failure: Failure, lasted_ms: float
     ) -> None:
