A refusal for a target's version does not count as an attempt

Cause: the daemon beside a target under trial may know of a rollback, or be starting, while the caller's daemon still sends canary requests there. The refusal used up an attempt, on routes with a single one the request failed.

Change: like a refusal of a superseded version, it is followed by an attempt on the other version at once, at most twice a call.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -60,10 +60,13 @@
 # from the daemon before the target.
 N_OVER_LIMIT_MAX: Final = 3
 
-# Maximum number of refusals by superseded versions that do not count as attempts. Each
-# is followed by an attempt on the version that has replaced it, so more than one occurs
-# only if that version is replaced at the same time.
-N_SUPERSEDED_MAX: Final = 2
+# Maximum number of refusals for a target's version that do not count as attempts. After
+# each, the call goes on with another version, so more than one occurs only if a rollout
+# changes its phase at the same time.
+N_VERSION_REFUSALS_MAX: Final = 2
+_VERSION_REFUSAL_KINDS: Final = frozenset(
+    {ErrorKind.VERSION_HELD, ErrorKind.VERSION_SUPERSEDED}
+)
 
 # Time that the call waited for a slot, set by the daemon on the target's VM.
 WAITED_HEADER: Final = b"pepperstair-waited-ms"
@@ -85,7 +88,7 @@
         "_latency_ms",
         "_may_have_reached_target",
         "_n_over_limit",
-        "_n_superseded",
+        "_n_version_refusals",
         "_overload_failure",
         "_request",
         "_waited_before_ms",
@@ -124,7 +127,7 @@
         self._excluded: frozenset[tuple[str, str]] = frozenset()
         self._may_have_reached_target = False
         self._n_over_limit = 0
-        self._n_superseded = 0
+        self._n_version_refusals = 0
         self._overload_failure: Failure | None = None
         # The route with all versions of its targets; `compiled` is restricted to one.
         self._destination = compiled
@@ -411,18 +414,18 @@
         """Continue with another version of the targets after a failed attempt.
 
         Return whether the next attempt starts at once and does not count as a retry,
-        because the version of the failed attempt has been replaced.
+        because the target was refused only for its version.
         """
         context = self._context
         other = context.pick_other_version(self._destination, failed, failure)
         if other is None:
             return False
         self.compiled = other
-        if failure.kind is not ErrorKind.VERSION_SUPERSEDED:
+        if failure.kind not in _VERSION_REFUSAL_KINDS or self.time_left_ms <= 0:
             return False
-        if self._n_superseded >= N_SUPERSEDED_MAX or self.time_left_ms <= 0:
+        if self._n_version_refusals >= N_VERSION_REFUSALS_MAX:
             return False
-        self._n_superseded += 1
+        self._n_version_refusals += 1
         self.n_attempts -= 1
         self._excluded = self._excluded | {failed.key}
         return True
--- a/tests/test_version_routing.py
+++ b/tests/test_version_routing.py
@@ -3,15 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 
+import pytest
 from msgspec.structs import replace
 
 from pepperstair_callers import Proxy
 from pepperstair_core.errors import ErrorKind
-from pepperstair_http import HttpServer, ServerLimits
+from pepperstair_http import ConnectionLostError, HttpServer, ServerLimits
 from pepperstair_targets import TargetOptions
-from tests.call_mesh import Mesh, answer_ok, http_answer, status_and_run
+from tests.call_mesh import (
+    Mesh,
+    answer_ok,
+    http_answer,
+    status_and_run,
+    wait_until,
+)
 
 OLD, NEW = ("old", "old"), ("new", "new")
 
@@ -93,6 +101,18 @@
         assert mesh.outcomes[0].n_retries == 0
 
 
+@on_loop
+async def test_canary_request_refused_by_a_held_version_runs_on_the_old_one():
+    """Guards against calls that fail as their daemon has not heard of a rollback."""
+    async with VersionMesh(NEW, lambda failure: OLD, n_attempts_max=1) as mesh:
+        await mesh.start()
+        runner = mesh.nodes["new"].runner
+        runner.version_refusal = lambda target: ErrorKind.VERSION_HELD
+        response = await mesh.call()
+        assert (response.status, response.body) == (200, b"old")
+        assert mesh.outcomes[0].n_retries == 0
+
+
 @on_loop
 async def test_failed_canary_request_is_retried_on_the_old_version():
     """Guards against callers that get the errors of a version under trial."""
@@ -138,16 +158,23 @@
         assert runner.n_unfinished(lambda target: True) == 0
 
 
-@on_loop
-async def test_failures_of_the_target_itself_are_reported_as_bad():
+@pytest.mark.parametrize("n_buffered_max_bytes", [0, 100_000])
+def test_failures_of_the_target_itself_are_reported_as_bad(n_buffered_max_bytes):
     """Guards against evidence that misses errors or broken answers of a version."""
-    options = TargetOptions(n_buffered_max_bytes=100_000)
+    options = TargetOptions(n_buffered_max_bytes=n_buffered_max_bytes)
+    asyncio.run(asyncio.wait_for(report_failures(options), 15))
+
+
+async def report_failures(options):
+    """Compare the reported outcomes of a good, a failed and a truncated answer."""
     stay = lambda failure: None
     async with VersionMesh(NEW, stay, n_attempts_max=1, options=options) as mesh:
         await mesh.start()
         for answer in (answer_ok, fail, truncate):
             mesh.raw["new"].answer = answer
-            await mesh.call()
+            with contextlib.suppress(ConnectionLostError):
+                await mesh.call()
+        await wait_until(lambda: len(mesh.runs) == 3)
         outcomes = [(run[0].name, run[1], run[2]) for run in mesh.runs]
         assert outcomes == [
             ("new", "r", False),
