Orders and phases while a daemon is starting or was paused

Cause: a daemon that had not read the agreed states kept an order to itself, and still confirmed to others that it knew all rows; they could then release the ordered version. A daemon that was paused went on with the phase from before the pause. After a completed rollout, versions that came later without an order got nothing for ever.

Change: a starting daemon passes an order on with an unknown age; a daemon that has read the states takes it as new, others let it wait. After a pause the states are read again. When the completed version has no targets any more, released versions that are not barred get requests.

Result: tests/test_rollouts.py passes with three more tests, tests/adapter/test_rollout.py with one in which all daemon processes are killed after a rollback.

--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -278,6 +278,8 @@
     def _on_paused(self) -> None:
         """Stop proxying calls until the configuration is up to date again."""
         self.configuration.catch_up()
+        if self.rollouts is not None:
+            self.rollouts.catch_up()
         self.call_server.reset_streams()
 
     async def start(self, callers_socket: socket.socket | None = None) -> None:
--- a/packages/pepperstaird/pepperstaird/rollout_writer.py
+++ b/packages/pepperstaird/pepperstaird/rollout_writer.py
@@ -48,7 +48,9 @@
         self.n_writes = 0
 
     def start(self, on_restored: Callable[[], None]) -> None:
-        """Read the agreed states, then call `on_restored`."""
+        """Read the agreed states, then call `on_restored`; cancel an earlier start."""
+        if self._restore_task is not None:
+            self._restore_task.cancel()
         restoring = self._restore(on_restored)
         self._restore_task = asyncio.get_running_loop().create_task(restoring)
 
--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -18,6 +18,7 @@
     ExposureBudget,
     Phase,
     Rollout,
+    RolloutOrder,
     RolloutState,
     RolloutTerms,
     exposure_offset,
@@ -46,7 +47,8 @@
     `confirmed_ms` returns the moment at which all orders were last known here, and
     `n_unfinished` the number of calls that run on some targets of this VM or wait for
     them; the former uses the clock `now_ms`. Until the agreed states have been read,
-    the rows of orders wait.
+    the rows of orders wait: the age of an order that was given before the start of this
+    process is not known before.
     """
 
     def __init__(
@@ -73,6 +75,8 @@
         self._targets = ServiceTargets(rows.service_of)
         self.routing = VersionRouting(self._targets, terms)
         self._waiting_rows: list[tuple[tuple[WatchedRow, ...], int | None]] = []
+        # Orders that wait, by service and number.
+        self._waiting_orders: dict[tuple[str, int], RolloutOrder] = {}
         self._exchange = RolloutExchange(
             control,
             self._merge_state,
@@ -92,6 +96,15 @@
         self._writer.start(self._on_restored)
         self._tick()
 
+    def catch_up(self) -> None:
+        """Read the agreed states again after a pause of this process.
+
+        Until then, a version under trial gets no requests, as after a start.
+        """
+        self.routing.is_restored = False
+        self._update_routing()
+        self._writer.start(self._on_restored)
+
     def close(self) -> None:
         """Stop exchanging, reading and writing."""
         if self._timer is not None:
@@ -126,10 +139,14 @@
         `position` is the position at which the rows were read if they are the whole
         table, else None.
         """
+        orders = list(self._rows.read_orders(rows))
         if not self.routing.is_restored:
             self._waiting_rows.append((rows, position))
+            # Other daemons rely on this daemon's confirmation that it knows all orders.
+            for row in orders:
+                if row.order is not None:
+                    self._offer_waiting(RolloutState(row.order, Phase.CANARY, -1))
             return
-        orders = list(self._rows.read_orders(rows))
         for row in orders:
             if row.order is None:
                 self._withdraw(row)
@@ -159,6 +176,10 @@
         waiting, self._waiting_rows = self._waiting_rows, []
         for rows, position in waiting:
             self.read_rows(rows, position)
+        for order in self._waiting_orders.values():
+            if self._merge_state(RolloutState(order, Phase.CANARY, 0)):
+                self._publish(order.service)
+        self._waiting_orders.clear()
         self._update_routing()
 
     def _withdraw(self, row: OrderRow) -> None:
@@ -181,8 +202,19 @@
         active = self._active[service]
         active.is_stored |= active.rollout.order.number == state.order.number
 
+    def _offer_waiting(self, state: RolloutState) -> None:
+        if self._merge_state(state):
+            self._exchange.publish_states((state,))
+
     def _merge_state(self, state: RolloutState) -> bool:
-        """Apply a state and return whether any of it was new."""
+        """Apply a state and return whether any of it was new.
+
+        A negative age states that the sender does not know the age of an order. A
+        daemon that has read the agreed states and does not know the order takes it as
+        just given; any other daemon lets it wait.
+        """
+        if state.age_ms < 0 and not self.routing.is_restored:
+            return self._add_waiting(state.order)
         active = self._active.get(state.order.service)
         number = active.rollout.order.number if active is not None else -1
         if state.order.number < number:
@@ -197,19 +229,29 @@
             self._update_routing()
         return is_new or is_advanced
 
+    def _add_waiting(self, order: RolloutOrder) -> bool:
+        active = self._active.get(order.service)
+        if active is not None and order.number <= active.rollout.order.number:
+            return False
+        key = (order.service, order.number)
+        if key in self._waiting_orders:
+            return False
+        self._waiting_orders[key] = order
+        return True
+
     def _begin(self, state: RolloutState) -> ActiveRollout:
-        order = state.order
+        order, age_ms = state.order, max(0, state.age_ms)
         replaced = self._active.get(order.service)
         if replaced is not None and replaced.rollout.phase is not Phase.COMPLETED:
             version = replaced.rollout.order.target_version
             self.routing.holds.bar(order.service, version)
         vm, start_id = self._identity.vm, self._identity.start_id
         active = ActiveRollout(
-            Rollout(order, state.age_ms, self._now_ms(), self._terms, vm, start_id),
+            Rollout(order, age_ms, self._now_ms(), self._terms, vm, start_id),
             ExposureBudget(self._terms, exposure_offset(order, vm, start_id)),
         )
         self._active[order.service] = active
-        log_order(active.rollout, state.age_ms)
+        log_order(active.rollout, age_ms)
         return active
 
     def _apply_phase(self, rollout: Rollout) -> None:
@@ -232,7 +274,10 @@
 
     def _iter_states(self) -> Iterator[RolloutState]:
         now_ms = self._now_ms()
-        return (active.rollout.state(now_ms) for active in self._active.values())
+        for active in self._active.values():
+            yield active.rollout.state(now_ms)
+        for order in self._waiting_orders.values():
+            yield RolloutState(order, Phase.CANARY, -1)
 
     def _iter_evidence(self) -> Iterator[Evidence]:
         for active in self._active.values():
--- a/packages/pepperstaird/pepperstaird/version_routing.py
+++ b/packages/pepperstaird/pepperstaird/version_routing.py
@@ -138,6 +138,10 @@
         held = self.holds.held(service, versions, ordered)
         if rollout is None:
             return make_rule(held)
+        is_completed = rollout.phase is Phase.COMPLETED
+        if is_completed and not self._targets.keys(service, ordered):
+            # Later versions that were started without an order.
+            return make_rule(held)
         is_canary = rollout.phase is Phase.CANARY
         is_only = versions == {ordered} and self.holds.is_released(service, ordered)
         if is_only and is_canary and not active.is_suspended:
--- a/tests/adapter/test_rollout.py
+++ b/tests/adapter/test_rollout.py
@@ -7,7 +7,7 @@
 import json
 
 from tests.adapter.documents import document, rule
-from tests.adapter.mesh import wait_until, with_mesh
+from tests.adapter.mesh import is_ready, wait_until, with_mesh
 from tests.adapter.test_settings import BOUNDS
 
 ROLLOUT_BOUNDS = f"{BOUNDS}expose_share=0.1\nexpose_slack=50\nrollback_ms=5000\n"
@@ -93,6 +93,29 @@
     assert sum(len(vm.arrived_s) for vm in new) == n_exposed
 
 
+@with_mesh
+async def test_killed_daemons_keep_a_rolled_back_version_out(mesh):
+    """Guards against a bad version that gets requests again after a power failure."""
+    caller, old, new = await start_fleet(mesh)
+    vms = [caller, *old, *new]
+    for vm in new:
+        vm.status = 500
+    is_ended = lambda: read_status(mesh).get("state") in ("rolled_back", "completed")
+    await send_until(caller, vms, is_ended)
+    assert read_status(mesh)["state"] == "rolled_back"
+    n_exposed = sum(len(vm.arrived_s) for vm in new)
+    for vm in vms:
+        vm.process.kill()
+        vm.process.wait()
+    for vm in vms:
+        vm.start_daemon()
+    for vm in vms:
+        await wait_until(lambda vm=vm: is_ready(vm), f"{vm.name} is ready")
+    statuses = await send_until(caller, vms, counting(160))
+    assert sum(len(vm.arrived_s) for vm in new) == n_exposed
+    assert statuses[-40:].count(200) == 40
+
+
 @with_mesh
 async def test_good_version_is_completed_after_the_last_call_on_old_instances(mesh):
     """Guards against calls that are cut off when the old instances are stopped."""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -580,3 +580,55 @@
         fleet.close()
 
     asyncio.run(scenario())
+
+
+@with_fleet
+async def test_order_is_passed_on_by_a_daemon_that_has_not_read_the_states(fleet):
+    """Guards against a confirmation that reaches others before the order does."""
+    fleet.rows.is_down = True
+    await fleet.restart("e")
+    await fleet.restart("a")
+    fleet.order(at="e")
+    assert fleet.daemons["b"].phase == "canary"
+    assert fleet.daemons["e"].phase is None
+    assert fleet.daemons["a"].phase is None
+    fleet.rows.is_down = False
+    await asyncio.sleep(0.5)
+    assert fleet.phases() == {"canary"}
+
+
+@with_fleet
+async def test_paused_daemon_reads_the_states_before_it_exposes_requests(fleet):
+    """Guards against requests to a version that was rolled back during a pause."""
+    fleet.order()
+    await settle()
+    fleet.rows.is_down = True
+    fleet.daemons["e"].rollouts.catch_up()
+    assert fleet.daemons["e"].picks() == {"v1": 200}
+    fleet.rows.is_down = False
+    fleet.daemons["e"].rollouts.catch_up()
+    await settle()
+    assert "v2" in fleet.daemons["e"].picks(400)
+
+
+@with_fleet
+async def test_later_version_without_an_order_is_used_once_the_ordered_is_gone(fleet):
+    """Guards against a service that has targets and never gets requests again."""
+    fleet.order()
+    await fleet.advance(12 * SECONDS)
+    assert fleet.phases() == {"completed"}
+    daemon = fleet.daemons["e"]
+    daemon.rollouts._directory = directory = MemberDirectory(fleet.members["e"])
+    later = make_member("c", "v3")
+    list(directory.merge([fleet.members["a"], fleet.members["d"], later]))
+    daemon.directory = directory
+    daemon.rollouts.update_targets()
+    await fleet.advance(2 * SECONDS)
+    daemon.confirmed_ms = fleet.clock.now_ms
+    await settle()
+    assert daemon.picks() == {"v2": 200}
+    directory = MemberDirectory(fleet.members["e"])
+    list(directory.merge([fleet.members["a"], later]))
+    daemon.rollouts._directory = daemon.directory = directory
+    daemon.rollouts.update_targets()
+    assert daemon.picks() == {"v3": 200}
