Compare both versions more carefully where both fail, and test longer before completing

Evidence of one second during promotion was too little for a single bad route.

Change: the old version's rate includes its standard error and is forgotten sooner after it has changed. A target without failures confirms a verdict only with more than one failure. Promotion lasts at least 1,000 ms, and completion is put off until 300 ms before the deadline while there is slight doubt.

--- a/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
@@ -18,10 +18,14 @@
 # Time before the deadline until which the test continues during promotion, at most this
 # share of the reserve. The remainder is the time to write that the rollout is
 # completed, also if the first writer is dead or the store is slow.
-COMPLETION_MS: Final = 1_000
+COMPLETION_MS: Final = 700
 COMPLETION_SHARE_MAX: Final = 0.4
-# Promotion doesn't begin if less time is left for the test in it.
-PROMOTION_TEST_MS: Final = 500
+# A version in doubt is completed or rolled back at this time before the deadline.
+COMPLETION_LATEST_MS: Final = 300
+# The least time for the test during promotion. Evidence takes up to half of it to reach
+# other daemons. Promotion doesn't begin if it would end later than `COMPLETION_MS` / 2
+# before the deadline.
+PROMOTION_TEST_MS: Final = 1_000
 # Share of the old targets' slots that the new ones must have before promotion.
 NEW_SLOTS_SHARE_MIN: Final = 0.5
 
@@ -62,6 +66,7 @@
         self._store = EvidenceStore(order, vm, start_id)
         self._test = SequentialTest(now_ms)
         self._is_bad = False
+        self._promoting_ms: float | None = None
 
     @property
     def is_suspended(self) -> bool:
@@ -173,7 +178,7 @@
         left_ms = self.order.duration_ms - self._age_ms(now_ms)
         if left_ms <= 0.0:
             return Phase.ROLLED_BACK
-        left_min_ms = self._completion_ms() + PROMOTION_TEST_MS
+        left_min_ms = self._completion_ms() / 2 + PROMOTION_TEST_MS
         if not min(left_min_ms, self._reserve_ms()) <= left_ms <= self._reserve_ms():
             return None
         n_slots_min = max(1.0, NEW_SLOTS_SHARE_MIN * fleet.n_old_slots)
@@ -182,11 +187,18 @@
         return Phase.PROMOTING
 
     def _after_promoting(self, now_ms: float, fleet: RolloutFleet) -> Phase | None:
+        if self._promoting_ms is None:
+            self._promoting_ms = now_ms
         left_ms = self.order.duration_ms - self._age_ms(now_ms)
-        if left_ms > self._completion_ms():
+        test_ms = min(PROMOTION_TEST_MS, self._reserve_ms() - self._completion_ms())
+        is_tested = now_ms >= self._promoting_ms + test_ms or left_ms <= 0.0
+        if left_ms > self._completion_ms() or not is_tested:
             return None
-        if self._test.is_doubtful():
-            return Phase.ROLLED_BACK if left_ms <= 0.0 else None
+        if left_ms > COMPLETION_LATEST_MS:
+            if self._test.is_slightly_doubtful():
+                return None
+        elif self._test.is_doubtful():
+            return Phase.ROLLED_BACK
         is_drained = all(
             self._store.n_old_running(vm) == 0 for vm in fleet.vms_with_old
         )
--- a/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Iterable, Iterator
 from typing import Final
 
@@ -18,21 +19,23 @@
 
 # A version is bad beyond this score: error rate of 1 in 1,000.
 BAD_SCORE: Final = math.log(1_000)
-# Score that the other targets must reach without the worst one, so that one faulty
-# target doesn't condemn its version.
-CONFIRMING_SCORE: Final = 2.5
 # From these scores on, in total and without the worst target, a version isn't promoted
-# or completed, because too little was counted to clear it.
-DOUBTFUL_SCORE: Final = 4.0
-DOUBTFUL_REST: Final = -1.0
+# or completed, because too little was counted to clear it. Over all routes, requests of
+# a single target suffice for doubt, as there may be too few for a second one.
+DOUBTFUL_IN_ALL: Final = (5.0, -1.0)
+DOUBTFUL_ON_ROUTE: Final = (5.0, 3.0)
+# During promotion, evidence of a good version soon clears a lighter doubt.
+SLIGHTLY_DOUBTFUL: Final = (1.5, 0.5)
 # The score doesn't fall below this, so that a version that becomes bad some time after
 # its start is still detected soon.
 SCORE_MIN: Final = -math.log(100)
 INTERVAL_MS: Final = 500
 # Difference between the failure rates of a bad version and the old one.
-RATE_DIFFERENCE: Final = 0.25
+RATE_DIFFERENCE: Final = 0.2
 # The lowest failure rate that is assumed of the old version.
 RATE_MIN: Final = 0.01
+# With fewer requests of the old version near an interval, earlier ones stand for it.
+N_OLD_RUN_MIN: Final = 20
 # The old version's failure rate changes if it differs by more between intervals.
 RATE_CHANGE: Final = 0.2
 # Above this failure rate of the old version, nothing is concluded from failures.
@@ -45,9 +48,13 @@
 # speed, so their service times don't vary independently.
 LOG_VARIANCE_MIN: Final = 0.25
 N_TIMED_MIN: Final = 5
-# Share of the old version's recent outcomes that remains after each interval. They
-# stand for the old version where no requests go to it.
-_RECENT_KEPT: Final = 0.6
+# Share of the old version's recent outcomes that remains after each interval, and after
+# one in which its failure rate has changed. They stand for the old version where no
+# requests go to it.
+_RECENT_KEPT: Final = 0.85
+_RECENT_KEPT_AFTER_CHANGE: Final = 0.2
+# Number of the old version's last intervals that show a fault just before promotion.
+_N_LATEST: Final = 2
 # Weights of prior knowledge, as numbers of requests: of a usual failure rate, of that
 # over all routes, and of the recent rate of the route.
 _N_PRIOR_RUN: Final = 10
@@ -57,6 +64,9 @@
 FAILING: Final = "failing"
 SLOW: Final = "slow"
 FAULTS: Final = (FAILING, SLOW)
+# Scores that the other targets must reach without the worst one, so that one faulty
+# target doesn't condemn its version: more than one failure or three slow answers.
+CONFIRMING_SCORES: Final = {FAILING: 3.3, SLOW: 6.0}
 # The score over all routes is kept under this key, which is no route's name.
 ALL_ROUTES: Final = ""
 _NOTHING: Final = Tally()
@@ -78,15 +88,9 @@
         """Return a copy that can be changed independently."""
         return Score(self.total, dict(self.by_vm))
 
-    def is_bad(self, n_new_vms: int) -> bool:
-        """Return whether the version is bad, and not just its worst target."""
-        if self.total < BAD_SCORE:
-            return False
-        return n_new_vms == 1 or self._rest() >= CONFIRMING_SCORE
-
-    def is_doubtful(self, rest_min: float) -> bool:
-        """Return whether the version may be bad, and not just its worst target."""
-        return self.total >= DOUBTFUL_SCORE and self._rest() >= rest_min
+    def reaches(self, total_min: float, rest_min: float) -> bool:
+        """Return whether the scores in total and without the worst target do."""
+        return self.total >= total_min and self._rest() >= rest_min
 
     def forget_good(self) -> None:
         """Raise negative scores to zero."""
@@ -126,6 +130,7 @@
         self._closed = _Interval()
         self._open = _Interval()
         self._recent: dict[str, Tally] = {}
+        self._latest: deque[Tally] = deque(maxlen=_N_LATEST)
         self._scores: Scores = {}
         self._new_vms: set[str] = set()
 
@@ -140,18 +145,27 @@
 
     def is_bad(self, is_promoting: bool) -> bool:
         """Return whether the new version is bad."""
-        n_new_vms = len(self._new_vms)
-        scores = self.scores(is_promoting)
-        return any(score.is_bad(n_new_vms) for score in scores.values())
+        has_others = len(self._new_vms) > 1
+        return any(
+            score.reaches(BAD_SCORE, CONFIRMING_SCORES[fault] if has_others else 0.0)
+            for (fault, _), score in self.scores(is_promoting).items()
+        )
 
     def is_doubtful(self) -> bool:
         """Return whether there is bad evidence, though too little for a verdict."""
         scores = self.scores(is_promoting=True)
         return any(
-            score.is_doubtful(DOUBTFUL_REST if route == ALL_ROUTES else 0.0)
+            score.reaches(
+                *(DOUBTFUL_IN_ALL if route == ALL_ROUTES else DOUBTFUL_ON_ROUTE)
+            )
             for (_, route), score in scores.items()
         )
 
+    def is_slightly_doubtful(self) -> bool:
+        """Return whether more evidence is needed to clear the version."""
+        scores = self.scores(is_promoting=True).values()
+        return any(score.reaches(*SLIGHTLY_DOUBTFUL) for score in scores)
+
     def restart(self) -> None:
         """Forget what speaks for the version, as promotion is its first full load."""
         for score in self._scores.values():
@@ -170,27 +184,36 @@
         self._judge(
             self._scores, self._closed, (self._before, self._closed, self._open)
         )
-        for route, tally in self._open.old.items():
-            self._keep_recent(route, tally)
-        if self._open.old:
-            self._keep_recent(ALL_ROUTES, _sum(self._open.old.values()))
+        self._keep_recent()
         self._before, self._closed, self._open = self._closed, self._open, _Interval()
         self._opened_ms = now_ms
 
-    def _keep_recent(self, route: str, tally: Tally) -> None:
-        recent = self._recent.setdefault(route, Tally())
-        recent.scale(_RECENT_KEPT)
-        recent.add(tally)
+    def _keep_recent(self) -> None:
+        """Add the open interval to the old version's recent outcomes."""
+        if not self._open.old:
+            return
+        in_all = _sum(self._open.old.values())
+        before = self._recent.get(ALL_ROUTES, in_all)
+        change = abs(in_all.n_bad / in_all.n_run - before.n_bad / before.n_run)
+        is_changed = change > RATE_CHANGE
+        kept = _RECENT_KEPT_AFTER_CHANGE if is_changed else _RECENT_KEPT
+        self._latest.append(in_all)
+        for tally in self._recent.values():
+            tally.scale(kept)
+        for route, tally in (*self._open.old.items(), (ALL_ROUTES, in_all)):
+            self._recent.setdefault(route, Tally()).add(tally)
 
     def _judge(
         self, scores: Scores, judged: _Interval, around: tuple[_Interval, ...]
     ) -> None:
         """Add to the scores what an interval says, given those around it."""
         is_changing = _is_changing(around)
+        n_old_run = sum(_sum(each.old.values()).n_run for each in around)
+        has_old = n_old_run >= N_OLD_RUN_MIN
         in_all: dict[tuple[str, str], float] = {}
         for route, by_vm in judged.new.items():
             old = [each.old[route] for each in around if route in each.old]
-            for fault, ratios in self._ratios(route, by_vm, old, is_changing):
+            for fault, ratios in self._ratios(route, by_vm, old, is_changing, has_old):
                 scores.setdefault((fault, route), Score()).add(ratios)
                 for vm, ratio in ratios.items():
                     in_all[(fault, vm)] = in_all.get((fault, vm), 0.0) + ratio
@@ -207,11 +230,15 @@
         by_vm: dict[str, Tally],
         old: list[Tally],
         is_changing: bool,
+        has_old: bool,
     ) -> Iterator[tuple[str, dict[str, float]]]:
         """Yield each kind of fault with the log-likelihood ratios of a route by VM."""
         recent = self._recent.get(route, _NOTHING)
         in_all = self._recent.get(ALL_ROUTES, _NOTHING)
-        rate = _old_rate(old, recent, in_all, is_changing)
+        if has_old:
+            rate = _old_rate(old, recent, in_all, is_changing)
+        else:
+            rate = _last_rate(recent, in_all, _sum(self._latest))
         known = _sum([*old, recent])
         yield FAILING, {vm: _failing_ratio(new, rate) for vm, new in by_vm.items()}
         yield SLOW, {vm: _slow_ratio(new, known) for vm, new in by_vm.items()}
@@ -231,16 +258,34 @@
 
     While the rate changes, it is the highest of the intervals around that time, because
     evidence of both versions is not delayed equally. What is not known of a route is
-    taken from all routes.
+    taken from all routes. Half the standard error is added, as a route may have few
+    requests.
     """
-    all_rate = _rate_with_prior(in_all, RATE_MIN, _N_PRIOR_RUN)
-    recent_rate = _rate_with_prior(recent, all_rate, _N_ALL_ROUTES_RUN)
+    recent_rate = _recent_rate(recent, in_all)
     if is_changing:
         rates = [_rate_with_prior(each, recent_rate, _N_RECENT_RUN) for each in old]
         rate = max(rates, default=recent_rate)
     else:
         rate = _rate_with_prior(_sum(old), recent_rate, _N_RECENT_RUN)
-    return max(RATE_MIN, rate)
+    return max(RATE_MIN, rate + 0.5 * _standard_error(_sum(old)))
+
+
+def _last_rate(recent: Tally, in_all: Tally, latest: Tally) -> float:
+    """Return the failure rate of the old version that gets hardly any requests.
+
+    It is estimated high, because little shows how the old version would fare now.
+    """
+    latest_rate = _rate_with_prior(latest, RATE_MIN, _N_PRIOR_RUN)
+    return max(
+        RATE_MIN,
+        _recent_rate(recent, in_all) + _standard_error(in_all),
+        latest_rate + _standard_error(latest),
+    )
+
+
+def _recent_rate(recent: Tally, in_all: Tally) -> float:
+    all_rate = _rate_with_prior(in_all, RATE_MIN, _N_PRIOR_RUN)
+    return _rate_with_prior(recent, all_rate, _N_ALL_ROUTES_RUN)
 
 
 def _is_changing(around: tuple[_Interval, ...]) -> bool:
@@ -250,6 +295,13 @@
     return bool(rates) and max(rates) - min(rates) > RATE_CHANGE
 
 
+def _standard_error(tally: Tally) -> float:
+    if not tally.n_run:
+        return 0.0
+    rate = tally.n_bad / tally.n_run
+    return math.sqrt(rate * (1.0 - rate) / tally.n_run)
+
+
 def _rate_with_prior(tally: Tally, prior_rate: float, n_prior_run: int) -> float:
     return (tally.n_bad + n_prior_run * prior_rate) / (tally.n_run + n_prior_run)
 
@@ -280,7 +332,7 @@
 __all__ = [
     "ALL_ROUTES",
     "BAD_SCORE",
-    "CONFIRMING_SCORE",
+    "CONFIRMING_SCORES",
     "INTERVAL_MS",
     "Score",
     "Scores",
--- a/tests/rollout/other_tests.py
+++ b/tests/rollout/other_tests.py
@@ -34,6 +34,10 @@
         """Return False: what is not bad is promoted."""
         return False
 
+    def is_slightly_doubtful(self) -> bool:
+        """Return False: what is not bad is completed."""
+        return False
+
     def restart(self) -> None:
         """Keep everything when promotion begins."""
 
