--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -22,6 +22,7 @@
 )
 from pepperstair_core.config import AccountsSettings
 from pepperstair_core.decisions import DecisionLog
+from pepperstair_core.errors import Failure
 from pepperstair_core.intent import Account
 from pepperstair_core.quota import Token
 from pepperstair_core.routing import CompiledRoute, Endpoint, RouteTable
@@ -58,6 +59,10 @@
     calls that the targets of this VM are running. `take_quota` waits for the right to
     run one request of an account, or raises PepperstairError; it returns None if no
     quota applies. `refund_quota` takes back the right of a request that did not run.
+    `pick_version` returns a route restricted to the version of the targets that a
+    request goes to, and `pick_other_version` the same after an attempt on a target has
+    failed, or None if the request stays with its version; both get the unrestricted
+    route.
     """
 
     vm: str
@@ -90,6 +95,10 @@
     n_running: Callable[[], int] = lambda: 0
     take_quota: Callable[[Account], Awaitable[Token | None]] = _take_no_quota
     refund_quota: Callable[[Token], None] = lambda token: None
+    pick_version: Callable[[CompiledRoute], CompiledRoute] = lambda compiled: compiled
+    pick_other_version: Callable[
+        [CompiledRoute, Endpoint, Failure], CompiledRoute | None
+    ] = lambda compiled, endpoint, failure: None
 
 
 __all__ = ["AttemptSender", "ProxyContext"]
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -67,6 +67,7 @@
 from .proxying import make_proxy_context
 from .quarantine_rows import QuarantineRows
 from .quotas import Quotas
+from .rolling_out import make_rollouts
 from .stopping import stop_daemon
 
 log = structlog.get_logger(__name__)
@@ -176,6 +177,7 @@
         self.runner.on_cleared = self.crash_reports.report_cleared
         self.configuration = dependencies.make_configuration(self)
         self.member_table = dependencies.make_member_table(self)
+        self.rollouts = make_rollouts(self)
         self.listener = PeerListener(
             self.identity,
             settings.peers.frame_max_bytes,
@@ -293,6 +295,8 @@
         """Stop proxying calls until the configuration is up to date again."""
         self.configuration.catch_up()
         self.quotas.resume()
+        if self.rollouts is not None:
+            self.rollouts.catch_up()
         self.call_server.reset_streams()
 
     async def start(self, callers_socket: socket.socket | None = None) -> None:
@@ -309,6 +313,9 @@
         )
         for additional in self.additional_servers:
             await additional.server.listen(*parse_address(additional.address))
+        if self.rollouts is not None:
+            # Before the configuration, so that a new neighbour gets the orders first.
+            self.rollouts.start()
         self.configuration.start()
         self.control.start()
         self.member_table.start()
@@ -337,6 +344,8 @@
             self._settings_task.cancel()
         self.metrics.close()
         self.configuration.close()
+        if self.rollouts is not None:
+            self.rollouts.close()
         self.crash_reports.close()
         self.control.close()
         self.quotas.close()
@@ -367,6 +376,8 @@
             self.endpoint_table,
             self.leaving_targets.excluded(self.directory.get, monotonic_ms()),
         )
+        if self.rollouts is not None:
+            self.rollouts.update_targets()
 
     def record_leaving(self, endpoint: Endpoint) -> None:
         """Send no more calls to a target that states in an answer that it is leaving.
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -40,7 +40,7 @@
 from pepperstair_core.shared_reading import ReadSchedule
 from pepperstair_core.versions import Head, Snapshot
 from pepperstair_peers import ControlPlane
-from pepperstair_platform import WatchedRows, WatchedTable
+from pepperstair_platform import WatchedRow, WatchedRows, WatchedTable
 
 from .clock import boot_ms, wall_ms
 from .document_exchange import DocumentExchange
@@ -88,6 +88,9 @@
 _REJECTIONS: Final = (OfferResult.REJECTED, OfferResult.REJECTED_BEFORE)
 
 
+OtherRowsCallback = Callable[[tuple[WatchedRow, ...], int | None], None]
+
+
 class ConfigurationFollower:
     """Keeps the newest document in force, from the table or from neighbours.
 
@@ -161,6 +164,9 @@
         self.overrides: Mapping[str, Labels] = {}
         self.on_changed: Callable[[Snapshot], None] = lambda snapshot: None
         self.on_converged: Callable[[str, int], None] = lambda customer, ms: None
+        # Called with the rows of each answer other than the document's, and with the
+        # position of the answer if it holds the whole table, else None.
+        self.on_other_rows: OtherRowsCallback | None = None
 
     @property
     def document(self) -> FollowedDocument | None:
@@ -312,6 +318,8 @@
     def _apply_answer(self, start: ReadStart, rows: WatchedRows) -> None:
         """Apply the rows of an answer, and record what it proves."""
         exchange = self._exchange
+        # Neighbours rely on a confirmation only after all rows before it.
+        self._pass_other_rows(rows, start.position is None)
         proof = self._prover.finish(
             start,
             rows.position,
@@ -422,6 +430,13 @@
         else:
             log.info(Event.PLATFORM_RECOVERED, version=self._following.version)
 
+    def _pass_other_rows(self, rows: WatchedRows, is_complete: bool) -> None:
+        if self.on_other_rows is None:
+            return
+        others = tuple(row for row in rows.rows if row.key != self._key)
+        if others or is_complete:
+            self.on_other_rows(others, rows.position if is_complete else None)
+
     def _apply_rows(self, rows: WatchedRows) -> RowShown:
         """Put the newest version of an answer in force; return what it shows."""
         # A removed row leaves the version in force: otherwise all routes of the
--- a/packages/pepperstaird/pepperstaird/proxying.py
+++ b/packages/pepperstaird/pepperstaird/proxying.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import structlog
+from msgspec.structs import replace
 
 from pepperstair_callers import ProxyContext
 from pepperstair_core.calls import JOINING_MS, CallOutcome, Load
@@ -30,7 +31,9 @@
 
     def endpoints(compiled: CompiledRoute) -> tuple[Endpoint, ...]:
         table = daemon.endpoint_table
-        return table.endpoints(compiled.target_selector, compiled.customer)
+        return table.endpoints(
+            compiled.target_selector, compiled.customer, compiled.target_keys
+        )
 
     def load_of(endpoint: Endpoint) -> Load | None:
         # The load of a local target is exact; that of a remote target is the last value
@@ -51,7 +54,7 @@
         daemon.metrics.add(outcome)
         daemon.exposition.add(outcome)
 
-    return ProxyContext(
+    context = ProxyContext(
         vm=vm,
         route_table=lambda: daemon.configuration.route_table,
         endpoints=endpoints,
@@ -80,6 +83,13 @@
         take_quota=daemon.quotas.take,
         refund_quota=daemon.quotas.refund,
     )
+    if daemon.rollouts is None:
+        return context
+    return replace(
+        context,
+        pick_version=daemon.rollouts.routing.pick_version,
+        pick_other_version=daemon.rollouts.routing.pick_other_version,
+    )
 
 
 __all__ = ["make_proxy_context"]
