Keep unsettled scores of a rollout until evidence changes

Cause: a proposal during promotion judged the unsettled intervals anew each time and up to three times, also where nothing had changed.

Change: these scores are kept until evidence arrives or an interval ends.

--- a/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
@@ -132,14 +132,18 @@
         self._recent: dict[str, Tally] = {}
         self._latest: deque[Tally] = deque(maxlen=_N_LATEST)
         self._scores: Scores = {}
+        # The scores with the intervals that are not settled yet, None if outdated.
+        self._unsettled: Scores | None = None
         self._new_vms: set[str] = set()
 
     def add(self, increments: Iterable[Increment], now_ms: float) -> None:
         """Add what was counted since the last call."""
         if now_ms >= self._opened_ms + INTERVAL_MS:
             self._close(now_ms)
+            self._unsettled = None
         for increment in increments:
             self._open.add(increment)
+            self._unsettled = None
             if increment.is_new:
                 self._new_vms.add(increment.vm)
 
@@ -170,15 +174,18 @@
         """Forget what speaks for the version, as promotion is its first full load."""
         for score in self._scores.values():
             score.forget_good()
+        self._unsettled = None
 
     def scores(self, is_promoting: bool) -> Scores:
         """Return the score of each kind of fault and route."""
         if not is_promoting:
             return self._scores
-        scores = {key: score.copy() for key, score in self._scores.items()}
-        self._judge(scores, self._closed, (self._before, self._closed, self._open))
-        self._judge(scores, self._open, (self._closed, self._open))
-        return scores
+        if self._unsettled is None:
+            scores = {key: score.copy() for key, score in self._scores.items()}
+            self._judge(scores, self._closed, (self._before, self._closed, self._open))
+            self._judge(scores, self._open, (self._closed, self._open))
+            self._unsettled = scores
+        return self._unsettled
 
     def _close(self, now_ms: float) -> None:
         self._judge(
