Show the start of a digest in place of each key

Cause: the operators' interface and `get` and `diff` of the command line showed the keys of client accounts.

Change: an intent is shown with the first 8 hex digits of a digest for each key. A document with such digests is refused, so that an edited copy does not replace the keys. So `pepperstair label` fails on a document with accounts; labels then have to be changed in the document.

--- a/packages/pepperstair-cli/pepperstair_cli/commands/diff.py
+++ b/packages/pepperstair-cli/pepperstair_cli/commands/diff.py
@@ -8,7 +8,7 @@
 
 from result import Ok, Result
 
-from pepperstair_core.intent import Intent
+from pepperstair_core.intent import Intent, hide_keys
 
 from ..connection import Connection
 from ..documents import (
@@ -44,8 +44,8 @@
 def _report(current: VersionedIntent, intent: Intent, file: str) -> Report:
     lines = list(
         difflib.unified_diff(
-            intent_to_toml(current.intent).splitlines(),
-            intent_to_toml(intent).splitlines(),
+            intent_to_toml(hide_keys(current.intent)).splitlines(),
+            intent_to_toml(hide_keys(intent)).splitlines(),
             f"version {current.version}",
             file,
             lineterm="",
--- a/packages/pepperstair-core/pepperstair_core/intent.py
+++ b/packages/pepperstair-core/pepperstair_core/intent.py
@@ -6,13 +6,16 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
+import re
 import tomllib
 from collections.abc import Iterator
 from typing import Annotated, Final
 
 import msgspec
 from msgspec import Struct
+from msgspec.structs import replace
 from result import Err, Result
 
 from .labels import is_label_name, iter_label_faults, parse_selector
@@ -29,6 +32,8 @@
 KEY_MAX_BYTES: Final = 512
 ACCOUNT_NAME_MAX_BYTES: Final = 256
 
+_HIDDEN_KEY: Final = re.compile("digest:[0-9a-f]{8}")
+
 
 class Service(Struct, frozen=True):
     """A set of targets, selected by their labels."""
@@ -301,6 +306,32 @@
     return table
 
 
+def hide_keys(intent: Intent) -> Intent:
+    """Return the intent for display, with the start of a digest for each key."""
+    if not intent.accounts:
+        return intent
+    accounts = tuple(
+        replace(account, keys=tuple(_hidden_key(key) for key in account.keys))
+        for account in intent.accounts
+    )
+    return replace(intent, accounts=accounts)
+
+
+def iter_hidden_key_faults(intent: Intent) -> Iterator[Fault]:
+    """Yield a fault for each key of a document that was shown without its keys."""
+    for index, account in enumerate(intent.accounts):
+        for key_index, key in enumerate(account.keys):
+            if _HIDDEN_KEY.fullmatch(key):
+                where = f"accounts[{index}].keys[{key_index}]"
+                yield Fault(where, "a key, not the digest that is shown for one")
+
+
+def _hidden_key(key: str) -> str:
+    if _HIDDEN_KEY.fullmatch(key):
+        return key
+    return f"digest:{hashlib.blake2b(key.encode()).hexdigest()[:8]}"
+
+
 def _iter_size_faults(intent: Intent) -> Iterator[Fault]:
     if len(intent.routes) > N_ROUTES_MAX:
         yield Fault("routes", f"at most {N_ROUTES_MAX} routes")
@@ -402,7 +433,9 @@
     "Route",
     "Service",
     "Split",
+    "hide_keys",
     "intent_to_table",
+    "iter_hidden_key_faults",
     "iter_intent_faults",
     "parse_intent_toml",
     "read_intent",
--- a/packages/pepperstaird/pepperstaird/operations.py
+++ b/packages/pepperstaird/pepperstaird/operations.py
@@ -9,7 +9,7 @@
 
 from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_core.events import Event
-from pepperstair_core.intent import parse_intent_toml
+from pepperstair_core.intent import iter_hidden_key_faults, parse_intent_toml
 from pepperstair_core.schema import Fault
 from pepperstair_operators import (
     OperatorReply,
@@ -83,6 +83,9 @@
     if intent.customer != request.name:
         fault = Fault("customer", f"{request.name!r}, not {intent.customer!r}")
         return _faults_reply(ErrorKind.INVALID_INTENT, [fault])
+    hidden = list(iter_hidden_key_faults(intent))
+    if hidden:
+        return _faults_reply(ErrorKind.INVALID_INTENT, hidden)
     change_id = request.query.get("change_id") or uuid.uuid4().hex
     change = ChangeRequest(
         intent,
--- a/packages/pepperstaird/pepperstaird/reports.py
+++ b/packages/pepperstaird/pepperstaird/reports.py
@@ -10,7 +10,7 @@
 
 from pepperstair_core.decisions import Decision, DecisionKind
 from pepperstair_core.errors import ErrorKind, Failure
-from pepperstair_core.intent import intent_to_table
+from pepperstair_core.intent import hide_keys, intent_to_table
 from pepperstair_operators import (
     OperatorReply,
     OperatorRequest,
@@ -43,7 +43,7 @@
         snapshot = daemon.configuration.get(request.name)
         if snapshot is None:
             return failure_reply(Failure(ErrorKind.NOT_FOUND, request.name))
-        intent = intent_to_table(snapshot.intent)
+        intent = intent_to_table(hide_keys(snapshot.intent))
         return json_reply({"version": snapshot.head.version, "intent": intent})
 
     async def burn(request: OperatorRequest) -> OperatorReply:
