--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -278,17 +278,29 @@
             backoff_s = min(self._backoff_max_s(), 2 * backoff_s)
 
     async def _keep_proof(self) -> None:
-        """Ask neighbours for proofs, and read the table if they have no newer one."""
-        while True:
-            if not self._proof_limit_ms():
-                await asyncio.sleep(_PROOF_IDLE_S)
-                continue
-            await asyncio.sleep(_PROOF_CHECK_S * self._rng.uniform(0.5, 1.0))
-            self.proofs.refresh()
-            if self.proofs.is_older_than(self._proof_read_share):
-                await self._read_for_proof()
-                pause_s = _PROOF_READ_INTERVAL_S * self._rng.uniform(1.0, 2.0)
-                await asyncio.sleep(pause_s)
+        """Ask neighbours for proofs, and read the table if they have no newer one.
+
+        The questions continue during a read, which may have to wait for the store.
+        """
+        loop = asyncio.get_running_loop()
+        reading: asyncio.Task[None] | None = None
+        next_read_s = 0.0
+        try:
+            while True:
+                if not self._proof_limit_ms():
+                    await asyncio.sleep(_PROOF_IDLE_S)
+                    continue
+                await asyncio.sleep(_PROOF_CHECK_S * self._rng.uniform(0.5, 1.0))
+                self.proofs.refresh()
+                is_reading = reading is not None and not reading.done()
+                is_due = not is_reading and loop.time() >= next_read_s
+                if is_due and self.proofs.is_older_than(self._proof_read_share):
+                    interval_s = _PROOF_READ_INTERVAL_S * self._rng.uniform(1.0, 2.0)
+                    next_read_s = loop.time() + interval_s
+                    reading = loop.create_task(self._read_for_proof())
+        finally:
+            if reading is not None:
+                reading.cancel()
 
     async def _read_for_proof(self) -> None:
         position = self._exchange.position
