--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -16,7 +16,8 @@
     RunStatus,
 )
 from pepperstair_core.events import Event
-from pepperstair_core.routing import pick_destination
+from pepperstair_core.intent import Account
+from pepperstair_core.routing import CompiledRoute, pick_destination
 from pepperstair_http import ConnectionLostError, Exchange, Request, StreamedResponse
 
 from .attempts import ProxiedCall, count_call_ids
@@ -51,6 +52,9 @@
         self.n_in_flight = 0
         self.n_held_at_start = 0
         self.n_quarantined = 0
+        self.n_unauthorized = 0
+        # Number of requests refused because the client accounts may be out of date.
+        self.n_unproved = 0
         # Number of failed calls that were not retried, by the reason.
         self.n_given_up = dict.fromkeys(GiveUpCause, 0)
         self._scopes: set[asyncio.Timeout] = set()
@@ -178,7 +182,7 @@
         if compiled is None:
             raise PepperstairError(Failure(ErrorKind.NO_ROUTE, request.path))
         head = self._read_head(request.headers)
-        account = find_account(context, head, compiled)
+        account = self._find_account(head, compiled)
         compiled = pick_destination(compiled, context.rng)
         if context.chooser.typical_ms(compiled.route.name) > context.time_to_stop_ms():
             raise PepperstairError(Failure(ErrorKind.DRAINING, context.vm))
@@ -190,6 +194,15 @@
             context, request, head, compiled, account, body, self._call_ids, arrived_ms
         )
 
+    def _find_account(
+        self, head: RequestHead, compiled: CompiledRoute
+    ) -> Account | None:
+        try:
+            return find_account(self._context, head, compiled)
+        except PepperstairError as error:
+            self.n_unproved += error.failure.kind is ErrorKind.NOT_READY
+            raise
+
     async def _relay_answer(
         self, exchange: Exchange, call: ProxiedCall, response: StreamedResponse
     ) -> bool:
@@ -228,6 +241,7 @@
         self.n_in_flight -= 1
         self.n_failed += error is not None
         self.n_quarantined += error is ErrorKind.QUARANTINED
+        self.n_unauthorized += error is ErrorKind.UNAUTHORIZED
         n_retries = max(0, call.n_attempts - 1) if call is not None else 0
         self.n_retries += n_retries
         outcome = CallOutcome(
--- a/packages/pepperstair-core/pepperstair_core/events.py
+++ b/packages/pepperstair-core/pepperstair_core/events.py
@@ -23,6 +23,8 @@
     CHANGE_CONVERGED = "change_converged"
     VERSION_IN_FORCE = "version_in_force"
     VERSION_REJECTED = "version_rejected"
+    PROOF_OUTDATED = "proof_outdated"
+    PROOF_RENEWED = "proof_renewed"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     PLATFORM_RECOVERED = "platform_recovered"
     PEER_CONNECTED = "peer_connected"
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -45,6 +45,16 @@
         int,
         Meta(description="Requests refused, as those like them crashed targets."),
     ] = 0
+    n_calls_unauthorized: Annotated[
+        int, Meta(description="Requests refused, as their key is missing or unknown.")
+    ] = 0
+    n_calls_unproved: Annotated[
+        int,
+        Meta(description="Requests refused, as the accounts may be out of date."),
+    ] = 0
+    n_proofs_asked: Annotated[
+        int, Meta(description="Neighbours asked if the version is the newest.")
+    ] = 0
     n_targets_crashed: Annotated[
         int, Meta(description="Targets of this VM that ended while they ran calls.")
     ] = 0
@@ -220,6 +230,8 @@
         n_calls_refused=daemon.runner.n_refused,
         n_requests_sent=daemon.runner.n_sent,
         n_calls_quarantined=daemon.proxy.n_quarantined,
+        n_calls_unauthorized=daemon.proxy.n_unauthorized,
+        n_calls_unproved=daemon.proxy.n_unproved,
         n_targets_crashed=daemon.runner.n_crashes,
         n_connections=daemon.callers.counters.n_connections,
         n_connections_refused=daemon.callers.counters.n_refused,
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -142,6 +142,7 @@
         self._proof_read_share = READ_SHARE + rng.random() * READ_SPREAD_SHARE
         self._prover = ReadProver()
         self._was_polled = False
+        self._is_proof_outdated = False
         self.proofs = ProofExchange(
             control, lambda: self._following.version, self._proof_limit_ms
         )
@@ -237,6 +238,7 @@
         return {
             "n_versions_ignored": self.n_ignored,
             "n_versions_rejected": self.n_rejected,
+            "n_proofs_asked": self.proofs.n_asked,
         }
 
     def rejected(self) -> dict[str, Any]:
@@ -292,6 +294,7 @@
                     continue
                 await asyncio.sleep(_PROOF_CHECK_S * self._rng.uniform(0.5, 1.0))
                 self.proofs.refresh()
+                self._log_proof_state()
                 is_reading = reading is not None and not reading.done()
                 is_due = not is_reading and loop.time() >= next_read_s
                 if is_due and self.proofs.is_older_than(self._proof_read_share):
@@ -302,6 +305,18 @@
             if reading is not None:
                 reading.cancel()
 
+    def _log_proof_state(self) -> None:
+        """Log when requests with keys begin to be refused and are served again."""
+        is_outdated = self.proofs.is_older_than(1.0)
+        if is_outdated == self._is_proof_outdated:
+            return
+        self._is_proof_outdated = is_outdated
+        version = self._following.version
+        if is_outdated:
+            log.warning(Event.PROOF_OUTDATED, version=version)
+        else:
+            log.info(Event.PROOF_RENEWED, version=version)
+
     async def _read_for_proof(self) -> None:
         position = self._exchange.position
         start = self._start_read(position)
--- a/tests/adapter/test_tenants.py
+++ b/tests/adapter/test_tenants.py
@@ -189,6 +189,11 @@
     assert (await call(caller, path="/open/1"))[0] == 200
     mesh.store.status = 200
     await until_served(caller)
+    await live(mesh, 1.0)
+    lines = (mesh.folder / "vm-1.log").read_text()
+    assert lines.count("proof_outdated") == lines.count("proof_renewed") == 1
+    metrics = (await caller.fetch("metrics", "GET", "/metrics"))[2]
+    assert b"pepperstair_calls_unproved_total" in metrics
 
 
 @with_mesh
