Prove only from positions of own reads

Cause: found in review: a daemon that rejected the newest document sends a neighbour its own version with a position behind that document. The neighbour's next read from there showed no change and counted as a proof, although a valid version with a removed key may have been between.

Change: a read without changes proves something only from a position that an own read has shown; while proofs are needed, reads go on from there. The faulty document's number is compared with the newest known version, from whomever it came.

--- a/packages/pepperstair-core/pepperstair_core/freshness.py
+++ b/packages/pepperstair-core/pepperstair_core/freshness.py
@@ -96,7 +96,11 @@
 
 
 class ReadStart(Struct, frozen=True):
-    """The state at the start of a read; `position` is None for all rows."""
+    """The state at the start of a read; `position` is None for all rows.
+
+    `is_shown` states whether the table showed the version in force, or an older one, as
+    the newest at that position.
+    """
 
     at_ms: float
     version: int
@@ -107,25 +111,21 @@
 class ReadProver:
     """Derives proofs from this daemon's own reads of the table.
 
-    An answer without changes proves something only if the table showed the version in
-    force before, here or to the neighbour that sent it. `must_reread` is true after the
-    table's position went back, until all rows have been read.
+    `position` is the last position at which this daemon has read the table, None before
+    the first read and after the position went back; then all rows have to be read.
+    Positions of neighbours prove nothing, as they may be those of rejected versions.
     """
 
     def __init__(self) -> None:
         self._is_shown = False
-        # The number of the newest version that the table showed.
-        self._shown_number = 0
-        self.must_reread = False
-
-    def adopt(self, version: int) -> None:
-        """Record that a neighbour's version was put in force with its position."""
-        self._is_shown = True
-        self._shown_number = version
+        # All versions up to this number are known, or were rejected.
+        self._known_number = 0
+        self.position: int | None = None
 
     def start(self, now_ms: float, version: int, position: int | None) -> ReadStart:
         """Return the state at the start of a read."""
-        return ReadStart(now_ms, version, position, self._is_shown)
+        is_covered = None not in (position, self.position) and position <= self.position
+        return ReadStart(now_ms, version, position, self._is_shown and is_covered)
 
     def finish(
         self,
@@ -143,33 +143,31 @@
         version or without a document proves nothing. A rejected document removes no
         key, but it may have replaced a valid one that was never shown here. So the
         version in force still counts as the newest only if the number of the rejected
-        one, `rejected_number`, follows the newest one that was shown, and no other
-        daemon has put a newer version in force (`is_superseded`).
+        one, `rejected_number`, follows the newest known one, and no other daemon has
+        put a newer version in force (`is_superseded`).
         """
         if start.position is not None and position < start.position:
-            self._is_shown = False
-            self.must_reread = True
-            return None
-        if start.position is None:
-            self.must_reread = False
-        if shown is RowShown.IN_FORCE:
-            self.adopt(version)
-            return Proof(version, start.at_ms)
-        if is_superseded:
+            self.position = None
             return None
-        if shown is RowShown.REJECTED and self._follows(start, rejected_number):
-            self._shown_number = max(self._shown_number, rejected_number)
-            return Proof(version, start.at_ms)
         if shown is RowShown.NOTHING and start.position is not None:
-            return Proof(start.version, start.at_ms) if start.is_shown else None
-        if start.version == version:
-            self._is_shown = False
-        return None
-
-    def _follows(self, start: ReadStart, number: int | None) -> bool:
-        """Return whether no version can be between this one and those shown before."""
-        is_shown = start.is_shown and self._is_shown
-        return is_shown and number is not None and number <= self._shown_number + 1
+            if not start.is_shown:
+                return None
+            if self.position is not None:
+                self.position = max(self.position, position)
+            return None if is_superseded else Proof(start.version, start.at_ms)
+        if self.position is not None and position < self.position:
+            # A read that was overtaken by another one.
+            return None
+        self.position = position
+        self._known_number = max(self._known_number, version)
+        self._is_shown = shown is RowShown.IN_FORCE
+        if shown is RowShown.REJECTED and rejected_number is not None:
+            self._is_shown = rejected_number <= self._known_number + 1
+            if self._is_shown:
+                self._known_number = max(self._known_number, rejected_number)
+        if not self._is_shown or (shown is RowShown.REJECTED and is_superseded):
+            return None
+        return Proof(version, start.at_ms)
 
 
 class ProofQuestions:
--- a/packages/pepperstaird/pepperstaird/document_exchange.py
+++ b/packages/pepperstaird/pepperstaird/document_exchange.py
@@ -53,8 +53,7 @@
     `is_newest_known` is false after this daemon has rejected the newest version in the
     table, which other daemons may accept; meanwhile it does not confirm its own version
     as the newest. `proofs` exchanges what proves that the version in force is the
-    newest, for which confirmations are not strict enough; `on_adopted` is called when a
-    neighbour's document was put in force.
+    newest, for which confirmations are not strict enough.
     """
 
     def __init__(
@@ -65,10 +64,8 @@
         is_watching: Callable[[], bool],
         schedule: ReadSchedule | None,
         proofs: ProofExchange,
-        on_adopted: Callable[[], None],
     ) -> None:
         self._proofs = proofs
-        self._on_adopted = on_adopted
         self._control = control
         self._following = following
         self._offer = offer
@@ -296,7 +293,6 @@
         # table's history. The position is adopted because a watch from an earlier
         # position would return this version again.
         self._advance_position(frame.position)
-        self._on_adopted()
         if frame.age_ms >= 0:
             as_of_ms = boot_ms() - frame.age_ms
             self.confirm(frame.position, as_of_ms, vm)
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -153,7 +153,6 @@
             self._is_watching,
             schedule,
             self.proofs,
-            lambda: self._prover.adopt(self._following.version),
         )
         self.n_ignored = 0
         self.n_rejected = 0
@@ -256,9 +255,9 @@
             if not is_due:
                 await self._until_due()
             is_due = False
-            if self._prover.must_reread and self._proof_limit_ms():
-                exchange.position = None
             position = exchange.position
+            if position is not None and self._proof_limit_ms():
+                position = self._prover.position
             start = self._start_read(position)
             read = await self._read_or_watch(position, is_first)
             if read.is_ok():
@@ -318,7 +317,7 @@
             log.info(Event.PROOF_RENEWED, version=version)
 
     async def _read_for_proof(self) -> None:
-        position = self._exchange.position
+        position = self._prover.position
         start = self._start_read(position)
         if position is None:
             read = await self._table.read()
@@ -387,8 +386,9 @@
         wait_ms = int(_WATCH_MAX_MS * self._rng.uniform(min_share, 1.0))
         if not self._watches_continuously():
             wait_ms = await self._pause_unless_watching(wait_ms)
-        known_position = max(position, self._exchange.position or 0)
-        return await self._table.wait(known_position, wait_ms)
+        if not self._proof_limit_ms():
+            position = max(position, self._exchange.position or 0)
+        return await self._table.wait(position, wait_ms)
 
     async def _read_or_watch_shared(
         self, position: int
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -63,32 +63,44 @@
     assert prover.finish(start, 5, RowShown.NOTHING, 7) == Proof(7, 100.0)
 
 
-def test_version_from_a_neighbour_during_a_read_is_proved_by_the_earlier_one():
+def prover_of(version: int, position: int) -> ReadProver:
+    """Return a prover that has read a version at a position."""
     prover = ReadProver()
-    prover.adopt(7)
+    start = prover.start(0.0, 0, None)
+    prover.finish(start, position, RowShown.IN_FORCE, version)
+    return prover
+
+
+def test_version_from_a_neighbour_during_a_read_is_proved_by_the_earlier_one():
+    prover = prover_of(7, 5)
     start = prover.start(100.0, 7, 5)
-    prover.adopt(7)
-    assert prover.finish(start, 5, RowShown.NOTHING, 8) == Proof(7, 100.0)
+    assert prover.finish(start, 6, RowShown.NOTHING, 8) == Proof(7, 100.0)
+
+
+def test_read_from_a_neighbours_position_proves_nothing():
+    """Guards against a neighbour that read on over a version that it rejected."""
+    prover = prover_of(7, 5)
+    start = prover.start(100.0, 7, 6)
+    assert prover.finish(start, 6, RowShown.NOTHING, 7) is None
+    assert prover.position == 5
 
 
 @pytest.mark.parametrize("shown", [RowShown.OTHER, RowShown.NOTHING])
 def test_table_without_the_version_in_force_proves_nothing(shown):
     """Guards against proofs from a table that lost a version or its row."""
-    prover = ReadProver()
-    prover.adopt(7)
+    prover = prover_of(7, 5)
     assert prover.finish(prover.start(0.0, 7, None), 9, shown, 7) is None
     start = prover.start(100.0, 7, 9)
     assert prover.finish(start, 9, RowShown.NOTHING, 7) is None
 
 
 def test_position_that_goes_back_proves_nothing_until_all_rows_are_read():
-    prover = ReadProver()
-    prover.adopt(7)
+    prover = prover_of(7, 9)
     assert prover.finish(prover.start(0.0, 7, 9), 3, RowShown.NOTHING, 7) is None
-    assert prover.must_reread
+    assert prover.position is None
     start = prover.start(100.0, 7, None)
     assert prover.finish(start, 3, RowShown.IN_FORCE, 7) == Proof(7, 100.0)
-    assert not prover.must_reread
+    assert prover.position == 3
 
 
 @pytest.mark.parametrize(
@@ -97,8 +109,7 @@
 )
 def test_rejected_version_proves_the_one_before_it(number, is_superseded, is_proved):
     """Guards against refused keys after a faulty document that is in force nowhere."""
-    prover = ReadProver()
-    prover.adopt(7)
+    prover = prover_of(7, 5)
     shown = RowShown.REJECTED
     start = prover.start(1.0, 7, 5)
     proof = prover.finish(start, 6, shown, 7, number, is_superseded)
@@ -110,8 +121,7 @@
 
 
 def test_second_rejected_version_follows_the_first():
-    prover = ReadProver()
-    prover.adopt(7)
+    prover = prover_of(7, 5)
     for number in (8, 9):
         start = prover.start(1.0, 7, None)
         proof = prover.finish(start, number, RowShown.REJECTED, 7, number)
@@ -144,7 +154,6 @@
 
     clock_offset_ms: float
     version: int = 0
-    position: int = 0
     proof: FreshnessProof = field(default_factory=FreshnessProof)
     prover: ReadProver = field(default_factory=ReadProver)
     questions: ProofQuestions = field(default_factory=ProofQuestions)
@@ -171,8 +180,9 @@
         # Whether each version is valid; the position of a version is its number.
         self.is_valid = [True, True]
         for daemon in self.daemons.values():
-            daemon.version = daemon.position = 1
-            daemon.prover.adopt(daemon.version)
+            daemon.version = 1
+            start = daemon.prover.start(self.clock_ms(daemon), 0, None)
+            daemon.prover.finish(start, 1, RowShown.IN_FORCE, 1)
         self.removed_by = math.inf
         self.removed_ms = math.inf
         self.reads: list = []
@@ -198,7 +208,7 @@
     @rule(name=NAMES, is_full=st.booleans())
     def start_read(self, name, is_full):
         daemon = self.daemons[name]
-        position = None if is_full or not daemon.version else daemon.position
+        position = None if is_full else daemon.prover.position
         start = daemon.prover.start(self.clock_ms(daemon), daemon.version, position)
         self.reads.append((name, start))
 
@@ -229,22 +239,16 @@
         proof = daemon.prover.finish(start, newest, shown, daemon.version, newest)
         if proof is not None:
             daemon.proof.prove(proof.version, proof.as_of_ms)
-        daemon.position = max(daemon.position, newest)
 
     @rule(source=NAMES)
     def send_copy(self, source):
-        daemon = self.daemons[source]
-        self.copies.append((daemon.version, daemon.position))
+        self.copies.append(self.daemons[source].version)
 
     @precondition(lambda self: self.copies)
     @rule(name=NAMES, index=INDEX)
     def receive_copy(self, name, index):
-        version, position = self.copies[index % len(self.copies)]
         daemon = self.daemons[name]
-        if version > daemon.version:
-            daemon.version = version
-            daemon.position = max(daemon.position, position)
-            daemon.prover.adopt(daemon.version)
+        daemon.version = max(daemon.version, self.copies[index % len(self.copies)])
 
     @rule(name=NAMES, other=NAMES)
     def ask(self, name, other):
