--- a/tests/test_account_calls.py
+++ b/tests/test_account_calls.py
@@ -8,6 +8,7 @@
 from structlog.testing import capture_logs
 
 from pepperstair_core.accounts import AccountTable
+from pepperstair_core.burn.counts import classify_outcome
 from pepperstair_core.config import AccountsSettings
 from pepperstair_core.errors import ErrorKind
 from pepperstair_core.intent import Account
@@ -127,6 +128,8 @@
         assert raw.heads == []
         assert b"s3cret" not in response.body
         assert mesh.outcomes[0].error is ErrorKind.UNAUTHORIZED
+        # A fault of the caller, which uses up none of the error budget.
+        assert classify_outcome(mesh.outcomes[0]) is None
 
 
 @on_loop
