--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -142,6 +142,7 @@
         self._proof_read_share = READ_SHARE + rng.random() * READ_SPREAD_SHARE
         self._prover = ReadProver()
         self._was_polled = False
+        self._is_proof_outdated = False
         self.proofs = ProofExchange(
             control, lambda: self._following.version, self._proof_limit_ms
         )
@@ -152,7 +153,6 @@
             self._is_watching,
             schedule,
             self.proofs,
-            lambda: self._prover.adopt(self._following.version),
         )
         self.n_ignored = 0
         self.n_rejected = 0
@@ -237,6 +237,7 @@
         return {
             "n_versions_ignored": self.n_ignored,
             "n_versions_rejected": self.n_rejected,
+            "n_proofs_asked": self.proofs.n_asked,
         }
 
     def rejected(self) -> dict[str, Any]:
@@ -254,9 +255,9 @@
             if not is_due:
                 await self._until_due()
             is_due = False
-            if self._prover.must_reread and self._proof_limit_ms():
-                exchange.position = None
             position = exchange.position
+            if position is not None and self._proof_limit_ms():
+                position = self._prover.position
             start = self._start_read(position)
             read = await self._read_or_watch(position, is_first)
             if read.is_ok():
@@ -278,20 +279,45 @@
             backoff_s = min(self._backoff_max_s(), 2 * backoff_s)
 
     async def _keep_proof(self) -> None:
-        """Ask neighbours for proofs, and read the table if they have no newer one."""
-        while True:
-            if not self._proof_limit_ms():
-                await asyncio.sleep(_PROOF_IDLE_S)
-                continue
-            await asyncio.sleep(_PROOF_CHECK_S * self._rng.uniform(0.5, 1.0))
-            self.proofs.refresh()
-            if self.proofs.is_older_than(self._proof_read_share):
-                await self._read_for_proof()
-                pause_s = _PROOF_READ_INTERVAL_S * self._rng.uniform(1.0, 2.0)
-                await asyncio.sleep(pause_s)
+        """Ask neighbours for proofs, and read the table if they have no newer one.
+
+        The questions continue during a read, which may have to wait for the store.
+        """
+        loop = asyncio.get_running_loop()
+        reading: asyncio.Task[None] | None = None
+        next_read_s = 0.0
+        try:
+            while True:
+                if not self._proof_limit_ms():
+                    await asyncio.sleep(_PROOF_IDLE_S)
+                    continue
+                await asyncio.sleep(_PROOF_CHECK_S * self._rng.uniform(0.5, 1.0))
+                self.proofs.refresh()
+                self._log_proof_state()
+                is_reading = reading is not None and not reading.done()
+                is_due = not is_reading and loop.time() >= next_read_s
+                if is_due and self.proofs.is_older_than(self._proof_read_share):
+                    interval_s = _PROOF_READ_INTERVAL_S * self._rng.uniform(1.0, 2.0)
+                    next_read_s = loop.time() + interval_s
+                    reading = loop.create_task(self._read_for_proof())
+        finally:
+            if reading is not None:
+                reading.cancel()
+
+    def _log_proof_state(self) -> None:
+        """Log when requests with keys begin to be refused and are served again."""
+        is_outdated = self.proofs.is_older_than(1.0)
+        if is_outdated == self._is_proof_outdated:
+            return
+        self._is_proof_outdated = is_outdated
+        version = self._following.version
+        if is_outdated:
+            log.warning(Event.PROOF_OUTDATED, version=version)
+        else:
+            log.info(Event.PROOF_RENEWED, version=version)
 
     async def _read_for_proof(self) -> None:
-        position = self._exchange.position
+        position = self._prover.position
         start = self._start_read(position)
         if position is None:
             read = await self._table.read()
@@ -360,8 +386,9 @@
         wait_ms = int(_WATCH_MAX_MS * self._rng.uniform(min_share, 1.0))
         if not self._watches_continuously():
             wait_ms = await self._pause_unless_watching(wait_ms)
-        known_position = max(position, self._exchange.position or 0)
-        return await self._table.wait(known_position, wait_ms)
+        if not self._proof_limit_ms():
+            position = max(position, self._exchange.position or 0)
+        return await self._table.wait(position, wait_ms)
 
     async def _read_or_watch_shared(
         self, position: int
