--- a/emulator/pepperstair_emulator/fleet.py
+++ b/emulator/pepperstair_emulator/fleet.py
@@ -132,7 +132,7 @@
         self, route: RouteModel, at_ms: float, end_ms: float
     ) -> None:
         self._schedule_next_request(route, at_ms, end_ms)
-        self.tally.routes[route.name].n_requests += 1
+        self.tally.routes[route.name].record_request(at_ms)
         self._send(route, at_ms, route.n_retries)
 
     def _send(
@@ -173,9 +173,7 @@
         tally = self.tally.routes[route.name]
         now_ms = self.clock.now_ms
         if outcome.is_good:
-            is_in_time = now_ms - first_sent_ms <= route.objective_ms
-            tally.n_in_time += is_in_time
-            tally.n_late += not is_in_time
+            tally.record_answer(first_sent_ms, now_ms, route.objective_ms)
             return
         may_retry = outcome.is_not_run or route.is_idempotent
         remaining_ms = first_sent_ms + route.patience_ms - now_ms
--- a/emulator/pepperstair_emulator/report.py
+++ b/emulator/pepperstair_emulator/report.py
@@ -12,6 +12,9 @@
     "policy                 worth  spread  in time   late  refused  failed"
     "   far  runs lost"
 )
+_ROUTE_HEADER = (
+    f"  {'route':33}    in time   late  refused  failed     p50     p99  worst"
+)
 
 
 def worth_of(experiment: Experiment, tally: Tally) -> float:
@@ -51,12 +54,32 @@
 
 
 def iter_routes(experiment: Experiment, tallies: Sequence[Tally]) -> Iterator[str]:
-    """Yield a line for each route that clients call directly."""
+    """Yield a header and a line for each route that clients call directly.
+
+    `worst` is the smallest share in time of two consecutive seconds.
+    """
+    yield _ROUTE_HEADER
     for route in experiment.routes:
         if route.per_s <= 0.0:
             continue
         route_tallies = [tally.routes[route.name] for tally in tallies]
-        yield f"  {route.name:33}  {_format_route_shares(route_tallies)}"
+        worst_share = min(each.worst_share() for each in route_tallies)
+        p50_ms, p99_ms = _percentiles_ms(route_tallies)
+        shares = _format_route_shares(route_tallies)
+        yield (
+            f"  {route.name:33}  {shares}"
+            f"  {p50_ms:6.0f}  {p99_ms:6.0f}  {worst_share:.3f}"
+        )
+
+
+def _percentiles_ms(route_tallies: Sequence[RouteTally]) -> tuple[float, float]:
+    latencies_ms = sorted(
+        latency_ms for each in route_tallies for latency_ms in each.latencies_ms
+    )
+    if not latencies_ms:
+        return 0.0, 0.0
+    n_answers = len(latencies_ms)
+    return latencies_ms[n_answers // 2], latencies_ms[n_answers * 99 // 100]
 
 
 def _format_shares(tallies: Sequence[Tally]) -> str:
