Start short calls before long ones, and expect their start by the work ahead of them

Cause: at a service of five targets with three slots, look-ups of 22 ms were refused or late behind downloads of 72 ms that make look-ups themselves, and each refusal failed for good a request that had run already. The expected start of a waiting call was counted in mean service times over all calls.

Change: the expected start is the work ahead by route plus the next end of the running calls. Within a priority short calls wait in a queue of their own before the long ones; one grant in ten still goes to a call that has waited for 500 ms. After the arrival of a short call one slot is kept free of long calls for the time that a short call takes.

--- a/emulator/pepperstair_emulator/targets.py
+++ b/emulator/pepperstair_emulator/targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections.abc import Callable
 from random import Random
 
@@ -39,6 +40,7 @@
         self._rng = rng
         self._tickets = itertools.count(1)
         self._waiting: dict[int, AdmissionCallback] = {}
+        self._expiry_ms = math.inf
         state = TargetState.SERVING
         target = Target(self.vm, "127.0.0.1:1", (), service.n_slots, 110, state)
         policy = TargetPolicy("p", "")
@@ -105,13 +107,15 @@
             on_verdict = self._waiting.pop(verdict.ticket)
             on_verdict(verdict if isinstance(verdict, Refused) else None)
         expiry_ms = self.admission.next_expiry_ms
-        if expiry_ms is not None:
+        if expiry_ms is not None and expiry_ms < self._expiry_ms:
+            self._expiry_ms = expiry_ms
             self._clock.call_at(expiry_ms, self._expire)
 
     def _expire(self) -> None:
-        verdicts = self.admission.expire(self._clock.now_ms)
-        if verdicts:
-            self._deliver_verdicts(verdicts)
+        now_ms = self._clock.now_ms
+        if now_ms >= self._expiry_ms:
+            self._expiry_ms = math.inf
+        self._deliver_verdicts(self.admission.expire(now_ms))
 
 
 __all__ = ["EmulatedTarget"]
--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -14,9 +14,12 @@
 from msgspec import Struct
 
 from ..intent import PRIORITIES
-from .fair_queue import FairQueue, Order, WaitingCall
+from .fair_queue import Order, WaitingCall
+from .kept_slot import KeptSlot
 from .rate_limit import RateLimiter
+from .running_calls import RunningCalls
 from .service_times import ServiceTimes
+from .waiting_calls import RANKS, WaitingCalls
 
 RETRY_AFTER_MIN_MS: Final = 10
 RETRY_AFTER_MAX_MS: Final = 5_000
@@ -34,6 +37,8 @@
 LATE_WAIT_SHARE: Final = 1 / 3
 # Time without a refused call after which an overload is considered to be over.
 OVERLOAD_GAP_MS: Final = 1_000.0
+# With fewer slots, none is kept for short calls, as long calls need one themselves.
+N_SLOTS_TO_KEEP_ONE: Final = 2
 # Calls of a priority are considered to be still arriving for this time after the
 # arrival of the last one.
 LESS_URGENT_RECENT_MS: Final = 1_000.0
@@ -85,12 +90,13 @@
         self.n_in_flight = 0
         self.rate_limiter = RateLimiter()
         self._times = ServiceTimes()
+        self._running = RunningCalls(self._times)
         self._late: set[int] = set()
         self._last_arrived_ms_of = dict.fromkeys(PRIORITIES, -math.inf)
         self._last_refused_ms = -math.inf
         self._overloaded_since_ms = 0.0
-        self._queues = {priority: FairQueue() for priority in PRIORITIES}
-        self._waiting: dict[int, WaitingCall] = {}
+        self._kept_slot = KeptSlot()
+        self._waiting = WaitingCalls()
         self._wait_limits: list[tuple[float, int]] = []
         self._n_grants = 0
 
@@ -105,24 +111,35 @@
         limits = self._wait_limits
         while limits and limits[0][1] not in self._waiting:
             heapq.heappop(limits)
-        return limits[0][0] if limits else None
+        if not limits:
+            return None
+        if self.n_in_flight < self.n_slots:
+            # The free slot is kept for short calls.
+            return min(limits[0][0], self._kept_slot.until_ms)
+        return limits[0][0]
 
     def arrive(self, call: WaitingCall, now_ms: float) -> list[Verdict]:
         """Admit or queue a new call, or refuse it or the call that it displaces."""
         self._last_arrived_ms_of[call.priority] = now_ms
+        service_ms = self._times.typical_ms(call.route, call.priority)
+        is_short = service_ms < self._times.short_ms
+        if is_short:
+            self._kept_slot.keep(call.priority, now_ms, service_ms)
         if not self.rate_limiter.has_token(now_ms):
             return [self._refuse_over_limit(call, now_ms)]
-        if self.n_in_flight < self.n_slots and not self._waiting:
-            self.n_in_flight += 1
-            self.rate_limiter.take(now_ms)
-            return [Admitted(call.ticket)]
-        cause = self._refusal_cause(call, now_ms)
+        # While a slot is free, only long calls can be waiting.
+        if self.n_in_flight < self.n_slots and (
+            is_short or self._may_long_start(call, now_ms)
+        ):
+            return [self._admit(call, now_ms)]
+        is_late = self._is_late(call, now_ms)
+        cause = self._refusal_cause(call, now_ms, is_late)
         if cause is not None:
             return [self._refuse(call, cause, now_ms)]
         if len(self._waiting) < call.n_queued_max:
-            self._push(call)
+            self._push(call, is_late)
             return []
-        return self._arrive_at_full_queue(call, now_ms)
+        return self._arrive_at_full_queue(call, now_ms, is_late)
 
     def finish(
         self,
@@ -138,11 +155,14 @@
         the connection to the target could not be opened.
         """
         self.n_in_flight -= 1
+        self._running.end(route)
         if service_ms is None:
             self.rate_limiter.refund()
         else:
             cost = service_ms / max(self._times.mean_ms, 0.01) - 1.0
-            self._queues[priority].charge(customer, cost)
+            if self._waiting.has_turn(customer, priority):
+                is_short = self._times.is_short(route, priority)
+                self._waiting.charge(customer, priority, is_short, cost)
             self._times.record(priority, route, service_ms)
         return self._grant(now_ms)
 
@@ -169,33 +189,29 @@
         answered before its deadline, although not in its wanted time, stays queued if
         no other call waits.
         """
-        verdicts: list[Verdict] = []
-        while (expiry_ms := self.next_expiry_ms) is not None and expiry_ms <= now_ms:
-            _, ticket = heapq.heappop(self._wait_limits)
-            call = self._waiting[ticket]
-            self._remove(call)
-            if self._may_still_wait(call, now_ms):
-                self._push(call, is_late=True)
-                continue
-            verdicts.append(self._refuse(call, RefusalCause.TOO_LATE, now_ms))
+        verdicts = self._refuse_expired(now_ms)
+        if self.n_in_flight < self.n_slots and self._waiting:
+            verdicts += self._grant(now_ms)
         return verdicts
 
     def withdraw(self, ticket: int) -> None:
         """Remove a waiting call whose caller has disconnected."""
         call = self._waiting.get(ticket)
         if call is not None:
-            self._remove(call)
+            self._waiting.remove(call)
             self._late.discard(ticket)
 
     def drain(self) -> list[Verdict]:
         """Refuse every waiting call because the target is draining."""
-        calls = list(self._waiting.values())
+        calls = list(self._waiting)
         for call in calls:
-            self._remove(call)
+            self._waiting.remove(call)
             self._late.discard(call.ticket)
         return [Refused(call.ticket, RefusalCause.DRAINING, 0) for call in calls]
 
-    def _refusal_cause(self, call: WaitingCall, now_ms: float) -> RefusalCause | None:
+    def _refusal_cause(
+        self, call: WaitingCall, now_ms: float, is_late: bool
+    ) -> RefusalCause | None:
         """Return why a call must not be queued, or None if it may wait.
 
         Under overload some calls have to be refused. If every call could wait until
@@ -204,7 +220,6 @@
         be answered in their wanted time, serves as many callers with the same slots,
         and serves them without this delay.
         """
-        is_late = self._is_late(call, now_ms)
         start_ms = self._expected_start_ms(call, now_ms, is_late)
         if start_ms > self._times.latest_start_ms(call):
             return RefusalCause.TOO_LATE
@@ -224,7 +239,7 @@
         refusing it frees hardly any time for them, and such a short call is usually
         part of another request.
         """
-        if self._times.is_short(call):
+        if self._times.is_short(call.route, call.priority):
             return True
         index = PRIORITIES.index(call.priority)
         return any(
@@ -258,70 +273,77 @@
             return False
         return self._wait_limit_ms(call, True) > now_ms
 
-    def _arrive_at_full_queue(self, call: WaitingCall, now_ms: float) -> list[Verdict]:
-        victim = self._victim(call)
+    def _arrive_at_full_queue(
+        self, call: WaitingCall, now_ms: float, is_late: bool
+    ) -> list[Verdict]:
+        victim = self._waiting.victim(call)
         if victim is None:
             return [self._refuse(call, RefusalCause.QUEUE_FULL, now_ms)]
         is_less_urgent = victim.priority != call.priority
         cause = RefusalCause.DISPLACED if is_less_urgent else RefusalCause.OVER_SHARE
-        self._remove(victim)
-        self._push(call)
+        self._waiting.remove(victim)
+        self._push(call, is_late)
         return [self._refuse(victim, cause, now_ms)]
 
-    def _victim(self, call: WaitingCall) -> WaitingCall | None:
-        """Return the waiting call that a new call displaces, or None.
-
-        Without displacement, a queue filled by one large customer would refuse every
-        small customer for as long as the flood lasts.
-        """
-        for priority in reversed(PRIORITIES):
-            queue = self._queues[priority]
-            if priority == call.priority:
-                return _over_share(queue, call)
-            if queue:
-                return queue.newest_of_longest()
-        return None
-
     def _expected_start_ms(
         self, call: WaitingCall, now_ms: float, is_late: bool
     ) -> float:
         """Return when the call is expected to start if it is queued."""
         order = self._order(call, is_late)
-        n_ahead = 0
-        for priority in PRIORITIES:
-            queue = self._queues[priority]
-            if priority == call.priority:
-                n_ahead += queue.n_ahead(call.customer, order)
-                break
-            n_ahead += len(queue)
-        n_rounds = (n_ahead + 1) / max(1, self.n_slots)
-        return now_ms + n_rounds * self._times.mean_ms
+        is_short = self._times.is_short(call.route, call.priority)
+        ahead_ms = self._waiting.work_ahead_ms(call, is_short, order)
+        n_slots = max(1, self.n_slots)
+        return now_ms + self._running.first_end_ms() + ahead_ms / n_slots
+
+    def _admit(self, call: WaitingCall, now_ms: float) -> Admitted:
+        self.n_in_flight += 1
+        self._running.start(call.route)
+        self.rate_limiter.take(now_ms)
+        return Admitted(call.ticket)
 
     def _grant(self, now_ms: float) -> list[Verdict]:
-        verdicts = self.expire(now_ms)
+        verdicts = self._refuse_expired(now_ms)
         while self.n_in_flight < self.n_slots and self._waiting:
             if not self.rate_limiter.has_token(now_ms):
                 return verdicts + self._refuse_waiting_over_limit(now_ms)
             call = self._next(now_ms)
-            del self._waiting[call.ticket]
+            if call is None:
+                break
             self._late.discard(call.ticket)
-            self.n_in_flight += 1
-            self.rate_limiter.take(now_ms)
-            verdicts.append(Admitted(call.ticket))
+            verdicts.append(self._admit(call, now_ms))
         return verdicts
 
-    def _next(self, now_ms: float) -> WaitingCall:
+    def _n_ranks_with_long(self, now_ms: float) -> int:
+        """Return the number of priorities, from the most urgent, with long calls that
+        may start.
+        """
+        n_ranks = self._kept_slot.n_unaffected_ranks(now_ms)
+        if n_ranks == len(PRIORITIES) or self.n_slots < N_SLOTS_TO_KEEP_ONE:
+            return len(PRIORITIES)
+        is_slot_left = self._running.n_long() < self.n_slots - 1
+        return len(PRIORITIES) if is_slot_left else n_ranks
+
+    def _may_long_start(self, call: WaitingCall, now_ms: float) -> bool:
+        """Return whether a new long call may take a free slot."""
+        if self._waiting:
+            return False
+        if self._kept_slot.until_ms <= now_ms:
+            return True
+        return RANKS[call.priority] < self._n_ranks_with_long(now_ms)
+
+    def _next(self, now_ms: float) -> WaitingCall | None:
+        """Remove and return the call that starts next, or None if none may start."""
+        n_ranks = self._n_ranks_with_long(now_ms)
         self._n_grants += 1
-        filled = [queue for queue in self._queues.values() if queue]
-        if self._n_grants % AGED_GRANT_INTERVAL == 0 and len(filled) > 1:
+        if self._n_grants % AGED_GRANT_INTERVAL == 0:
             # Without these grants, deferrable calls would never run while more urgent
             # calls keep all slots busy, and a service that receives only deferrable
             # calls, such as an archive, would appear to be down.
-            oldest = min((q.oldest() for q in filled[1:]), key=lambda c: c.arrived_ms)
-            if now_ms - oldest.arrived_ms >= AGED_AFTER_MS:
-                self._queues[oldest.priority].remove(oldest)
+            oldest = self._waiting.oldest_behind_first(n_ranks)
+            if oldest and now_ms - oldest.arrived_ms >= AGED_AFTER_MS:
+                self._waiting.remove(oldest)
                 return oldest
-        return filled[0].pop()
+        return self._waiting.pop_first(n_ranks)
 
     def _order(self, call: WaitingCall, is_late: bool) -> Order:
         """Return the sort key of a call among the calls of its customer.
@@ -336,29 +358,38 @@
             return (1, self._times.latest_start_ms(call))
         return (0, self._times.latest_useful_start_ms(call))
 
-    def _push(self, call: WaitingCall, is_late: bool | None = None) -> None:
-        if is_late is None:
-            is_late = self._is_late(call, call.arrived_ms)
+    def _push(self, call: WaitingCall, is_late: bool) -> None:
         if is_late:
             self._late.add(call.ticket)
-        self._waiting[call.ticket] = call
-        self._queues[call.priority].push(call, self._order(call, is_late))
+        work_ms = self._times.typical_ms(call.route, call.priority)
+        is_short = self._times.is_short(call.route, call.priority)
+        self._waiting.push(call, is_short, self._order(call, is_late), work_ms)
         entry = (self._wait_limit_ms(call, is_late), call.ticket)
         heapq.heappush(self._wait_limits, entry)
 
-    def _remove(self, call: WaitingCall) -> None:
-        del self._waiting[call.ticket]
-        self._queues[call.priority].remove(call)
-
     def _refuse_waiting_over_limit(self, now_ms: float) -> list[Verdict]:
         """Refuse every waiting call if the rate limit lets none of them start."""
         if self.rate_limiter.has_token(now_ms):
             return []
-        calls = list(self._waiting.values())
+        calls = list(self._waiting)
         for call in calls:
-            self._remove(call)
+            self._waiting.remove(call)
         return [self._refuse_over_limit(call, now_ms) for call in calls]
 
+    def _refuse_expired(self, now_ms: float) -> list[Verdict]:
+        verdicts: list[Verdict] = []
+        limits = self._wait_limits
+        while limits and limits[0][0] <= now_ms:
+            call = self._waiting.get(heapq.heappop(limits)[1])
+            if call is None:
+                continue
+            self._waiting.remove(call)
+            if self._may_still_wait(call, now_ms):
+                self._push(call, is_late=True)
+                continue
+            verdicts.append(self._refuse(call, RefusalCause.TOO_LATE, now_ms))
+        return verdicts
+
     def _refuse_over_limit(self, call: WaitingCall, now_ms: float) -> Refused:
         self._late.discard(call.ticket)
         retry_after_ms = max(
@@ -378,22 +409,15 @@
         if now_ms - self._last_refused_ms > OVERLOAD_GAP_MS:
             self._overloaded_since_ms = now_ms
         self._last_refused_ms = now_ms
-        n_rounds = (len(self._waiting) + 1) / max(1, self.n_slots)
+        work_ms = self._waiting.work_ms + self._times.typical_ms(
+            call.route, call.priority
+        )
         lasted_ms = now_ms - self._overloaded_since_ms
-        retry_after_ms = int(max(n_rounds * self._times.mean_ms, lasted_ms))
+        retry_after_ms = int(max(work_ms / max(1, self.n_slots), lasted_ms))
         bounded = min(RETRY_AFTER_MAX_MS, max(RETRY_AFTER_MIN_MS, retry_after_ms))
         return Refused(call.ticket, cause, bounded)
 
 
-def _over_share(queue: FairQueue, call: WaitingCall) -> WaitingCall | None:
-    if not queue:
-        return None
-    newest = queue.newest_of_longest()
-    if queue.n_waiting_of(newest.customer) > queue.n_waiting_of(call.customer) + 1:
-        return newest
-    return None
-
-
 __all__ = [
     "Admission",
     "Admitted",
--- a/packages/pepperstair-core/pepperstair_core/calls/fair_queue.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/fair_queue.py
@@ -45,6 +45,7 @@
     order: Order
     ticket: int
     call: WaitingCall
+    work_ms: float = 0.0
 
     def __lt__(self, other: _QueuedCall) -> bool:
         """Return whether this call comes before the other one."""
@@ -55,7 +56,8 @@
     """The waiting calls of one priority.
 
     Customers take turns; a customer's own calls are sorted by the `order` that is
-    passed to `push`, lowest first.
+    passed to `push`, lowest first. `work_ms` is the expected service time of all
+    waiting calls together.
     """
 
     def __init__(self) -> None:
@@ -63,13 +65,17 @@
         self._deficits: dict[str, float] = {}
         self._turns: deque[str] = deque()
         self._n_calls = 0
+        self.work_ms = 0.0
 
     def __len__(self) -> int:
         return self._n_calls
 
-    def push(self, call: WaitingCall, order: Order = (0, 0.0)) -> None:
+    def push(
+        self, call: WaitingCall, order: Order = (0, 0.0), work_ms: float = 0.0
+    ) -> None:
         """Insert a call among the others of its customer.
 
+        `work_ms` is the expected service time of the call.
         A customer without waiting calls gets the next turn: it uses less than its
         share and must not wait behind a customer that floods the queue.
         """
@@ -78,8 +84,9 @@
             queue = self._queues[call.customer] = []
             self._deficits[call.customer] = 0.0
             self._turns.appendleft(call.customer)
-        bisect.insort(queue, _QueuedCall(order, call.ticket, call))
+        bisect.insort(queue, _QueuedCall(order, call.ticket, call, work_ms))
         self._n_calls += 1
+        self.work_ms += work_ms
 
     def pop(self) -> WaitingCall:
         """Remove and return the first call of the customer whose turn it is.
@@ -99,8 +106,13 @@
             self._deficits[customer] += 1.0
             if self._deficits[customer] >= 1.0:
                 self._deficits[customer] -= 1.0
-                self._n_calls -= 1
-                return queue.pop(0).call
+                queued = queue.pop(0)
+                self._subtract(queued)
+                return queued.call
+
+    def has_turn(self, customer: str) -> bool:
+        """Return whether a customer takes part in the turns."""
+        return customer in self._deficits
 
     def charge(self, customer: str, cost: float) -> None:
         """Charge a customer for the cost of a call beyond one mean service time."""
@@ -111,8 +123,10 @@
     def remove(self, call: WaitingCall) -> None:
         """Remove a call that no longer waits."""
         queue = self._queues[call.customer]
-        queue[:] = [queued for queued in queue if queued.ticket != call.ticket]
-        self._n_calls -= 1
+        for index, queued in enumerate(queue):
+            if queued.ticket == call.ticket:
+                self._subtract(queue.pop(index))
+                return
 
     def n_waiting_of(self, customer: str) -> int:
         """Return the number of waiting calls of a customer."""
@@ -128,6 +142,15 @@
             if name != customer
         )
 
+    def work_ahead_ms(self, customer: str, order: Order) -> float:
+        """Return the expected service time of the calls ahead of a new call.
+
+        The calls of one queue differ little, so it is their number times their mean.
+        """
+        if not self._n_calls:
+            return 0.0
+        return self.n_ahead(customer, order) * self.work_ms / self._n_calls
+
     def newest_of_longest(self) -> WaitingCall:
         """Return the last call of the customer with the most waiting calls."""
         return max(self._queues.values(), key=len)[-1].call
@@ -137,5 +160,10 @@
         next_calls = (queue[0].call for queue in self._queues.values() if queue)
         return min(next_calls, key=lambda call: call.arrived_ms)
 
+    def _subtract(self, queued: _QueuedCall) -> None:
+        self._n_calls -= 1
+        # An empty queue is set to zero exactly, as rounding errors would add up.
+        self.work_ms = self.work_ms - queued.work_ms if self._n_calls else 0.0
+
 
 __all__ = ["FairQueue", "WaitingCall"]
--- a/packages/pepperstair-core/pepperstair_core/calls/service_times.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/service_times.py
@@ -57,16 +57,31 @@
         )
         self._record_route(route, service_ms)
 
-    def is_short(self, call: WaitingCall) -> bool:
-        """Return whether a call is much shorter than the longest calls.
+    @property
+    def short_ms(self) -> float:
+        """Return the service time below which calls are short.
 
-        A call is short if it typically takes less than `SHORT_SHARE` of their time.
+        They are short if they typically take less than `SHORT_SHARE` of the time of the
+        longest calls.
         """
-        return self._typical_ms(call) < SHORT_SHARE * self.longest_ms
+        return SHORT_SHARE * self.longest_ms
+
+    def mean_ms_of(self, route: str) -> float:
+        """Return the mean service time of a route, or of all calls if unknown."""
+        return self._mean_ms_by_route.get(route, self.mean_ms)
+
+    def typical_ms(self, route: str, priority: str) -> float:
+        """Return the mean service time of a route, or of its priority if unknown."""
+        known_ms = self._mean_ms_by_route.get(route)
+        return self._mean_ms_of[priority] if known_ms is None else known_ms
+
+    def is_short(self, route: str, priority: str) -> bool:
+        """Return whether the calls of a route are much shorter than the longest."""
+        return self.typical_ms(route, priority) < SHORT_SHARE * self.longest_ms
 
     def latest_useful_start_ms(self, call: WaitingCall) -> float:
         """Return the latest start that probably gives an answer in the wanted time."""
-        service_ms = self._typical_ms(call)
+        service_ms = self.typical_ms(call.route, call.priority)
         deviation_ms = self._deviation_ms_by_route.get(call.route, 0.0)
         longest_ms = service_ms + N_USEFUL_DEVIATIONS * deviation_ms
         allowed_ms = USEFUL_WORK_SHARE * (call.wanted_ms - call.arrived_ms)
@@ -91,10 +106,6 @@
         )
         return call.deadline_ms - min(total_ms / 2, max(total_ms / 4, estimate_ms))
 
-    def _typical_ms(self, call: WaitingCall) -> float:
-        fallback_ms = self._mean_ms_of[call.priority]
-        return self._mean_ms_by_route.get(call.route, fallback_ms)
-
     def _record_route(self, route: str, service_ms: float) -> None:
         known = self._mean_ms_by_route
         if len(known) >= N_ROUTES_MAX and route not in known:
--- a/packages/pepperstair-targets/pepperstair_targets/slots.py
+++ b/packages/pepperstair-targets/pepperstair_targets/slots.py
@@ -74,11 +74,10 @@
             head.route,
         )
         verdicts = self.admission.arrive(call, call.arrived_ms)
-        for verdict in verdicts:
-            if verdict.ticket == call.ticket:
-                self._report_if_refused(verdict)
-                _raise_if_refused(verdict, head.target)
-                return
+        if len(verdicts) == 1 and verdicts[0].ticket == call.ticket:
+            self._report_if_refused(verdicts[0])
+            _raise_if_refused(verdicts[0], head.target)
+            return
         waiter = _Waiter(call, asyncio.get_running_loop().create_future())
         self._waiters[call.ticket] = waiter
         self._apply_verdicts(verdicts)
@@ -150,7 +149,9 @@
         self._restart_timer()
 
     def _free_slot(self, call: WaitingCall) -> list[Verdict]:
-        return self.admission.finish(call.customer, call.priority, None, self._now_ms())
+        return self.admission.finish(
+            call.customer, call.priority, None, self._now_ms(), call.route
+        )
 
     def _report_if_refused(self, verdict: Verdict) -> None:
         if isinstance(verdict, Refused):
