Refuse requests before they run while the calls that they need are refused

Cause: a request whose own look-ups are refused fails after it has run. If it is not idempotent, it fails for good.

Change: the daemon beside a target records refusals, as not run, of calls without a key on routes that allow it, where the configuration has client accounts. A run that ends with 500 or above with such a refusal during it is a lost one. While more than a tenth of the runs of a route are lost, a share of its new requests is refused as not run with a time to come back.

--- a/emulator/pepperstair_emulator/attempts.py
+++ b/emulator/pepperstair_emulator/attempts.py
@@ -106,6 +106,13 @@
         return self._fleet.experiment.zone_ms
 
     def _arrive(self, target: EmulatedTarget) -> None:
+        route = self._route.name
+        if not target.run_limits.admits(route, self._fleet.clock.now_ms):
+            retry_after_ms = target.run_limits.retry_after_ms(route)
+            failure = Failure(ErrorKind.OVERLOADED, "", retry_after_ms, RunStatus.NO)
+            self._answer_after_hop(failure)
+            return
+
         def on_verdict(refused: Refused | None) -> None:
             if refused is None:
                 self._run_on(target)
@@ -131,6 +138,8 @@
         def end(is_good: bool) -> None:
             target.release_slot(route, fleet.clock.now_ms - started_ms)
             fleet.tally.n_runs_failed += not is_good
+            now_ms = fleet.clock.now_ms
+            target.run_limits.record_run(route.name, started_ms, not is_good, now_ms)
             self._answer_after_hop(None if is_good else Failure(ErrorKind.INTERNAL))
 
         def do_work() -> None:
@@ -173,6 +182,8 @@
             if outcome.is_good:
                 self._make_inner_calls(target, remaining[1:], do_work, on_failure)
             else:
+                if outcome.is_not_run:
+                    target.run_limits.record_refused_call(self._fleet.clock.now_ms)
                 on_failure()
 
         daemon = self._fleet.daemons[target.vm]
--- a/emulator/pepperstair_emulator/targets.py
+++ b/emulator/pepperstair_emulator/targets.py
@@ -7,7 +7,14 @@
 from collections.abc import Callable
 from random import Random
 
-from pepperstair_core.calls import Admission, Admitted, Load, Refused, WaitingCall
+from pepperstair_core.calls import (
+    Admission,
+    Admitted,
+    Load,
+    Refused,
+    RunLimits,
+    WaitingCall,
+)
 from pepperstair_core.intent import Policy as TargetPolicy
 from pepperstair_core.members import Target, TargetState
 from pepperstair_core.routing import Endpoint
@@ -35,6 +42,7 @@
         self.vm = f"{service.name}-{index}"
         self.speed = service.speeds[index]
         self.admission = Admission(service.n_slots)
+        self.run_limits = RunLimits()
         self._faults = [fault for fault in faults if index < fault.n_targets]
         self._clock = clock
         self._rng = rng
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -44,7 +44,9 @@
     service to which the target on this VM belongs, or an empty string if that name is
     not sent to targets. `time_to_stop_ms` returns the time that remains for calls until
     a stopping daemon exits, or infinity if the daemon is not stopping. `on_leaving` is
-    called with a target that states in an answer that it is leaving.
+    called with a target that states in an answer that it is leaving,
+    `on_own_call_refused` when a call that the target on this VM made was refused as not
+    run.
     """
 
     vm: str
@@ -71,6 +73,7 @@
     service: str = ""
     time_to_stop_ms: Callable[[], float] = lambda: math.inf
     on_leaving: Callable[[Endpoint], None] = lambda endpoint: None
+    on_own_call_refused: Callable[[], None] = lambda: None
 
 
 __all__ = ["AttemptSender", "ProxyContext"]
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -17,7 +17,13 @@
 )
 from pepperstair_core.events import Event
 from pepperstair_core.routing import pick_destination
-from pepperstair_http import ConnectionLostError, Exchange, Request, StreamedResponse
+from pepperstair_http import (
+    ConnectionLostError,
+    Exchange,
+    Request,
+    StreamedResponse,
+    header_value,
+)
 
 from .attempts import ProxiedCall, count_call_ids
 from .context import ProxyContext
@@ -74,6 +80,8 @@
                 status, error = failure.answer.status, failure.kind
                 if call is not None:
                     call.run = failure.run_status
+                    if self._is_refused_own_call(call, exchange.request, failure):
+                        self._context.on_own_call_refused()
                 await answer_failure(exchange, failure, self._context.header_names)
                 return
             call.run = RunStatus.YES
@@ -186,6 +194,23 @@
             context, request, head, compiled, body, self._call_ids, arrived_ms
         )
 
+    def _is_refused_own_call(
+        self, call: ProxiedCall, request: Request, failure: Failure
+    ) -> bool:
+        """Return whether a call of the target on this VM was refused as not run.
+
+        Clients state a key. A target makes its calls without one, on routes that allow
+        it. Without client accounts the two can't be told apart.
+        """
+        is_refused = failure.answer.is_retryable and call.run is RunStatus.NO
+        context = self._context
+        return (
+            is_refused
+            and call.compiled.route.allows_anonymous
+            and context.route_table().has_accounts
+            and not header_value(request.headers, context.header_names.api_key)
+        )
+
     async def _relay_answer(
         self, exchange: Exchange, call: ProxiedCall, response: StreamedResponse
     ) -> bool:
--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -31,6 +31,7 @@
     decide_retry,
 )
 from .route_statistics import AcceptanceRates, AnswerSizes, CallerTimeouts
+from .run_limits import RunLimits
 from .sampling import is_sampled
 
 __all__ = [
@@ -57,6 +58,7 @@
     "CallerTimeouts",
     "RefusalCause",
     "Refused",
+    "RunLimits",
     "Retry",
     "RetryBudget",
     "TrustLevel",
--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -63,13 +63,15 @@
     routes there are. The cost of a linear scan would grow with the number of customers.
     """
 
-    __slots__ = ("_by_host", "policies", "routes")
+    __slots__ = ("_by_host", "has_accounts", "policies", "routes")
 
     def __init__(
         self,
         routes: Iterable[CompiledRoute] = (),
         policies: PolicyTable = NO_POLICIES,
+        has_accounts: bool = False,
     ) -> None:
+        self.has_accounts = has_accounts
         self.routes = tuple(routes)
         self.policies = policies
         self._by_host: dict[str, dict[str, CompiledRoute]] = {}
@@ -145,7 +147,9 @@
     """
     in_force = tuple(snapshots)
     return RouteTable(
-        _iter_compiled_routes(in_force, proxy_labels), compile_policies(in_force)
+        _iter_compiled_routes(in_force, proxy_labels),
+        compile_policies(in_force),
+        any(snapshot.intent.accounts for snapshot in in_force),
     )
 
 
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -9,7 +9,14 @@
 import structlog
 from msgspec.structs import replace
 
-from pepperstair_core.calls import CrashRecord, Load, Quarantine, Refused, TrustLevel
+from pepperstair_core.calls import (
+    CrashRecord,
+    Load,
+    Quarantine,
+    Refused,
+    RunLimits,
+    TrustLevel,
+)
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, RunStatus
 from pepperstair_core.events import Event
@@ -123,6 +130,7 @@
         self._local_targets: dict[str, LocalTarget] = {}
         self._retired: list[LocalTarget] = []
         self._refusals: dict[str, tuple[float, int]] = {}
+        self.run_limits = RunLimits()
         self.is_draining = False
         self.n_refused = 0
         self.n_crashes = 0
@@ -162,6 +170,7 @@
         deadline_ms = start_ms + head.time_left_ms
         target = self._require_target(head, start_ms)
         local = self._ensure_local_target(target)
+        self._refuse_in_vain(head, local, start_ms)
         head = _take_known_limit(head, local, start_ms)
         policy = self._policy_of(head.customer, target)
         try:
@@ -200,6 +209,8 @@
         finally:
             local.crashes.end(call)
         self._record_answer(head, response)
+        has_failed = response.status >= _FAILED_STATUS
+        self.run_limits.record_run(head.route, admitted_ms, has_failed, self._now_ms())
         return _with_wait_header(response, int(admitted_ms - start_ms))
 
     def sync_with_registry(self) -> None:
@@ -234,6 +245,24 @@
         if refusal is not None:
             raise PepperstairError(refusal)
 
+    def _refuse_in_vain(
+        self, head: CallHead, local: LocalTarget, now_ms: float
+    ) -> None:
+        """Refuse a call that would fail because the target's own calls are refused."""
+        limits = self.run_limits
+        if limits.admits(head.route, now_ms):
+            return
+        share = limits.admitted_share(head.route)
+        detail = f"{head.target}, calls that it makes are refused, admitted {share:.2f}"
+        failure = Failure(
+            ErrorKind.OVERLOADED,
+            detail,
+            limits.retry_after_ms(head.route),
+            RunStatus.NO,
+        )
+        _log_refused(head, local, failure, 0.0)
+        raise PepperstairError(failure)
+
     def _refuse_unsafe(self, head: CallHead, local: LocalTarget, now_ms: float) -> None:
         """Refuse a quarantined call, or a suspect call while another one is running.
 
--- a/packages/pepperstaird/pepperstaird/proxying.py
+++ b/packages/pepperstaird/pepperstaird/proxying.py
@@ -73,6 +73,9 @@
         header_names=daemon.dependencies.target_options.names,
         service=daemon.dependencies.service,
         on_leaving=daemon.record_leaving,
+        on_own_call_refused=lambda: daemon.runner.run_limits.record_refused_call(
+            precise_ms()
+        ),
     )
 
 
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -137,6 +137,7 @@
         self.is_ready = True
         self.fingerprints: list[bytes] = []
         self.leaving: list[Endpoint] = []
+        self.n_own_calls_refused = 0
         self.context = self._context(body_max_bytes)
         self.proxy = Proxy(self.context)
         self.server = HttpServer(
@@ -240,8 +241,12 @@
             header_names=self.options.names,
             service=self.service,
             on_leaving=self.leaving.append,
+            on_own_call_refused=self._count_own_call_refused,
         )
 
+    def _count_own_call_refused(self) -> None:
+        self.n_own_calls_refused += 1
+
 
 async def wait_until(condition: Callable[[], bool]) -> None:
     """Wait until a condition holds."""
