Shorten a queue whose calls all start too late

Cause: calls that may wait past their wanted time, short ones above all, filled their queue up to their deadlines in an overload.

Change: a queue in which no call started in time for twice its wanted time is standing. Then no call of it may wait past its wanted time, and late ones are refused instead of started, until none was late or refused for that time.

--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -19,6 +19,7 @@
 from .rate_limit import RateLimiter
 from .running_calls import RunningCalls
 from .service_times import ServiceTimes
+from .standing_queue import StandingQueue
 from .waiting_calls import RANKS, WaitingCalls
 
 RETRY_AFTER_MIN_MS: Final = 10
@@ -96,6 +97,10 @@
         self._last_refused_ms = -math.inf
         self._overloaded_since_ms = 0.0
         self._kept_slot = KeptSlot()
+        # By priority, of short calls and of long ones.
+        self._standing = {
+            priority: (StandingQueue(), StandingQueue()) for priority in PRIORITIES
+        }
         self._waiting = WaitingCalls()
         self._wait_limits: list[tuple[float, int]] = []
         self._n_grants = 0
@@ -238,8 +243,13 @@
         A call may also wait if it takes a fraction of the time of other calls:
         refusing it frees hardly any time for them, and such a short call is usually
         part of another request.
+
+        In a standing queue no call may, as all of them would be late.
         """
-        if self._times.is_short(call.route, call.priority):
+        is_short = self._times.is_short(call.route, call.priority)
+        if self._standing[call.priority][not is_short].is_standing:
+            return False
+        if is_short:
             return True
         index = PRIORITIES.index(call.priority)
         return any(
@@ -295,6 +305,21 @@
         n_slots = max(1, self.n_slots)
         return now_ms + self._running.first_end_ms() + ahead_ms / n_slots
 
+    def _must_not_start_late(self, call: WaitingCall, now_ms: float) -> bool:
+        """Record the start of a waiting call and return whether it is refused instead.
+
+        It is refused if it is late and its queue is standing.
+        """
+        if call.wanted_ms == math.inf:
+            return False
+        is_short = self._times.is_short(call.route, call.priority)
+        standing = self._standing[call.priority][not is_short]
+        is_late = self._is_late(call, now_ms)
+        if call.ticket not in self._late:
+            # Calls that were late on arrival say nothing about the queue.
+            standing.record_start(is_late, call.wanted_ms - call.arrived_ms, now_ms)
+        return is_late and standing.is_standing and bool(self._waiting)
+
     def _admit(self, call: WaitingCall, now_ms: float) -> Admitted:
         self.n_in_flight += 1
         self._running.start(call.route)
@@ -309,6 +334,9 @@
             call = self._next(now_ms)
             if call is None:
                 break
+            if self._must_not_start_late(call, now_ms):
+                verdicts.append(self._refuse(call, RefusalCause.NOT_IN_TIME, now_ms))
+                continue
             self._late.discard(call.ticket)
             verdicts.append(self._admit(call, now_ms))
         return verdicts
@@ -406,6 +434,8 @@
         off than a caller that is given a realistic time.
         """
         self._late.discard(call.ticket)
+        is_short = self._times.is_short(call.route, call.priority)
+        self._standing[call.priority][not is_short].record_refusal(now_ms)
         if now_ms - self._last_refused_ms > OVERLOAD_GAP_MS:
             self._overloaded_since_ms = now_ms
         self._last_refused_ms = now_ms
--- a/packages/pepperstair-core/pepperstair_core/calls/run_limits.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/run_limits.py
@@ -19,8 +19,8 @@
 LOST_SHARE_MAX: Final = 0.1
 # The admitted share is never lower, as only runs show that calls are served again.
 ADMITTED_SHARE_MIN: Final = 0.1
-# A larger decrease or a smaller increase refuses requests that would have succeeded: the
-# share of lost runs hardly falls when fewer run beside the other callers of a service.
+# A larger decrease or a smaller increase refuses requests that would have succeeded, as
+# the share of lost runs hardly falls when fewer run beside other callers.
 ADMITTED_DECREASE: Final = 0.9
 ADMITTED_INCREASE: Final = 0.06
 # Minimum time between two decreases: runs that were lost to one burst of refusals count
