--- a/emulator/pepperstair_emulator/attempts.py
+++ b/emulator/pepperstair_emulator/attempts.py
@@ -182,7 +182,7 @@
             if outcome.is_good:
                 self._make_inner_calls(target, remaining[1:], do_work, on_failure)
             else:
-                if outcome.is_not_run:
+                if outcome.is_not_run and self._fleet.experiment.has_accounts:
                     target.run_limits.record_refused_call(self._fleet.clock.now_ms)
                 on_failure()
 
--- a/emulator/pepperstair_emulator/experiment.py
+++ b/emulator/pepperstair_emulator/experiment.py
@@ -105,6 +105,10 @@
         int, Option("Retries allowed to each service in 10 s.", minimum=0)
     ] = 56
     retry_ratio: Annotated[float, Option("Further retries for each request.")] = 0.016
+    has_accounts: Annotated[
+        bool,
+        Option("Whether requests of clients have keys, and calls of targets none."),
+    ] = False
     faults: Annotated[tuple[FaultModel, ...], Option("Faults.")] = ()
     policies: Annotated[
         tuple[Policy, ...], Option("Variants to compare with the product.")
--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -51,6 +51,7 @@
     QUEUE_FULL = "queue full"
     TOO_LATE = "no slot before its deadline"
     NOT_IN_TIME = "no slot while its answer is still wanted"
+    STANDING_QUEUE = "all calls of its kind start too late"
     DISPLACED = "displaced by a more urgent call"
     OVER_SHARE = "displaced by a customer with fewer calls"
     DRAINING = "the target is leaving"
@@ -110,6 +111,11 @@
         """Return the number of waiting calls."""
         return len(self._waiting)
 
+    @property
+    def n_queued_short(self) -> int:
+        """Return the number of waiting calls that start before long ones."""
+        return self._waiting.n_short
+
     @property
     def next_expiry_ms(self) -> float | None:
         """Return when `expire` is next due, or None if no call waits."""
@@ -335,7 +341,8 @@
             if call is None:
                 break
             if self._must_not_start_late(call, now_ms):
-                verdicts.append(self._refuse(call, RefusalCause.NOT_IN_TIME, now_ms))
+                cause = RefusalCause.STANDING_QUEUE
+                verdicts.append(self._refuse(call, cause, now_ms))
                 continue
             self._late.discard(call.ticket)
             verdicts.append(self._admit(call, now_ms))
--- a/packages/pepperstair-core/pepperstair_core/calls/waiting_calls.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/waiting_calls.py
@@ -47,6 +47,11 @@
     def __iter__(self) -> Iterator[WaitingCall]:
         return iter([place.call for place in self._places.values()])
 
+    @property
+    def n_short(self) -> int:
+        """Return the number of short calls."""
+        return sum(len(queue) for queue in self._short)
+
     @property
     def work_ms(self) -> float:
         """Return the expected service time of all calls together."""
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -439,6 +439,7 @@
         n_in_flight=local.n_in_flight,
         n_slots=local.slots.admission.n_slots,
         n_queued=local.slots.admission.n_queued,
+        n_queued_short=local.slots.admission.n_queued_short,
         retry_after_ms=failure.retry_after_ms,
     )
 
