--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -89,7 +89,6 @@
         "_excluded",
         "_head",
         "_is_idempotent",
-        "_is_inner_call",
         "_latency_ms",
         "_may_have_reached_target",
         "_n_over_limit",
@@ -102,6 +101,7 @@
         "deadline_ms",
         "fingerprint",
         "given_up",
+        "is_inner_call",
         "n_attempts",
         "run",
         "timeout_ms",
@@ -140,7 +140,7 @@
         self._destination = compiled
         self.compiled = context.pick_version(compiled)
         self.account = account
-        self._is_inner_call = is_inner_call(context, account)
+        self.is_inner_call = is_inner_call(context, account)
         self.deadline_ms = arrived_ms + self.timeout_ms
         self._attempt_start_ms = 0.0
         self._latency_ms = 0.0
@@ -161,7 +161,7 @@
     def priority(self) -> str:
         """Return the priority of the request."""
         return effective_priority(
-            self.compiled.route.priority, self.account, self._is_inner_call
+            self.compiled.route.priority, self.account, self.is_inner_call
         )
 
     @property
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -83,6 +83,8 @@
                 status, error = failure.answer.status, failure.kind
                 if call is not None:
                     call.run = failure.run_status
+                    if call.is_inner_call and _is_refused(failure):
+                        self._context.on_own_call_refused()
                 if token is not None and failure.run_status is RunStatus.NO:
                     self._context.refund_quota(token)
                 await answer_failure(exchange, failure, self._context.header_names)
@@ -302,4 +304,9 @@
     return {"version_cause": cause} if cause else {}
 
 
+def _is_refused(failure: Failure) -> bool:
+    """Return whether a request was refused as not run and may be sent again."""
+    return failure.answer.is_retryable and failure.run_status is RunStatus.NO
+
+
 __all__ = ["Proxy"]
--- a/packages/pepperstair-core/pepperstair_core/routing.py
+++ b/packages/pepperstair-core/pepperstair_core/routing.py
@@ -149,7 +149,8 @@
     """
     in_force = tuple(snapshots)
     return RouteTable(
-        _iter_compiled_routes(in_force, proxy_labels), compile_policies(in_force)
+        _iter_compiled_routes(in_force, proxy_labels),
+        compile_policies(in_force),
     )
 
 
--- a/packages/pepperstair-targets/pepperstair_targets/slots.py
+++ b/packages/pepperstair-targets/pepperstair_targets/slots.py
@@ -55,13 +55,19 @@
         account_header: bytes = b"",
     ) -> None:
         self._account_header = account_header
-        self.admission = Admission(n_slots)
+        self.admission = Admission(n_slots, is_shared=False)
         self._now_ms = now_ms
         self._on_refused = on_refused
         self._tickets = itertools.count(1)
         self._waiters: dict[int, _Waiter] = {}
         self._expiry_timer: asyncio.TimerHandle | None = None
 
+    def share(self, is_shared: bool) -> None:
+        """Decide whether client accounts share the slots, once no call waits."""
+        admission = self.admission
+        if admission.is_shared != is_shared and not admission.n_queued:
+            admission.is_shared = is_shared
+
     async def acquire(
         self, head: CallHead, deadline_ms: float, n_queued_max: int
     ) -> None:
@@ -78,11 +84,10 @@
             head.route,
         )
         verdicts = self.admission.arrive(call, call.arrived_ms)
-        for verdict in verdicts:
-            if verdict.ticket == call.ticket:
-                self._report_if_refused(verdict)
-                _raise_if_refused(verdict, head.target)
-                return
+        if len(verdicts) == 1 and verdicts[0].ticket == call.ticket:
+            self._report_if_refused(verdicts[0])
+            _raise_if_refused(verdicts[0], head.target)
+            return
         waiter = _Waiter(call, asyncio.get_running_loop().create_future())
         self._waiters[call.ticket] = waiter
         self._apply_verdicts(verdicts)
@@ -159,7 +164,9 @@
         self._restart_timer()
 
     def _free_slot(self, call: WaitingCall) -> list[Verdict]:
-        return self.admission.finish(call.customer, call.priority, None, self._now_ms())
+        return self.admission.finish(
+            call.customer, call.priority, None, self._now_ms(), call.route
+        )
 
     def _report_if_refused(self, verdict: Verdict) -> None:
         if isinstance(verdict, Refused):
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -272,6 +272,7 @@
         self._rebuild_endpoints()
 
     def _on_configuration_changed(self, snapshot: Snapshot) -> None:
+        self.runner.is_shared = self.configuration.accounts.is_in_use
         self.quotas.configuration_changed()
         self._rebuild_endpoints()
 
--- a/packages/pepperstaird/pepperstaird/proxying.py
+++ b/packages/pepperstaird/pepperstaird/proxying.py
@@ -82,6 +82,9 @@
         n_running=lambda: daemon.runner.n_in_flight,
         take_quota=daemon.quotas.take,
         refund_quota=daemon.quotas.refund,
+        on_own_call_refused=lambda: daemon.runner.run_limits.record_refused_call(
+            precise_ms()
+        ),
     )
     if daemon.rollouts is None:
         return context
