--- a/packages/pepperstair-core/pepperstair_core/rollout/evidence.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/evidence.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import math
+from typing import Final
 
 from msgspec import Struct
 
 from .records import Evidence, RolloutOrder, RouteCounts
 
 # Service times below this, which a coarse clock may measure as 0, count as this.
-_SERVICE_MS_MIN = 0.01
+_SERVICE_MS_MIN: Final = 0.01
 
 
 class Tally(Struct):
