Return the tokens of a quota that were not spent, however late

Cause: in an overload a request waits longer than its token lives.

Change: tokens that expire unspent, and those of refused requests, are returned with the next question; the owner credits them once, whatever lots it still counts.

--- a/packages/pepperstair-core/pepperstair_core/quota/ledger.py
+++ b/packages/pepperstair-core/pepperstair_core/quota/ledger.py
@@ -18,18 +18,16 @@
 TURN_MS: Final = 20.0
 # Maximum time after which a refused daemon is told to ask again.
 TURN_MAX_MS: Final = 1_000.0
+# Number of daemons above which the numbers of their questions are forgotten.
+N_HOLDERS_MAX: Final = 4_096
 # Tolerance for rounding errors of fractional tokens.
 _EPSILON: Final = 1e-6
 
 
 class _Lot(Struct):
-    """Tokens granted to one process of a daemon, without those it has returned.
-
-    `number` is the number of its last question that concerned the lot.
-    """
+    """Tokens granted to one process of a daemon, without those it has returned."""
 
     holder: str
-    number: int
     n_tokens: int
     expires_ms: float
 
@@ -37,7 +35,15 @@
 class _Bucket:
     """The tokens of one account that are not granted yet, and the granted ones."""
 
-    __slots__ = ("full_ms", "lots", "n_granted", "next_turn_ms", "tokens", "updated_ms")
+    __slots__ = (
+        "full_ms",
+        "lots",
+        "n_granted",
+        "next_turn_ms",
+        "numbers",
+        "tokens",
+        "updated_ms",
+    )
 
     def __init__(self, opened_ms: float) -> None:
         self.tokens = 0.0
@@ -47,6 +53,8 @@
         self.lots: deque[_Lot] = deque()
         # Granted tokens that a daemon may not have spent yet.
         self.n_granted = 0
+        # The number of the last question of each daemon, to exclude duplicates.
+        self.numbers: dict[str, int] = {}
 
     def update(
         self, rate_per_s: float, n_max: float, capacity: float, now_ms: float
@@ -61,28 +69,31 @@
         self.full_ms = now_ms + 1000.0 * n_max / rate_per_s
 
     def take_back(self, holder: str, ask: Ask) -> None:
-        """Return unused tokens of a daemon's last lot to the bucket.
+        """Return tokens that a daemon has not spent to the bucket.
 
-        If the daemon did not receive its last lot, it returns tokens of an earlier one.
-        It will not spend those of the last lot, so they may be credited instead. The
-        number excludes a duplicate of the question.
+        Tokens of its last lot are no longer counted as granted. If the daemon did not
+        receive that lot, it returns tokens of an earlier one, and will not spend those
+        of the last one. Tokens beyond that lot had expired before they were returned.
         """
-        for lot in reversed(self.lots):
-            if lot.holder != holder:
-                continue
-            if lot.number < ask.number:
-                n_tokens = min(ask.n_returned, lot.n_tokens)
-                lot.number = ask.number
-                lot.n_tokens -= n_tokens
-                self.n_granted -= n_tokens
-                self.tokens += n_tokens
+        if ask.number <= self.numbers.get(holder, -1):
             return
-
-    def give(self, holder: str, number: int, n_tokens: int, expires_ms: float) -> None:
+        if len(self.numbers) >= N_HOLDERS_MAX:
+            self.numbers.clear()
+        self.numbers[holder] = ask.number
+        self.tokens += ask.n_returned
+        lot = next(
+            (each for each in reversed(self.lots) if each.holder == holder), None
+        )
+        if lot is not None:
+            n_tokens = min(ask.n_returned, lot.n_tokens)
+            lot.n_tokens -= n_tokens
+            self.n_granted -= n_tokens
+
+    def give(self, holder: str, n_tokens: int, expires_ms: float) -> None:
         """Move tokens from the bucket to a daemon."""
         self.tokens -= n_tokens
         self.n_granted += n_tokens
-        self.lots.append(_Lot(holder, number, n_tokens, expires_ms))
+        self.lots.append(_Lot(holder, n_tokens, expires_ms))
 
     def turn_ms(self, n_missing: int, rate_per_s: float, now_ms: float) -> float:
         """Return when a refused daemon should ask again.
@@ -143,13 +154,13 @@
             if now_ms < opens_ms:
                 return Grant(0, math.ceil(opens_ms - now_ms), is_owner=False)
             bucket = self._buckets[account.name] = _Bucket(opens_ms)
-        rate_per_s = self._update(bucket, account, now_ms)
         if ask.n_returned > 0:
             bucket.take_back(holder, ask)
+        rate_per_s = self._update(bucket, account, now_ms)
         n_granted = max(0, min(ask.n_wanted, int(bucket.tokens + _EPSILON)))
         if n_granted:
             expires_ms = now_ms + self._terms.lifetime_ms(account)
-            bucket.give(holder, ask.number, n_granted, expires_ms)
+            bucket.give(holder, n_granted, expires_ms)
         if n_granted >= ask.n_wanted:
             return Grant(n_granted)
         turn_ms = bucket.turn_ms(ask.n_wanted - n_granted, rate_per_s, now_ms)
--- a/packages/pepperstair-core/pepperstair_core/quota/stock.py
+++ b/packages/pepperstair-core/pepperstair_core/quota/stock.py
@@ -62,7 +62,6 @@
 
     n_tokens: int
     expires_ms: float
-    is_refund: bool = False
 
 
 class _Stock:
@@ -75,6 +74,7 @@
         "lifetime_ms",
         "lots",
         "n_failures",
+        "n_unspent",
         "n_waiting",
         "refused_until_ms",
         "seen_ms",
@@ -94,6 +94,8 @@
         self.turn_ms = 0.0
         self.unanswered_until_ms = 0.0
         self.n_failures = 0
+        # Tokens that have expired unspent and are returned with the next question.
+        self.n_unspent = 0
 
     def count_demand(self, now_ms: float) -> None:
         elapsed_ms = max(0.0, now_ms - self.seen_ms)
@@ -103,7 +105,7 @@
 
     def drop_expired(self, now_ms: float) -> None:
         while self.lots and self.lots[0].expires_ms <= now_ms:
-            del self.lots[0]
+            self.n_unspent += self.lots.pop(0).n_tokens
 
     def pop_token(self, account: str) -> Token | None:
         if not self.lots:
@@ -166,10 +168,13 @@
             stock.n_waiting = max(0, stock.n_waiting - 1)
 
     def refund(self, token: Token) -> None:
-        """Take back the token of a request that did not run; it expires as before."""
+        """Take back the token of a request that did not run.
+
+        A token that has expired meanwhile is returned to the owner.
+        """
         stock = self._stocks.get(token.account)
         if stock is not None:
-            stock.add(_Lot(1, token.expires_ms, is_refund=True))
+            stock.add(_Lot(1, token.expires_ms))
 
     def answer(self, account: str, number: int, grant: Grant, now_ms: float) -> None:
         """Add the tokens of an answer, and remember a refusal."""
@@ -247,17 +252,13 @@
         return max(0, int(n_mean))
 
     def _remove_old(self, stock: _Stock, now_ms: float) -> int:
-        """Remove the tokens if all expire soon, and return how many are returned.
-
-        Only those of the last answer are returned, because the owner does not
-        distinguish the tokens of earlier answers.
-        """
+        """Remove the tokens if all expire soon, and return how many are returned."""
         limit_ms = now_ms + KEPT_SHARE * stock.lifetime_ms
-        if not stock.lots or stock.lots[-1].expires_ms >= limit_ms:
-            return 0
-        last = stock.lots[-1]
-        stock.lots.clear()
-        return 0 if last.is_refund else last.n_tokens
+        if stock.lots and stock.lots[-1].expires_ms < limit_ms:
+            stock.n_unspent += stock.n_tokens()
+            stock.lots.clear()
+        n_returned, stock.n_unspent = stock.n_unspent, 0
+        return n_returned
 
     def _retry_after_ms(self, stock: _Stock, account: Account, now_ms: float) -> int:
         """Return when a refused client should try again, each one later."""
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -239,6 +239,38 @@
     assert isinstance(stock.take(ACCOUNT, START_MS + lifetime_ms), Ask)
 
 
+def test_tokens_of_requests_that_waited_and_were_refused_go_back_to_the_bucket():
+    """Guards against an overload in which an account can't use its quota."""
+    _, ledger = make_ledger()
+    stock = QuotaStock(TERMS)
+    now_ms = START_MS
+    for _ in range(ACCOUNT.burst):
+        question = stock.take(ACCOUNT, now_ms)
+        stock.answer(
+            ACCOUNT.name,
+            question.number,
+            ledger.grant(ACCOUNT, "a", question, now_ms),
+            now_ms,
+        )
+        token = stock.take_again(ACCOUNT, now_ms).token
+        # The request is refused as not run after its token has expired.
+        now_ms += TERMS.lifetime_ms(ACCOUNT) + 1.0
+        stock.refund(token)
+    question = stock.take(ACCOUNT, now_ms)
+    assert question.n_returned == 1
+    ledger.grant(ACCOUNT, "a", question, now_ms)
+    assert ledger.n_unspent(ACCOUNT, now_ms) == ACCOUNT.burst
+
+
+def test_duplicate_of_a_question_returns_no_token_twice():
+    _, ledger = make_ledger()
+    ledger.grant(ACCOUNT, "a", ask(ACCOUNT.burst), START_MS)
+    for _ in range(3):
+        ledger.grant(ACCOUNT, "a", ask(1, number=2, n_returned=10), START_MS + 1.0)
+    refilled = ACCOUNT.rate_per_s / 1000.0
+    assert ledger.n_unspent(ACCOUNT, START_MS + 1.0) <= ACCOUNT.burst + refilled
+
+
 def test_parts_of_the_reserve_add_up_to_it():
     """Guards against an overrun by the reserves of many daemons."""
     small = Account("mwangaza", rate_per_s=1.0)
