Send no calls to targets that the daemon at their address does not know

Cause: where a VM was lost and another one took over its address, that VM's daemon answered at once that it has no such target, for three and a half seconds, until the lost member was considered gone.

Change: such a target is left out until the record of its VM changes, and the refusal does not count as an attempt, as no target got the call.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -59,10 +59,10 @@
 HOP_MARGIN_MS: Final = 5
 HOP_MARGIN_SHARE: Final = 0.1
 
-# Maximum number of attempts refused by a rate limit that do not count as attempts. The
-# route limits the number of targets that a call is sent to, and such a refusal comes
-# from the daemon before the target.
-N_OVER_LIMIT_MAX: Final = 3
+# Maximum number of attempts that do not count as attempts because the daemon at the
+# target's address refused them, by the target's rate limit or as it has no such target.
+# The route limits the number of targets that a call is sent to.
+N_BEFORE_TARGET_MAX: Final = 3
 
 # Maximum number of refusals for a target's version that do not count as attempts. After
 # each, the call goes on with another version, so more than one occurs only if a rollout
@@ -72,6 +72,8 @@
     {ErrorKind.VERSION_HELD, ErrorKind.VERSION_SUPERSEDED}
 )
 
+_BEFORE_TARGET_KINDS: Final = (ErrorKind.BUSY, ErrorKind.NO_TARGET)
+
 # Time that the call waited for a slot, set by the daemon on the target's VM.
 WAITED_HEADER: Final = b"pepperstair-waited-ms"
 
@@ -91,7 +93,7 @@
         "_is_idempotent",
         "_latency_ms",
         "_may_have_reached_target",
-        "_n_over_limit",
+        "_n_before_target",
         "_n_version_refusals",
         "_overload_failure",
         "_request",
@@ -133,7 +135,7 @@
         self._endpoint: Endpoint | None = None
         self._excluded: frozenset[tuple[str, str]] = frozenset()
         self._may_have_reached_target = False
-        self._n_over_limit = 0
+        self._n_before_target = 0
         self._n_version_refusals = 0
         self._overload_failure: Failure | None = None
         # The route with all versions of its targets; `compiled` is restricted to one.
@@ -394,8 +396,10 @@
         avoid_ms = failure.retry_after_ms
         if failure.kind is ErrorKind.OVERLOADED:
             avoid_ms = FULL_AVOIDED_MS
-        elif failure.kind is ErrorKind.BUSY:
-            self._n_over_limit = min(self._n_over_limit + 1, N_OVER_LIMIT_MAX)
+        elif failure.kind in _BEFORE_TARGET_KINDS:
+            self._n_before_target = min(self._n_before_target + 1, N_BEFORE_TARGET_MAX)
+        if failure.kind is ErrorKind.NO_TARGET:
+            self._context.on_absent(failed)
         self._record_tried(failure.kind, latency_ms)
         self._end(kind, latency_ms, avoid_ms)
         if self._switch_version(failed, failure):
@@ -403,7 +407,7 @@
         attempt = Attempt(
             failure,
             self.priority,
-            self.n_attempts - self._n_over_limit,
+            self.n_attempts - self._n_before_target,
             self._is_idempotent,
             self._body.is_replayable,
             self.time_left_ms,
--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .absent_targets import AbsentTargets
 from .admission import Admission, Admitted, RefusalCause, Refused, Verdict
 from .choice import (
     FULL_AVOIDED_MS,
@@ -35,6 +36,7 @@
 from .sampling import is_sampled
 
 __all__ = [
+    "AbsentTargets",
     "FULL_AVOIDED_MS",
     "JOINING_MS",
     "AcceptanceRates",
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -16,6 +16,7 @@
 from pepperstair_core.burn import BurnCounts
 from pepperstair_core.calls import (
     JOINING_MS,
+    AbsentTargets,
     LeavingTargets,
     LinkPacer,
     Quarantine,
@@ -224,6 +225,7 @@
         )
         self.endpoint_table = EndpointTable()
         self.leaving_targets = LeavingTargets()
+        self.absent_targets = AbsentTargets()
         self.registry.on_changed = self.publish_targets
         self.configuration.on_changed = self._on_configuration_changed
         self.configuration.on_converged = self._record_convergence
@@ -375,7 +377,8 @@
             self.configuration.overrides,
             self.configuration.route_table.policies,
             self.endpoint_table,
-            self.leaving_targets.excluded(self.directory.get, monotonic_ms()),
+            self.leaving_targets.excluded(self.directory.get, monotonic_ms())
+            | self.absent_targets.excluded(self.directory.get),
         )
         if self.rollouts is not None:
             self.rollouts.update_targets()
@@ -391,6 +394,16 @@
         if self.leaving_targets.add(endpoint.key, member, monotonic_ms()):
             self._rebuild_endpoints()
 
+    def record_absent(self, endpoint: Endpoint) -> None:
+        """Send no more calls to a target that the daemon at its address doesn't know.
+
+        If its VM is lost and another one has its address, the VM's record is outdated
+        for seconds, until the VM is considered gone.
+        """
+        member = self.directory.get(endpoint.vm)
+        if member is not None and self.absent_targets.add(endpoint.key, member):
+            self._rebuild_endpoints()
+
     def _policy_of(self, customer: str, target: Target) -> Policy:
         policies = self.configuration.route_table.policies
         if not policies.policies:
--- a/packages/pepperstaird/pepperstaird/proxying.py
+++ b/packages/pepperstaird/pepperstaird/proxying.py
@@ -76,6 +76,7 @@
         header_names=daemon.dependencies.target_options.names,
         service=daemon.dependencies.service,
         on_leaving=daemon.record_leaving,
+        on_absent=daemon.record_absent,
         accounts=lambda: daemon.configuration.accounts,
         proof_age_ms=lambda: daemon.configuration.proof_age_ms(),
         account_limits=lambda: daemon.settings.accounts,
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -141,6 +141,7 @@
         self.is_ready = True
         self.fingerprints: list[bytes] = []
         self.leaving: list[Endpoint] = []
+        self.absent: list[Endpoint] = []
         self.accounts = NO_ACCOUNTS
         self.proof_age_ms = 0.0
         self.account_limits = AccountsSettings()
@@ -257,6 +258,7 @@
             header_names=self.options.names,
             service=self.service,
             on_leaving=self.leaving.append,
+            on_absent=self.absent.append,
             accounts=lambda: self.accounts,
             proof_age_ms=lambda: self.proof_age_ms,
             account_limits=lambda: self.account_limits,
