Let four daemons write promotion and completion at once

Completion begins 700 ms before the deadline, and each next writer waited 300 ms more, rounded up to the next step of 250 ms. With the first three writers unable to reach the store, a test saw no completion 200 ms before the deadline. Now the first four write at once, of which the expected version of the row lets one succeed. That costs up to three more reads and rejected writes for each phase.

--- a/packages/pepperstaird/pepperstaird/rollout_writer.py
+++ b/packages/pepperstaird/pepperstaird/rollout_writer.py
@@ -18,6 +18,10 @@
 # Delay of each daemon after the one before it in the order of writers, so that a dead
 # writer costs this time.
 RANK_DELAY_MS: Final = 300
+# Number of daemons that write a phase after the first at the same time; of these, the
+# expected version of the row lets one succeed. With a third of the daemons cut off from
+# the store, one after the other would often be too late for the deadline.
+N_WRITERS_AT_ONCE: Final = 4
 _RETRY_MIN_MS: Final = 200
 _RETRY_MAX_MS: Final = 2_000
 
@@ -63,7 +67,8 @@
     def propose(self, state: RolloutState, *, is_withdrawn: bool = False) -> None:
         """Write a state if it is this daemon's turn; called again until it is agreed.
 
-        A withdrawal is written without delay, because
+        The first `N_WRITERS_AT_ONCE` daemons write an order's later phases at once, and
+        as many more after each delay. A withdrawal is written without delay, because
         only the few daemons that read the operators' rows know of it.
         """
         service = state.order.service
@@ -75,6 +80,8 @@
             self._proposed_ms[service] = (proposed, now_ms)
             self._retries.pop(service, None)
         n_delays = 0 if is_withdrawn else self._rank_of(service)
+        if state.phase is not Phase.CANARY:
+            n_delays //= N_WRITERS_AT_ONCE
         turn_ms = since_ms + RANK_DELAY_MS * n_delays
         retry_ms, _ = self._retries.get(service, (0.0, 0.0))
         task = self._tasks.get(service)
@@ -125,4 +132,4 @@
     return state.phase > known.state.phase and not known.state.phase.is_final
 
 
-__all__ = ["RANK_DELAY_MS", "RolloutWriter"]
+__all__ = ["N_WRITERS_AT_ONCE", "RANK_DELAY_MS", "RolloutWriter"]
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -372,6 +372,20 @@
     assert fleet.rows.answers == [("v2", "CANARY")]
 
 
+@with_fleet
+async def test_order_is_completed_in_time_without_the_first_three_writers(fleet):
+    """Guards against a deadline missed as writers are cut off from the store."""
+    fleet.order()
+    await settle()
+    writers = sorted(
+        fleet.daemons, key=lambda vm: fleet.daemons[vm].rollouts._rank("ledger")
+    )
+    for vm in writers[:3]:
+        fleet.daemons[vm].rollouts._writer.propose = lambda *args, **named: None
+    await fleet.advance(12 * SECONDS - 200)
+    assert fleet.rows.answers[-1] == ("v2", "COMPLETED")
+
+
 @with_fleet
 async def test_lost_answer_is_not_written_again(fleet):
     """Guards against a writer that takes its own write for that of another."""
