Give a process that started after an order no part of the slack

In a test, ten restarts of one of five daemons exposed 66 of 220 requests, where its part of the limit is 32. A process now spends from the slack only if the order was given after its start; its share of its own requests stays.

--- a/packages/pepperstair-core/pepperstair_core/rollout/exposure.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/exposure.py
@@ -36,7 +36,8 @@
     is the fraction of a request that the daemon may spend ahead. Where it differs
     between daemons, the fleet spends its parts evenly also if each part is smaller than
     one request; without it, all daemons would spend their first request late and at
-    the same time.
+    the same time. A process that started after the order gets no part of the slack
+    (`has_extra`), as an earlier process of its VM may have spent that.
 
     >>> budget = ExposureBudget(RolloutTerms(0.1, 50, 5_000))
     >>> [budget.count(), budget.take(n_members=12), budget.take(n_members=12)]
@@ -45,9 +46,12 @@
     False
     """
 
-    def __init__(self, terms: RolloutTerms, offset: float = 0.0) -> None:
+    def __init__(
+        self, terms: RolloutTerms, offset: float = 0.0, *, has_extra: bool = True
+    ) -> None:
         self._terms = terms
         self._offset = offset
+        self._n_extra = terms.n_exposed_extra if has_extra else 0
         self._n_requests = 0
         self._n_taken = 0
         self._n_members_max = 1
@@ -63,7 +67,7 @@
         is cut off sees fewer members than share the slack.
         """
         self._n_members_max = max(self._n_members_max, n_members)
-        extra = self._terms.n_exposed_extra / self._n_members_max
+        extra = self._n_extra / self._n_members_max
         allowed = self._terms.exposure_share * self._n_requests + extra
         if self._n_taken + 1 > CANARY_SHARE * allowed + self._offset:
             return False
--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -86,6 +86,7 @@
         )
         self._writer = RolloutWriter(rows, self._rank, self._adopt, now_ms)
         self._timer: asyncio.TimerHandle | None = None
+        self._started_ms = now_ms()
         # This daemon's rank among the writers by service, for the members as they are.
         self._ranks: dict[str, int] = {}
         self.n_bad = 0
@@ -249,9 +250,12 @@
             version = replaced.rollout.order.target_version
             self.routing.holds.bar(order.service, version)
         vm, start_id = self._identity.vm, self._identity.start_id
+        now_ms = self._now_ms()
+        offset = exposure_offset(order, vm, start_id)
+        has_extra = now_ms - age_ms >= self._started_ms
         active = ActiveRollout(
-            Rollout(order, age_ms, self._now_ms(), self._terms, vm, start_id),
-            ExposureBudget(self._terms, exposure_offset(order, vm, start_id)),
+            Rollout(order, age_ms, now_ms, self._terms, vm, start_id),
+            ExposureBudget(self._terms, offset, has_extra=has_extra),
         )
         self._active[order.service] = active
         log_order(active.rollout, age_ms)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -132,7 +132,7 @@
     """The parts of a daemon that take part in rollouts."""
 
     def __init__(self, fleet, vm, start_id=1):
-        self.fleet, self.vm = fleet, vm
+        self.fleet, self.vm, self.start_id = fleet, vm, start_id
         self.control = FakeControl(fleet, vm)
         self.decisions = DecisionLog()
         self.confirmed_ms = float("-inf")
@@ -222,7 +222,8 @@
     async def restart(self, vm):
         """Replace a daemon by a new process."""
         self.daemons[vm].rollouts.close()
-        self.daemons[vm] = FakeDaemon(self, vm, start_id=2)
+        start_id = self.daemons[vm].start_id + 1
+        self.daemons[vm] = FakeDaemon(self, vm, start_id)
         self.daemons[vm].start()
         await settle()
 
@@ -427,6 +428,19 @@
     assert fleet.daemons["c"].refusal("v2") is ErrorKind.VERSION_HELD
 
 
+@with_fleet
+async def test_restarts_of_a_daemon_do_not_add_to_its_exposure(fleet):
+    """Guards against a new part of the slack for each start of a process."""
+    fleet.order()
+    await fleet.advance(300)
+    n_exposed = fleet.daemons["e"].picks(20).get("v2", 0)
+    for _ in range(10):
+        await fleet.advance(300)
+        await fleet.restart("e")
+        n_exposed += fleet.daemons["e"].picks(20).get("v2", 0)
+    assert 5 <= n_exposed <= 0.1 * 220 + 50 / 5
+
+
 @with_fleet
 async def test_clock_of_an_order_does_not_restart_with_a_daemon(fleet):
     """Guards against rollouts that end after their deadline."""
