Promote without the row while the store does not answer

Promotion took effect only once its row was written, and may begin only from 2.5 s to 1.35 s before the deadline of an order of 12 s. In a test, an outage of the store from 1.8 s to 10.8 s left a good version in canary, to be rolled back at the deadline. A daemon whose write of the promotion gets no answer now promotes and tells its neighbours, if it has any and most of the members that it has seen are usable. Final phases are still agreed by the row alone and replace the promotion. With the change the test sees the version completed. Tests of test_rollouts.py and test_following.py pass.

--- a/packages/pepperstaird/pepperstaird/rollout_exchange.py
+++ b/packages/pepperstaird/pepperstaird/rollout_exchange.py
@@ -47,6 +47,11 @@
         self._pending: dict[tuple[str, int, str], tuple[Evidence, str]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
+    @property
+    def has_neighbours(self) -> bool:
+        """Return whether this daemon is connected to any other one."""
+        return bool(self._control.neighbours)
+
     def start(self) -> None:
         """Register callbacks with the control plane."""
         self._control.frame_handlers[RolloutUpdate] = self._handle_frame
--- a/packages/pepperstaird/pepperstaird/rollout_writer.py
+++ b/packages/pepperstaird/pepperstaird/rollout_writer.py
@@ -30,8 +30,9 @@
     """Writes the states that this daemon proposes when its turn has come.
 
     `rank_of` returns this daemon's rank among the writers for a service. `adopt` is
-    called with each agreed state that was read or written. Every write begins with a
-    read, so that a daemon whose answer was lost sees its own write.
+    called with each agreed state that was read or written, and `on_unanswered` with
+    each state that the platform did not answer for. Every write begins with a read, so
+    that a daemon whose answer was lost sees its own write.
     """
 
     def __init__(
@@ -39,11 +40,13 @@
         rows: RolloutRows,
         rank_of: Callable[[str], int],
         adopt: Callable[[RolloutState], None],
+        on_unanswered: Callable[[RolloutState], None],
         now_ms: Callable[[], float],
     ) -> None:
         self._rows = rows
         self._rank_of = rank_of
         self._adopt = adopt
+        self._on_unanswered = on_unanswered
         self._now_ms = now_ms
         self._proposed_ms: dict[str, tuple[tuple[int, Phase], float]] = {}
         self._retries: dict[str, tuple[float, float]] = {}
@@ -99,7 +102,7 @@
         service = state.order.service
         read = await self._rows.read()
         if read.is_err():
-            self._delay_retry(service)
+            self._delay_retry(state)
             return
         found = {item.state.order.service: item for item in read.unwrap()}
         known = found.get(service)
@@ -113,12 +116,14 @@
         if written.unwrap_or(False):
             self._adopt(state)
         elif written.is_err():
-            self._delay_retry(service)
+            self._delay_retry(state)
 
-    def _delay_retry(self, service: str) -> None:
+    def _delay_retry(self, state: RolloutState) -> None:
+        service = state.order.service
         _, delay_ms = self._retries.get(service, (0.0, 0.0))
         delay_ms = min(_RETRY_MAX_MS, max(_RETRY_MIN_MS, 2 * delay_ms))
         self._retries[service] = (self._now_ms() + delay_ms, delay_ms)
+        self._on_unanswered(state)
 
 
 def _is_later(state: RolloutState, known: StoredRollout) -> bool:
--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -84,9 +84,12 @@
             self._iter_states,
             self._iter_evidence,
         )
-        self._writer = RolloutWriter(rows, self._rank, self._adopt, now_ms)
+        self._writer = RolloutWriter(
+            rows, self._rank, self._adopt, self._promote_unwritten, now_ms
+        )
         self._timer: asyncio.TimerHandle | None = None
         self._started_ms = now_ms()
+        self._n_members_max = 1
         # This daemon's rank among the writers by service, for the members as they are.
         self._ranks: dict[str, int] = {}
         self.n_bad = 0
@@ -119,6 +122,7 @@
         """Apply a change of the members."""
         self._ranks.clear()
         self._targets.update(self._directory.members())
+        self._n_members_max = max(self._n_members_max, self._targets.n_members)
         self._update_routing()
 
     def refusal(self, target: Target) -> ErrorKind | None:
@@ -206,6 +210,22 @@
         active = self._active[service]
         active.is_stored |= active.rollout.order.number == state.order.number
 
+    def _promote_unwritten(self, state: RolloutState) -> None:
+        """Promote while the platform does not answer, if most members are reachable.
+
+        An end that was agreed on replaces the promotion wherever the two meet. A
+        minority stays in its phase, because the others may have ended the rollout.
+        """
+        has_majority = 2 * self._targets.n_members > self._n_members_max
+        if state.phase is not Phase.PROMOTING or not has_majority:
+            return
+        active = self._active[state.order.service]
+        is_outdated = active.rollout.order.number != state.order.number
+        if is_outdated or active.is_suspended or not self._exchange.has_neighbours:
+            return
+        if self._merge_state(state):
+            self._publish(state.order.service)
+
     def _offer_waiting(self, state: RolloutState) -> None:
         if self._merge_state(state):
             self._exchange.publish_states((state,))
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -387,6 +387,35 @@
     assert fleet.rows.answers[-1] == ("v2", "COMPLETED")
 
 
+@with_fleet
+async def test_good_version_is_completed_although_the_store_is_down_for_9_s(fleet):
+    """Guards against a promotion that waits for its row until it is too late."""
+    fleet.order()
+    await fleet.advance(1_800)
+    fleet.rows.is_down = True
+    await fleet.advance(9 * SECONDS)
+    assert fleet.phases() == {"promoting"}
+    fleet.rows.is_down = False
+    await fleet.advance(1 * SECONDS)
+    assert fleet.rows.answers[-1] == ("v2", "COMPLETED")
+
+
+@with_fleet
+async def test_minority_does_not_promote_while_the_store_is_down(fleet):
+    """Guards against cut-off daemons that promote against the agreed state."""
+    fleet.order()
+    await settle()
+    fleet.rows.is_down = True
+    daemon = fleet.daemons["e"]
+    daemon.rollouts._directory = directory = MemberDirectory(fleet.members["e"])
+    list(directory.merge([fleet.members["a"]]))
+    daemon.rollouts.update_targets()
+    daemon.rollouts._promote_unwritten(
+        RolloutState(RolloutOrder("ledger", "v2", 12_000, 5), Phase.PROMOTING, 10_000)
+    )
+    assert daemon.phase == "canary"
+
+
 @with_fleet
 async def test_lost_answer_is_not_written_again(fleet):
     """Guards against a writer that takes its own write for that of another."""
