Read the states of rollouts with the members' rows at the start

Each start of a daemon read the daemons' table for the members and departures, and its rows of rollouts once more. Both now share one read of the whole table if it runs at the same time; a new test counts one read. Reads after a pause and before each write still read the rows of rollouts alone.

--- a/packages/pepperstaird/pepperstaird/rollout_rows.py
+++ b/packages/pepperstaird/pepperstaird/rollout_rows.py
@@ -47,6 +47,9 @@
     async def read(self) -> Result[tuple[StoredRollout, ...], Failure]:
         """Return the agreed states of all services."""
 
+    async def read_at_start(self) -> Result[tuple[StoredRollout, ...], Failure]:
+        """Return the agreed states, by a read that a starting daemon does anyway."""
+
     async def write(
         self, state: RolloutState, row_version: int, *, is_withdrawn: bool = False
     ) -> Result[bool, Failure]:
--- a/packages/pepperstaird/pepperstaird/rollout_writer.py
+++ b/packages/pepperstaird/pepperstaird/rollout_writer.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import structlog
+from result import Result
 
+from pepperstair_core.errors import Failure
 from pepperstair_core.rollout import Phase, RolloutState
 
 from .rollout_rows import RolloutRows, StoredRollout
@@ -25,6 +27,8 @@
 _RETRY_MIN_MS: Final = 200
 _RETRY_MAX_MS: Final = 2_000
 
+ReadStates = Callable[[], Awaitable[Result[tuple[StoredRollout, ...], Failure]]]
+
 
 class RolloutWriter:
     """Writes the states that this daemon proposes when its turn has come.
@@ -54,11 +58,11 @@
         self._restore_task: asyncio.Task[None] | None = None
         self.n_writes = 0
 
-    def start(self, on_restored: Callable[[], None]) -> None:
+    def start(self, on_restored: Callable[[], None], read: ReadStates) -> None:
         """Read the agreed states, then call `on_restored`; cancel an earlier start."""
         if self._restore_task is not None:
             self._restore_task.cancel()
-        restoring = self._restore(on_restored)
+        restoring = self._restore(on_restored, read)
         self._restore_task = asyncio.get_running_loop().create_task(restoring)
 
     def close(self) -> None:
@@ -93,8 +97,8 @@
         writing = self._write(state, is_withdrawn)
         self._tasks[service] = asyncio.get_running_loop().create_task(writing)
 
-    async def _restore(self, on_restored: Callable[[], None]) -> None:
-        for stored in await call_until_answered(self._rows.read):
+    async def _restore(self, on_restored: Callable[[], None], read: ReadStates) -> None:
+        for stored in await call_until_answered(read):
             self._adopt(stored.state)
         on_restored()
 
--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -99,7 +99,7 @@
     def start(self) -> None:
         """Start exchanging rollouts, and read the agreed states."""
         self._exchange.start()
-        self._writer.start(self._on_restored)
+        self._writer.start(self._on_restored, self._rows.read_at_start)
         self._tick()
 
     def catch_up(self) -> None:
@@ -109,7 +109,7 @@
         """
         self.routing.is_restored = False
         self._update_routing()
-        self._writer.start(self._on_restored)
+        self._writer.start(self._on_restored, self._rows.read)
 
     def close(self) -> None:
         """Stop exchanging, reading and writing."""
--- a/tests/adapter/test_rollout_rows.py
+++ b/tests/adapter/test_rollout_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import time
 
@@ -141,6 +142,27 @@
     assert stand_in.keys("members") == []
 
 
+@with_store
+async def test_start_of_a_daemon_reads_its_table_once(stand_in, store):
+    """Guards against a second billed read for each start of a daemon."""
+    rows = StoreRollouts(store)
+    await rows.read()
+    await rows.write(RolloutState(ORDER, Phase.PROMOTING, 0), 0)
+    stand_in.put("members", "member/a", b"{}")
+    stand_in.n_reads = 0
+    members, states = await asyncio.gather(
+        store.daemon_rows.read_rows("member/"), rows.read_at_start()
+    )
+    assert stand_in.n_reads == 1
+    assert [row.key for row in members.unwrap()] == ["member/a"]
+    (stored,) = states.unwrap()
+    assert stored.state.phase is Phase.PROMOTING
+    written = await rows.write(
+        RolloutState(ORDER, Phase.COMPLETED, 0), stored.row_version
+    )
+    assert written.unwrap() is True
+
+
 @with_store
 async def test_withdrawal_has_no_answer(stand_in, store):
     rows = StoreRollouts(store)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -85,6 +85,9 @@
             return Err(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
         return Ok(tuple(self.stored.values()))
 
+    async def read_at_start(self):
+        return await self.read()
+
     async def write(self, state, row_version, *, is_withdrawn=False):
         await asyncio.sleep(0)
         if self.is_down:
