Keep retries of calls from before an order with the old version

A call that began before an order was not restricted to a version, and its retries during canary could reach the new version without counting as exposure; a test found both versions open to such a retry. After a failed attempt, the call is now restricted to the usual version. One assertion of an existing test expected no restriction in exactly this case; it now expects the old targets alone.

--- a/packages/pepperstaird/pepperstaird/version_routing.py
+++ b/packages/pepperstaird/pepperstaird/version_routing.py
@@ -82,12 +82,14 @@
     ) -> CompiledRoute | None:
         """Return the route restricted to the version to use after a failed attempt.
 
-        None if the request stays with its version.
+        None if the request stays with its version. A request that began before the
+        order is not restricted yet, and its retries would not count as exposure.
         """
         rule = self._rules.get(compiled.service.name)
-        if rule is None or rule.phase is None:
+        if rule is None:
             return None
-        is_new = endpoint.target.label(VERSION_LABEL) == rule.target_version
+        version = endpoint.target.label(VERSION_LABEL)
+        is_new = rule.phase is not None and version == rule.target_version
         if is_new and not rule.is_new_allowed:
             return narrow(compiled, rule.usual, rule.cause)
         if is_new and rule.phase is Phase.CANARY:
@@ -95,6 +97,8 @@
         is_superseded = failure.kind is ErrorKind.VERSION_SUPERSEDED
         if is_superseded and not is_new and rule.is_new_allowed:
             return narrow(compiled, rule.new, "the old version is superseded")
+        if rule.phase is None or rule.phase is Phase.CANARY:
+            return narrow(compiled, rule.usual, rule.cause)
         return None
 
     def refusal(self, service: str, target: Target) -> ErrorKind | None:
