--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -316,8 +316,9 @@
         self._timer = loop.call_later(_TICK_S, self._tick)
         for active in list(self._active.values()):
             self._propose(active)
-        # A version may be released by now, or considered bad.
-        self._update_routing()
+        if not self.routing.is_settled:
+            # A version may be released by now, or considered bad.
+            self._update_routing()
         for active in self._active.values():
             self._send_evidence(active)
 
--- a/packages/pepperstaird/pepperstaird/version_routing.py
+++ b/packages/pepperstaird/pepperstaird/version_routing.py
@@ -49,7 +49,8 @@
     """Restricts routes to versions of their targets, by rules that `update` computes.
 
     Until `is_restored`, a version under trial gets no requests, and no version is
-    released: this process does not know yet what was agreed before its start.
+    released: this process does not know yet what was agreed before its start. While
+    `is_settled`, the rules don't change with time.
     """
 
     def __init__(self, targets: ServiceTargets, terms: RolloutTerms) -> None:
@@ -60,6 +61,7 @@
         self._canary_keys: dict[str, frozenset[tuple[str, str]]] = {}
         self.holds = VersionHolds()
         self.is_restored = False
+        self.is_settled = False
         self.n_exposed = 0
 
     def pick_version(self, compiled: CompiledRoute) -> CompiledRoute:
@@ -116,6 +118,7 @@
         `confirmed_ms` is the moment at which all orders were last known here.
         """
         self._active = active
+        self.is_settled = all(item.rollout.phase.is_final for item in active.values())
         if not self.is_restored:
             confirmed_ms = float("-inf")
         rules = {
@@ -139,6 +142,10 @@
         ordered = rollout.order.target_version if rollout is not None else None
         versions = self._targets.versions(service)
         self.holds.see(service, versions, ordered, confirmed_ms, now_ms)
+        self.is_settled &= all(
+            version == ordered or self.holds.is_released(service, version)
+            for version in versions
+        )
         held = self.holds.held(service, versions, ordered)
         if rollout is None:
             return make_rule(held)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -586,6 +586,34 @@
     assert daemon.picks() == {"v1+v3": 200}
 
 
+@with_fleet
+async def test_rules_are_not_computed_again_while_nothing_can_change(fleet):
+    """Guards against work on each tick where versions are used without an order."""
+    daemon = fleet.daemons["e"]
+    await fleet.advance(2 * SECONDS)
+    daemon.confirmed_ms = fleet.clock.now_ms
+    await settle()
+    n_updates = 0
+    update = daemon.rollouts.routing.update
+
+    def count_update(*arguments):
+        nonlocal n_updates
+        n_updates += 1
+        update(*arguments)
+
+    daemon.rollouts.routing.update = count_update
+    await settle()
+    assert n_updates == 0
+    list(daemon.directory.merge([make_member("f", "v3")]))
+    daemon.rollouts.update_targets()
+    await settle()
+    assert n_updates > 1
+    fleet.order()
+    n_updates = 0
+    await settle()
+    assert n_updates > 1
+
+
 @with_fleet
 async def test_daemon_cut_off_from_others_keeps_to_its_exposure(fleet):
     """Guards against a daemon that takes silence for a promotion."""
