--- a/packages/pepperstaird/pepperstaird/rollout_writer.py
+++ b/packages/pepperstaird/pepperstaird/rollout_writer.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import structlog
+from result import Result
 
+from pepperstair_core.errors import Failure
 from pepperstair_core.rollout import Phase, RolloutState
 
 from .rollout_rows import RolloutRows, StoredRollout
@@ -18,16 +20,23 @@
 # Delay of each daemon after the one before it in the order of writers, so that a dead
 # writer costs this time.
 RANK_DELAY_MS: Final = 300
+# Number of daemons that write a phase after the first at the same time; of these, the
+# expected version of the row lets one succeed. With a third of the daemons cut off from
+# the store, one after the other would often be too late for the deadline.
+N_WRITERS_AT_ONCE: Final = 4
 _RETRY_MIN_MS: Final = 200
 _RETRY_MAX_MS: Final = 2_000
 
+ReadStates = Callable[[], Awaitable[Result[tuple[StoredRollout, ...], Failure]]]
+
 
 class RolloutWriter:
     """Writes the states that this daemon proposes when its turn has come.
 
     `rank_of` returns this daemon's rank among the writers for a service. `adopt` is
-    called with each agreed state that was read or written. Every write begins with a
-    read, so that a daemon whose answer was lost sees its own write.
+    called with each agreed state that was read or written, and `on_unanswered` with
+    each state that the platform did not answer for. Every write begins with a read, so
+    that a daemon whose answer was lost sees its own write.
     """
 
     def __init__(
@@ -35,11 +44,13 @@
         rows: RolloutRows,
         rank_of: Callable[[str], int],
         adopt: Callable[[RolloutState], None],
+        on_unanswered: Callable[[RolloutState], None],
         now_ms: Callable[[], float],
     ) -> None:
         self._rows = rows
         self._rank_of = rank_of
         self._adopt = adopt
+        self._on_unanswered = on_unanswered
         self._now_ms = now_ms
         self._proposed_ms: dict[str, tuple[tuple[int, Phase], float]] = {}
         self._retries: dict[str, tuple[float, float]] = {}
@@ -47,11 +58,11 @@
         self._restore_task: asyncio.Task[None] | None = None
         self.n_writes = 0
 
-    def start(self, on_restored: Callable[[], None]) -> None:
+    def start(self, on_restored: Callable[[], None], read: ReadStates) -> None:
         """Read the agreed states, then call `on_restored`; cancel an earlier start."""
         if self._restore_task is not None:
             self._restore_task.cancel()
-        restoring = self._restore(on_restored)
+        restoring = self._restore(on_restored, read)
         self._restore_task = asyncio.get_running_loop().create_task(restoring)
 
     def close(self) -> None:
@@ -63,7 +74,9 @@
     def propose(self, state: RolloutState, *, is_withdrawn: bool = False) -> None:
         """Write a state if it is this daemon's turn; called again until it is agreed.
 
-        The turn of the daemon with rank n comes n delays after its first proposal.
+        The first `N_WRITERS_AT_ONCE` daemons write an order's later phases at once, and
+        as many more after each delay. A withdrawal is written without delay, because
+        only the few daemons that read the operators' rows know of it.
         """
         service = state.order.service
         proposed = (state.order.number, state.phase)
@@ -73,7 +86,10 @@
             since_ms = now_ms
             self._proposed_ms[service] = (proposed, now_ms)
             self._retries.pop(service, None)
-        turn_ms = since_ms + RANK_DELAY_MS * self._rank_of(service)
+        n_delays = 0 if is_withdrawn else self._rank_of(service)
+        if state.phase is not Phase.CANARY:
+            n_delays //= N_WRITERS_AT_ONCE
+        turn_ms = since_ms + RANK_DELAY_MS * n_delays
         retry_ms, _ = self._retries.get(service, (0.0, 0.0))
         task = self._tasks.get(service)
         if now_ms < max(turn_ms, retry_ms) or (task is not None and not task.done()):
@@ -81,8 +97,8 @@
         writing = self._write(state, is_withdrawn)
         self._tasks[service] = asyncio.get_running_loop().create_task(writing)
 
-    async def _restore(self, on_restored: Callable[[], None]) -> None:
-        for stored in await call_until_answered(self._rows.read):
+    async def _restore(self, on_restored: Callable[[], None], read: ReadStates) -> None:
+        for stored in await call_until_answered(read):
             self._adopt(stored.state)
         on_restored()
 
@@ -90,7 +106,7 @@
         service = state.order.service
         read = await self._rows.read()
         if read.is_err():
-            self._delay_retry(service)
+            self._delay_retry(state)
             return
         found = {item.state.order.service: item for item in read.unwrap()}
         known = found.get(service)
@@ -104,12 +120,14 @@
         if written.unwrap_or(False):
             self._adopt(state)
         elif written.is_err():
-            self._delay_retry(service)
+            self._delay_retry(state)
 
-    def _delay_retry(self, service: str) -> None:
+    def _delay_retry(self, state: RolloutState) -> None:
+        service = state.order.service
         _, delay_ms = self._retries.get(service, (0.0, 0.0))
         delay_ms = min(_RETRY_MAX_MS, max(_RETRY_MIN_MS, 2 * delay_ms))
         self._retries[service] = (self._now_ms() + delay_ms, delay_ms)
+        self._on_unanswered(state)
 
 
 def _is_later(state: RolloutState, known: StoredRollout) -> bool:
@@ -123,4 +141,4 @@
     return state.phase > known.state.phase and not known.state.phase.is_final
 
 
-__all__ = ["RANK_DELAY_MS", "RolloutWriter"]
+__all__ = ["N_WRITERS_AT_ONCE", "RANK_DELAY_MS", "RolloutWriter"]
--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -84,8 +84,12 @@
             self._iter_states,
             self._iter_evidence,
         )
-        self._writer = RolloutWriter(rows, self._rank, self._adopt, now_ms)
+        self._writer = RolloutWriter(
+            rows, self._rank, self._adopt, self._promote_unwritten, now_ms
+        )
         self._timer: asyncio.TimerHandle | None = None
+        self._started_ms = now_ms()
+        self._n_members_max = 1
         # This daemon's rank among the writers by service, for the members as they are.
         self._ranks: dict[str, int] = {}
         self.n_bad = 0
@@ -95,7 +99,7 @@
     def start(self) -> None:
         """Start exchanging rollouts, and read the agreed states."""
         self._exchange.start()
-        self._writer.start(self._on_restored)
+        self._writer.start(self._on_restored, self._rows.read_at_start)
         self._tick()
 
     def catch_up(self) -> None:
@@ -105,7 +109,7 @@
         """
         self.routing.is_restored = False
         self._update_routing()
-        self._writer.start(self._on_restored)
+        self._writer.start(self._on_restored, self._rows.read)
 
     def close(self) -> None:
         """Stop exchanging, reading and writing."""
@@ -118,6 +122,7 @@
         """Apply a change of the members."""
         self._ranks.clear()
         self._targets.update(self._directory.members())
+        self._n_members_max = max(self._n_members_max, self._targets.n_members)
         self._update_routing()
 
     def refusal(self, target: Target) -> ErrorKind | None:
@@ -205,6 +210,22 @@
         active = self._active[service]
         active.is_stored |= active.rollout.order.number == state.order.number
 
+    def _promote_unwritten(self, state: RolloutState) -> None:
+        """Promote while the platform does not answer, if most members are reachable.
+
+        An end that was agreed on replaces the promotion wherever the two meet. A
+        minority stays in its phase, because the others may have ended the rollout.
+        """
+        has_majority = 2 * self._targets.n_members > self._n_members_max
+        if state.phase is not Phase.PROMOTING or not has_majority:
+            return
+        active = self._active[state.order.service]
+        is_outdated = active.rollout.order.number != state.order.number
+        if is_outdated or active.is_suspended or not self._exchange.has_neighbours:
+            return
+        if self._merge_state(state):
+            self._publish(state.order.service)
+
     def _offer_waiting(self, state: RolloutState) -> None:
         if self._merge_state(state):
             self._exchange.publish_states((state,))
@@ -249,9 +270,12 @@
             version = replaced.rollout.order.target_version
             self.routing.holds.bar(order.service, version)
         vm, start_id = self._identity.vm, self._identity.start_id
+        now_ms = self._now_ms()
+        offset = exposure_offset(order, vm, start_id)
+        has_extra = now_ms - age_ms >= self._started_ms
         active = ActiveRollout(
-            Rollout(order, age_ms, self._now_ms(), self._terms, vm, start_id),
-            ExposureBudget(self._terms, exposure_offset(order, vm, start_id)),
+            Rollout(order, age_ms, now_ms, self._terms, vm, start_id),
+            ExposureBudget(self._terms, offset, has_extra=has_extra),
         )
         self._active[order.service] = active
         log_order(active.rollout, age_ms)
@@ -292,8 +316,9 @@
         self._timer = loop.call_later(_TICK_S, self._tick)
         for active in list(self._active.values()):
             self._propose(active)
-        # A version may be released by now, or considered bad.
-        self._update_routing()
+        if not self.routing.is_settled:
+            # A version may be released by now, or considered bad.
+            self._update_routing()
         for active in self._active.values():
             self._send_evidence(active)
 
