Test of a rate limit while the other instances are full

Cause: with a limiter that always has a token, three of four tests of limits still passed, as the other instances had room for all requests.

Result: with that fault put in, the new test fails; without it, it passes.

--- a/tests/adapter/test_rate_limited_instance.py
+++ b/tests/adapter/test_rate_limited_instance.py
@@ -152,3 +152,20 @@
     n_before = len(limited.arrived_s)
     await send_calls(vms, 1.0, "d")
     assert len(limited.arrived_s) - n_before > 20
+
+
+@with_mesh
+async def test_limit_is_kept_while_the_other_instances_are_full(mesh):
+    """Guards against a limit that holds only as long as others take the rest."""
+    vms = await start_fleet(mesh)
+    limited, others = vms[0], vms[1:]
+    for other in others:
+        # Eight slots of 0.4 s each: forty requests a second for both instances.
+        other.work_s = 0.4
+    limited.stated_headers = limit_header(LIMIT_PER_S)
+    stated_s = asyncio.get_running_loop().time()
+    answers = await send_calls(vms, 6.0, "a")
+    n_most = most_in_window(limited.arrived_s, stated_s + STABLE_S)
+    assert n_most <= n_allowed(LIMIT_PER_S)
+    assert {status for status, _ in answers} & {429, 503}
+    assert len(limited.arrived_s) > LIMIT_PER_S
