Count the backlog of a VM's link as load of its targets where accounts share them

Cause: answers are complete before they are sent, so a target whose link is full has free slots, and near callers go on choosing it.

Change: the load that a daemon reports for its targets includes the calls that would delay an answer as long as its link does.

--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -19,7 +19,7 @@
 from .fleet_budget import BudgetTerms, FleetRetryBudget
 from .leaving_targets import LeavingTargets
 from .outcome import CallOutcome
-from .pacing import LinkPacer
+from .pacing import LinkPacer, n_calls_of_backlog
 from .quarantine import CrashRecord, Quarantine, TrustLevel
 from .rate_limit import RateLimiter
 from .retry import (
@@ -73,4 +73,5 @@
     "decide_retry",
     "fingerprint",
     "is_sampled",
+    "n_calls_of_backlog",
 ]
--- a/packages/pepperstair-core/pepperstair_core/calls/admission.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/admission.py
@@ -111,6 +111,11 @@
         self._wait_limits: list[tuple[float, int]] = []
         self._n_grants = 0
 
+    @property
+    def mean_service_ms(self) -> float:
+        """Return the mean time for which calls hold a slot."""
+        return self._times.mean_ms
+
     @property
     def n_queued(self) -> int:
         """Return the number of waiting calls."""
--- a/packages/pepperstair-core/pepperstair_core/calls/pacing.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/pacing.py
@@ -67,5 +67,21 @@
         self._link_free_ms = start_ms + n_bytes / self._bytes_per_ms
         return start_ms - now_ms
 
+    def backlog_ms(self, now_ms: float) -> float:
+        """Return how long a part that is sent now would have to wait."""
+        return max(0.0, self._link_free_ms - now_ms) if self._bytes_per_ms else 0.0
 
-__all__ = ["LinkPacer"]
+
+def n_calls_of_backlog(backlog_ms: float, n_slots: int, service_ms: float) -> int:
+    """Return how many waiting calls would delay an answer as long as the link does.
+
+    A target whose link is full has free slots, as its answers are complete before they
+    are sent. Unless the backlog counts as load, it attracts further large answers.
+
+    >>> n_calls_of_backlog(200.0, 3, 100.0)
+    6
+    """
+    return int(backlog_ms * n_slots / max(1.0, service_ms))
+
+
+__all__ = ["LinkPacer", "n_calls_of_backlog"]
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -16,6 +16,7 @@
     Refused,
     RunLimits,
     TrustLevel,
+    n_calls_of_backlog,
 )
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, RunStatus
@@ -85,6 +86,14 @@
             account_header,
         )
 
+    def n_waiting(self, backlog_ms: float) -> int:
+        """Return the waiting calls, with those that stand for a backlog of the link."""
+        admission = self.slots.admission
+        n_of_backlog = n_calls_of_backlog(
+            backlog_ms, admission.n_slots, admission.mean_service_ms
+        )
+        return admission.n_queued + n_of_backlog
+
     @property
     def n_in_flight(self) -> int:
         """Return the number of calls that the target is running."""
@@ -142,6 +151,7 @@
         self.run_limits = RunLimits()
         # Whether client accounts share the slots of the targets.
         self.is_shared = False
+        self.link_backlog_ms: Callable[[], float] = lambda: 0.0
         self.is_draining = False
         self.n_refused = 0
         self.n_version_refusals = 0
@@ -162,9 +172,14 @@
         return sum(local.n_in_flight for local in self._iter_all())
 
     def loads(self) -> tuple[tuple[str, int, int], ...]:
-        """Return each target's name and its numbers of running and waiting calls."""
+        """Return each target's name and its numbers of running and waiting calls.
+
+        Where client accounts share the targets, the backlog of this VM's link counts as
+        waiting calls.
+        """
+        backlog_ms = self.link_backlog_ms() if self.is_shared else 0.0
         return tuple(
-            (name, local.n_in_flight, local.slots.admission.n_queued)
+            (name, local.n_in_flight, local.n_waiting(backlog_ms))
             for name, local in self._local_targets.items()
         )
 
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -146,12 +146,14 @@
             stream_heartbeat_ms,
             monotonic_ms,
         )
+        pacer = LinkPacer(settings.peers.link_mbps, BODY_PART_MAX_BYTES)
+        self.runner.link_backlog_ms = lambda: pacer.backlog_ms(precise_ms())
         self.call_server = CallServer(
             self.runner.run,
             settings.calls.n_remembered_runs_max,
             stream_heartbeat_ms,
             monotonic_ms,
-            LinkPacer(settings.peers.link_mbps, BODY_PART_MAX_BYTES),
+            pacer,
         )
         self.control = ControlPlane(
             self.identity,
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from collections.abc import Iterator
+from random import Random
 
-from pepperstair_core.calls import LinkPacer
+from pepperstair_core.calls import LinkPacer, Load, TargetChooser, n_calls_of_backlog
 from pepperstair_core.wire import AnswerHead, BodyEnd, BodyPart
 from pepperstair_http import WriteGate
 from pepperstair_peers.data.sending import CreditGate, send_data
+from tests.call_load import endpoint
 
 LINK_MBPS = 2.5
 LINK_BYTES_PER_MS = 125 * LINK_MBPS
@@ -111,3 +113,19 @@
     assert kinds[:4] == [BodyPart, AnswerHead, BodyEnd, BodyPart]
     assert kinds.count(BodyPart) == 4
     assert sent[-1][0] - sent[0][0] > 0.09
+
+
+def test_backlog_of_a_link_counts_as_load_of_its_target():
+    """Guards against downloads that all go to a near target whose link is full."""
+    near, far = endpoint(1, "z", 3), endpoint(2, "y", 3)
+    pacer = LinkPacer(14.0, 65_536)
+    for _ in range(12):
+        pacer.delay_ms(pacer.part_bytes, 0.0)
+    n_waiting = n_calls_of_backlog(pacer.backlog_ms(0.0), 3, 100.0)
+    chooser = TargetChooser("z", Random(5))
+    loads = {near.key: Load(1, n_waiting), far.key: Load(1, 0)}
+    load_of = lambda item: loads[item.key]
+    chosen = chooser.choose((near, far), load_of, 0.0, n_answer_bytes=90_000.0)
+    assert chosen is far
+    assert pacer.backlog_ms(1e6) == 0.0
+    assert LinkPacer(0.0, 65_536).backlog_ms(0.0) == 0.0
