--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -7,7 +7,6 @@
 from typing import Final
 
 import structlog
-from msgspec.structs import replace
 
 from pepperstair_core.calls import (
     CrashRecord,
@@ -16,7 +15,6 @@
     Refused,
     RunLimits,
     TrustLevel,
-    n_calls_of_backlog,
 )
 from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, RunStatus
@@ -25,28 +23,20 @@
 from pepperstair_core.members import Target, TargetState
 from pepperstair_core.wire import CallHead
 from pepperstair_http import (
-    KNOWN_LIMIT_HEADER,
-    NO_STATEMENT,
     BodyBuffer,
     StreamedResponse,
     TargetStatement,
-    header_value,
-    parse_rate_limit,
 )
 
 from .answer_body import AnswerBody
-from .crash_detection import CrashDetector
-from .pool import ConnectionPool
+from .local_target import LocalTarget
+from .own_headers import take_known_limit, with_wait_header
 from .registry import TargetRegistry
-from .slots import SlotQueue
+from .run_logs import log_failed, log_refused
 from .target_call import DEFAULT_OPTIONS, TargetCall, TargetOptions
 
 log = structlog.get_logger(__name__)
 
-WAITED_HEADER: Final = b"pepperstair-waited-ms"
-
-_OWN_PREFIX: Final = b"pepperstair-"
-
 _REFUSAL_LOG_INTERVAL_MS: Final = 1000
 _FAILED_STATUS: Final = 500
 _SHEDDING_STATUS: Final = 503
@@ -61,56 +51,6 @@
 PolicyOf = Callable[[str, Target], Policy]
 
 
-class LocalTarget:
-    """The connections and slots of one announced target."""
-
-    def __init__(
-        self,
-        target: Target,
-        now_ms: Callable[[], float],
-        on_refused: Callable[[str, Refused], None],
-        on_exited: Callable[[LocalTarget, tuple[bytes, ...]], None],
-        account_header: bytes = b"",
-    ) -> None:
-        self.target = target
-        # The statement of the target's last answer.
-        self.statement = NO_STATEMENT
-        self.pool = ConnectionPool(target.address, target.n_connections_max)
-        self.crashes = CrashDetector(
-            self.pool, lambda running: on_exited(self, running)
-        )
-        self.slots = SlotQueue(
-            _n_running_max(target),
-            now_ms,
-            lambda refused: on_refused(target.name, refused),
-            account_header,
-        )
-
-    def n_waiting(self, backlog_ms: float) -> int:
-        """Return the waiting calls, with those that stand for a backlog of the link."""
-        admission = self.slots.admission
-        n_of_backlog = n_calls_of_backlog(
-            backlog_ms, admission.n_slots, admission.mean_service_ms
-        )
-        return admission.n_queued + n_of_backlog
-
-    @property
-    def n_in_flight(self) -> int:
-        """Return the number of calls that the target is running."""
-        return self.slots.admission.n_in_flight
-
-    def update(self, target: Target) -> None:
-        """Apply a renewed announcement with the same address."""
-        self.target = target
-        self.slots.resize(_n_running_max(target))
-        self.pool.set_connection_limit(target.n_connections_max)
-
-    def retire(self) -> None:
-        """Refuse waiting calls and close idle connections; running calls continue."""
-        self.slots.drain()
-        self.pool.close()
-
-
 class TargetRunner:
     """Runs calls on local targets, within the slots of each target.
 
@@ -206,13 +146,13 @@
         target = self._require_target(head, start_ms)
         local = self._ensure_local_target(target)
         self._refuse_in_vain(head, local, start_ms)
-        head = _take_known_limit(head, local, start_ms)
+        head = take_known_limit(head, local, start_ms)
         policy = self._policy_of(head.customer, target)
         local.slots.share(self.is_shared)
         try:
             await local.slots.acquire(head, deadline_ms, policy.n_queued_max)
         except PepperstairError as error:
-            _log_refused(head, local, error.failure, self._now_ms() - start_ms)
+            log_refused(head, local, error.failure, self._now_ms() - start_ms)
             raise
         admitted_ms = self._now_ms()
         try:
@@ -249,7 +189,7 @@
             lasted_ms = self._now_ms() - admitted_ms
             if call.is_sent:
                 self._report_failed_run(target, head, failure, lasted_ms)
-            _log_failed(head, failure, lasted_ms)
+            log_failed(head, failure, lasted_ms)
             raise PepperstairError(failure) from error
         finally:
             local.crashes.end(call)
@@ -261,7 +201,7 @@
             self._report_run(target, head, response, answered_ms - admitted_ms)
         else:
             streamed = response
-        return _with_wait_header(response, int(admitted_ms - start_ms))
+        return with_wait_header(response, int(admitted_ms - start_ms))
 
     def sync_with_registry(self) -> None:
         """Apply the changes of the target registry.
@@ -310,7 +250,7 @@
             limits.retry_after_ms(head.route),
             RunStatus.NO,
         )
-        _log_refused(head, local, failure, 0.0)
+        log_refused(head, local, failure, 0.0)
         raise PepperstairError(failure)
 
     def _refuse_unsafe(self, head: CallHead, local: LocalTarget, now_ms: float) -> None:
@@ -529,81 +469,8 @@
         self._decisions.add(decision)
 
 
-def _log_refused(
-    head: CallHead, local: LocalTarget, failure: Failure, waited_ms: float
-) -> None:
-    log.info(
-        Event.REQUEST_REFUSED,
-        request_id=head.request_id,
-        route=head.route,
-        target=head.target,
-        cause=failure.detail,
-        waited_ms=round(waited_ms, 1),
-        time_left_ms=head.time_left_ms,
-        wanted_left_ms=head.wanted_left_ms,
-        n_in_flight=local.n_in_flight,
-        n_slots=local.slots.admission.n_slots,
-        n_queued=local.slots.admission.n_queued,
-        n_queued_short=local.slots.admission.n_queued_short,
-        retry_after_ms=failure.retry_after_ms,
-    )
-
-
-def _log_failed(head: CallHead, failure: Failure, lasted_ms: float) -> None:
-    log.info(
-        Event.TARGET_CALL_FAILED,
-        request_id=head.request_id,
-        fingerprint=head.fingerprint.hex(),
-        path=head.path,
-        route=head.route,
-        target=head.target,
-        kind=failure.kind,
-        cause=failure.detail,
-        run=failure.run_status,
-        lasted_ms=round(lasted_ms, 1),
-    )
-
-
-def _take_known_limit(head: CallHead, local: LocalTarget, now_ms: float) -> CallHead:
-    """Apply the rate limit that the sender of a call knows of the target.
-
-    Return the head without the header that carries the limit.
-    """
-    value = header_value(head.headers, KNOWN_LIMIT_HEADER)
-    if not value:
-        return head
-    limit_per_s = parse_rate_limit(value)
-    if limit_per_s is not None:
-        local.slots.admission.rate_limiter.suggest(limit_per_s, now_ms)
-    headers = tuple(item for item in head.headers if item[0] != KNOWN_LIMIT_HEADER)
-    return replace(head, headers=headers)
-
-
-def _with_wait_header(response: StreamedResponse, waited_ms: int) -> StreamedResponse:
-    """Return the response with a header that states how long the call waited.
-
-    The header is omitted if the call did not wait for its slot. Target choice needs
-    the latency without the wait: under overload the wait depends on the priority of
-    the call and would hide which target is slow. Headers with the `pepperstair-` prefix
-    that the target itself sends are removed, because they could wrongly state that
-    the request did not run.
-    """
-    headers = response.headers
-    if any(name.startswith(_OWN_PREFIX) for name, _ in headers):
-        headers = tuple(item for item in headers if not item[0].startswith(_OWN_PREFIX))
-    if waited_ms >= 1:
-        headers = (*headers, (WAITED_HEADER, b"%d" % waited_ms))
-    if headers is response.headers:
-        return response
-    return replace(response, headers=headers)
-
-
-def _n_running_max(target: Target) -> int:
-    return min(target.n_slots, target.n_connections_max)
-
-
 def _not_run(kind: ErrorKind, detail: str) -> PepperstairError:
     return PepperstairError(Failure(kind, detail, run=RunStatus.NO))
 
 
-__all__ = ["WAITED_HEADER", "LocalTarget", "PolicyOf", "TargetRunner"]
+__all__ = ["PolicyOf", "TargetRunner"]
