--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -41,6 +41,7 @@
 async def make_slots() -> SlotQueue:
     """Return two free slots whose daemon has learnt the service times."""
     slots = SlotQueue(2, now_ms, lambda refused: None)
+    slots.share(True)
     for _ in range(60):
         for route, service_ms in (("short", SHORT_MS), ("long", LONG_MS)):
             await acquire(slots, route)
