--- a/packages/pepperstair-core/pepperstair_core/calls/choice.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/choice.py
@@ -393,11 +393,11 @@
         seconds and queue them, while the slots of the others stay free.
         """
         known = self._health
-        self._forget_restarted(endpoints, now_ms)
-        missing = [item for item in endpoints if item.key not in known]
         if self._joined_ms is None:
             self._joined_ms = now_ms
         is_joining = now_ms - self._joined_ms < self._joining_ms
+        self._forget_restarted(endpoints, now_ms, is_new=not is_joining)
+        missing = [item for item in endpoints if item.key not in known]
         is_new = len(missing) < len(endpoints) and not is_joining
         for item in missing:
             start = item.target.label(START_LABEL)
@@ -407,7 +407,9 @@
         if len(known) > N_TRACKED_MAX:
             self._evict_unseen(now_ms)
 
-    def _forget_restarted(self, endpoints: Sequence[Endpoint], now_ms: float) -> None:
+    def _forget_restarted(
+        self, endpoints: Sequence[Endpoint], now_ms: float, *, is_new: bool
+    ) -> None:
         """Replace the health of targets that have started again under their names.
 
         Errors, latencies, limits and calls in flight belong to the process that ended.
@@ -417,7 +419,7 @@
             start = item.target.label(START_LABEL)
             if known is None or known.start == start:
                 continue
-            self._health[item.key] = TargetHealth(now_ms, is_new=True, start=start)
+            self._health[item.key] = TargetHealth(now_ms, is_new=is_new, start=start)
             self._restricted.pop(item.key, None)
             # The cached groups refer to the replaced health.
             self._groups.clear()
