One name for calls that targets make

Cause: the calls that targets make were 'inner' calls in some modules and 'own' calls in others, and refusals beyond the run limit were called 'in vain' in a counter name. The doc comment of VersionRule left out the field 'held'.

Change: 'inner' everywhere; the counter is n_calls_refused_beyond_run_limit. Doc comments of VersionRule, the standing queue and the waiting calls are reworded. Behaviour is unchanged.

--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -62,7 +62,7 @@
     `pick_version` returns a route restricted to the version of the targets that a
     request goes to, and `pick_other_version` the same after an attempt on a target has
     failed, or None if the request stays with its version; both get the unrestricted
-    route. `on_own_call_refused` is called when a call that the target on this VM made
+    route. `on_inner_call_refused` is called when a call that the target on this VM made
     was refused as not run, and `on_absent` with a target that the daemon at its address
     does not know.
     """
@@ -101,7 +101,7 @@
     pick_other_version: Callable[
         [CompiledRoute, Endpoint, Failure], CompiledRoute | None
     ] = lambda compiled, endpoint, failure: None
-    on_own_call_refused: Callable[[], None] = lambda: None
+    on_inner_call_refused: Callable[[], None] = lambda: None
     on_absent: Callable[[Endpoint], None] = lambda endpoint: None
 
 
--- a/packages/pepperstair-callers/pepperstair_callers/proxy.py
+++ b/packages/pepperstair-callers/pepperstair_callers/proxy.py
@@ -84,7 +84,7 @@
                 if call is not None:
                     call.run = failure.run_status
                     if call.is_inner_call and _is_refused(failure):
-                        self._context.on_own_call_refused()
+                        self._context.on_inner_call_refused()
                 if token is not None and failure.run_status is RunStatus.NO:
                     self._context.refund_quota(token)
                 await answer_failure(exchange, failure, self._context.header_names)
--- a/packages/pepperstair-core/pepperstair_core/calls/standing_queue.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/standing_queue.py
@@ -3,8 +3,8 @@
 Some calls may wait past their wanted time, as a late answer is better than none. In an
 overload the queue of these calls grows up to their deadlines and stays so: every answer
 is late, although a shorter queue would let as many be served in time. As in CoDel
-(Nichols and Jacobson 2012), a queue is standing if no call started in time for a while;
-here the while is twice the time within which the calls are wanted.
+(Nichols and Jacobson 2012), a queue is standing if no call started in time for an
+interval, here `LATE_WINDOW` times the time within which the calls are wanted.
 """
 
 from __future__ import annotations
--- a/packages/pepperstair-core/pepperstair_core/calls/waiting_calls.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/waiting_calls.py
@@ -2,7 +2,7 @@
 
 More urgent calls start first and, within a priority, short calls before long ones. A
 short call is usually a look-up that another request waits for: behind long calls it
-would come too late, and the request would have run in vain. Customers take turns within
+would come too late, and the run of that request would fail. Customers take turns within
 each queue.
 """
 
--- a/packages/pepperstair-core/pepperstair_core/rollout/version_rules.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/version_rules.py
@@ -15,9 +15,10 @@
 class VersionRule(Struct, frozen=True):
     """The versions of one service that requests may go to.
 
-    `usual` is the requirement on the targets that requests go to unless chosen for the
-    canary targets; `cause` states why. `phase` is None without an order. With
-    `is_new_allowed` the canary targets may get requests.
+    `usual` is the requirement on the targets of all requests that are not sent to the
+    canary targets; `cause` states why. Versions that are `held` get no requests.
+    `phase` is None without an order. `is_new_allowed` states whether the ordered
+    version may get requests.
     """
 
     usual: Requirement
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -145,7 +145,7 @@
         deadline_ms = start_ms + head.time_left_ms
         target = self._require_target(head, start_ms)
         local = self._ensure_local_target(target)
-        self._refuse_in_vain(head, local, start_ms)
+        self._refuse_beyond_run_limit(head, local, start_ms)
         head = take_known_limit(head, local, start_ms)
         policy = self._policy_of(head.customer, target)
         local.slots.share(self.is_shared)
@@ -235,7 +235,7 @@
         if refusal is not None:
             raise PepperstairError(refusal)
 
-    def _refuse_in_vain(
+    def _refuse_beyond_run_limit(
         self, head: CallHead, local: LocalTarget, now_ms: float
     ) -> None:
         """Refuse a call that would fail because the target's own calls are refused."""
--- a/packages/pepperstaird/pepperstaird/counters.py
+++ b/packages/pepperstaird/pepperstaird/counters.py
@@ -38,7 +38,7 @@
     n_calls_refused: Annotated[
         int, Meta(description="Calls refused beside a target as not run.")
     ] = 0
-    n_calls_refused_in_vain: Annotated[
+    n_calls_refused_beyond_run_limit: Annotated[
         int,
         Meta(
             description="Calls refused beside a target, as calls that it makes are "
@@ -275,7 +275,7 @@
         n_calls_held_at_start=daemon.proxy.n_held_at_start,
         n_calls_taken=daemon.call_server.n_calls,
         n_calls_refused=daemon.runner.n_refused,
-        n_calls_refused_in_vain=daemon.runner.run_limits.n_refused,
+        n_calls_refused_beyond_run_limit=daemon.runner.run_limits.n_refused,
         n_requests_sent=daemon.runner.n_sent,
         n_calls_quarantined=daemon.proxy.n_quarantined,
         n_calls_unauthorized=daemon.proxy.n_unauthorized,
--- a/packages/pepperstaird/pepperstaird/proxying.py
+++ b/packages/pepperstaird/pepperstaird/proxying.py
@@ -83,7 +83,7 @@
         n_running=lambda: daemon.runner.n_in_flight,
         take_quota=daemon.quotas.take,
         refund_quota=daemon.quotas.refund,
-        on_own_call_refused=lambda: daemon.runner.run_limits.record_refused_call(
+        on_inner_call_refused=lambda: daemon.runner.run_limits.record_refused_call(
             precise_ms()
         ),
     )
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -150,7 +150,7 @@
         self.quota: Callable[[Account], Token | None] = lambda account: None
         self.refunded: list[Token] = []
         self.heads: list[CallHead] = []
-        self.n_own_calls_refused = 0
+        self.n_inner_calls_refused = 0
         self.context = self._context(body_max_bytes)
         self.proxy = Proxy(self.context)
         self.server = HttpServer(
@@ -265,11 +265,11 @@
             n_running=lambda: self.n_running,
             take_quota=self._take_quota,
             refund_quota=self.refunded.append,
-            on_own_call_refused=self._count_own_call_refused,
+            on_inner_call_refused=self._count_inner_call_refused,
         )
 
-    def _count_own_call_refused(self) -> None:
-        self.n_own_calls_refused += 1
+    def _count_inner_call_refused(self) -> None:
+        self.n_inner_calls_refused += 1
 
 
 async def wait_until(condition: Callable[[], bool]) -> None:
--- a/tests/test_run_limits.py
+++ b/tests/test_run_limits.py
@@ -94,7 +94,7 @@
     assert limited.n_in_time > 0.97 * without.n_in_time
 
 
-def test_runner_refuses_requests_in_vain_as_not_run():
+def test_runner_refuses_requests_beyond_the_run_limit_as_not_run():
     async def scenario():
         async with Mesh() as mesh:
             target = await mesh.add("a")
@@ -135,6 +135,6 @@
             mesh.accounts = accounts
             mesh.n_running = n_running
             assert (await mesh.call(headers=headers)).status == status
-            assert mesh.n_own_calls_refused == n_counted
+            assert mesh.n_inner_calls_refused == n_counted
 
     asyncio.run(scenario())
