Promote a version in steps, and decide on it by how many more requests fail

Cause, one for all of them: how much a version is exposed, when, and on which evidence it is cleared were decided apart from each other. - All callers switched at the beginning of promotion. From then on there was no old version to compare with, and evidence (0.3 to 0.8 s) took longer than the exposure that was left lasted. - A version was completed if it wasn't found bad. The sequential test may decide at any time and needs ln 1,000 for it; of an old version that fails 30% itself and a new one that fails 51%, 75 requests until promotion say about 7.2 nats on average, with a deviation of 3.7. So the bound of 170 was there, but was spent too late to be evidence. - Two canary targets: what one of them showed on a rare route couldn't be confirmed by the other.

The mend: - Promotion begins with a quarter of the requests to a quarter of the targets, which thus get a usual load, within nine tenths of the allowed exposure. The old version keeps the others until 1 s before the deadline (later while undecided), so that both versions show an outage. - Excess: the failures beyond those that the old version would have had in the same interval on the same route, over all intervals. At a set time this decides with fewer requests than the sequential test, which stays for early verdicts. A version that is not cleared by it is rolled back. - While undecided, the canary spends three quarters of the exposure instead of half, on the targets of the step. - A target that fails on several routes is taken for faulty itself. - The old version's rate on a route with few requests follows that of all routes at the same time instead of the one before; its rate changes if the change exceeds three standard errors as well as 0.2.

The test of the drain before completion looks at 11.1 instead of 10 s, as the old targets refuse from 11 s on; a new test holds what must be at 10.2 s.

--- a/packages/pepperstair-core/pepperstair_core/rollout/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/__init__.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from .exposure import ExposureBudget, RolloutTerms, canary_targets, exposure_offset
+from .exposure import (
+    ExposureBudget,
+    Portion,
+    RolloutTerms,
+    canary_targets,
+    exposure_offset,
+    step_targets,
+)
 from .records import Evidence, Phase, RolloutOrder, RolloutState, RouteCounts
 from .rollout import Rollout, RolloutFleet
 
@@ -10,6 +17,7 @@
     "Evidence",
     "ExposureBudget",
     "Phase",
+    "Portion",
     "Rollout",
     "RolloutFleet",
     "RolloutOrder",
@@ -18,4 +26,5 @@
     "RouteCounts",
     "canary_targets",
     "exposure_offset",
+    "step_targets",
 ]
--- a/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from .evidence import EvidenceStore
-from .exposure import RolloutTerms
+from .exposure import Portion, RolloutTerms
 from .records import Evidence, Phase, RolloutOrder, RolloutState
 from .verdict import ALL_ROUTES, SequentialTest
 
@@ -26,6 +26,14 @@
 # other daemons. Promotion doesn't begin if it would end later than `COMPLETION_MS` / 2
 # before the deadline.
 PROMOTION_TEST_MS: Final = 1_000
+# Time before the deadline at which all requests go to the new version. Until then, the
+# old version gets enough requests to tell a bad version from a fault of both.
+REPLACEMENT_MS: Final = 1_000
+REPLACEMENT_SHARE: Final = 0.4
+REPLACEMENT_SHARE_MAX: Final = 0.6
+# The least time of promotion before all requests go to the new version.
+STEP_MS: Final = 600
+STEP_SHARE_MAX: Final = 0.4
 # Share of the old targets' slots that the new ones must have before promotion.
 NEW_SLOTS_SHARE_MIN: Final = 0.5
 
@@ -66,6 +74,7 @@
         self._store = EvidenceStore(order, vm, start_id)
         self._test = SequentialTest(now_ms)
         self._is_bad = False
+        self._is_replacing = False
         self._promoting_ms: float | None = None
 
     @property
@@ -75,6 +84,16 @@
             return self.phase is Phase.ROLLED_BACK
         return self._is_bad
 
+    @property
+    def portion(self) -> Portion:
+        """Return the part of the requests that goes to the new version for now."""
+        if self.is_suspended:
+            return Portion.NONE
+        if self.phase is Phase.CANARY:
+            return Portion.SUSPECT if self._test.is_suspected else Portion.CANARY
+        is_all = self.phase is Phase.COMPLETED or self._is_replacing
+        return Portion.ALL if is_all else Portion.STEP
+
     def state(self, now_ms: float) -> RolloutState:
         """Return the order with its phase and age, to be sent to other daemons."""
         return RolloutState(self.order, self.phase, int(self._age_ms(now_ms)))
@@ -112,8 +131,6 @@
         if self.phase.is_final or phase <= self.phase:
             return False
         self.phase = phase
-        if phase is Phase.PROMOTING:
-            self._test.restart()
         return True
 
     def set_old_running(self, n: int | None) -> None:
@@ -126,7 +143,7 @@
             return None
         self._test.add(self._store.take_increments(), now_ms)
         is_promoting = self.phase is Phase.PROMOTING
-        self._is_bad = self._is_bad or self._test.is_bad(is_promoting)
+        self._is_bad = self._is_bad or self._test.is_bad(self.portion)
         if self._is_bad:
             return Phase.ROLLED_BACK
         if is_promoting:
@@ -174,6 +191,11 @@
     def _completion_ms(self) -> float:
         return min(COMPLETION_MS, COMPLETION_SHARE_MAX * self._reserve_ms())
 
+    def _replacement_ms(self) -> float:
+        reserve_ms = self._reserve_ms()
+        least_ms = min(REPLACEMENT_MS, REPLACEMENT_SHARE_MAX * reserve_ms)
+        return max(least_ms, REPLACEMENT_SHARE * reserve_ms)
+
     def _after_canary(self, now_ms: float, fleet: RolloutFleet) -> Phase | None:
         left_ms = self.order.duration_ms - self._age_ms(now_ms)
         if left_ms <= 0.0:
@@ -186,10 +208,24 @@
             return None
         return Phase.PROMOTING
 
+    def _may_replace(self, now_ms: float, left_ms: float) -> bool:
+        """Return whether all requests may go to the new version from now on.
+
+        With the deadline near, less evidence is needed for that.
+        """
+        step_ms = min(STEP_MS, STEP_SHARE_MAX * self._reserve_ms())
+        is_early = now_ms < self._promoting_ms + step_ms
+        if is_early or left_ms > self._replacement_ms() or not self._test.is_cleared():
+            return False
+        if left_ms > self._completion_ms():
+            return not self._test.is_suspected
+        return left_ms <= COMPLETION_LATEST_MS or not self._test.is_raised()
+
     def _after_promoting(self, now_ms: float, fleet: RolloutFleet) -> Phase | None:
         if self._promoting_ms is None:
             self._promoting_ms = now_ms
         left_ms = self.order.duration_ms - self._age_ms(now_ms)
+        self._is_replacing = self._is_replacing or self._may_replace(now_ms, left_ms)
         test_ms = min(PROMOTION_TEST_MS, self._reserve_ms() - self._completion_ms())
         is_tested = now_ms >= self._promoting_ms + test_ms or left_ms <= 0.0
         if left_ms > self._completion_ms() or not is_tested:
@@ -197,7 +233,7 @@
         if left_ms > COMPLETION_LATEST_MS:
             if self._test.is_slightly_doubtful():
                 return None
-        elif self._test.is_doubtful():
+        elif not self._test.is_cleared():
             return Phase.ROLLED_BACK
         is_drained = all(
             self._store.n_old_running(vm) == 0 for vm in fleet.vms_with_old
--- a/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
@@ -16,14 +16,20 @@
 from msgspec import Struct
 
 from .evidence import Increment, Tally
+from .excess import Excess
+from .exposure import Portion
 
 # A version is bad beyond this score: error rate of 1 in 1,000.
 BAD_SCORE: Final = math.log(1_000)
+# The same while evidence of the old version may still be on its way.
+UNSETTLED_BAD_SCORE: Final = 2 * BAD_SCORE
 # From these scores on, in total and without the worst target, a version isn't promoted
 # or completed, because too little was counted to clear it. Over all routes, requests of
 # a single target suffice for doubt, as there may be too few for a second one.
 DOUBTFUL_IN_ALL: Final = (5.0, -1.0)
 DOUBTFUL_ON_ROUTE: Final = (5.0, 3.0)
+# A version that may be slower gets more requests, to confirm or clear it.
+SUSPECTED_SLOW: Final = (0.5, -2.5)
 # During promotion, evidence of a good version soon clears a lighter doubt.
 SLIGHTLY_DOUBTFUL: Final = (1.5, 0.5)
 # The score doesn't fall below this, so that a version that becomes bad some time after
@@ -38,6 +44,7 @@
 N_OLD_RUN_MIN: Final = 20
 # The old version's failure rate changes if it differs by more between intervals.
 RATE_CHANGE: Final = 0.2
+N_ERRORS_OF_CHANGE: Final = 3.0
 # Above this failure rate of the old version, nothing is concluded from failures.
 RATE_MAX: Final = 0.7
 # Logarithm of the ratio of service times from which a version is too slow, and the
@@ -92,11 +99,6 @@
         """Return whether the scores in total and without the worst target do."""
         return self.total >= total_min and self._rest() >= rest_min
 
-    def forget_good(self) -> None:
-        """Raise negative scores to zero."""
-        self.total = max(0.0, self.total)
-        self.by_vm = {vm: max(0.0, score) for vm, score in self.by_vm.items()}
-
     def _rest(self) -> float:
         return self.total - max(self.by_vm.values())
 
@@ -122,6 +124,8 @@
     An interval is judged when the next one has ended, because evidence of the old
     version may arrive later than that of the new one. Where no requests go to the old
     version any more, there is nothing to wait for.
+
+    `is_suspected` states whether more requests are needed for a decision.
     """
 
     def __init__(self, now_ms: float) -> None:
@@ -134,7 +138,10 @@
         self._scores: Scores = {}
         # The scores with the intervals that are not settled yet, None if outdated.
         self._unsettled: Scores | None = None
+        self._excess = Excess()
+        self._unsettled_excess = Excess()
         self._new_vms: set[str] = set()
+        self.is_suspected = False
 
     def add(self, increments: Iterable[Increment], now_ms: float) -> None:
         """Add what was counted since the last call."""
@@ -147,49 +154,86 @@
             if increment.is_new:
                 self._new_vms.add(increment.vm)
 
-    def is_bad(self, is_promoting: bool) -> bool:
-        """Return whether the new version is bad."""
-        has_others = len(self._new_vms) > 1
-        return any(
-            score.reaches(BAD_SCORE, CONFIRMING_SCORES[fault] if has_others else 0.0)
-            for (fault, _), score in self.scores(is_promoting).items()
+    def is_bad(self, portion: Portion) -> bool:
+        """Return whether the new version is bad, while it gets a portion of requests.
+
+        In promotion, intervals that are not settled count as well. While the old
+        version gets requests too, they need a higher score, as its evidence may still
+        be on its way.
+        """
+        if portion is Portion.ALL:
+            return self._reaches(self.scores(is_promoting=True), BAD_SCORE)
+        is_step = portion is Portion.STEP
+        return self._reaches(self._scores, BAD_SCORE) or (
+            is_step
+            and self._reaches(self.scores(is_promoting=True), UNSETTLED_BAD_SCORE)
         )
 
     def is_doubtful(self) -> bool:
         """Return whether there is bad evidence, though too little for a verdict."""
-        scores = self.scores(is_promoting=True)
+        for (fault, route), score in self.scores(is_promoting=True).items():
+            total_min, rest_min = (
+                DOUBTFUL_IN_ALL if route == ALL_ROUTES else DOUBTFUL_ON_ROUTE
+            )
+            if score.reaches(total_min, self._rest_min(fault, route, rest_min)):
+                return True
+        return False
+
+    def _reaches(self, scores: Scores, score_min: float) -> bool:
+        has_others = len(self._new_vms) > 1
         return any(
             score.reaches(
-                *(DOUBTFUL_IN_ALL if route == ALL_ROUTES else DOUBTFUL_ON_ROUTE)
+                score_min,
+                self._rest_min(fault, route, CONFIRMING_SCORES[fault])
+                if has_others
+                else 0.0,
             )
-            for (_, route), score in scores.items()
+            for (fault, route), score in scores.items()
         )
 
+    def _rest_min(self, fault: str, route: str, usual: float) -> float:
+        """Return the score that the targets must reach without the worst one.
+
+        Without a target that is faulty itself, the others must be bad on their own.
+        """
+        if fault == FAILING and self._excess.has_faulty_target(route):
+            return BAD_SCORE
+        return usual
+
+    def is_cleared(self) -> bool:
+        """Return whether the version may replace the old one."""
+        return not (self.is_doubtful() or self._unsettled_excess.is_high())
+
+    def is_raised(self) -> bool:
+        """Return whether the version is rather bad than good, though not decided."""
+        self.scores(is_promoting=True)
+        return self._unsettled_excess.is_raised()
+
     def is_slightly_doubtful(self) -> bool:
         """Return whether more evidence is needed to clear the version."""
         scores = self.scores(is_promoting=True).values()
         return any(score.reaches(*SLIGHTLY_DOUBTFUL) for score in scores)
 
-    def restart(self) -> None:
-        """Forget what speaks for the version, as promotion is its first full load."""
-        for score in self._scores.values():
-            score.forget_good()
-        self._unsettled = None
-
     def scores(self, is_promoting: bool) -> Scores:
         """Return the score of each kind of fault and route."""
         if not is_promoting:
             return self._scores
         if self._unsettled is None:
             scores = {key: score.copy() for key, score in self._scores.items()}
-            self._judge(scores, self._closed, (self._before, self._closed, self._open))
-            self._judge(scores, self._open, (self._closed, self._open))
-            self._unsettled = scores
+            excess = self._excess.copy()
+            around = (self._before, self._closed, self._open)
+            self._judge(scores, excess, self._closed, around)
+            self._judge(scores, excess, self._open, (self._closed, self._open))
+            self._unsettled, self._unsettled_excess = scores, excess
         return self._unsettled
 
     def _close(self, now_ms: float) -> None:
-        self._judge(
-            self._scores, self._closed, (self._before, self._closed, self._open)
+        around = (self._before, self._closed, self._open)
+        self._judge(self._scores, self._excess, self._closed, around)
+        self.is_suspected = self._excess.is_undecided() or any(
+            score.reaches(*SUSPECTED_SLOW)
+            for (fault, _), score in self._scores.items()
+            if fault == SLOW
         )
         self._keep_recent()
         self._before, self._closed, self._open = self._closed, self._open, _Interval()
@@ -211,7 +255,11 @@
             self._recent.setdefault(route, Tally()).add(tally)
 
     def _judge(
-        self, scores: Scores, judged: _Interval, around: tuple[_Interval, ...]
+        self,
+        scores: Scores,
+        excess: Excess,
+        judged: _Interval,
+        around: tuple[_Interval, ...],
     ) -> None:
         """Add to the scores what an interval says, given those around it."""
         is_changing = _is_changing(around)
@@ -220,7 +268,10 @@
         in_all: dict[tuple[str, str], float] = {}
         for route, by_vm in judged.new.items():
             old = [each.old[route] for each in around if route in each.old]
-            for fault, ratios in self._ratios(route, by_vm, old, is_changing, has_old):
+            rate = self._rate(route, around, is_changing, has_old)
+            for vm, new in by_vm.items():
+                excess.add(route, vm, new.n_run, new.n_bad, rate)
+            for fault, ratios in self._ratios(route, by_vm, old, rate, has_old):
                 scores.setdefault((fault, route), Score()).add(ratios)
                 for vm, ratio in ratios.items():
                     in_all[(fault, vm)] = in_all.get((fault, vm), 0.0) + ratio
@@ -236,20 +287,40 @@
         route: str,
         by_vm: dict[str, Tally],
         old: list[Tally],
-        is_changing: bool,
+        rate: float,
         has_old: bool,
     ) -> Iterator[tuple[str, dict[str, float]]]:
-        """Yield each kind of fault with the log-likelihood ratios of a route by VM."""
-        recent = self._recent.get(route, _NOTHING)
-        in_all = self._recent.get(ALL_ROUTES, _NOTHING)
+        """Yield each kind of fault with the log-likelihood ratios of a route by VM.
+
+        `rate` is the failure rate of the old version.
+        """
         if has_old:
-            rate = _old_rate(old, recent, in_all, is_changing)
-        else:
-            rate = _last_rate(recent, in_all, _sum(self._latest))
-        known = _sum([*old, recent])
+            # A route may have few requests.
+            rate += 0.5 * _standard_error(_sum(old))
+        known = _sum([*old, self._recent.get(route, _NOTHING)])
         yield FAILING, {vm: _failing_ratio(new, rate) for vm, new in by_vm.items()}
         yield SLOW, {vm: _slow_ratio(new, known) for vm, new in by_vm.items()}
 
+    def _rate(
+        self,
+        route: str,
+        around: tuple[_Interval, ...],
+        is_changing: bool,
+        has_old: bool,
+    ) -> float:
+        """Return the failure rate of the old version on a route at some time."""
+        recent = self._recent.get(route, _NOTHING)
+        in_all = self._recent.get(ALL_ROUTES, _NOTHING)
+        if not has_old:
+            return _last_rate(recent, in_all, _sum(self._latest))
+        tallies = [
+            (each.old.get(route, _NOTHING), _sum(each.old.values())) for each in around
+        ]
+        if not is_changing:
+            on_route, on_all = zip(*tallies, strict=True)
+            tallies = [(_sum(on_route), _sum(on_all))]
+        return _old_rate(tallies, recent, in_all)
+
 
 def _sum(tallies: Iterable[Tally]) -> Tally:
     total = Tally()
@@ -259,22 +330,26 @@
 
 
 def _old_rate(
-    old: list[Tally], recent: Tally, in_all: Tally, is_changing: bool
+    tallies: list[tuple[Tally, Tally]], recent: Tally, in_all: Tally
 ) -> float:
     """Return the failure rate of the old version on a route at some time.
 
-    While the rate changes, it is the highest of the intervals around that time, because
-    evidence of both versions is not delayed equally. What is not known of a route is
-    taken from all routes. Half the standard error is added, as a route may have few
-    requests.
+    `tallies` are those of the route and of all routes in the intervals around that
+    time. While the rate changes, it is the highest of these intervals, because evidence
+    of both versions is not delayed equally. A route with few requests is expected to
+    have changed like all routes.
     """
     recent_rate = _recent_rate(recent, in_all)
-    if is_changing:
-        rates = [_rate_with_prior(each, recent_rate, _N_RECENT_RUN) for each in old]
-        rate = max(rates, default=recent_rate)
-    else:
-        rate = _rate_with_prior(_sum(old), recent_rate, _N_RECENT_RUN)
-    return max(RATE_MIN, rate + 0.5 * _standard_error(_sum(old)))
+    all_rate = _rate_with_prior(in_all, RATE_MIN, _N_PRIOR_RUN)
+    rates = (
+        _rate_with_prior(
+            on_route,
+            recent_rate + _rate_with_prior(on_all, all_rate, _N_PRIOR_RUN) - all_rate,
+            _N_RECENT_RUN,
+        )
+        for on_route, on_all in tallies
+    )
+    return min(1.0, max(RATE_MIN, *rates))
 
 
 def _last_rate(recent: Tally, in_all: Tally, latest: Tally) -> float:
@@ -298,8 +373,19 @@
 def _is_changing(around: tuple[_Interval, ...]) -> bool:
     """Return whether the old version's failure rate over all routes changes."""
     totals = [_sum(each.old.values()) for each in around if each.old]
-    rates = [each.n_bad / each.n_run for each in totals]
-    return bool(rates) and max(rates) - min(rates) > RATE_CHANGE
+    if not totals:
+        return False
+    highest = max(totals, key=_bad_share)
+    lowest = min(totals, key=_bad_share)
+    in_all = _sum([highest, lowest])
+    variance = _bad_share(in_all) * (1.0 - _bad_share(in_all))
+    error = math.sqrt(variance * (1.0 / highest.n_run + 1.0 / lowest.n_run))
+    change = _bad_share(highest) - _bad_share(lowest)
+    return change > max(RATE_CHANGE, N_ERRORS_OF_CHANGE * error)
+
+
+def _bad_share(tally: Tally) -> float:
+    return tally.n_bad / tally.n_run
 
 
 def _standard_error(tally: Tally) -> float:
--- a/packages/pepperstair-core/pepperstair_core/rollout/version_rules.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/version_rules.py
@@ -9,6 +9,7 @@
 from ..labels import Operator, Requirement, Selector
 from ..members import VERSION_LABEL
 from ..routing import CompiledRoute
+from .exposure import Portion
 from .records import Phase
 
 
@@ -16,9 +17,9 @@
     """The versions of one service that requests may go to.
 
     `usual` is the requirement on the targets of all requests that are not sent to the
-    canary targets; `cause` states why. Versions that are `held` get no requests.
-    `phase` is None without an order. `is_new_allowed` states whether the ordered
-    version may get requests.
+    targets of a trial; `cause` states why. Versions that are `held` get no requests.
+    `phase` is None without an order. `portion` is the part of the requests that goes
+    to the ordered version.
     """
 
     usual: Requirement
@@ -26,12 +27,17 @@
     held: frozenset[str] = frozenset()
     target_version: str = ""
     phase: Phase | None = None
-    is_new_allowed: bool = False
+    portion: Portion = Portion.NONE
 
     @property
-    def is_canary(self) -> bool:
-        """Return whether some requests go to the canary targets."""
-        return self.phase is Phase.CANARY and self.is_new_allowed
+    def is_new_allowed(self) -> bool:
+        """Return whether the ordered version may get requests."""
+        return self.portion is not Portion.NONE
+
+    @property
+    def is_trial(self) -> bool:
+        """Return whether some requests go to the ordered version and others don't."""
+        return Portion.NONE < self.portion < Portion.ALL
 
     @property
     def new(self) -> Requirement:
@@ -42,7 +48,7 @@
         """Return why targets of a version take no requests, or None if they do."""
         if self.phase is not None and version == self.target_version:
             return None if self.is_new_allowed else ErrorKind.VERSION_HELD
-        if self.phase in (Phase.PROMOTING, Phase.COMPLETED) and self.is_new_allowed:
+        if self.portion is Portion.ALL:
             return ErrorKind.VERSION_SUPERSEDED
         return ErrorKind.VERSION_HELD if version in self.held else None
 
@@ -51,21 +57,22 @@
     held: frozenset[str],
     target_version: str = "",
     phase: Phase | None = None,
-    is_new_allowed: bool = False,
+    portion: Portion = Portion.NONE,
 ) -> VersionRule | None:
     """Return the rule of a service, or None if all its targets get requests."""
     if phase is None:
         if not held:
             return None
         return VersionRule(_is_none_of(held), "other versions are on hold", held)
-    if phase in (Phase.PROMOTING, Phase.COMPLETED) and is_new_allowed:
+    if portion is Portion.ALL:
         usual = _is_one_of(frozenset([target_version]))
         cause = f"{target_version} is {phase.name.lower()}"
     else:
         usual = _is_none_of(held | {target_version})
-        stage = phase.name.lower() if is_new_allowed else "not allowed"
+        is_allowed = portion is not Portion.NONE
+        stage = phase.name.lower() if is_allowed else "not allowed"
         cause = f"{target_version} is {stage}"
-    return VersionRule(usual, cause, held, target_version, phase, is_new_allowed)
+    return VersionRule(usual, cause, held, target_version, phase, portion)
 
 
 def narrow(
--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -17,6 +17,7 @@
     Evidence,
     ExposureBudget,
     Phase,
+    Portion,
     Rollout,
     RolloutOrder,
     RolloutState,
@@ -356,7 +357,8 @@
 
     def _count_old_running(self, active: ActiveRollout) -> int | None:
         """Return the calls at old targets of this VM, None while these accept calls."""
-        if active.rollout.phase is not Phase.PROMOTING or active.is_suspended:
+        is_replacing = active.rollout.portion is Portion.ALL
+        if not is_replacing or active.is_suspended:
             return None
         order = active.rollout.order
 
--- a/packages/pepperstaird/pepperstaird/version_routing.py
+++ b/packages/pepperstaird/pepperstaird/version_routing.py
@@ -12,9 +12,11 @@
 from pepperstair_core.rollout import (
     ExposureBudget,
     Phase,
+    Portion,
     Rollout,
     RolloutTerms,
     canary_targets,
+    step_targets,
 )
 from pepperstair_core.rollout.holds import VersionHolds
 from pepperstair_core.rollout.version_rules import VersionRule, make_rule, narrow
@@ -58,7 +60,7 @@
         self._terms = terms
         self._rules: dict[str, VersionRule] = {}
         self._active: Mapping[str, ActiveRollout] = {}
-        self._canary_keys: dict[str, frozenset[tuple[str, str]]] = {}
+        self._trial_keys: dict[str, frozenset[tuple[str, str]]] = {}
         self.holds = VersionHolds()
         self.is_restored = False
         self.is_settled = False
@@ -70,11 +72,11 @@
         rule = self._rules.get(service)
         if rule is None:
             return compiled
-        if rule.is_canary:
+        if rule.is_trial:
             budget = self._active[service].budget
             budget.count()
-            keys = self._canary_keys[service]
-            if keys and budget.take(self._targets.n_members):
+            keys = self._trial_keys[service]
+            if keys and budget.take(self._targets.n_members, rule.portion):
                 self.n_exposed += 1
                 return narrow(compiled, rule.new, "canary", keys)
         return narrow(compiled, rule.usual, rule.cause)
@@ -94,12 +96,12 @@
         is_new = rule.phase is not None and version == rule.target_version
         if is_new and not rule.is_new_allowed:
             return narrow(compiled, rule.usual, rule.cause)
-        if is_new and rule.phase is Phase.CANARY:
+        if is_new and rule.is_trial:
             return narrow(compiled, rule.usual, "the canary attempt failed")
         is_superseded = failure.kind is ErrorKind.VERSION_SUPERSEDED
         if is_superseded and not is_new and rule.is_new_allowed:
             return narrow(compiled, rule.new, "the old version is superseded")
-        if rule.phase is None or rule.phase is Phase.CANARY:
+        if rule.phase is None or rule.is_trial or rule.phase is Phase.CANARY:
             return narrow(compiled, rule.usual, rule.cause)
         return None
 
@@ -128,10 +130,10 @@
         self._rules = {
             service: rule for service, rule in rules.items() if rule is not None
         }
-        self._canary_keys = {
-            service: self._choose_canary_targets(service, rule.target_version)
+        self._trial_keys = {
+            service: self._choose_trial_targets(service, rule)
             for service, rule in self._rules.items()
-            if rule.is_canary
+            if rule.is_trial
         }
 
     def _make_rule(
@@ -160,14 +162,18 @@
             return None
         is_trusted = self.is_restored or not is_canary
         is_new_allowed = is_trusted and not active.is_suspended
-        return make_rule(held, ordered, rollout.phase, is_new_allowed)
+        portion = rollout.portion if is_new_allowed else Portion.NONE
+        return make_rule(held, ordered, rollout.phase, portion)
 
-    def _choose_canary_targets(
-        self, service: str, version: str
+    def _choose_trial_targets(
+        self, service: str, rule: VersionRule
     ) -> frozenset[tuple[str, str]]:
+        version = rule.target_version
         old = self._targets.versions(service) - {version}
         n_old = sum(len(self._targets.keys(service, item)) for item in old)
         keys = self._targets.keys(service, version)
+        if rule.portion is not Portion.CANARY:
+            return frozenset(step_targets(service, keys, n_old))
         share = self._terms.exposure_share
         return frozenset(canary_targets(service, keys, n_old, share))
 
--- a/tests/rollout/load.py
+++ b/tests/rollout/load.py
@@ -17,11 +17,13 @@
 from pepperstair_core.rollout import (
     ExposureBudget,
     Phase,
+    Portion,
     Rollout,
     RolloutFleet,
     RolloutOrder,
     canary_targets,
     exposure_offset,
+    step_targets,
 )
 
 from .records import TERMS
@@ -135,6 +137,8 @@
         keys = [(each.vm, "t") for each in self.new]
         chosen = canary_targets("ledger", keys, scenario.n_targets, 0.1)
         self.canaries = [by_vm[vm] for vm, _ in chosen]
+        chosen = step_targets("ledger", keys, scenario.n_targets)
+        self.step_targets = [by_vm[vm] for vm, _ in chosen]
         if scenario.n_bad_targets is None:
             self.bad_targets = self.new
         else:
@@ -148,8 +152,10 @@
         self.verdict_lags_ms = [
             self.rng.uniform(0, VERDICT_LAG_MS) for _ in self.budgets
         ]
-        self.known_from_ms = {Phase.CANARY: 0.0}
+        # What the judge decided, with the time from which others can know it.
+        self.decided: list[tuple[float, Portion]] = [(0.0, Portion.CANARY)]
         self.finished: deque[tuple[float, Target, str, bool, float]] = deque()
+        self.suspended_from_ms = math.inf
         self.in_flight_evidence: list[tuple[float, object]] = []
         self.n_bad_of_new = 0
 
@@ -207,16 +213,27 @@
         """Return the target that a caller chooses by what it knows."""
         budget = self.budgets[caller]
         budget.count()
-        heard_ms = now_ms - self.lags_ms[caller]
-        judged_ms = now_ms - self.verdict_lags_ms[caller]
-        if judged_ms >= self.known_from_ms.get(Phase.ROLLED_BACK, math.inf):
+        if now_ms - self.verdict_lags_ms[caller] >= self.suspended_from_ms:
             return self.rng.choice(self.old)
-        if heard_ms >= self.known_from_ms.get(Phase.PROMOTING, math.inf):
+        portion = self._known_portion(now_ms - self.lags_ms[caller])
+        if portion is Portion.ALL:
             return self.rng.choice(self.new)
-        if budget.take(self.scenario.n_callers):
-            return self.rng.choice(self.canaries)
+        if budget.take(self.scenario.n_callers, portion):
+            is_canary = portion is Portion.CANARY
+            return self.rng.choice(self.canaries if is_canary else self.step_targets)
         return self.rng.choice(self.old)
 
+    def _known_portion(self, heard_ms: float) -> Portion:
+        """Return the last decision of the judge that a caller knows."""
+        return next(
+            (
+                portion
+                for from_ms, portion in reversed(self.decided)
+                if from_ms <= heard_ms
+            ),
+            Portion.CANARY,
+        )
+
     def _outcome(self, target: Target, route: str, now_ms: float) -> tuple[bool, float]:
         scenario = self.scenario
         bad_rate, slowness = USUAL_BAD, target.slowness
@@ -258,14 +275,16 @@
 
     def _decide(self, now_ms: float) -> None:
         proposal = self.judge.proposal(now_ms, self.fleet)
-        if proposal is None:
-            return
-        is_rolled_back = proposal is Phase.ROLLED_BACK
-        if is_rolled_back:
-            self.result.verdict_ms = now_ms
-        self.judge.merge_phase(proposal)
-        self.known_from_ms[proposal] = now_ms + (0.0 if is_rolled_back else WRITE_MS)
-        if proposal is Phase.PROMOTING:
+        if proposal is not None:
+            if proposal is Phase.ROLLED_BACK:
+                self.result.verdict_ms = self.suspended_from_ms = now_ms
+            self.judge.merge_phase(proposal)
+        is_written = proposal is not None
+        portion = self.judge.portion
+        if portion is not Portion.NONE and portion is not self.decided[-1][1]:
+            from_ms = now_ms + (WRITE_MS if is_written else 0.0)
+            self.decided.append((from_ms, portion))
+        if portion is Portion.ALL:
             for target in self.old:
                 self.daemons[target.vm].set_old_running(0)
 
--- a/tests/rollout/other_tests.py
+++ b/tests/rollout/other_tests.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from pepperstair_core.rollout import Portion
 from pepperstair_core.rollout.evidence import Increment, Tally
 from pepperstair_core.rollout.verdict import BAD_SCORE, SequentialTest
 
@@ -30,17 +31,24 @@
 class OtherTest:
     """A test that knows no doubt between good and bad."""
 
+    is_suspected = False
+
     def is_doubtful(self) -> bool:
         """Return False: what is not bad is promoted."""
         return False
 
+    def is_cleared(self) -> bool:
+        """Return True: what is not bad is promoted."""
+        return True
+
+    def is_raised(self) -> bool:
+        """Return False: what is not bad is promoted."""
+        return False
+
     def is_slightly_doubtful(self) -> bool:
         """Return False: what is not bad is completed."""
         return False
 
-    def restart(self) -> None:
-        """Keep everything when promotion begins."""
-
 
 class CumulativeTest(OtherTest):
     """A test that looks at all counts since the order."""
@@ -55,7 +63,7 @@
         self.is_changed = bool(increments)
         add_to(self.counts, increments)
 
-    def is_bad(self, is_promoting: bool) -> bool:
+    def is_bad(self, portion: Portion) -> bool:
         """Return whether the version is bad on any route or over all."""
         if not self.is_changed:
             return False
@@ -137,7 +145,7 @@
         while self.kept[0][0] < now_ms - self.window_ms:
             self.kept.popleft()
 
-    def is_bad(self, is_promoting: bool) -> bool:
+    def is_bad(self, portion: Portion) -> bool:
         """Return whether the version is bad on any route or over all."""
         if not self.kept[-1][1]:
             return False
--- a/tests/rollout/test_holds.py
+++ b/tests/rollout/test_holds.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pepperstair_core.errors import ErrorKind
-from pepperstair_core.rollout import Phase
+from pepperstair_core.rollout import Phase, Portion
 from pepperstair_core.rollout.holds import (
     CONFIRMATION_MARGIN_MS,
     ONLY_VERSION_MS,
@@ -70,18 +70,20 @@
 
 
 @pytest.mark.parametrize(
-    ("phase", "is_new_allowed", "old", "new"),
+    ("phase", "portion", "old", "new"),
     [
-        (Phase.CANARY, True, None, None),
-        (Phase.CANARY, False, None, HELD),
-        (Phase.PROMOTING, True, SUPERSEDED, None),
-        (Phase.PROMOTING, False, None, HELD),
-        (Phase.COMPLETED, True, SUPERSEDED, None),
-        (Phase.ROLLED_BACK, False, None, HELD),
+        (Phase.CANARY, Portion.CANARY, None, None),
+        (Phase.CANARY, Portion.SUSPECT, None, None),
+        (Phase.CANARY, Portion.NONE, None, HELD),
+        (Phase.PROMOTING, Portion.STEP, None, None),
+        (Phase.PROMOTING, Portion.ALL, SUPERSEDED, None),
+        (Phase.PROMOTING, Portion.NONE, None, HELD),
+        (Phase.COMPLETED, Portion.ALL, SUPERSEDED, None),
+        (Phase.ROLLED_BACK, Portion.NONE, None, HELD),
     ],
 )
-def test_refusal_beside_a_target_follows_the_phase(phase, is_new_allowed, old, new):
-    rule = make_rule(frozenset(["v0"]), "v2", phase, is_new_allowed)
+def test_refusal_beside_a_target_follows_the_phase(phase, portion, old, new):
+    rule = make_rule(frozenset(["v0"]), "v2", phase, portion)
     assert (rule.refusal("v1"), rule.refusal("v2")) == (old, new)
     assert rule.refusal("v0") in (HELD, SUPERSEDED)
 
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -4,7 +4,7 @@
 
 from msgspec.structs import replace
 
-from pepperstair_core.rollout import Phase
+from pepperstair_core.rollout import Phase, Portion
 
 from .records import (
     COMPLETION_MS,
@@ -113,6 +113,38 @@
     assert promoting().proposal(COMPLETION_MS - 1.0, none) is None
 
 
+def test_old_version_gets_requests_until_shortly_before_completion():
+    """Guards against a promotion that leaves no old version to compare with."""
+    rollout = promoting()
+    rollout.proposal(10_999.0, FLEET)
+    assert rollout.portion is Portion.STEP
+    rollout.proposal(11_000.0, FLEET)
+    assert rollout.portion is Portion.ALL
+
+
+def test_old_version_is_not_replaced_right_after_a_late_promotion():
+    """Guards against replacement before there is evidence of the promotion."""
+    rollout = make_rollout()
+    rollout.merge_phase(Phase.PROMOTING)
+    rollout.proposal(10_900.0, FLEET)
+    rollout.proposal(11_499.0, FLEET)
+    assert rollout.portion is Portion.STEP
+    rollout.proposal(11_500.0, FLEET)
+    assert rollout.portion is Portion.ALL
+
+
+def test_version_in_doubt_does_not_replace_the_old_one():
+    """Guards against exposure beyond the bound while evidence is on its way."""
+    rollout = promoting()
+    rollout.merge(evidence("vm-1", counts(200)))
+    rollout.merge(evidence("vm-2", counts(20, 2, is_new=True)))
+    rollout.merge(evidence("vm-3", counts(20, 3, is_new=True)))
+    for ms in (10_000.0, 11_000.0, 11_500.0):
+        rollout.proposal(ms, FLEET)
+        assert rollout.portion is Portion.STEP
+    assert rollout.proposal(11_700.0, FLEET) is Phase.ROLLED_BACK
+
+
 def test_late_promotion_is_tested_too():
     """Guards against completing a version before evidence of its full load."""
     none = replace(FLEET, vms_with_old=frozenset())
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -331,7 +331,7 @@
     """Guards against calls that are cut off when the old targets are stopped."""
     fleet.order()
     fleet.daemons["b"].n_unfinished = 1
-    await fleet.advance(10 * SECONDS)
+    await fleet.advance(11_100)
     assert fleet.phases() == {"promoting"}
     assert fleet.daemons["e"].picks() == {"v2": 200}
     assert fleet.daemons["b"].refusal("v1") is ErrorKind.VERSION_SUPERSEDED
@@ -344,6 +344,22 @@
     assert fleet.daemons["e"].picks() == {"v2": 200}
 
 
+@with_fleet
+async def test_old_version_keeps_most_requests_until_shortly_before_completion(fleet):
+    """Guards against a promotion that leaves no old version to compare with."""
+    fleet.order()
+    await fleet.advance(10_200)
+    assert fleet.phases() == {"promoting"}
+    counts = fleet.daemons["e"].picks(100)
+    assert 0 < counts["v2"] <= 25 < counts["v1"]
+    assert fleet.daemons["b"].refusal("v1") is None
+    routing = fleet.daemons["e"].rollouts.routing
+    failed = Failure(ErrorKind.TARGET_FAILED)
+    other = routing.pick_other_version(ROUTE, endpoint_of("c", "v2"), failed)
+    table = EndpointTable(fleet.daemons["e"].directory.members(), {})
+    assert {item.vm for item in table.endpoints(other.target_selector)} == {"a", "b"}
+
+
 @with_fleet
 async def test_call_refused_by_an_old_target_goes_to_the_new_version(fleet):
     """Guards against lost calls of daemons that do not know of the promotion yet."""
