Record decisions with the time of day

Cause: whoever recorded a decision brought the time along, and five of eight places had the monotonic clock at hand (quarantine, ejection, retry, refusal, members; rollouts too). Seen by reading what each caller passes; the clock of a rolled-out version or a wrong time zone in the command line would have shifted the times by hours, not by decades.

The log of decisions now owns the clock, so no caller can bring another one.

tests/test_process_configuration.py::test_decisions_bear_the_time_of_day failed before (at_ms 2568437, the machine's uptime) and passes now.

--- a/benchmarks/naive/daemon.py
+++ b/benchmarks/naive/daemon.py
@@ -78,7 +78,7 @@
             settings.members,
             settings.peers,
             self.frame_counters[StreamKind.CONTROL],
-            DecisionLog(),
+            DecisionLog(lambda: 0),
             self.rng,
             monotonic_ms,
         )
--- a/packages/pepperstair-callers/pepperstair_callers/attempt_reports.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempt_reports.py
@@ -5,7 +5,7 @@
 import structlog
 
 from pepperstair_core.calls import Ejection
-from pepperstair_core.decisions import Decision, DecisionKind
+from pepperstair_core.decisions import DecisionKind
 from pepperstair_core.errors import Failure
 from pepperstair_core.events import Event
 from pepperstair_core.routing import Endpoint
@@ -43,8 +43,7 @@
     cause: str,
     figures: tuple[tuple[str, float], ...],
 ) -> None:
-    at_ms = int(context.now_ms())
-    context.decisions.add(Decision(at_ms, kind, subject, cause, figures))
+    context.decisions.record(kind, subject, cause, figures)
 
 
 __all__ = ["report_ejection", "report_retry"]
--- a/packages/pepperstair-core/pepperstair_core/decisions.py
+++ b/packages/pepperstair-core/pepperstair_core/decisions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from enum import StrEnum
 from typing import Final
 
@@ -32,7 +32,10 @@
 
 
 class Decision(Struct, frozen=True):
-    """One decision: its subject, its cause and the figures that it is based on."""
+    """One decision: its subject, its cause and the figures that it is based on.
+
+    `at_ms` is the time of day, in milliseconds since the epoch.
+    """
 
     at_ms: int
     kind: DecisionKind
@@ -44,18 +47,27 @@
 class DecisionLog:
     """A ring buffer of decisions; a new one evicts the oldest when it is full.
 
-    >>> decisions = DecisionLog()
-    >>> decisions.add(Decision(0, DecisionKind.EJECTED, "ledger-1", "5 errors"))
+    `now_ms` returns the time of day, in milliseconds since the epoch.
+
+    >>> decisions = DecisionLog(lambda: 1_767_225_600_000)
+    >>> decisions.record(DecisionKind.EJECTED, "ledger-1", "5 errors")
     >>> [decision.cause for decision in decisions.find("ledger-1")]
     ['5 errors']
     """
 
-    def __init__(self, n_max: int = N_DECISIONS_MAX) -> None:
+    def __init__(self, now_ms: Callable[[], int], n_max: int = N_DECISIONS_MAX) -> None:
+        self._now_ms = now_ms
         self._ring: deque[Decision] = deque(maxlen=n_max)
 
-    def add(self, decision: Decision) -> None:
-        """Append a decision."""
-        self._ring.append(decision)
+    def record(
+        self,
+        kind: DecisionKind,
+        subject: str,
+        cause: str,
+        figures: tuple[tuple[str, float], ...] = (),
+    ) -> None:
+        """Append a decision that was made now."""
+        self._ring.append(Decision(self._now_ms(), kind, subject, cause, figures))
 
     def find(self, subject: str = "") -> Iterator[Decision]:
         """Yield the decisions about a subject, or all of them, oldest first."""
--- a/packages/pepperstair-peers/pepperstair_peers/control/changes.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/changes.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
+from pepperstair_core.decisions import DecisionKind, DecisionLog
 from pepperstair_core.events import Event
 from pepperstair_core.members import Member, MemberState
 from pepperstair_core.membership import MemberChanged
@@ -19,7 +19,7 @@
 }
 
 
-def record_change(decisions: DecisionLog, change: MemberChanged, now_ms: int) -> None:
+def record_change(decisions: DecisionLog, change: MemberChanged) -> None:
     """Log a change of state or incarnation and record suspicions for `explain`.
 
     A decision is recorded when a member becomes suspected or gone, and when it
@@ -39,7 +39,7 @@
         kind = DecisionKind.REFUTED
     if kind is not None:
         cause = f"{member.state.name.lower()} in incarnation {member.incarnation}"
-        decisions.add(Decision(now_ms, kind, member.vm, cause))
+        decisions.record(kind, member.vm, cause)
 
 
 def _status_of(member: Member) -> tuple[int, MemberState]:
--- a/packages/pepperstair-peers/pepperstair_peers/control/plane.py
+++ b/packages/pepperstair-peers/pepperstair_peers/control/plane.py
@@ -205,7 +205,7 @@
                 self._close_link(action.vm)
             elif isinstance(action, MemberChanged):
                 is_changed = True
-                record_change(self._decisions, action, self._clock_ms())
+                record_change(self._decisions, action)
         if is_changed:
             self.on_members_changed()
         if is_flush_wanted and self._membership.is_flush_due:
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -16,7 +16,7 @@
     RunLimits,
     TrustLevel,
 )
-from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
+from pepperstair_core.decisions import DecisionKind, DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure, PepperstairError, RunStatus
 from pepperstair_core.events import Event
 from pepperstair_core.intent import Policy
@@ -463,10 +463,7 @@
             ("n_refused", float(n_refused + 1)),
             ("retry_after_ms", float(refused.retry_after_ms)),
         )
-        decision = Decision(
-            int(now_ms), DecisionKind.REFUSED, name, refused.cause.value, figures
-        )
-        self._decisions.add(decision)
+        self._decisions.record(DecisionKind.REFUSED, name, refused.cause.value, figures)
 
 
 def _not_run(kind: ErrorKind, detail: str) -> PepperstairError:
--- a/packages/pepperstaird/pepperstaird/configuration/agent.py
+++ b/packages/pepperstaird/pepperstaird/configuration/agent.py
@@ -16,7 +16,7 @@
 
 from pepperstair_core.accounts import AccountTable, compile_accounts
 from pepperstair_core.config import PlatformSettings
-from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
+from pepperstair_core.decisions import DecisionKind, DecisionLog
 from pepperstair_core.distribution import (
     AcknowledgementCollection,
     Action,
@@ -321,7 +321,7 @@
         cause: str,
         figures: tuple[tuple[str, float], ...],
     ) -> None:
-        self._decisions.add(Decision(wall_ms(), kind, subject, cause, figures))
+        self._decisions.record(kind, subject, cause, figures)
 
     def _on_neighbour_down(self, vm: str) -> None:
         self._outbox.drop(vm)
--- a/packages/pepperstaird/pepperstaird/crash_reports.py
+++ b/packages/pepperstaird/pepperstaird/crash_reports.py
@@ -10,7 +10,7 @@
 import structlog
 
 from pepperstair_core.calls import CrashRecord, Quarantine, TrustLevel
-from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
+from pepperstair_core.decisions import DecisionKind, DecisionLog
 from pepperstair_core.events import Event
 from pepperstair_core.wire import CrashRecords
 from pepperstair_peers import ControlPlane, Identity
@@ -134,14 +134,11 @@
         log.warning(
             Event.REQUEST_QUARANTINED, fingerprint=fingerprint, n_crashes=n_crashes
         )
-        self._decisions.add(
-            Decision(
-                int(self._now_ms()),
-                DecisionKind.QUARANTINED,
-                fingerprint,
-                "it was running when targets crashed",
-                (("n_crashes", float(n_crashes)),),
-            )
+        self._decisions.record(
+            DecisionKind.QUARANTINED,
+            fingerprint,
+            "it was running when targets crashed",
+            (("n_crashes", float(n_crashes)),),
         )
 
     def _send_open_records(self, vm: str) -> None:
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -90,7 +90,7 @@
         self._alive_incarnations: dict[str, int] = {}
         self.body_max_bytes = settings.callers.body_max_bytes
         self.rng = random.Random()
-        self.decisions = DecisionLog()
+        self.decisions = DecisionLog(wall_ms)
         self.burn = BurnCounts(monotonic_ms())
         self.metrics = MetricsSender(
             settings.metrics,
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -14,7 +14,7 @@
 
 from pepperstair_core.accounts import AccountTable, compile_accounts
 from pepperstair_core.config import AccountsSettings
-from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
+from pepperstair_core.decisions import DecisionKind, DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure
 from pepperstair_core.events import Event
 from pepperstair_core.following import (
@@ -534,8 +534,7 @@
             learnt_from=learnt_from,
             cause=cause,
         )
-        decision = Decision(wall_ms(), DecisionKind.REJECTED, learnt_from, cause)
-        self._decisions.add(decision)
+        self._decisions.record(DecisionKind.REJECTED, learnt_from, cause)
 
 
 __all__ = ["ConfigurationFollower"]
--- a/packages/pepperstaird/pepperstaird/reports.py
+++ b/packages/pepperstaird/pepperstaird/reports.py
@@ -19,7 +19,7 @@
     json_reply,
 )
 
-from .clock import monotonic_ms, wall_ms
+from .clock import monotonic_ms
 from .counters import read_counters
 
 if TYPE_CHECKING:
@@ -108,7 +108,7 @@
     """Record why a change was not accepted, for `explain`."""
     is_conflict = failure.kind is ErrorKind.CONFLICT
     kind = DecisionKind.CONFLICT if is_conflict else DecisionKind.REFUSED
-    daemon.decisions.add(Decision(wall_ms(), kind, customer, failure.text))
+    daemon.decisions.record(kind, customer, failure.text)
 
 
 async def burn_reply(daemon: Daemon) -> OperatorReply:
--- a/packages/pepperstaird/pepperstaird/rollout_reports.py
+++ b/packages/pepperstaird/pepperstaird/rollout_reports.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from pepperstair_core.decisions import Decision, DecisionKind, DecisionLog
+from pepperstair_core.decisions import DecisionKind, DecisionLog
 from pepperstair_core.events import Event
 from pepperstair_core.rollout import Rollout
 
@@ -66,7 +66,7 @@
         for name in ("n_run", "n_bad")
     )
     service = rollout.order.service
-    decisions.add(Decision(int(now_ms), DecisionKind.ROLLOUT, service, cause, figures))
+    decisions.record(DecisionKind.ROLLOUT, service, cause, figures)
 
 
 __all__ = ["log_order", "report_phase", "report_verdict"]
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -134,7 +134,7 @@
         self.nodes: dict[str, Node] = {}
         self.raw: dict[str, RawTarget] = {}
         self.outcomes: list[CallOutcome] = []
-        self.decisions = DecisionLog()
+        self.decisions = DecisionLog(lambda: 0)
         self.is_draining = False
         self.time_to_stop_ms = math.inf
         self.is_starting = False
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -55,7 +55,7 @@
             self.members,
             PeersSettings("", seed_addresses=seeds),
             counters[StreamKind.CONTROL],
-            DecisionLog(),
+            DecisionLog(lambda: 0),
             random.Random(self.vm),
             lambda: monotonic_ms() + self.jump_ms,
         )
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -56,7 +56,7 @@
 
     def __init__(self, vm="vm-1", table=None, *, is_first_start=True):
         self.control, self.table = FakeControl(), table or FakeTable()
-        self.quarantine, self.decisions = Quarantine(), DecisionLog()
+        self.quarantine, self.decisions = Quarantine(), DecisionLog(lambda: 0)
         rows = QuarantineRows(self.table, lambda: NOW_MS, is_first_start)
         identity = Identity(vm, 7, "127.0.0.1:1", 500)
         self.reports = CrashReports(
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -153,7 +153,7 @@
             reader,
             {},
             control,
-            DecisionLog(),
+            DecisionLog(lambda: 0),
             random.Random(seed),
             **options,
         )
@@ -504,7 +504,7 @@
             read,
             {},
             Control("vm-2"),
-            DecisionLog(),
+            DecisionLog(lambda: 0),
             random.Random(1),
             schedule=schedule,
         )
--- a/tests/test_process_configuration.py
+++ b/tests/test_process_configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from typing import Any
 
 from benchmarks.fleet import DaemonProcess, fetch, wait_until
@@ -86,3 +87,16 @@
         assert content["in_force_at_ms"] >= content["accepted_at_ms"]
         assert content["route"]["is_carried"] is is_carried
     assert query(daemons[1], "/v1/explain?customer=nobody")[0] == 404
+
+
+def test_decisions_bear_the_time_of_day(fleet):
+    """Guards against decisions that `explain` dates to the start of the machine."""
+    daemons = start_daemons(fleet, 2)
+    put_in_force(fleet, award_document("ledger"), daemons[0])
+    start_ms = time.time() * 1_000
+    daemons[1].pause()
+    explain = f"/v1/explain?subject={daemons[1].vm}"
+    wait_until(lambda: query(daemons[0], explain)[1]["decisions"], "a suspicion")
+    daemons[1].resume()
+    for decision in query(daemons[0], "/v1/explain")[1]["decisions"]:
+        assert abs(decision["at_ms"] - start_ms) < 600_000, decision
--- a/tests/test_proof_exchange.py
+++ b/tests/test_proof_exchange.py
@@ -52,7 +52,7 @@
         reader,
         {},
         control,
-        DecisionLog(),
+        DecisionLog(lambda: 0),
         random.Random(1),
         account_limits=lambda: limits,
         **options,
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -137,7 +137,7 @@
     def __init__(self, fleet, vm, start_id=1):
         self.fleet, self.vm, self.start_id = fleet, vm, start_id
         self.control = FakeControl(fleet, vm)
-        self.decisions = DecisionLog()
+        self.decisions = DecisionLog(lambda: 0)
         self.confirmed_ms = float("-inf")
         self.n_unfinished = 0
         self.directory = MemberDirectory(fleet.members[vm])
