--- a/tests/adapter/store_stand_in.py
+++ b/tests/adapter/store_stand_in.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
 
@@ -36,6 +37,8 @@
         self.delay_s = 0.0
         self.n_reads = 0
         self.n_page_rows = 500
+        # Called after each page that others follow.
+        self.on_page: Callable[[], None] = lambda: None
         # Added to the time that each answer states, None to state none.
         self.advance_ms: int | None = 0
         # Replaces the body of each answer if set.
@@ -98,6 +101,8 @@
             exchange.abort()
             return
         content = {**content, "resource_version": self.version}
+        if content.get("has_more"):
+            self.on_page()
         if self.advance_ms is not None:
             loop_s = asyncio.get_running_loop().time()
             content["now_ms"] = int(1000 * loop_s) + self.advance_ms
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -57,6 +57,19 @@
     assert read.position == 5
 
 
+@with_store
+async def test_change_of_a_page_that_was_read_is_seen_by_the_watch(stand_in, store):
+    """Guards against a change that is missed while later pages are read."""
+    stand_in.n_page_rows = 2
+    for index in range(5):
+        stand_in.put("t", f"k{index}", b"old")
+    stand_in.on_page = lambda: stand_in.put("t", "k0", b"new")
+    read = (await store.read("t")).unwrap()
+    assert read.rows[0].value == b"old"
+    changed = (await store.wait("t", read.position, 10)).unwrap()
+    assert ("k0", b"new") in [(row.key, row.value) for row in changed.rows]
+
+
 @with_store
 async def test_watch_returns_the_changed_rows(stand_in, store):
     table = StoreTable(store, "op")
