Let each test process claim its own blocks of ports

Cause: free_port drew from one range in each test process and checked only that nothing listened at that moment.

A process now claims blocks of 200 ports by a socket that stays bound to the first of each. A lock file would outlive a killed process, the socket doesn't.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -6,7 +6,6 @@
 import contextlib
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -21,33 +20,15 @@
 from pepperstair_core.config import parse_address
 from pepperstair_http import ConnectionLostError, Fetcher
 
+from .ports import free_port
+
 ROOT = Path(__file__).resolve().parent.parent
 SCRIPTS = Path(sys.executable).parent
 PEPPERSTAIRD = (str(SCRIPTS / "pepperstaird"),)
 _N_LAST_LINES = 10
-_PORT_RANGE = (10_000, 32_000)
-_PORT_RNG = random.SystemRandom()
-_assigned_ports: set[int] = set()
 NAIVE_DAEMON = (sys.executable, "-m", "benchmarks.naive")
 
 
-def free_port() -> int:
-    """Return a port on which nothing listens; each call returns a different one.
-
-    The port lies below the kernel's ephemeral port range. Otherwise an outgoing
-    connection could occupy the port of a killed daemon before it is restarted, and
-    the owner of that connection would answer calls meant for the daemon.
-    """
-    while True:
-        port = _PORT_RNG.randrange(*_PORT_RANGE)
-        if port in _assigned_ports:
-            continue
-        _assigned_ports.add(port)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
-
-
 @dataclass(frozen=True)
 class DaemonProcess:
     """A daemon that was started, and its addresses."""
