Run the scenario of the test of delayed call heads

test_call_head_that_arrives_after_its_query_does_not_run passed without running its scenario: the line that runs it was left out. Two guards stand behind what it checks: the stream that a newer one replaces is closed unread, and the record of calls refuses a head on an earlier stream than the query.

--- a/tests/test_data_streams.py
+++ b/tests/test_data_streams.py
@@ -248,6 +248,8 @@
             await asyncio.sleep(0.1)
             assert path.server.runs == [1]
 
+    asyncio.run(scenario())
+
 
 @pytest.mark.parametrize("is_idempotent", [False, True])
 def test_call_that_was_not_received_is_resent(is_idempotent):
