Show in logs and explain how much of the requests a rollout sends, and why

From the log of a rollout one couldn't tell whether a daemon still compared the versions or had sent all requests to the new one, nor which route kept a version from being cleared: the phase is `promoting` for both, and the scores are those of the other test.

`rollout_portion_changed` logs the portion in promotion, `rollout_verdict` and `explain` show the excess of the failure rate by route, and a request that went to the old version in the first step says so in its `version_cause`.

A daemon that doesn't clear a version at its last moment sends it no more requests at once, as the loads of tests/rollout have it, not only when the rollback is written.

--- a/packages/pepperstair-core/pepperstair_core/events.py
+++ b/packages/pepperstair-core/pepperstair_core/events.py
@@ -56,6 +56,7 @@
     ROLLOUT_ORDERED = "rollout_ordered"
     ROLLOUT_VERDICT = "rollout_verdict"
     ROLLOUT_PHASE_CHANGED = "rollout_phase_changed"
+    ROLLOUT_PORTION_CHANGED = "rollout_portion_changed"
     INTERNAL_ERROR = "internal_error"
 
 
--- a/packages/pepperstair-core/pepperstair_core/rollout/excess.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/excess.py
@@ -48,6 +48,9 @@
         least = max(rate_min * self.n_run, n_min, n_errors_min * self.n_errors())
         return self.n_excess >= least
 
+    def rate(self) -> float:
+        return self.n_excess / self.n_run if self.n_run else 0.0
+
     def n_errors(self) -> float:
         return math.sqrt(max(0.0, self.variance))
 
@@ -88,6 +91,11 @@
             copy._by_route[route] = {vm: replace(part) for vm, part in by_vm.items()}
         return copy
 
+    def rates(self) -> Iterator[tuple[str, float]]:
+        """Yield each route with the excess of the failure rate on it."""
+        for route, by_vm in self._by_route.items():
+            yield route, _sum(by_vm).rate()
+
     def is_high(self) -> bool:
         """Return whether the version fails so often that it can't be cleared."""
         by_vm = self._in_all()
--- a/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
@@ -158,6 +158,7 @@
             "target_version": self.order.target_version,
             "number": self.order.number,
             "phase": self.phase.name.lower(),
+            "portion": self.portion.name.lower(),
             "is_suspended": self.is_suspended,
             "left_ms": max(0, int(self.order.duration_ms - self._age_ms(now_ms))),
             "counts": [
@@ -170,6 +171,7 @@
                 }
                 for (route, is_new), tally in sorted(self._store.totals().items())
             ],
+            "excess": self._test.excess(),
             "scores": [
                 {
                     "fault": fault,
@@ -234,6 +236,7 @@
             if self._test.is_slightly_doubtful():
                 return None
         elif not self._test.is_cleared():
+            self._is_bad = True
             return Phase.ROLLED_BACK
         is_drained = all(
             self._store.n_old_running(vm) == 0 for vm in fleet.vms_with_old
--- a/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
@@ -227,6 +227,10 @@
             self._unsettled, self._unsettled_excess = scores, excess
         return self._unsettled
 
+    def excess(self) -> dict[str, float]:
+        """Return the excess of the failure rate by route, as far as it is settled."""
+        return {route: round(rate, 3) for route, rate in self._excess.rates()}
+
     def _close(self, now_ms: float) -> None:
         around = (self._before, self._closed, self._open)
         self._judge(self._scores, self._excess, self._closed, around)
--- a/packages/pepperstair-core/pepperstair_core/rollout/version_rules.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/version_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from msgspec import Struct
 from msgspec.structs import replace
 
@@ -12,6 +14,9 @@
 from .exposure import Portion
 from .records import Phase
 
+# What is said of a version while most requests go to the others.
+_STAGES: Final = {Portion.NONE: "not allowed", Portion.STEP: "in its first step"}
+
 
 class VersionRule(Struct, frozen=True):
     """The versions of one service that requests may go to.
@@ -69,8 +74,7 @@
         cause = f"{target_version} is {phase.name.lower()}"
     else:
         usual = _is_none_of(held | {target_version})
-        is_allowed = portion is not Portion.NONE
-        stage = phase.name.lower() if is_allowed else "not allowed"
+        stage = _STAGES.get(portion, phase.name.lower())
         cause = f"{target_version} is {stage}"
     return VersionRule(usual, cause, held, target_version, phase, portion)
 
--- a/packages/pepperstaird/pepperstaird/rollout_reports.py
+++ b/packages/pepperstaird/pepperstaird/rollout_reports.py
@@ -38,6 +38,22 @@
     _add_decision(rollout, f"{order.target_version} is {phase}", decisions, now_ms)
 
 
+def report_portion(rollout: Rollout, decisions: DecisionLog, now_ms: float) -> None:
+    """Log the part of the requests that goes to the new version in promotion."""
+    order = rollout.order
+    portion = rollout.portion.name.lower()
+    log.info(
+        Event.ROLLOUT_PORTION_CHANGED,
+        service=order.service,
+        target_version=order.target_version,
+        number=order.number,
+        portion=portion,
+        excess=rollout.explain(now_ms)["excess"],
+    )
+    cause = f"{order.target_version} gets requests: {portion}"
+    _add_decision(rollout, cause, decisions, now_ms)
+
+
 def report_verdict(rollout: Rollout, decisions: DecisionLog, now_ms: float) -> None:
     """Log that this daemon considers a version bad, and record it as a decision."""
     order = rollout.order
@@ -49,6 +65,7 @@
         number=order.number,
         counts=explained["counts"],
         scores=explained["scores"],
+        excess=explained["excess"],
     )
     _add_decision(rollout, f"{order.target_version} is bad", decisions, now_ms)
 
@@ -69,4 +86,4 @@
     decisions.record(DecisionKind.ROLLOUT, service, cause, figures)
 
 
-__all__ = ["log_order", "report_phase", "report_verdict"]
+__all__ = ["log_order", "report_phase", "report_portion", "report_verdict"]
--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -28,7 +28,12 @@
 from pepperstair_platform import WatchedRow
 
 from .rollout_exchange import RolloutExchange
-from .rollout_reports import log_order, report_phase, report_verdict
+from .rollout_reports import (
+    log_order,
+    report_phase,
+    report_portion,
+    report_verdict,
+)
 from .rollout_rows import OrderRow, RolloutRows
 from .rollout_targets import ServiceTargets
 from .rollout_writer import RolloutWriter
@@ -333,6 +338,7 @@
         if rollout.is_suspended and not active.is_verdict_logged:
             active.is_verdict_logged = True
             report_verdict(rollout, self._decisions, now_ms)
+        self._report_portion(active)
         if not self.routing.is_restored:
             return
         if active.is_withdrawn:
@@ -344,6 +350,13 @@
             state = RolloutState(order, phase, rollout.state(now_ms).age_ms)
             self._writer.propose(state, is_withdrawn=active.is_withdrawn)
 
+    def _report_portion(self, active: ActiveRollout) -> None:
+        portion = active.rollout.portion
+        is_promoting = portion in (Portion.STEP, Portion.ALL)
+        if is_promoting and portion is not active.logged_portion:
+            active.logged_portion = portion
+            report_portion(active.rollout, self._decisions, self._now_ms())
+
     def _send_evidence(self, active: ActiveRollout) -> None:
         rollout, order = active.rollout, active.rollout.order
         if rollout.phase.is_final:
--- a/packages/pepperstaird/pepperstaird/version_routing.py
+++ b/packages/pepperstaird/pepperstaird/version_routing.py
@@ -39,6 +39,7 @@
     is_stored: bool = False
     is_withdrawn: bool = False
     is_verdict_logged: bool = False
+    logged_portion: Portion = Portion.CANARY
 
     @property
     def is_suspended(self) -> bool:
