Decide on a version within the time that its bad answers leave

Cause: the decision waited for the end of the order, whatever the answers until then. Ruled out: the verdict is late by itself (it came at once in the traces, when asked at the end of the order).

1.5 s before that time ends, a version that isn't cleared is rolled back.

--- a/packages/pepperstair-core/pepperstair_core/rollout/exposure.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/exposure.py
@@ -43,12 +43,13 @@
     """The limits on a bad version.
 
     Of the requests to a service it gets at most `exposure_share` plus
-    `n_exposed_extra`, and none later than `rollback_ms` after its 50th bad answer.
+    `n_exposed_extra`, and none later than `rollback_ms` after `n_bad_max` bad answers.
     """
 
     exposure_share: float
     n_exposed_extra: int
     rollback_ms: int
+    n_bad_max: int = 50
 
 
 _EXPOSURE_SHARES: Final = {
--- a/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
@@ -34,6 +34,9 @@
 # The least time of promotion before all requests go to the new version.
 STEP_MS: Final = 600
 STEP_SHARE_MAX: Final = 0.4
+# Time before the end of the time for a rollback at which a version that is rather bad
+# than good is rolled back. It covers the way of the evidence and of the verdict.
+DECISION_MARGIN_MS: Final = 1_500
 # Share of the old targets' slots that the new ones must have before promotion.
 NEW_SLOTS_SHARE_MIN: Final = 0.5
 
@@ -76,6 +79,9 @@
         self._is_bad = False
         self._is_replacing = False
         self._promoting_ms: float | None = None
+        self._n_bad = 0.0
+        # When as many bad answers were known as start the time for a rollback.
+        self._many_bad_ms: float | None = None
 
     @property
     def is_suspended(self) -> bool:
@@ -141,9 +147,17 @@
         """Return the next phase to write, or None if the phase stays."""
         if self.phase.is_final:
             return None
-        self._test.add(self._store.take_increments(), now_ms)
+        increments = self._store.take_increments()
+        self._test.add(increments, now_ms)
+        self._n_bad += sum(each.tally.n_bad for each in increments if each.is_new)
+        if self._n_bad >= self.terms.n_bad_max and self._many_bad_ms is None:
+            self._many_bad_ms = now_ms
         is_promoting = self.phase is Phase.PROMOTING
-        self._is_bad = self._is_bad or self._test.is_bad(self.portion)
+        self._is_bad = (
+            self._is_bad
+            or self._test.is_bad(self.portion)
+            or (self._is_due(now_ms) and not self._test.is_cleared())
+        )
         if self._is_bad:
             return Phase.ROLLED_BACK
         if is_promoting:
@@ -185,6 +199,12 @@
     def _age_ms(self, now_ms: float) -> float:
         return max(0.0, now_ms - self._ordered_ms)
 
+    def _is_due(self, now_ms: float) -> bool:
+        """Return whether the time after many bad answers has nearly ended."""
+        if self._many_bad_ms is None or self._is_replacing:
+            return False
+        return now_ms >= self._many_bad_ms + self.terms.rollback_ms - DECISION_MARGIN_MS
+
     def _reserve_ms(self) -> float:
         duration_ms = self.order.duration_ms
         reserve_ms = max(RESERVE_MS, RESERVE_SHARE * duration_ms)
--- a/tests/rollout/load.py
+++ b/tests/rollout/load.py
@@ -79,6 +79,7 @@
     n_requests: int = 0
     n_exposed: int = 0
     verdict_ms: float | None = None
+    completed_ms: float | None = None
     fiftieth_bad_ms: float | None = None
     last_new_ms: float | None = None
 
@@ -279,6 +280,8 @@
             if proposal is Phase.ROLLED_BACK:
                 self.result.verdict_ms = self.suspended_from_ms = now_ms
             self.judge.merge_phase(proposal)
+            if proposal is Phase.COMPLETED:
+                self.result.completed_ms = now_ms
         is_written = proposal is not None
         portion = self.judge.portion
         if portion is not Portion.NONE and portion is not self.decided[-1][1]:
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -145,6 +145,17 @@
     assert rollout.proposal(11_700.0, FLEET) is Phase.ROLLED_BACK
 
 
+def test_version_that_is_not_cleared_is_rolled_back_soon_after_many_bad_answers():
+    """Guards against requests to a bad version later than its rollback allows."""
+    rollout = make_rollout()
+    rollout.merge(evidence("vm-1", counts(400, 120)))
+    rollout.merge(evidence("vm-2", counts(62, 27, is_new=True)))
+    rollout.merge(evidence("vm-3", counts(63, 26, is_new=True)))
+    proposals = {ms: rollout.proposal(float(ms), FLEET) for ms in range(0, 3_750, 250)}
+    assert proposals.pop(3_500) is Phase.ROLLED_BACK
+    assert not any(proposals.values())
+
+
 def test_late_promotion_is_tested_too():
     """Guards against completing a version before evidence of its full load."""
     none = replace(FLEET, vms_with_old=frozenset())
--- a/tests/rollout/weigh.py
+++ b/tests/rollout/weigh.py
@@ -25,6 +25,7 @@
     "verdict s, median",
     "verdict s, 95%",
     "after 50th bad s, max",
+    "completed late",
 )
 
 
@@ -37,6 +38,10 @@
     verdicts_s = sorted(
         result.verdict_ms / 1_000 for result in results if result.verdict_ms is not None
     )
+    n_completed_late = sum(
+        result.completed_ms is not None and result.completed_ms > scenario.duration_ms
+        for result in results
+    )
     late_s = [
         (result.last_new_ms - result.fiftieth_bad_ms) / 1_000
         for result in results
@@ -52,12 +57,14 @@
         f"{statistics.median(verdicts_s):.2f}" if verdicts_s else "",
         f"{verdicts_s[int(0.95 * len(verdicts_s))]:.2f}" if verdicts_s else "",
         f"{max(late_s):.1f}" if late_s and not scenario.is_good else "",
+        str(n_completed_late) if scenario.is_good else "",
     )
 
 
 def weigh(
     *,
     n_seeds: int = 100,
+    first_seed: int = 0,
     way: tuple[str, ...] = tuple(WAYS),
     load: tuple[str, ...] = tuple(SCENARIOS),
 ) -> None:
@@ -68,7 +75,8 @@
         scenario = SCENARIOS[load_name]
         for way_name in way:
             make_test = WAYS[way_name]
-            results = [Run(scenario, seed, make_test).run() for seed in range(n_seeds)]
+            seeds = range(first_seed, first_seed + n_seeds)
+            results = [Run(scenario, seed, make_test).run() for seed in seeds]
             row = summarize(scenario, way_name, results)
             print("| " + " | ".join(row) + " |", flush=True)
 
