Wait in the test of decisions until both daemons know each other

Traced: a daemon that is paused before its neighbour has met it isn't suspected (2 of 3 such runs; 0 of 7 with both known), as it isn't a member yet. A version can be in force on both before that.

--- a/tests/test_process_configuration.py
+++ b/tests/test_process_configuration.py
@@ -93,6 +93,10 @@
     """Guards against decisions that `explain` dates to the start of the machine."""
     daemons = start_daemons(fleet, 2)
     put_in_force(fleet, award_document("ledger"), daemons[0])
+    wait_until(
+        lambda: len(query(daemons[0], "/v1/status")[1]["members"]) == len(daemons),
+        "both members known",
+    )
     start_ms = time.time() * 1_000
     daemons[1].pause()
     explain = f"/v1/explain?subject={daemons[1].vm}"
