--- a/packages/pepperstair-core/pepperstair_core/rollout/excess.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/excess.py
@@ -35,6 +35,8 @@
 
 
 class _Part(Struct):
+    """Requests, failures beyond those of the old version, and their variance."""
+
     n_run: float = 0.0
     n_excess: float = 0.0
     variance: float = 0.0
@@ -130,13 +132,6 @@
             for part, _ in self._on_routes()
         )
 
-    def _in_all(self) -> dict[str, _Part]:
-        in_all: dict[str, _Part] = {}
-        for by_vm in self._by_route.values():
-            for vm, part in by_vm.items():
-                in_all.setdefault(vm, _Part()).add(part)
-        return in_all
-
     def has_faulty_target(self, route: str) -> bool:
         """Return whether the worst target on a route may be faulty itself.
 
@@ -153,6 +148,13 @@
         is_faulty = elsewhere.is_excess(EXCESS_MIN, N_CONFIRMING_MIN, 0.0)
         return is_faulty or elsewhere.n_run < N_ELSEWHERE_MIN
 
+    def _in_all(self) -> dict[str, _Part]:
+        in_all: dict[str, _Part] = {}
+        for by_vm in self._by_route.values():
+            for vm, part in by_vm.items():
+                in_all.setdefault(vm, _Part()).add(part)
+        return in_all
+
     def _on_routes(self) -> Iterator[tuple[_Part, bool]]:
         """Yield each route's sum, and whether it leaves a faulty target out."""
         for route, by_vm in self._by_route.items():
--- a/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
@@ -34,8 +34,8 @@
 # The least time of promotion before all requests go to the new version.
 STEP_MS: Final = 600
 STEP_SHARE_MAX: Final = 0.4
-# Time before the end of the time for a rollback at which a version that is rather bad
-# than good is rolled back. It covers the way of the evidence and of the verdict.
+# Time before the end of the time for a rollback at which a version that isn't cleared
+# is rolled back. It covers the way of the evidence and of the verdict.
 DECISION_MARGIN_MS: Final = 1_500
 # Share of the old targets' slots that the new ones must have before promotion.
 NEW_SLOTS_SHARE_MIN: Final = 0.5
@@ -80,7 +80,7 @@
         self._is_replacing = False
         self._promoting_ms: float | None = None
         self._n_bad = 0.0
-        # When as many bad answers were known as start the time for a rollback.
+        # When so many bad answers were known that the time for a rollback began.
         self._many_bad_ms: float | None = None
 
     @property
