--- a/packages/pepperstair-core/pepperstair_core/rollout/excess.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/excess.py
@@ -23,10 +23,11 @@
 # of them, which may have few requests.
 N_ERRORS_MIN: Final = 2.5
 N_ERRORS_ON_ROUTE_MIN: Final = 4.0
+# The same for a version that is rather bad than good.
 N_ERRORS_RAISED: Final = 1.0
 N_ERRORS_RAISED_ON_ROUTE: Final = 2.0
-# Failures beyond those of the old version: to suspect a version, to confirm it without
-# the worst target, and without such a confirmation.
+# Least numbers of failures beyond those of the old version: to suspect the new version,
+# to confirm that without the worst target, and to judge it by all targets.
 N_SUSPECT_MIN: Final = 0.5
 N_CONFIRMING_MIN: Final = 1.5
 N_EXCESS_MIN: Final = 2.5
--- a/packages/pepperstair-core/pepperstair_core/rollout/exposure.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/exposure.py
@@ -16,7 +16,7 @@
 CANARY_SHARE: Final = 0.5
 # The same share while there is some bad evidence, which more requests confirm or clear.
 SUSPECT_SHARE: Final = 0.75
-# Share of the allowed exposure that is spent before all requests go to the version.
+# Share of the allowed exposure that is spent in the first step of promotion at most.
 STEP_SHARE: Final = 0.93
 # Share of the requests that goes to the new version at the beginning of promotion. The
 # old version keeps enough of them to be compared with.
--- a/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
@@ -26,12 +26,14 @@
 # other daemons. Promotion doesn't begin if it would end later than `COMPLETION_MS` / 2
 # before the deadline.
 PROMOTION_TEST_MS: Final = 1_000
-# Time before the deadline at which all requests go to the new version. Until then, the
-# old version gets enough requests to tell a bad version from a fault of both.
+# Time before the deadline from which all requests may go to the new version, and the
+# bounds of that time as shares of the reserve. Until then, the old version gets enough
+# requests to tell a bad version from a fault of both.
 REPLACEMENT_MS: Final = 1_000
 REPLACEMENT_SHARE: Final = 0.4
 REPLACEMENT_SHARE_MAX: Final = 0.6
-# The least time of promotion before all requests go to the new version.
+# The least time of promotion before all requests go to the new version, at most this
+# share of the reserve.
 STEP_MS: Final = 600
 STEP_SHARE_MAX: Final = 0.4
 # Time before the end of the time for a rollback at which a version that isn't cleared
--- a/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/verdict.py
@@ -194,7 +194,7 @@
     def _rest_min(self, fault: str, route: str, usual: float) -> float:
         """Return the score that the targets must reach without the worst one.
 
-        Without a target that is faulty itself, the others must be bad on their own.
+        If the worst target may be faulty itself, the others must be bad on their own.
         """
         if fault == FAILING and self._excess.has_faulty_target(route):
             return BAD_SCORE
