Show the forgotten departure with one outage and a planned restart

The kill of the daemon is replaced by a planned stop and start, which TROUBLE=0 keeps, so that the outage of the store is the only disruption.

--- a/review/2/script.py
+++ b/review/2/script.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import signal
+import subprocess
 import sys
 import tempfile
 import time
@@ -23,16 +24,16 @@
 ZONES: Final = ("quezon-hall", "pasig-hall")
 SERVICE: Final = "klase"
 LEAVING: Final = 2
-PER_S: Final = 15.0
-# Times in seconds after the begin of the trouble. The store is down as long as the
-# longest entry of `platform_down` among the troubles of the site.
+PER_S: Final = 30.0
+# Times in seconds after the planned stop of the daemon. The store is down as long as in
+# the longest entry of `platform_down` among the troubles of the site.
+DOWN_AT_S: Final = 2.0
 DOWN_S: Final = 4.5
-HEARTBEAT_SENT_S: Final = 0.2
-DEREGISTERED_S: Final = 0.3
-KILLED_S: Final = 1.0
-RESTARTED_S: Final = 1.5
-HEARTBEAT_ARRIVES_S: Final = 3.6
-ENDED_S: Final = 11.0
+HEARTBEAT_SENT_S: Final = 2.1
+DEREGISTERED_S: Final = 2.2
+RESTART_DELAY_S: Final = 0.3
+HEARTBEAT_ARRIVES_S: Final = 5.6
+ENDED_S: Final = 13.0
 BOUNDS: Final = {
     "stable_window_ms": 3000,
     "drain_ms": 2000,
@@ -88,6 +89,7 @@
         self.runs: list[tuple[float, float, str, str]] = []
         self.n_answered = 0
         self.acknowledged_s = 0.0
+        self.begin_s = 0.0
         self.stable_s = 0.0
         self.store = Store()
         self.daemons: list[Daemon] = []
@@ -166,25 +168,29 @@
         self.note(f"answer {request_id} {answer.status if answer else 'none'}")
 
     async def play(self) -> None:
-        """Play the departure, in an outage of the store or in calm."""
+        """Play the stop and the departure, in an outage of the store or in calm."""
         others = [d for i, d in enumerate(self.daemons) if i != LEAVING]
         sending = asyncio.gather(*(self.send_from(d, 2.0 + ENDED_S) for d in others))
         await asyncio.sleep(2.0)
         self.begin_s = self.now_s()
-        self.stable_s = self.begin_s
-        if self.has_trouble:
-            self.stable_s += DOWN_S + BOUNDS["stable_window_ms"] / 1000
-        await asyncio.gather(self._fail_store(), self._leave(), self._kill())
+        await asyncio.gather(self._fail_store(), self._leave(), self._restart())
         await sending
 
     async def _fail_store(self) -> None:
         if not self.has_trouble:
             return
+        await asyncio.sleep(DOWN_AT_S)
         self.store.is_silent = True
         self.note("the store is down")
         await asyncio.sleep(DOWN_S)
         self.store.is_silent = False
         self.note("the store is back")
+        self._touch_from(self.now_s())
+
+    def _touch_from(self, calm_s: float) -> None:
+        """Let the time in touch begin a stable window after `calm_s` or later."""
+        window_s = BOUNDS["stable_window_ms"] / 1000
+        self.stable_s = max(self.stable_s, calm_s + window_s)
 
     async def _leave(self) -> None:
         """Deregister the instance; an earlier heartbeat of it arrives afterwards."""
@@ -203,19 +209,18 @@
         is_answered = await instance.call(daemon.control_plane, "Heartbeat", late)
         self.note(f"the heartbeat arrives, acknowledged {is_answered}")
 
-    async def _kill(self) -> None:
-        """Kill the daemon beside the instance and start it again."""
+    async def _restart(self) -> None:
+        """Stop the daemon beside the instance and start it again, as in a roll_term."""
         daemon, instance = self.daemons[LEAVING], self.instances[LEAVING]
-        if not self.has_trouble:
-            return
-        await asyncio.sleep(KILLED_S)
-        daemon.signal(signal.SIGKILL)
-        daemon.process.wait()
-        self.note(f"{daemon.name} is killed")
-        await asyncio.sleep(RESTARTED_S - KILLED_S)
+        daemon.signal(signal.SIGTERM)
+        self.note(f"{daemon.name} gets SIGTERM")
+        code = await asyncio.to_thread(daemon.process.wait, BOUNDS["grace_s"])
+        self.note(f"{daemon.name} has ended with {code}")
+        await asyncio.sleep(RESTART_DELAY_S)
         daemon.fields["bootstrap"] = False
         daemon.start(self.store.address, instance.address)
         self.note(f"{daemon.name} is started again")
+        self._touch_from(self.now_s())
 
     def end(self) -> None:
         """End every process that was started."""
@@ -225,8 +230,8 @@
     def check(self) -> bool:
         """Return whether the rule DRAIN held.
 
-        Only requests count that were sent when the store had been without disruption
-        for the stable window. The daemon was started more than that before.
+        Only requests count that were sent a stable window after the end of the outage
+        and after the start of the daemon.
         """
         bound_s = self.acknowledged_s + BOUNDS["drain_ms"] / 1000
         name = self.instances[LEAVING].name
@@ -253,7 +258,7 @@
             await run.start()
             await run.wait_ready()
             await run.play()
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, subprocess.TimeoutExpired) as error:
             print(f"the case could not run: {error!r}")
             return 2
         finally:
