Keep the load of the quota case inside the doses of the site

The tenant was hot for the whole run, with a usual equal to its limit. It now follows the site's own entry (x = 7.5 of its usual for 6.5 s, limit 1.6 times its usual), with 8 machines and 100 requests a second.

--- a/review/2/script.py
+++ b/review/2/script.py
@@ -19,16 +19,21 @@
 from stand.store import Store
 
 FOLDER: Final = Path(__file__).resolve().parent
-N_MACHINES: Final = 12
+N_MACHINES: Final = 8
 ZONES: Final = ("waco-a", "temple-b", "killeen-c", "bryan-d")
 SERVICE: Final = "relaydesk"
 TENANT: Final = "delta"
 KEY: Final = "nr26tta828m82thhkmgj"
-RATE_PER_S: Final = 60.0
-BURST: Final = 30
-# The tenant sends this many times its usual, which is its limit. The largest dose of
-# `hot_tenant` on the site is 8.34.
+RATE_PER_S: Final = 100.0
+BURST: Final = 20
+# Requests that the tenant usually sends, and how many times as many while it is hot, as
+# in the entry of `hot_tenant` among the troubles of the site. Its limit is 1.6 times
+# its usual (`quota_x` of the site).
+USUAL_PER_S: Final = RATE_PER_S / 1.6
 HOT_X: Final = 7.5
+HOT_S: Final = 6.5
+# After the begin of the cut.
+HOT_AT_S: Final = 5.5
 # The machine that keeps the tenant's quota (`owner` of the log event quota_exceeded).
 CUT_MACHINE: Final = "vm-05"
 # The longest `node_cut` of the site.
@@ -108,6 +113,7 @@
         self.machine_of: dict[str, str] = {}
         self.runs: list[tuple[float, float, str, str]] = []
         self.links = Links()
+        self.is_hot = False
         self.store = Store()
         self.daemons: list[Daemon] = []
         self.instances: list[Instance] = []
@@ -164,7 +170,6 @@
     async def send_from(self, daemon: Daemon, for_s: float) -> None:
         """Send the tenant's requests to one machine at an even rate."""
         caller = Caller(daemon.outbound)
-        gap_s = N_MACHINES / (HOT_X * RATE_PER_S)
         index, next_s, end_s = 0, self.now_s(), self.now_s() + for_s
         while self.now_s() < end_s:
             index += 1
@@ -172,7 +177,8 @@
             task = asyncio.create_task(sending)
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            next_s += gap_s
+            per_s = USUAL_PER_S * (HOT_X if self.is_hot else 1.0)
+            next_s = max(next_s + N_MACHINES / per_s, self.now_s() - 0.1)
             await asyncio.sleep(max(0.0, next_s - self.now_s()))
         if self._tasks:
             await asyncio.wait(set(self._tasks), timeout=4.0)
@@ -200,7 +206,12 @@
         if self.has_trouble:
             self.note(f"cut {CUT_MACHINE}")
             self.links.cut([CUT_MACHINE])
-        await asyncio.sleep(CUT_S)
+        await asyncio.sleep(HOT_AT_S)
+        self.is_hot = True
+        self.note(f"{TENANT} is hot")
+        await asyncio.sleep(HOT_S)
+        self.is_hot = False
+        await asyncio.sleep(CUT_S - HOT_AT_S - HOT_S)
         self.note("healed")
         self.links.heal()
         await sending
