--- a/review/stand/http.py
+++ b/review/stand/http.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 HEAD_MAX_BYTES = 65_536
+# Four fifths of the `idle_timeout_ms` of the cases' configurations, 15 s.
+IDLE_MAX_S = 12.0
 
 
 @dataclass
@@ -122,7 +125,8 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        # The time of the last answer, with the connection; the latest last.
+        self._idle: list[tuple[float, asyncio.StreamReader, asyncio.StreamWriter]] = []
 
     async def send(
         self, first: str, headers: dict[str, str], body: bytes, timeout_s: float
@@ -133,8 +137,9 @@
         answer = None
         try:
             async with asyncio.timeout(timeout_s):
+                self._close_idle(time.monotonic() - IDLE_MAX_S)
                 if self._idle:
-                    reader, writer = self._idle.pop()
+                    _, reader, writer = self._idle.pop()
                 else:
                     reader, writer = await asyncio.open_connection(host, int(port))
                 writer.write(encode(f"{first} HTTP/1.1", headers, body))
@@ -145,11 +150,14 @@
             if writer is not None:
                 writer.close()
         else:
-            self._idle.append((reader, writer))
+            self._idle.append((time.monotonic(), reader, writer))
         return answer
 
     def close(self) -> None:
         """Close the idle connections."""
-        for _, writer in self._idle:
-            writer.close()
-        self._idle.clear()
+        self._close_idle(float("inf"))
+
+    def _close_idle(self, before_s: float) -> None:
+        """Close the connections that have been idle since before a time."""
+        while self._idle and self._idle[0][0] < before_s:
+            self._idle.pop(0)[2].close()
