Log when a version is held back and when it is released, and why

Before this, a version that gets requests again after a restart of all daemons left no trace: `rollout_ordered` names the order in force, and nothing says what the daemon makes of the other versions. Four causes would look alike in the record of requests:

The new processes know no order that names the version, and release it once a confirmation says that there are no further orders. 2. They take it for the only version of the service, as they know few members yet. 3. They resume the earlier order, from its row or from a neighbour, and try the version again. 4. Requests reach it by the trial of the other version, or by a wrong label of its targets.

`version_released` with its cause tells 1 from 2, `rollout_ordered` of the new process shows 3, and none of them shows 4. `version_held` lists what is held at each change; `status` has the same under `rollouts` as `held`.

--- a/packages/pepperstair-core/pepperstair_core/events.py
+++ b/packages/pepperstair-core/pepperstair_core/events.py
@@ -59,6 +59,8 @@
     ROLLOUT_VERDICT = "rollout_verdict"
     ROLLOUT_PHASE_CHANGED = "rollout_phase_changed"
     ROLLOUT_PORTION_CHANGED = "rollout_portion_changed"
+    VERSION_RELEASED = "version_released"
+    VERSION_HELD = "version_held"
     INTERNAL_ERROR = "internal_error"
 
 
--- a/packages/pepperstair-core/pepperstair_core/rollout/holds.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/holds.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 from typing import Final
 
 # Time by which a confirmation that there are no further orders must be newer than the
@@ -34,11 +34,12 @@
         ordered_version: str | None,
         confirmed_ms: float,
         now_ms: float,
-    ) -> None:
+    ) -> Iterator[tuple[str, str]]:
         """Record the versions of a service's targets and release those that may be.
 
         `ordered_version` is the version that the order in force names, and
-        `confirmed_ms` the moment at which all orders were last known here.
+        `confirmed_ms` the moment at which all orders were last known here. Yields each
+        version that is released, with the cause.
         """
         for version in versions:
             first_ms = self._first_seen_ms.setdefault((service, version), now_ms)
@@ -46,8 +47,10 @@
                 continue
             is_confirmed = confirmed_ms > first_ms + CONFIRMATION_MARGIN_MS
             is_usual = len(versions) == 1 and now_ms - first_ms > ONLY_VERSION_MS
-            if is_confirmed or is_usual:
+            is_new = (service, version) not in self._released
+            if is_new and (is_confirmed or is_usual):
                 self._released.add((service, version))
+                yield version, "no order names it" if is_confirmed else "only version"
 
     def is_released(self, service: str, version: str) -> bool:
         """Return whether a version may get requests without an order."""
--- a/packages/pepperstaird/pepperstaird/rollout_reports.py
+++ b/packages/pepperstaird/pepperstaird/rollout_reports.py
@@ -70,6 +70,23 @@
     _add_decision(rollout, f"{order.target_version} is bad", decisions, now_ms)
 
 
+def report_release(service: str, version: str, cause: str) -> None:
+    """Log that a version may get requests without an order."""
+    log.info(
+        Event.VERSION_RELEASED, service=service, target_version=version, cause=cause
+    )
+
+
+def report_held(service: str, versions: frozenset[str], ordered: str | None) -> None:
+    """Log which versions of a service get no requests, whatever the order's phase."""
+    log.info(
+        Event.VERSION_HELD,
+        service=service,
+        versions=sorted(versions),
+        ordered_version=ordered,
+    )
+
+
 def _add_decision(
     rollout: Rollout, cause: str, decisions: DecisionLog, now_ms: float
 ) -> None:
@@ -86,4 +103,11 @@
     decisions.record(DecisionKind.ROLLOUT, service, cause, figures)
 
 
-__all__ = ["log_order", "report_phase", "report_portion", "report_verdict"]
+__all__ = [
+    "log_order",
+    "report_held",
+    "report_phase",
+    "report_portion",
+    "report_release",
+    "report_verdict",
+]
--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -173,7 +173,10 @@
     def explain(self) -> list[dict[str, Any]]:
         """Return the state of each rollout and the counts that led to it."""
         now_ms = self._now_ms()
-        return [active.rollout.explain(now_ms) for active in self._active.values()]
+        return [
+            {**active.rollout.explain(now_ms), "held": self.routing.held(service)}
+            for service, active in self._active.items()
+        ]
 
     @property
     def n_active(self) -> int:
--- a/packages/pepperstaird/pepperstaird/version_routing.py
+++ b/packages/pepperstaird/pepperstaird/version_routing.py
@@ -22,6 +22,7 @@
 from pepperstair_core.rollout.version_rules import VersionRule, make_rule, narrow
 from pepperstair_core.routing import CompiledRoute, Endpoint
 
+from .rollout_reports import report_held, report_release
 from .rollout_targets import ServiceTargets
 
 log = structlog.get_logger(__name__)
@@ -62,6 +63,7 @@
         self._rules: dict[str, VersionRule] = {}
         self._active: Mapping[str, ActiveRollout] = {}
         self._trial_keys: dict[str, frozenset[tuple[str, str]]] = {}
+        self._held: dict[str, frozenset[str]] = {}
         self.holds = VersionHolds()
         self.is_restored = False
         self.is_settled = False
@@ -113,6 +115,10 @@
             return None
         return rule.refusal(target.label(VERSION_LABEL))
 
+    def held(self, service: str) -> list[str]:
+        """Return the versions that get no requests, whatever the order's phase."""
+        return sorted(self._held.get(service, ()))
+
     def update(
         self, active: Mapping[str, ActiveRollout], confirmed_ms: float, now_ms: float
     ) -> None:
@@ -144,12 +150,17 @@
         rollout = active.rollout if active is not None else None
         ordered = rollout.order.target_version if rollout is not None else None
         versions = self._targets.versions(service)
-        self.holds.see(service, versions, ordered, confirmed_ms, now_ms)
+        released = self.holds.see(service, versions, ordered, confirmed_ms, now_ms)
+        for version, cause in released:
+            report_release(service, version, cause)
         self.is_settled &= all(
             version == ordered or self.holds.is_released(service, version)
             for version in versions
         )
         held = self.holds.held(service, versions, ordered)
+        if held != self._held.get(service, frozenset()):
+            self._held[service] = held
+            report_held(service, held, ordered)
         if rollout is None:
             return make_rule(held)
         is_completed = rollout.phase is Phase.COMPLETED
--- a/tests/rollout/test_holds.py
+++ b/tests/rollout/test_holds.py
@@ -20,8 +20,8 @@
 
 
 def see(holds, versions, ordered=None, confirmed_ms=-math.inf, now_ms=0.0):
-    """Let the holds see versions of one service."""
-    holds.see("s", frozenset(versions), ordered, confirmed_ms, now_ms)
+    """Let the holds see versions of one service and return those released."""
+    return list(holds.see("s", frozenset(versions), ordered, confirmed_ms, now_ms))
 
 
 def test_only_version_of_a_service_is_never_held():
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -9,10 +9,12 @@
 import pytest
 from msgspec.structs import replace
 from result import Err, Ok
+from structlog.testing import capture_logs
 
 from pepperstair_core.config import RolloutsSettings
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.errors import ErrorKind, Failure
+from pepperstair_core.events import Event
 from pepperstair_core.intent import Route, Service
 from pepperstair_core.labels import parse_selector
 from pepperstair_core.members import Member, MemberState, Target, TargetState
@@ -602,6 +604,28 @@
     assert daemon.picks() == {"v1+v3": 200}
 
 
+@with_fleet
+async def test_release_and_hold_of_a_version_are_logged_once_with_their_cause(fleet):
+    """Guards against requests to a version that no record can explain."""
+    daemon = fleet.daemons["e"]
+    with capture_logs() as lines:
+        await fleet.advance(2 * SECONDS)
+        daemon.confirmed_ms = fleet.clock.now_ms
+        daemon.rollouts.update_targets()
+        daemon.rollouts.update_targets()
+    released = [line for line in lines if line["event"] == Event.VERSION_RELEASED]
+    assert sorted((line["target_version"], line["cause"]) for line in released) == [
+        ("v1", "no order names it"),
+        ("v2", "no order names it"),
+    ]
+    held = [line["versions"] for line in lines if line["event"] == Event.VERSION_HELD]
+    assert held == [[]]
+    fleet.order()
+    await settle()
+    (explained,) = daemon.rollouts.explain()
+    assert explained["held"] == []
+
+
 @with_fleet
 async def test_rules_are_not_computed_again_while_nothing_can_change(fleet):
     """Guards against work on each tick where versions are used without an order."""
