Keep the ends of earlier orders with the row of the next one

For a second after the restart callers also got 503 for everything, as both the old and the bad version were on hold.

Cause: that a version was rolled back stood in the row of its service until the next order replaced that row, and in the memory of the processes that had seen it. A process that started later knew the next order alone.

Evidence: `version_held` and `version_released` on the code before. Each new process logs `rollout_ordered` for v3 alone, holds v1 and v2, and releases v2 with "no order names it" 1.5 to 1.8 s later; v2 gets requests from then on. So neither the earlier order was resumed, nor was v2 taken for the only version, nor did the trial of v3 reach it. A machine that was added after the order for v3 held both as well, without any kill: one restart of one daemon is enough.

Now a state carries what the orders before it have decided on each version, by the number of the order: rolled back, replaced in the middle, superseded, completed. The writer reads the row of the order before, in the same compare-and-set, so that no order can replace a row without its end. The records pass with the states between daemons, so that a daemon that starts while the store is down has them from its neighbours. They merge by number, and an agreed end goes before a guess: a daemon that was cut off while an order was completed and another one given barred the version in use, and learns better now. Of a service the latest 32 records are kept, 8 KiB of names at most; a record ends with the next order that decides on its version. Superseded versions are recorded by the writer of the completion alone, and get requests where no other version is left, so that an operator who goes back to one without an order is served.

Frames with states have one more field: daemons of an earlier release close the stream on them, as they did with the longer confirmations. Rows of an earlier release have no records.

--- a/packages/pepperstair-core/pepperstair_core/rollout/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/__init__.py
@@ -10,12 +10,21 @@
     exposure_offset,
     step_targets,
 )
-from .records import Evidence, Phase, RolloutOrder, RolloutState, RouteCounts
+from .records import (
+    Evidence,
+    OrderEnd,
+    Phase,
+    RolloutOrder,
+    RolloutState,
+    RouteCounts,
+    VersionRecord,
+)
 from .rollout import Rollout, RolloutFleet
 
 __all__ = [
     "Evidence",
     "ExposureBudget",
+    "OrderEnd",
     "Phase",
     "Portion",
     "Rollout",
@@ -24,6 +33,7 @@
     "RolloutState",
     "RolloutTerms",
     "RouteCounts",
+    "VersionRecord",
     "canary_targets",
     "exposure_offset",
     "step_targets",
--- a/packages/pepperstair-core/pepperstair_core/rollout/holds.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/holds.py
@@ -5,6 +5,9 @@
 from collections.abc import Collection, Iterator
 from typing import Final
 
+from .records import OrderEnd
+from .version_records import VersionRecords
+
 # Time by which a confirmation that there are no further orders must be newer than the
 # first sight of a version. It covers the way of a slow answer from the platform.
 CONFIRMATION_MARGIN_MS: Final = 1_000
@@ -18,14 +21,16 @@
 
     A version is released once a confirmation shows that no order names it, or after it
     was the only version of its service for `ONLY_VERSION_MS`. Before that it is held,
-    unless it is the only version. A version that an order named stays barred after the
-    order, unless the order was completed or another one names it.
+    unless it is the only version. `records` tell what earlier orders have decided: the
+    version that the last completed one has put in place is released, and one that was
+    rolled back, or whose order was replaced, is held until another order names it. A
+    superseded version gets requests only where no other one is left.
     """
 
     def __init__(self) -> None:
         self._first_seen_ms: dict[tuple[str, str], float] = {}
         self._released: set[tuple[str, str]] = set()
-        self._barred: set[tuple[str, str]] = set()
+        self.records = VersionRecords()
 
     def see(
         self,
@@ -43,41 +48,38 @@
         """
         for version in versions:
             first_ms = self._first_seen_ms.setdefault((service, version), now_ms)
-            if version == ordered_version:
+            if version == ordered_version or self.is_decided(service, version):
                 continue
             is_confirmed = confirmed_ms > first_ms + CONFIRMATION_MARGIN_MS
             is_usual = len(versions) == 1 and now_ms - first_ms > ONLY_VERSION_MS
-            is_new = (service, version) not in self._released
-            if is_new and (is_confirmed or is_usual):
+            if is_confirmed or is_usual:
                 self._released.add((service, version))
                 yield version, "no order names it" if is_confirmed else "only version"
 
     def is_released(self, service: str, version: str) -> bool:
         """Return whether a version may get requests without an order."""
-        return (service, version) in self._released
-
-    def bar(self, service: str, version: str) -> None:
-        """Bar the version of an order that was rolled back or replaced."""
-        self._barred.add((service, version))
+        end = self.records.ends(service).get(version)
+        return end is OrderEnd.COMPLETED or (service, version) in self._released
 
-    def admit(self, service: str, version: str) -> None:
-        """Admit a version that an order has put in place of all others."""
-        self._barred.discard((service, version))
-        self._released.add((service, version))
+    def is_decided(self, service: str, version: str) -> bool:
+        """Return whether time and confirmations don't change how a version is held."""
+        has_record = version in self.records.ends(service)
+        return has_record or (service, version) in self._released
 
     def held(
         self, service: str, versions: Collection[str], ordered_version: str | None
     ) -> frozenset[str]:
         """Return which of the versions get no requests, whatever the order's phase."""
-        others = [version for version in versions if version != ordered_version]
-        barred = {item for item in others if (service, item) in self._barred}
-        unbarred = [version for version in others if version not in barred]
-        if len(unbarred) <= 1:
-            return frozenset(barred)
-        unreleased = {
-            item for item in unbarred if (service, item) not in self._released
-        }
-        return frozenset(barred | unreleased)
+        ends = self.records.ends(service)
+        others = frozenset(versions) - {ordered_version}
+
+        def ended(*kinds: OrderEnd | None) -> frozenset[str]:
+            return frozenset(item for item in others if ends.get(item) in kinds)
+
+        usual = ended(None, OrderEnd.COMPLETED)
+        if len(usual) > 1:
+            return others - {item for item in usual if self.is_released(service, item)}
+        return others - (usual or ended(OrderEnd.SUPERSEDED))
 
 
 __all__ = ["CONFIRMATION_MARGIN_MS", "ONLY_VERSION_MS", "VersionHolds"]
--- a/packages/pepperstair-core/pepperstair_core/rollout/records.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/records.py
@@ -72,18 +72,46 @@
     n_old_running: int = -1
 
 
+class OrderEnd(IntEnum):
+    """What the end of an order means for a version.
+
+    `REPLACED` is the end of an order that a later one replaced in the middle, or whose
+    end is not known here. `SUPERSEDED` versions are those that a completed order has
+    put another one in place of. Of two ends of one order, the higher one is right.
+    """
+
+    REPLACED = 0
+    ROLLED_BACK = 1
+    SUPERSEDED = 2
+    COMPLETED = 3
+
+
+class VersionRecord(ArrayRecord):
+    """The end of the last order that decided on a version, by the order's number."""
+
+    version: str
+    number: int
+    end: OrderEnd
+
+
 class RolloutState(ArrayRecord):
-    """An order with its phase and its age at the time of sending."""
+    """An order with its phase and its age at the time of sending.
+
+    `records` hold what the orders before it have decided, as far as the sender knows.
+    """
 
     order: RolloutOrder
     phase: Phase
     age_ms: int
+    records: tuple[VersionRecord, ...] = ()
 
 
 __all__ = [
     "Evidence",
+    "OrderEnd",
     "Phase",
     "RolloutOrder",
     "RolloutState",
     "RouteCounts",
+    "VersionRecord",
 ]
--- a/packages/pepperstaird/pepperstaird/rollout_writer.py
+++ b/packages/pepperstaird/pepperstaird/rollout_writer.py
@@ -35,8 +35,9 @@
 
     `rank_of` returns this daemon's rank among the writers for a service. `adopt` is
     called with each agreed state that was read or written, and `on_unanswered` with
-    each state that the platform did not answer for. Every write begins with a read, so
-    that a daemon whose answer was lost sees its own write.
+    each state that the platform did not answer for. `add_records` completes a state
+    with what this daemon knows once it has adopted the agreed one. Every write begins
+    with a read, so that a daemon whose answer was lost sees its own write.
     """
 
     def __init__(
@@ -44,12 +45,14 @@
         rows: RolloutRows,
         rank_of: Callable[[str], int],
         adopt: Callable[[RolloutState], None],
+        add_records: Callable[[RolloutState], RolloutState],
         on_unanswered: Callable[[RolloutState], None],
         now_ms: Callable[[], float],
     ) -> None:
         self._rows = rows
         self._rank_of = rank_of
         self._adopt = adopt
+        self._add_records = add_records
         self._on_unanswered = on_unanswered
         self._now_ms = now_ms
         self._proposed_ms: dict[str, tuple[tuple[int, Phase], float]] = {}
@@ -115,6 +118,7 @@
             if not _is_later(state, known):
                 return
         row_version = known.row_version if known is not None else 0
+        state = self._add_records(state)
         self.n_writes += 1
         written = await self._rows.write(state, row_version, is_withdrawn=is_withdrawn)
         if written.unwrap_or(False):
--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Final
 
 import structlog
+from msgspec.structs import replace
 
 from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.errors import ErrorKind
@@ -22,8 +23,10 @@
     RolloutOrder,
     RolloutState,
     RolloutTerms,
+    VersionRecord,
     exposure_offset,
 )
+from pepperstair_core.rollout.version_records import record_end, record_superseded
 from pepperstair_peers import ControlPlane, Identity
 from pepperstair_platform import WatchedRow
 
@@ -91,7 +94,12 @@
             self._iter_evidence,
         )
         self._writer = RolloutWriter(
-            rows, self._rank, self._adopt, self._promote_unwritten, now_ms
+            rows,
+            self._rank,
+            self._adopt,
+            self._add_records,
+            self._promote_unwritten,
+            now_ms,
         )
         self._timer: asyncio.TimerHandle | None = None
         self._started_ms = now_ms()
@@ -250,17 +258,36 @@
             return self._add_waiting(state.order)
         active = self._active.get(state.order.service)
         number = active.rollout.order.number if active is not None else -1
+        is_changed = self._merge_records(state, state.records)
         if state.order.number < number:
-            return False
-        is_new = state.order.number > number
-        if is_new:
-            active = self._begin(state)
-        is_advanced = active.rollout.merge_phase(state.phase)
-        if is_advanced:
-            self._apply_phase(active.rollout)
-        if is_new or is_advanced:
+            is_changed |= self._merge_records(state, (record_end(state),))
+        else:
+            if state.order.number > number:
+                is_changed = True
+                active = self._begin(state)
+            if active.rollout.merge_phase(state.phase):
+                is_changed = True
+                self._apply_phase(active.rollout)
+        if is_changed:
             self._update_routing()
-        return is_new or is_advanced
+        return is_changed
+
+    def _merge_records(
+        self, state: RolloutState, records: Iterable[VersionRecord]
+    ) -> bool:
+        return self.routing.holds.records.merge(state.order.service, records)
+
+    def _add_records(self, state: RolloutState) -> RolloutState:
+        """Return a state with what is known of the service's versions, to be written.
+
+        A completed order supersedes all other versions. Only its writer records them:
+        a daemon that hears of the end later may know still later versions.
+        """
+        service = state.order.service
+        if state.phase is Phase.COMPLETED:
+            versions = self._targets.versions(service)
+            self._merge_records(state, record_superseded(state, versions))
+        return replace(state, records=self.routing.holds.records.all(service))
 
     def _add_waiting(self, order: RolloutOrder) -> bool:
         active = self._active.get(order.service)
@@ -275,9 +302,9 @@
     def _begin(self, state: RolloutState) -> ActiveRollout:
         order, age_ms = state.order, max(0, state.age_ms)
         replaced = self._active.get(order.service)
-        if replaced is not None and replaced.rollout.phase is not Phase.COMPLETED:
-            version = replaced.rollout.order.target_version
-            self.routing.holds.bar(order.service, version)
+        if replaced is not None:
+            ended = replaced.rollout.state(self._now_ms())
+            self._merge_records(ended, (record_end(ended),))
         vm, start_id = self._identity.vm, self._identity.start_id
         now_ms = self._now_ms()
         offset = exposure_offset(order, vm, start_id)
@@ -291,27 +318,29 @@
         return active
 
     def _apply_phase(self, rollout: Rollout) -> None:
-        report_phase(rollout, self._decisions, self._now_ms())
-        service, version = rollout.order.service, rollout.order.target_version
+        now_ms = self._now_ms()
+        report_phase(rollout, self._decisions, now_ms)
         self.n_rolled_back += rollout.phase is Phase.ROLLED_BACK
-        if rollout.phase is Phase.COMPLETED:
-            self.n_completed += 1
-            self.routing.holds.admit(service, version)
-            for other in self._targets.versions(service) - {version}:
-                self.routing.holds.bar(service, other)
+        self.n_completed += rollout.phase is Phase.COMPLETED
+        if rollout.phase.is_final:
+            state = rollout.state(now_ms)
+            self._merge_records(state, (record_end(state),))
 
     def _publish(self, service: str) -> None:
-        state = self._active[service].rollout.state(self._now_ms())
-        self._exchange.publish_states((state,))
+        self._exchange.publish_states((self._state(self._active[service]),))
+
+    def _state(self, active: ActiveRollout) -> RolloutState:
+        state = active.rollout.state(self._now_ms())
+        records = self.routing.holds.records.all(state.order.service)
+        return replace(state, records=records)
 
     def _merge_evidence(self, evidence: Evidence) -> bool:
         active = self._active.get(evidence.service)
         return active is not None and active.rollout.merge(evidence)
 
     def _iter_states(self) -> Iterator[RolloutState]:
-        now_ms = self._now_ms()
         for active in self._active.values():
-            yield active.rollout.state(now_ms)
+            yield self._state(active)
         for order in self._waiting_orders.values():
             yield RolloutState(order, Phase.CANARY, -1)
 
--- a/packages/pepperstaird/pepperstaird/version_routing.py
+++ b/packages/pepperstaird/pepperstaird/version_routing.py
@@ -154,7 +154,7 @@
         for version, cause in released:
             report_release(service, version, cause)
         self.is_settled &= all(
-            version == ordered or self.holds.is_released(service, version)
+            version == ordered or self.holds.is_decided(service, version)
             for version in versions
         )
         held = self.holds.held(service, versions, ordered)
--- a/tests/adapter/test_rollout.py
+++ b/tests/adapter/test_rollout.py
@@ -130,6 +130,33 @@
     assert statuses[-40:].count(200) == 40
 
 
+@with_mesh
+async def test_later_order_does_not_bring_a_rolled_back_version_back_after_a_kill(mesh):
+    """Guards against a bad version that gets requests as its order is forgotten."""
+    caller, old, bad = await start_fleet(mesh)
+    for vm in bad:
+        vm.status = 500
+    is_ended = lambda: read_status(mesh).get("state") in ("rolled_back", "completed")
+    await send_until(caller, [caller, *old, *bad], is_ended)
+    assert read_status(mesh)["state"] == "rolled_back"
+    n_exposed = sum(len(vm.arrived_s) for vm in bad)
+    mesh.store.put("op", "rollout/ledger", order("v3"))
+    vms = [caller, *old, *bad, await mesh.add("vm-4", "ledger", "v3")]
+    vms[-1].work_s = 0.005
+    is_seen = lambda: read_status(mesh).get("target") == "v3"
+    await send_until(caller, vms, is_seen)
+    for vm in vms:
+        vm.process.kill()
+        vm.process.wait()
+    for vm in vms:
+        vm.start_daemon()
+    for vm in vms:
+        await wait_until(lambda vm=vm: is_ready(vm), f"{vm.name} is ready")
+    statuses = await send_until(caller, vms, counting(320))
+    assert sum(len(vm.arrived_s) for vm in bad) == n_exposed
+    assert statuses[-200:].count(200) == 200
+
+
 @with_mesh
 async def test_good_version_is_completed_after_the_last_call_on_old_instances(mesh):
     """Guards against calls that are cut off when the old instances are stopped."""
--- a/tests/adapter/test_rollout_rows.py
+++ b/tests/adapter/test_rollout_rows.py
@@ -12,12 +12,25 @@
 from pepperstair_adapter.rollout_rows import StoreRollouts
 from pepperstair_core.errors import ErrorKind
 from pepperstair_core.events import Event
-from pepperstair_core.rollout import Phase, RolloutOrder, RolloutState
+from pepperstair_core.rollout import (
+    OrderEnd,
+    Phase,
+    RolloutOrder,
+    RolloutState,
+    VersionRecord,
+)
+from pepperstair_core.rollout.version_records import (
+    N_RECORDS_MAX,
+    N_TEXT_BYTES_MAX,
+    VersionRecords,
+)
 from pepperstair_platform import WatchedRow
 from pepperstaird.rollout_rows import OrderRow
 from tests.adapter.test_store import with_store
 
 ORDER = RolloutOrder("ledger", "v2", 12_000, 5)
+# Size of the largest value that the store takes, in base64.
+ROW_BYTES = 65_536
 
 
 def read_row(value, key="rollout/ledger"):
@@ -195,3 +208,51 @@
     written = await rows.write(RolloutState(ORDER, Phase.CANARY, 0), 0)
     assert written.unwrap_err().kind is ErrorKind.CHANGE_OUTCOME_UNKNOWN
     assert stand_in.keys("members") == ["rollout/ledger"]
+
+
+@with_store
+async def test_ends_of_earlier_orders_are_kept_in_the_row_of_the_next(stand_in, store):
+    """Guards against a rolled-back version that no row names after the next order."""
+    rows = StoreRollouts(store)
+    await rows.read()
+    records = (
+        VersionRecord("v3", 4, OrderEnd.ROLLED_BACK),
+        VersionRecord("v1", 2, OrderEnd.SUPERSEDED),
+    )
+    await rows.write(RolloutState(ORDER, Phase.CANARY, 0, records), 0)
+    (stored,) = (await rows.read()).unwrap()
+    assert stored.state.records == records
+
+
+@with_store
+async def test_largest_row_of_a_rollout_fits_the_store(stand_in, store):
+    """Guards against an order that can't end as its row is refused for its size."""
+    text = "é" * (N_TEXT_BYTES_MAX // N_RECORDS_MAX // 2)
+    names = (f"{index:02d}{text[1:]}" for index in range(2 * N_RECORDS_MAX))
+    records = VersionRecords()
+    ends = [VersionRecord(name, 2**53, OrderEnd.ROLLED_BACK) for name in names]
+    records.merge("ledger", ends)
+    assert len(records.all("ledger")) == N_RECORDS_MAX
+    rows = StoreRollouts(store)
+    await rows.read()
+    state = RolloutState(ORDER, Phase.CANARY, 0, records.all("ledger"))
+    assert (await rows.write(state, 0)).unwrap() is True
+    value, _ = stand_in.rows["members", "rollout/ledger"]
+    assert len(value) <= ROW_BYTES / 2
+    (stored,) = (await rows.read()).unwrap()
+    assert stored.state.records == state.records
+
+
+@with_store
+async def test_row_of_an_older_release_has_no_records(stand_in, store):
+    """Guards against a start that forgets an order after an update of the daemons."""
+    rows = StoreRollouts(store)
+    await rows.read()
+    await rows.write(RolloutState(ORDER, Phase.PROMOTING, 0), 0)
+    value, _ = stand_in.rows["members", "rollout/ledger"]
+    content = json.loads(value)
+    del content["records"]
+    stand_in.put("members", "rollout/ledger", json.dumps(content).encode())
+    (stored,) = (await rows.read()).unwrap()
+    assert stored.state.phase is Phase.PROMOTING
+    assert stored.state.records == ()
--- a/tests/rollout/test_holds.py
+++ b/tests/rollout/test_holds.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pepperstair_core.errors import ErrorKind
-from pepperstair_core.rollout import Phase, Portion
+from pepperstair_core.rollout import OrderEnd, Phase, Portion, VersionRecord
 from pepperstair_core.rollout.holds import (
     CONFIRMATION_MARGIN_MS,
     ONLY_VERSION_MS,
@@ -62,10 +62,10 @@
     holds = VersionHolds()
     see(holds, BOTH, ordered="v2", confirmed_ms=math.inf)
     assert not holds.is_released("s", "v2")
-    holds.bar("s", "v2")
+    holds.records.merge("s", [VersionRecord("v2", 5, OrderEnd.ROLLED_BACK)])
     see(holds, BOTH, confirmed_ms=math.inf)
     assert holds.held("s", BOTH, None) == {"v2"}
-    holds.admit("s", "v2")
+    holds.records.merge("s", [VersionRecord("v2", 9, OrderEnd.COMPLETED)])
     assert holds.held("s", BOTH, None) == frozenset()
 
 
--- /dev/null
+++ b/tests/test_ended_orders.py
@@ -0,0 +1,289 @@
+"""What daemons know of ended orders after restarts, kills of all, cuts and outages."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from pepperstair_core.errors import ErrorKind
+from pepperstair_core.rollout import Phase, RolloutOrder, RolloutState
+from pepperstair_core.wire import RolloutUpdate
+from pepperstair_platform import WatchedRow
+from pepperstaird import rollout_exchange, rollouts
+from tests.test_rollouts import (
+    SECONDS,
+    FakeDaemon,
+    FakeRows,
+    Fleet,
+    settle,
+)
+
+VERSIONS = {"a": "v1", "c": "v2", "d": "v3", "e": "", "f": "v2"}
+
+
+@pytest.fixture(autouse=True)
+def _short_intervals(monkeypatch):
+    monkeypatch.setattr(rollouts, "_TICK_S", 0.01)
+    monkeypatch.setattr(rollout_exchange, "EVIDENCE_BATCH_S", 0.005)
+
+
+def with_fleet(test):
+    """Run a test with a fleet of three versions, all daemons of which have started."""
+
+    def run():
+        async def scenario():
+            fleet = Fleet(VERSIONS)
+            await fleet.start()
+            try:
+                await asyncio.wait_for(test(fleet), 20)
+            finally:
+                fleet.close()
+
+        asyncio.run(scenario())
+
+    run.__name__, run.__doc__ = test.__name__, test.__doc__
+    return run
+
+
+async def kill_all(fleet):
+    """Replace all daemons by new processes that know nothing."""
+    fleet.close()
+    fleet.daemons = {
+        vm: FakeDaemon(fleet, vm, daemon.start_id + 1)
+        for vm, daemon in fleet.daemons.items()
+    }
+    await fleet.start()
+
+
+async def bring_back(fleet):
+    """End an outage of the store, and wait until all daemons have read their rows."""
+    fleet.rows.is_down = False
+    while not all(
+        daemon.rollouts.routing.is_restored for daemon in fleet.daemons.values()
+    ):
+        await asyncio.sleep(0.05)
+
+
+async def confirm(fleet):
+    """Let all daemons know that there are no further orders."""
+    for daemon in fleet.daemons.values():
+        daemon.confirmed_ms = fleet.clock.now_ms + 60 * SECONDS
+    await settle()
+
+
+async def roll_back(fleet, version="v2", number=5):
+    """Order a version, and let it fail until it is rolled back."""
+    fleet.order(target=version, number=number)
+    await settle()
+    vm = next(vm for vm, each in VERSIONS.items() if each == version)
+    fleet.daemons["a"].run("v1", n=100)
+    fleet.daemons[vm].run(version, is_bad=True, n=20)
+    await fleet.advance(3 * SECONDS)
+    assert fleet.rows.answers[-1] == (version, "ROLLED_BACK")
+
+
+async def complete(fleet, version="v2", number=5):
+    """Order a version and wait until it is completed."""
+    fleet.order(target=version, number=number)
+    await fleet.advance(13 * SECONDS)
+    assert fleet.rows.answers[-1] == (version, "COMPLETED")
+
+
+@pytest.mark.parametrize("outage_s", [0, 4, 30])
+@pytest.mark.parametrize("is_written", [True, False])
+def test_rolled_back_version_stays_out_after_a_later_order_and_a_kill_of_all(
+    outage_s, is_written
+):
+    """Guards against a bad version that gets requests as its row was replaced."""
+
+    @with_fleet
+    async def scenario(fleet):
+        await roll_back(fleet)
+        fleet.rows.is_down = not is_written
+        fleet.order(target="v3", number=9)
+        await settle()
+        fleet.rows.is_down = outage_s > 0
+        await kill_all(fleet)
+        await fleet.advance(outage_s * SECONDS)
+        assert all("v2" not in each.picks() for each in fleet.daemons.values())
+        await bring_back(fleet)
+        fleet.order(target="v3", number=9)
+        await fleet.advance(2 * SECONDS)
+        await confirm(fleet)
+        for daemon in fleet.daemons.values():
+            assert set(daemon.picks(400)) <= {"v1", "v3"}
+        assert fleet.daemons["c"].refusal("v2") is ErrorKind.VERSION_HELD
+
+    scenario()
+
+
+@with_fleet
+async def test_daemon_that_joins_in_an_outage_learns_what_was_rolled_back(fleet):
+    """Guards against a new VM that releases a bad version while the store is down."""
+    await roll_back(fleet)
+    fleet.order(target="v3", number=9)
+    await settle()
+    fleet.rows.is_down = True
+    await fleet.restart("e")
+    assert fleet.daemons["e"].picks() == {"v1": 200}
+    await bring_back(fleet)
+    await confirm(fleet)
+    assert set(fleet.daemons["e"].picks(400)) == {"v1", "v3"}
+
+
+@with_fleet
+async def test_state_of_the_row_is_not_lost_behind_a_later_order(fleet):
+    """Guards against a daemon that hears of the next order before it reads the row."""
+    await roll_back(fleet)
+    fleet.rows.is_down = True
+    await kill_all(fleet)
+    state = RolloutState(RolloutOrder("ledger", "v3", 12_000, 9), Phase.CANARY, 0)
+    handlers = fleet.daemons["e"].control.frame_handlers
+    handlers[RolloutUpdate]("a", RolloutUpdate((state,), ()))
+    await bring_back(fleet)
+    await confirm(fleet)
+    assert set(fleet.daemons["e"].picks(400)) == {"v1", "v3"}
+
+
+@with_fleet
+async def test_order_replaced_in_its_middle_stays_out_after_a_kill_of_all(fleet):
+    """Guards against an order given up by the operator that goes on after a restart."""
+    fleet.order()
+    await settle()
+    fleet.order(target="v3", number=9)
+    await fleet.advance(1 * SECONDS)
+    await kill_all(fleet)
+    await confirm(fleet)
+    for daemon in fleet.daemons.values():
+        assert set(daemon.picks(400)) <= {"v1", "v3"}
+
+
+@with_fleet
+async def test_superseded_version_stays_out_after_the_next_order_and_a_kill(fleet):
+    """Guards against calls to targets that are about to be stopped without draining."""
+    await complete(fleet)
+    fleet.order(target="v3", number=20)
+    await fleet.advance(1 * SECONDS)
+    await kill_all(fleet)
+    assert set(fleet.daemons["e"].picks(400)) == {"v2", "v3"}
+    await confirm(fleet)
+    assert set(fleet.daemons["e"].picks(400)) == {"v2", "v3"}
+
+
+@with_fleet
+async def test_version_completed_while_a_daemon_was_cut_off_is_not_barred_there(fleet):
+    """Guards against refusals for the version in use after two orders in a cut."""
+    fleet.order()
+    await fleet.advance(1 * SECONDS)
+    fleet.cut_off.add("e")
+    await complete(fleet)
+    fleet.order(target="v3", number=20, at="a")
+    await fleet.advance(1 * SECONDS)
+    fleet.cut_off.clear()
+    fleet.order(target="v3", number=20, at="e")
+    for callback in fleet.daemons["a"].control.neighbour_up_callbacks:
+        callback("e")
+    await settle()
+    assert set(fleet.daemons["e"].picks(400)) == {"v2", "v3"}
+
+
+@with_fleet
+async def test_rolled_back_version_is_tried_again_by_a_later_order_for_it(fleet):
+    """Guards against a hold that outlives its cause."""
+    await roll_back(fleet)
+    fleet.order(target="v3", number=9)
+    await fleet.advance(1 * SECONDS)
+    await kill_all(fleet)
+    await complete(fleet, "v2", 20)
+    assert fleet.daemons["e"].picks() == {"v2": 200}
+    await kill_all(fleet)
+    assert fleet.daemons["e"].picks() == {"v2": 200}
+
+
+@with_fleet
+async def test_withdrawal_that_was_not_written_is_read_again_after_a_kill_of_all(fleet):
+    """Guards against a withdrawn order that goes on after a restart."""
+    fleet.order()
+    await fleet.advance(1 * SECONDS)
+    fleet.rows.is_down = True
+    withdrawn = WatchedRow("rollout/ledger", None, 8)
+    fleet.daemons["e"].rollouts.read_rows((withdrawn,), None)
+    await settle()
+    fleet.rows.is_down = False
+    await kill_all(fleet)
+    fleet.daemons["e"].rollouts.read_rows((), 8)
+    await fleet.advance(1 * SECONDS)
+    assert fleet.phases() == {"rolled_back"}
+
+
+class RecordingRows(FakeRows):
+    """Rows in memory that remember the last agreed end of each version."""
+
+    def __init__(self):
+        super().__init__()
+        self.ends = {}
+
+    async def write(self, state, row_version, *, is_withdrawn=False):
+        previous = self.stored.get(state.order.service)
+        result = await super().write(state, row_version, is_withdrawn=is_withdrawn)
+        if self.stored.get(state.order.service) is not previous:
+            self.ends[state.order.target_version] = state.phase
+        return result
+
+
+async def play_trouble(fleet, rng):
+    """Give orders among kills, outages and cuts that are drawn."""
+    number = 5
+    for _ in range(rng.randrange(6, 14)):
+        step = rng.choice(
+            ("order", "bad", "bad", "kill", "one", "store", "cut", "wait")
+        )
+        if step == "order":
+            number += rng.randrange(1, 4)
+            fleet.order(target=rng.choice(("v2", "v3")), number=number)
+        elif step == "bad":
+            for vm, version in (("c", "v2"), ("d", "v3")):
+                fleet.daemons["a"].run("v1", n=100)
+                fleet.daemons[vm].run(version, is_bad=True, n=20)
+        elif step == "kill":
+            await asyncio.sleep(rng.random() * 0.05)
+            await kill_all(fleet)
+        elif step == "one":
+            await fleet.restart(rng.choice(tuple(fleet.daemons)))
+        elif step == "store":
+            fleet.rows.is_down = not fleet.rows.is_down
+        elif step == "cut":
+            fleet.cut_off ^= {rng.choice(("e", "f"))}
+        await fleet.advance(rng.choice((0, 300, 900, 3 * SECONDS)))
+    return number
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_daemons_act_on_what_was_agreed_before_kills_at_drawn_moments(seed):
+    """Guards against an agreed rollback that some process after it doesn't know."""
+
+    async def scenario():
+        rng = random.Random(seed)
+        fleet = Fleet(VERSIONS)
+        fleet.rows = RecordingRows()
+        fleet.daemons = {vm: FakeDaemon(fleet, vm) for vm in VERSIONS}
+        await fleet.start()
+        number = await play_trouble(fleet, rng)
+        fleet.cut_off.clear()
+        await bring_back(fleet)
+        last = max(number, 5) + 1
+        fleet.order(target="v4", number=last)
+        await fleet.advance(3 * SECONDS)
+        await kill_all(fleet)
+        fleet.order(target="v4", number=last)
+        await confirm(fleet)
+        bad = {v for v, phase in fleet.rows.ends.items() if phase is Phase.ROLLED_BACK}
+        for daemon in fleet.daemons.values():
+            picked = set("+".join(daemon.picks(60)).split("+"))
+            assert not picked & bad, (daemon.vm, picked, fleet.rows.ends)
+            assert picked != {""}
+        fleet.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
