Serve the version of a replaced order where no other version is left

Callers would see: no answer but 503 from a service whose operator orders the version that it has already and corrects the order before its end. Found while the records of ended orders were written: they would have made it last beyond restarts.

Cause: the version of an order that was replaced in its middle counts as barred, like one that was rolled back. Of such a version nothing bad is known.

Evidence: test_version_in_use_survives_an_order_for_it_that_is_replaced failed before: of 400 requests none went to v1, the version in use. Now it gets them, as it does for the versions that a completed order has superseded: only where no other version is left.

--- a/packages/pepperstair-core/pepperstair_core/rollout/holds.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/holds.py
@@ -23,8 +23,8 @@
     was the only version of its service for `ONLY_VERSION_MS`. Before that it is held,
     unless it is the only version. `records` tell what earlier orders have decided: the
     version that the last completed one has put in place is released, and one that was
-    rolled back, or whose order was replaced, is held until another order names it. A
-    superseded version gets requests only where no other one is left.
+    rolled back is held until another order names it. A version that was superseded, or
+    whose order was replaced, gets requests only where no other one is left.
     """
 
     def __init__(self) -> None:
@@ -79,7 +79,9 @@
         usual = ended(None, OrderEnd.COMPLETED)
         if len(usual) > 1:
             return others - {item for item in usual if self.is_released(service, item)}
-        return others - (usual or ended(OrderEnd.SUPERSEDED))
+        return others - (
+            usual or ended(OrderEnd.SUPERSEDED) or ended(OrderEnd.REPLACED)
+        )
 
 
 __all__ = ["CONFIRMATION_MARGIN_MS", "ONLY_VERSION_MS", "VersionHolds"]
--- a/tests/test_ended_orders.py
+++ b/tests/test_ended_orders.py
@@ -17,6 +17,7 @@
     FakeDaemon,
     FakeRows,
     Fleet,
+    make_member,
     settle,
 )
 
@@ -189,6 +190,23 @@
     assert set(fleet.daemons["e"].picks(400)) == {"v2", "v3"}
 
 
+@with_fleet
+async def test_version_in_use_survives_an_order_for_it_that_is_replaced(fleet):
+    """Guards against a service without targets after an order given by mistake."""
+    for vm in ("c", "f"):
+        fleet.members[vm] = make_member(vm, "")
+    await kill_all(fleet)
+    await confirm(fleet)
+    fleet.order(target="v1", number=5)
+    await settle()
+    fleet.order(target="v3", number=9)
+    await fleet.advance(1 * SECONDS)
+    assert "v1" in fleet.daemons["e"].picks(400)
+    await kill_all(fleet)
+    await confirm(fleet)
+    assert "v1" in fleet.daemons["e"].picks(400)
+
+
 @with_fleet
 async def test_rolled_back_version_is_tried_again_by_a_later_order_for_it(fleet):
     """Guards against a hold that outlives its cause."""
