Keep a daemon's own verdict when the order is replaced before it is written

Callers would see: requests to a version that all daemons had found bad, if its order was replaced while the store was down and the old targets left later. A daemon acts on its own verdict before it is written; the record of a replaced order said no more than that it was replaced.

Evidence: test_own_verdict_outlives_an_order_that_is_replaced_in_an_outage failed before, with requests to v2, which was found bad in the outage, once v1 was gone and all daemons had been killed.

A daemon that considers the version bad when the next order arrives records it as rolled back. If the rollout was completed after all, its record goes before that one, as agreed ends do.

--- a/packages/pepperstair-core/pepperstair_core/rollout/version_records.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/version_records.py
@@ -59,9 +59,13 @@
         return ends | dict.fromkeys(completed[:-1], OrderEnd.SUPERSEDED)
 
 
-def record_end(state: RolloutState) -> VersionRecord:
-    """Return the record of a state's order, which has ended or was replaced."""
-    end = _ENDS.get(state.phase, OrderEnd.REPLACED)
+def record_end(state: RolloutState, *, is_suspended: bool = False) -> VersionRecord:
+    """Return the record of a state's order, which has ended or was replaced.
+
+    A daemon that considers the version bad while the order is replaced keeps to that.
+    """
+    unknown = OrderEnd.ROLLED_BACK if is_suspended else OrderEnd.REPLACED
+    end = _ENDS.get(state.phase, unknown)
     return VersionRecord(state.order.target_version, state.order.number, end)
 
 
--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -304,7 +304,8 @@
         replaced = self._active.get(order.service)
         if replaced is not None:
             ended = replaced.rollout.state(self._now_ms())
-            self._merge_records(ended, (record_end(ended),))
+            end = record_end(ended, is_suspended=replaced.is_suspended)
+            self._merge_records(ended, (end,))
         vm, start_id = self._identity.vm, self._identity.start_id
         now_ms = self._now_ms()
         offset = exposure_offset(order, vm, start_id)
--- a/tests/test_ended_orders.py
+++ b/tests/test_ended_orders.py
@@ -161,6 +161,24 @@
         assert set(daemon.picks(400)) <= {"v1", "v3"}
 
 
+@with_fleet
+async def test_own_verdict_outlives_an_order_that_is_replaced_in_an_outage(fleet):
+    """Guards against a version found bad that is tried again as no row says so."""
+    fleet.order()
+    await settle()
+    fleet.rows.is_down = True
+    fleet.daemons["a"].run("v1", n=100)
+    fleet.daemons["c"].run("v2", is_bad=True, n=20)
+    await fleet.advance(2 * SECONDS)
+    fleet.order(target="v3", number=9)
+    fleet.rows.is_down = False
+    await fleet.advance(3 * SECONDS)
+    fleet.members["a"] = make_member("a", "")
+    await kill_all(fleet)
+    await confirm(fleet)
+    assert set(fleet.daemons["e"].picks(400)) == {"", "v3"}
+
+
 @with_fleet
 async def test_superseded_version_stays_out_after_the_next_order_and_a_kill(fleet):
     """Guards against calls to targets that are about to be stopped without draining."""
