Test what a slow store and a lost verdict leave of a rollback

Related paths of the fault before: processes that start while the store answers slowly send the version nothing until they have read its row, and a verdict that was lost with all processes before it was written allows no more than the canary's portion until it is found again.

--- a/tests/test_ended_orders.py
+++ b/tests/test_ended_orders.py
@@ -120,6 +120,49 @@
     scenario()
 
 
+@with_fleet
+async def test_rolled_back_version_stays_out_while_a_slow_store_is_read(fleet):
+    """Guards against requests to a bad version between a start and its first read."""
+    await roll_back(fleet)
+    fleet.order(target="v3", number=9)
+    await fleet.advance(1 * SECONDS)
+    read = fleet.rows.read
+
+    async def read_slowly():
+        await asyncio.sleep(0.3)
+        return await read()
+
+    fleet.rows.read = read_slowly
+    await kill_all(fleet)
+    await confirm(fleet)
+    for _ in range(10):
+        for daemon in fleet.daemons.values():
+            assert set(daemon.picks(40)) <= {"", "v1", "v3"}
+        await asyncio.sleep(0.05)
+    assert set(fleet.daemons["e"].picks(400)) == {"v1", "v3"}
+
+
+@with_fleet
+async def test_verdict_lost_with_all_processes_allows_no_more_than_a_canary(fleet):
+    """Guards against exposure beyond the limit after a verdict that no row holds."""
+    fleet.order()
+    await settle()
+    fleet.rows.is_down = True
+    fleet.daemons["a"].run("v1", n=100)
+    fleet.daemons["c"].run("v2", is_bad=True, n=20)
+    await fleet.advance(2 * SECONDS)
+    assert fleet.daemons["e"].rollouts.n_suspended == 1
+    await kill_all(fleet)
+    assert all("v2" not in each.picks() for each in fleet.daemons.values())
+    await bring_back(fleet)
+    counts = fleet.daemons["e"].picks(400)
+    assert counts.get("v2", 0) <= 0.1 * 400
+    fleet.daemons["a"].run("v1", n=100)
+    fleet.daemons["c"].run("v2", is_bad=True, n=20)
+    await fleet.advance(3 * SECONDS)
+    assert fleet.phases() == {"rolled_back"}
+
+
 @with_fleet
 async def test_daemon_that_joins_in_an_outage_learns_what_was_rolled_back(fleet):
     """Guards against a new VM that releases a bad version while the store is down."""
@@ -296,30 +339,33 @@
     return number
 
 
+async def play_history(seed):
+    """Kill all daemons after drawn trouble and the next order, and check the new ones.
+
+    No daemon may send requests to a version whose last agreed end is a rollback, and
+    each has some version to send them to.
+    """
+    fleet = Fleet(VERSIONS)
+    fleet.rows = RecordingRows()
+    fleet.daemons = {vm: FakeDaemon(fleet, vm) for vm in VERSIONS}
+    await fleet.start()
+    number = await play_trouble(fleet, random.Random(seed))
+    fleet.cut_off.clear()
+    await bring_back(fleet)
+    fleet.order(target="v4", number=number + 1)
+    await fleet.advance(3 * SECONDS)
+    await kill_all(fleet)
+    fleet.order(target="v4", number=number + 1)
+    await confirm(fleet)
+    bad = {v for v, phase in fleet.rows.ends.items() if phase is Phase.ROLLED_BACK}
+    for daemon in fleet.daemons.values():
+        picked = set("+".join(daemon.picks(60)).split("+"))
+        assert not picked & bad, (daemon.vm, picked, fleet.rows.ends)
+        assert picked != {""}
+    fleet.close()
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_daemons_act_on_what_was_agreed_before_kills_at_drawn_moments(seed):
     """Guards against an agreed rollback that some process after it doesn't know."""
-
-    async def scenario():
-        rng = random.Random(seed)
-        fleet = Fleet(VERSIONS)
-        fleet.rows = RecordingRows()
-        fleet.daemons = {vm: FakeDaemon(fleet, vm) for vm in VERSIONS}
-        await fleet.start()
-        number = await play_trouble(fleet, rng)
-        fleet.cut_off.clear()
-        await bring_back(fleet)
-        last = max(number, 5) + 1
-        fleet.order(target="v4", number=last)
-        await fleet.advance(3 * SECONDS)
-        await kill_all(fleet)
-        fleet.order(target="v4", number=last)
-        await confirm(fleet)
-        bad = {v for v, phase in fleet.rows.ends.items() if phase is Phase.ROLLED_BACK}
-        for daemon in fleet.daemons.values():
-            picked = set("+".join(daemon.picks(60)).split("+"))
-            assert not picked & bad, (daemon.vm, picked, fleet.rows.ends)
-            assert picked != {""}
-        fleet.close()
-
-    asyncio.run(asyncio.wait_for(scenario(), 30))
+    asyncio.run(asyncio.wait_for(play_history(seed), 30))
