Report the start of a process in the middle of an order at once

Callers would see: calls cut off, as the old targets are stopped at `completed` while a daemon that has just restarted beside one of them passes calls to it.

Cause: reports on old targets count by the last process of a VM, but a process reports only what has changed since its start. One that had counted nothing yet had nothing to report, and so its predecessor's report that nothing runs went on counting, for as long as no call ended there.

Evidence: test_restarted_daemon_beside_old_targets_holds_the_completion_back failed before: the rollout was completed while a call ran on an old target of the restarted daemon. A process that starts after the order now reports at once, without counts, that its old targets take requests. What remains is the way of that report, see docs/design/rollouts.md, Open.

--- a/packages/pepperstair-core/pepperstair_core/rollout/evidence.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/evidence.py
@@ -85,6 +85,13 @@
             self._n_old_running = n_old_running
             self._is_changed = True
 
+    def state_start(self) -> None:
+        """Let this process's evidence be taken although it has counted nothing yet.
+
+        It voids what an earlier process of this VM has reported on old targets.
+        """
+        self._is_changed = True
+
     def take_own(self) -> Evidence | None:
         """Return this process's evidence if it has changed since it was last taken."""
         self._refresh_own()
--- a/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/rollout.py
@@ -122,6 +122,10 @@
         is_timed = not (is_bad or is_cold)
         self._store.record(route, is_new, is_bad, service_ms if is_timed else None)
 
+    def state_start(self) -> None:
+        """Let others know that this process has begun in the middle of the order."""
+        self._store.state_start()
+
     def own_evidence(self) -> Evidence | None:
         """Return this process's evidence if it has changed since it was last taken."""
         return self._store.take_own()
--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -316,6 +316,9 @@
         )
         self._active[order.service] = active
         log_order(active.rollout, age_ms)
+        if not has_extra and not state.phase.is_final:
+            active.rollout.state_start()
+            self._exchange.queue_evidence(active.rollout.own_evidence())
         return active
 
     def _apply_phase(self, rollout: Rollout) -> None:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -346,6 +346,27 @@
     assert fleet.daemons["e"].picks() == {"v2": 200}
 
 
+@with_fleet
+async def test_restarted_daemon_beside_old_targets_holds_the_completion_back(fleet):
+    """Guards against calls cut off as the report of an earlier process still counts."""
+    fleet.order()
+    fleet.daemons["a"].n_unfinished = 1
+    await fleet.advance(11_700)
+    assert fleet.phases() == {"promoting"}
+    assert fleet.daemons["b"].refusal("v1") is ErrorKind.VERSION_SUPERSEDED
+    await fleet.restart("b")
+    assert fleet.daemons["b"].refusal("v1") is None
+    fleet.daemons["b"].n_unfinished = 1
+    fleet.daemons["a"].n_unfinished = 0
+    await settle()
+    assert fleet.phases() == {"promoting"}
+    await fleet.advance(2 * SECONDS)
+    assert fleet.phases() == {"promoting"}
+    fleet.daemons["b"].n_unfinished = 0
+    await fleet.advance(1 * SECONDS)
+    assert fleet.rows.answers[-1] == ("v2", "COMPLETED")
+
+
 @with_fleet
 async def test_old_version_keeps_most_requests_until_shortly_before_completion(fleet):
     """Guards against a promotion that leaves no old version to compare with."""
