Record superseded versions when the completion is written, not before

Callers would see: refusals or requests to a third version, as one daemon puts the old version behind all others after a rollback.

Cause: the writer of a completion took the record of the superseded versions for its own before the write. If another daemon had written a rollback first, the record stayed, and went to others with its next state.

Evidence: test_completion_that_was_not_written_supersedes_nothing failed before: the writer sent everything to a version without an order. The records of the write are built apart now, and are merged with the state once it was written or read.

The tests share the start of a fleet, and the kill of processes; no check is changed by that.

--- a/packages/pepperstair-core/pepperstair_core/rollout/records.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/records.py
@@ -97,7 +97,7 @@
 class RolloutState(ArrayRecord):
     """An order with its phase and its age at the time of sending.
 
-    `records` hold what the orders before it have decided, as far as the sender knows.
+    `records` hold what orders have decided on versions, as far as the sender knows.
     """
 
     order: RolloutOrder
--- a/packages/pepperstair-core/pepperstair_core/rollout/version_records.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/version_records.py
@@ -37,16 +37,9 @@
     def merge(self, service: str, records: Iterable[VersionRecord]) -> bool:
         """Add records and return whether any of them was new and is kept."""
         known = self.all(service)
-        latest = {record.version: record for record in known}
-        for record in records:
-            latest[record.version] = max(
-                record, latest.get(record.version, record), key=_rank
-            )
-        kept = tuple(_iter_bounded(latest))
-        if kept == known:
-            return False
-        self._by_service[service] = kept
-        return True
+        merged = merge_records(known, records)
+        self._by_service[service] = merged
+        return merged != known
 
     def all(self, service: str) -> tuple[VersionRecord, ...]:
         """Return the records of a service, the latest first."""
@@ -59,6 +52,18 @@
         return ends | dict.fromkeys(completed[:-1], OrderEnd.SUPERSEDED)
 
 
+def merge_records(
+    known: Iterable[VersionRecord], records: Iterable[VersionRecord]
+) -> tuple[VersionRecord, ...]:
+    """Return the last records of each version that fit the bounds, the latest first."""
+    latest: dict[str, VersionRecord] = {}
+    for record in (*known, *records):
+        latest[record.version] = max(
+            record, latest.get(record.version, record), key=_rank
+        )
+    return tuple(_iter_bounded(latest))
+
+
 def record_end(state: RolloutState, *, is_suspended: bool = False) -> VersionRecord:
     """Return the record of a state's order, which has ended or was replaced.
 
@@ -98,6 +103,7 @@
     "N_RECORDS_MAX",
     "N_TEXT_BYTES_MAX",
     "VersionRecords",
+    "merge_records",
     "record_end",
     "record_superseded",
 ]
--- a/packages/pepperstaird/pepperstaird/rollouts.py
+++ b/packages/pepperstaird/pepperstaird/rollouts.py
@@ -26,7 +26,11 @@
     VersionRecord,
     exposure_offset,
 )
-from pepperstair_core.rollout.version_records import record_end, record_superseded
+from pepperstair_core.rollout.version_records import (
+    merge_records,
+    record_end,
+    record_superseded,
+)
 from pepperstair_peers import ControlPlane, Identity
 from pepperstair_platform import WatchedRow
 
@@ -281,13 +285,17 @@
         """Return a state with what is known of the service's versions, to be written.
 
         A completed order supersedes all other versions. Only its writer records them:
-        a daemon that hears of the end later may know still later versions.
+        a daemon that hears of the end later may know still later versions. The records
+        take effect when the state was written, as another end may be written first.
         """
-        service = state.order.service
+        records = self._records(state.order.service)
         if state.phase is Phase.COMPLETED:
-            versions = self._targets.versions(service)
-            self._merge_records(state, record_superseded(state, versions))
-        return replace(state, records=self.routing.holds.records.all(service))
+            versions = self._targets.versions(state.order.service)
+            records = merge_records(records, record_superseded(state, versions))
+        return replace(state, records=records)
+
+    def _records(self, service: str) -> tuple[VersionRecord, ...]:
+        return self.routing.holds.records.all(service)
 
     def _add_waiting(self, order: RolloutOrder) -> bool:
         active = self._active.get(order.service)
@@ -335,8 +343,7 @@
 
     def _state(self, active: ActiveRollout) -> RolloutState:
         state = active.rollout.state(self._now_ms())
-        records = self.routing.holds.records.all(state.order.service)
-        return replace(state, records=records)
+        return replace(state, records=self._records(state.order.service))
 
     def _merge_evidence(self, evidence: Evidence) -> bool:
         active = self._active.get(evidence.service)
--- a/tests/adapter/test_rollout.py
+++ b/tests/adapter/test_rollout.py
@@ -48,6 +48,17 @@
     return caller, old, new
 
 
+async def kill_and_restart(vms):
+    """Kill the daemons of all VMs, and start them again."""
+    for vm in vms:
+        vm.process.kill()
+        vm.process.wait()
+    for vm in vms:
+        vm.start_daemon()
+    for vm in vms:
+        await wait_until(lambda vm=vm: is_ready(vm), f"{vm.name} is ready")
+
+
 async def send_until(caller, vms, is_done):
     """Send calls and heartbeats until a condition holds; return the statuses."""
     loop = asyncio.get_running_loop()
@@ -118,13 +129,7 @@
     await send_until(caller, vms, is_ended)
     assert read_status(mesh)["state"] == "rolled_back"
     n_exposed = sum(len(vm.arrived_s) for vm in new)
-    for vm in vms:
-        vm.process.kill()
-        vm.process.wait()
-    for vm in vms:
-        vm.start_daemon()
-    for vm in vms:
-        await wait_until(lambda vm=vm: is_ready(vm), f"{vm.name} is ready")
+    await kill_and_restart(vms)
     statuses = await send_until(caller, vms, counting(160))
     assert sum(len(vm.arrived_s) for vm in new) == n_exposed
     assert statuses[-40:].count(200) == 40
@@ -145,13 +150,7 @@
     vms[-1].work_s = 0.005
     is_seen = lambda: read_status(mesh).get("target") == "v3"
     await send_until(caller, vms, is_seen)
-    for vm in vms:
-        vm.process.kill()
-        vm.process.wait()
-    for vm in vms:
-        vm.start_daemon()
-    for vm in vms:
-        await wait_until(lambda vm=vm: is_ready(vm), f"{vm.name} is ready")
+    await kill_and_restart(vms)
     statuses = await send_until(caller, vms, counting(320))
     assert sum(len(vm.arrived_s) for vm in bad) == n_exposed
     assert statuses[-200:].count(200) == 200
--- a/tests/test_ended_orders.py
+++ b/tests/test_ended_orders.py
@@ -6,6 +6,7 @@
 import random
 
 import pytest
+from msgspec.structs import replace
 
 from pepperstair_core.errors import ErrorKind
 from pepperstair_core.rollout import Phase, RolloutOrder, RolloutState
@@ -19,6 +20,7 @@
     Fleet,
     make_member,
     settle,
+    with_versions,
 )
 
 VERSIONS = {"a": "v1", "c": "v2", "d": "v3", "e": "", "f": "v2"}
@@ -30,22 +32,7 @@
     monkeypatch.setattr(rollout_exchange, "EVIDENCE_BATCH_S", 0.005)
 
 
-def with_fleet(test):
-    """Run a test with a fleet of three versions, all daemons of which have started."""
-
-    def run():
-        async def scenario():
-            fleet = Fleet(VERSIONS)
-            await fleet.start()
-            try:
-                await asyncio.wait_for(test(fleet), 20)
-            finally:
-                fleet.close()
-
-        asyncio.run(scenario())
-
-    run.__name__, run.__doc__ = test.__name__, test.__doc__
-    return run
+with_fleet = with_versions(VERSIONS)
 
 
 async def kill_all(fleet):
@@ -85,6 +72,16 @@
     assert fleet.rows.answers[-1] == (version, "ROLLED_BACK")
 
 
+async def find_bad_in_an_outage(fleet):
+    """Order v2, and let all daemons find it bad while the store is down."""
+    fleet.order()
+    await settle()
+    fleet.rows.is_down = True
+    fleet.daemons["a"].run("v1", n=100)
+    fleet.daemons["c"].run("v2", is_bad=True, n=20)
+    await fleet.advance(2 * SECONDS)
+
+
 async def complete(fleet, version="v2", number=5):
     """Order a version and wait until it is completed."""
     fleet.order(target=version, number=number)
@@ -145,12 +142,7 @@
 @with_fleet
 async def test_verdict_lost_with_all_processes_allows_no_more_than_a_canary(fleet):
     """Guards against exposure beyond the limit after a verdict that no row holds."""
-    fleet.order()
-    await settle()
-    fleet.rows.is_down = True
-    fleet.daemons["a"].run("v1", n=100)
-    fleet.daemons["c"].run("v2", is_bad=True, n=20)
-    await fleet.advance(2 * SECONDS)
+    await find_bad_in_an_outage(fleet)
     assert fleet.daemons["e"].rollouts.n_suspended == 1
     await kill_all(fleet)
     assert all("v2" not in each.picks() for each in fleet.daemons.values())
@@ -207,12 +199,7 @@
 @with_fleet
 async def test_own_verdict_outlives_an_order_that_is_replaced_in_an_outage(fleet):
     """Guards against a version found bad that is tried again as no row says so."""
-    fleet.order()
-    await settle()
-    fleet.rows.is_down = True
-    fleet.daemons["a"].run("v1", n=100)
-    fleet.daemons["c"].run("v2", is_bad=True, n=20)
-    await fleet.advance(2 * SECONDS)
+    await find_bad_in_an_outage(fleet)
     fleet.order(target="v3", number=9)
     fleet.rows.is_down = False
     await fleet.advance(3 * SECONDS)
@@ -234,6 +221,31 @@
     assert set(fleet.daemons["e"].picks(400)) == {"v2", "v3"}
 
 
+@with_fleet
+async def test_completion_that_was_not_written_supersedes_nothing(fleet):
+    """Guards against the old version put behind others by a rollback written first."""
+    fleet.order()
+    await fleet.advance(1 * SECONDS)
+    write = fleet.rows.write
+
+    async def write_after_a_rollback(state, row_version, **named):
+        if state.phase is not Phase.COMPLETED:
+            return await write(state, row_version, **named)
+        rolled_back = replace(state, phase=Phase.ROLLED_BACK, records=())
+        await write(rolled_back, row_version, **named)
+        return await write(state, row_version, **named)
+
+    fleet.rows.write = write_after_a_rollback
+    await fleet.advance(12 * SECONDS)
+    assert fleet.rows.answers[-1] == ("v2", "ROLLED_BACK")
+    for daemon in fleet.daemons.values():
+        list(daemon.directory.merge([make_member("g", "v4")]))
+        daemon.rollouts.update_targets()
+    await confirm(fleet)
+    for daemon in fleet.daemons.values():
+        assert set(daemon.picks()) == {"v1+v3+v4"}
+
+
 @with_fleet
 async def test_version_completed_while_a_daemon_was_cut_off_is_not_barred_there(fleet):
     """Guards against refusals for the version in use after two orders in a cut."""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -260,22 +260,28 @@
     await asyncio.sleep(0.05)
 
 
-def with_fleet(test):
-    """Run a test with a fleet in which every daemon has started."""
-
-    def run():
-        async def scenario():
-            fleet = Fleet()
-            await fleet.start()
-            try:
-                await asyncio.wait_for(test(fleet), 20)
-            finally:
-                fleet.close()
-
-        asyncio.run(scenario())
-
-    run.__name__, run.__doc__ = test.__name__, test.__doc__
-    return run
+def with_versions(versions):
+    """Run a test with started daemons beside targets of the given versions by VM."""
+
+    def decorate(test):
+        def run():
+            async def scenario():
+                fleet = Fleet(versions)
+                await fleet.start()
+                try:
+                    await asyncio.wait_for(test(fleet), 20)
+                finally:
+                    fleet.close()
+
+            asyncio.run(scenario())
+
+        run.__name__, run.__doc__ = test.__name__, test.__doc__
+        return run
+
+    return decorate
+
+
+with_fleet = with_versions(None)
 
 
 @with_fleet
