--- a/packages/pepperstair-core/pepperstair_core/rollout/version_records.py
+++ b/packages/pepperstair-core/pepperstair_core/rollout/version_records.py
@@ -11,6 +11,7 @@
 N_RECORDS_MAX: Final = 32
 N_TEXT_BYTES_MAX: Final = 8_192
 
+_NO_ENDS: Final[Mapping[str, OrderEnd]] = {}
 _ENDS: Final = {
     Phase.COMPLETED: OrderEnd.COMPLETED,
     Phase.ROLLED_BACK: OrderEnd.ROLLED_BACK,
@@ -33,23 +34,26 @@
 
     def __init__(self) -> None:
         self._by_service: dict[str, tuple[VersionRecord, ...]] = {}
+        # Computed when records change: the ends are read on each change of a member.
+        self._ends: dict[str, Mapping[str, OrderEnd]] = {}
 
     def merge(self, service: str, records: Iterable[VersionRecord]) -> bool:
         """Add records and return whether any of them was new and is kept."""
         known = self.all(service)
         merged = merge_records(known, records)
+        if merged == known:
+            return False
         self._by_service[service] = merged
-        return merged != known
+        self._ends[service] = _compute_ends(merged)
+        return True
 
     def all(self, service: str) -> tuple[VersionRecord, ...]:
         """Return the records of a service, the latest first."""
         return self._by_service.get(service, ())
 
-    def ends(self, service: str) -> dict[str, OrderEnd]:
+    def ends(self, service: str) -> Mapping[str, OrderEnd]:
         """Return the end by version; at most one version is the completed one."""
-        ends = {record.version: record.end for record in reversed(self.all(service))}
-        completed = [item for item in ends if ends[item] is OrderEnd.COMPLETED]
-        return ends | dict.fromkeys(completed[:-1], OrderEnd.SUPERSEDED)
+        return self._ends.get(service, _NO_ENDS)
 
 
 def merge_records(
@@ -83,6 +87,12 @@
             yield VersionRecord(version, state.order.number, OrderEnd.SUPERSEDED)
 
 
+def _compute_ends(records: tuple[VersionRecord, ...]) -> dict[str, OrderEnd]:
+    ends = {record.version: record.end for record in reversed(records)}
+    completed = [item for item in ends if ends[item] is OrderEnd.COMPLETED]
+    return ends | dict.fromkeys(completed[:-1], OrderEnd.SUPERSEDED)
+
+
 def _rank(record: VersionRecord) -> tuple[int, OrderEnd]:
     return record.number, record.end
 
