Log why a target is left out and why a call finds no target

The logs could not tell three causes apart: a lapse that was not published, a publication that was lost, and a target that late heartbeats unregister. Neither the refusal beside the target nor the exclusion by the caller's daemon left a line.

target_not_registered states by how long the lease of an unknown target has lapsed; target_absent and the decision 'absent' state by which record a target is left out. No logic is changed.

--- a/packages/pepperstair-core/pepperstair_core/decisions.py
+++ b/packages/pepperstair-core/pepperstair_core/decisions.py
@@ -16,6 +16,7 @@
     """The kinds of decisions that a daemon records."""
 
     EJECTED = "ejected"
+    ABSENT = "absent"
     REFUSED = "refused"
     RETRIED = "retried"
     SUSPECTED = "suspected"
--- a/packages/pepperstair-core/pepperstair_core/events.py
+++ b/packages/pepperstair-core/pepperstair_core/events.py
@@ -41,6 +41,8 @@
     TARGET_CHANGED = "target_changed"
     TARGET_LEASE_LAPSED = "target_lease_lapsed"
     TARGET_EJECTED = "target_ejected"
+    TARGET_ABSENT = "target_absent"
+    TARGET_NOT_REGISTERED = "target_not_registered"
     TARGET_CRASHED = "target_crashed"
     TARGET_LIMIT_CHANGED = "target_limit_changed"
     TARGET_LIMIT_INVALID = "target_limit_invalid"
--- a/packages/pepperstair-targets/pepperstair_targets/registry.py
+++ b/packages/pepperstair-targets/pepperstair_targets/registry.py
@@ -39,6 +39,13 @@
             return None
         return lease.target
 
+    def overdue_ms(self, name: str, now_ms: float) -> float | None:
+        """Return for how long a lease has lapsed, or None if there is no lapsed one."""
+        lease = self._leases.get(name)
+        if lease is None or lease.expires_ms > now_ms:
+            return None
+        return now_ms - lease.expires_ms
+
     def announce(self, target: Target, now_ms: int) -> None:
         """Add or update a target and renew its lease."""
         lease = self._leases.get(target.name)
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -88,6 +88,7 @@
         self._local_targets: dict[str, LocalTarget] = {}
         self._retired: list[LocalTarget] = []
         self._refusals: dict[str, tuple[float, int]] = {}
+        self._not_registered_ms = -math.inf
         self.run_limits = RunLimits()
         # Whether client accounts share the slots of the targets.
         self.is_shared = False
@@ -420,6 +421,7 @@
             raise _not_run(ErrorKind.DRAINING, head.target)
         target = self._registry.get(head.target, now_ms)
         if target is None:
+            self._log_not_registered(head.target, now_ms)
             raise _not_run(ErrorKind.NO_TARGET, head.target)
         if target.state is TargetState.DRAINING:
             raise _not_run(ErrorKind.DRAINING, head.target)
@@ -451,6 +453,22 @@
         yield from self._local_targets.values()
         yield from self._retired
 
+    def _log_not_registered(self, name: str, now_ms: float) -> None:
+        """Log a refusal of a call for an unknown target, at most once a second.
+
+        Without the state of the lease, it could not be told whether the daemon that
+        sent the call has an outdated record, or this one has not published the lapse.
+        """
+        if now_ms - self._not_registered_ms < _REFUSAL_LOG_INTERVAL_MS:
+            return
+        self._not_registered_ms = now_ms
+        overdue_ms = self._registry.overdue_ms(name, now_ms)
+        log.info(
+            Event.TARGET_NOT_REGISTERED,
+            target=name,
+            overdue_ms=None if overdue_ms is None else round(overdue_ms),
+        )
+
     def _on_refused(self, name: str, refused: Refused) -> None:
         self.n_refused += 1
         now_ms = self._now_ms()
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -23,7 +23,7 @@
     TargetChooser,
 )
 from pepperstair_core.config import Settings, parse_address
-from pepperstair_core.decisions import DecisionLog
+from pepperstair_core.decisions import DecisionKind, DecisionLog
 from pepperstair_core.events import Event
 from pepperstair_core.intent import Policy
 from pepperstair_core.members import (
@@ -403,8 +403,22 @@
         for seconds, until the VM is considered gone.
         """
         member = self.directory.get(endpoint.vm)
-        if member is not None and self.absent_targets.add(endpoint.key, member):
-            self._rebuild_endpoints()
+        if member is None or not self.absent_targets.add(endpoint.key, member):
+            return
+        log.info(
+            Event.TARGET_ABSENT,
+            target=endpoint.target.name,
+            member=member.vm,
+            incarnation=member.incarnation,
+            sequence=member.sequence,
+        )
+        self.decisions.record(
+            DecisionKind.ABSENT,
+            endpoint.target.name,
+            f"the daemon at the address of {member.vm} does not know it",
+            (("sequence", float(member.sequence)),),
+        )
+        self._rebuild_endpoints()
 
     def _policy_of(self, customer: str, target: Target) -> Policy:
         policies = self.configuration.route_table.policies
