Publish the lapse of a lease before a call is refused for it

Cause: TargetRegistry.get took a target as gone when its lease had run out, and expire, which publishes that, ran every 0.25 s. A heartbeat in between renewed the lease of a target that other daemons had been told to be absent, and as nothing had changed in the registry, nothing was published. The exclusion at the other daemons ends with a change of the record, which never came.

A target is now registered until expire removes it, and expire runs before each call is judged. What is refused has been published, so that the renewal publishes too. A renewal before either is noticed changes nothing for anybody.

--- a/benchmarks/naive/runner.py
+++ b/benchmarks/naive/runner.py
@@ -73,7 +73,8 @@
 
     async def run(self, head: CallHead, body: BodyBuffer) -> StreamedResponse:
         """Run a call and return its answer, or raise PepperstairError."""
-        target = self._registry.get(head.target, monotonic_ms())
+        self._registry.expire(monotonic_ms())
+        target = self._registry.get(head.target)
         if target is None:
             raise _not_run(ErrorKind.NO_TARGET, head.target)
         # Other daemons may not have received the draining state yet and still send
--- a/packages/pepperstair-targets/pepperstair_targets/registry.py
+++ b/packages/pepperstair-targets/pepperstair_targets/registry.py
@@ -21,7 +21,12 @@
 
 
 class TargetRegistry:
-    """Holds the targets of this VM; `on_changed` is called after each change."""
+    """Holds the targets of this VM; `on_changed` is called after each change.
+
+    A target is registered until `expire` removes it, and only then do calls to it fail.
+    Other daemons leave out a target to which a call was refused until they learn of a
+    change, so there must be no refusal without one.
+    """
 
     def __init__(self, lease_ms: int) -> None:
         self.lease_ms = lease_ms
@@ -32,19 +37,10 @@
         """Return the announced targets."""
         return tuple(lease.target for lease in self._leases.values())
 
-    def get(self, name: str, now_ms: float) -> Target | None:
-        """Return the target with a name, or None if it has no valid lease."""
-        lease = self._leases.get(name)
-        if lease is None or lease.expires_ms <= now_ms:
-            return None
-        return lease.target
-
-    def overdue_ms(self, name: str, now_ms: float) -> float | None:
-        """Return for how long a lease has lapsed, or None if there is no lapsed one."""
+    def get(self, name: str) -> Target | None:
+        """Return the registered target with a name, or None."""
         lease = self._leases.get(name)
-        if lease is None or lease.expires_ms > now_ms:
-            return None
-        return now_ms - lease.expires_ms
+        return None if lease is None else lease.target
 
     def announce(self, target: Target, now_ms: int) -> None:
         """Add or update a target and renew its lease."""
@@ -64,7 +60,7 @@
         self.on_changed()
         return True
 
-    def expire(self, now_ms: int) -> None:
+    def expire(self, now_ms: float) -> None:
         """Remove the targets whose lease has lapsed.
 
         A crashed target does not deregister. Without expiry, callers would keep getting
@@ -72,12 +68,16 @@
         """
         lapsed = list(self._iter_lapsed(now_ms))
         for name in lapsed:
-            log.warning(Event.TARGET_LEASE_LAPSED, target=name)
-            del self._leases[name]
+            lease = self._leases.pop(name)
+            log.warning(
+                Event.TARGET_LEASE_LAPSED,
+                target=name,
+                overdue_ms=round(now_ms - lease.expires_ms),
+            )
         if lapsed:
             self.on_changed()
 
-    def _iter_lapsed(self, now_ms: int) -> Iterator[str]:
+    def _iter_lapsed(self, now_ms: float) -> Iterator[str]:
         for name, lease in self._leases.items():
             if lease.expires_ms <= now_ms:
                 yield name
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -211,7 +211,7 @@
         the daemons that sent them still have time to retry them on another target.
         """
         for name, local in list(self._local_targets.items()):
-            target = self._registry.get(name, self._now_ms())
+            target = self._registry.get(name)
             if target is None or target.address != local.target.address:
                 self._retire(name)
             elif target.state is TargetState.DRAINING or self.is_draining:
@@ -316,7 +316,7 @@
         elif failure.kind is ErrorKind.TARGET_CRASHED:
             self.on_run(target, head.route, True, lasted_ms)
         elif failure.kind is ErrorKind.TARGET_FAILED:
-            current = self._registry.get(target.name, self._now_ms())
+            current = self._registry.get(target.name)
             if current is not None and current.state is not TargetState.DRAINING:
                 self.on_run(target, head.route, True, lasted_ms)
 
@@ -328,7 +328,7 @@
         A draining or deregistered target may exit with unfinished calls; this is
         not a crash.
         """
-        target = self._registry.get(local.target.name, self._now_ms())
+        target = self._registry.get(local.target.name)
         if target is None or target.state is TargetState.DRAINING:
             return failure
         if not await local.crashes.has_exited(call):
@@ -413,13 +413,14 @@
         """Return the target of a call, or refuse the call as not run.
 
         Calls for a draining target are refused here: a daemon that has not received the
-        draining state yet is notified by the refusal, and no work is lost. The lease
-        is checked for each call because, after a pause of this process, the lease may
-        have lapsed although the timer that removes the target has not run yet.
+        draining state yet is notified by the refusal, and no work is lost. Leases are
+        checked for each call because, after a pause of this process, a lease may have
+        lapsed although the timer that removes the target has not run yet.
         """
         if self.is_draining:
             raise _not_run(ErrorKind.DRAINING, head.target)
-        target = self._registry.get(head.target, now_ms)
+        self._registry.expire(now_ms)
+        target = self._registry.get(head.target)
         if target is None:
             self._log_not_registered(head.target, now_ms)
             raise _not_run(ErrorKind.NO_TARGET, head.target)
@@ -454,20 +455,11 @@
         yield from self._retired
 
     def _log_not_registered(self, name: str, now_ms: float) -> None:
-        """Log a refusal of a call for an unknown target, at most once a second.
-
-        Without the state of the lease, it could not be told whether the daemon that
-        sent the call has an outdated record, or this one has not published the lapse.
-        """
+        """Log a refusal of a call for an unknown target, at most once a second."""
         if now_ms - self._not_registered_ms < _REFUSAL_LOG_INTERVAL_MS:
             return
         self._not_registered_ms = now_ms
-        overdue_ms = self._registry.overdue_ms(name, now_ms)
-        log.info(
-            Event.TARGET_NOT_REGISTERED,
-            target=name,
-            overdue_ms=None if overdue_ms is None else round(overdue_ms),
-        )
+        log.info(Event.TARGET_NOT_REGISTERED, target=name)
 
     def _on_refused(self, name: str, refused: Refused) -> None:
         self.n_refused += 1
