End the absence of a target by time, and ignore refusals of earlier calls

Callers would have got 503, or fewer targets, for good after a single mistaken refusal: a target that answered once as if another one had its address, or a refusal that arrives after the record that lists the target again.

Cause: AbsentTargets waited for the record of the VM to change. The owner changes its record only when its own view changes, so a refusal that this view does not explain had no end. A refusal of a call that was sent by an earlier record was charged to the current one, whose change had already come.

A refusal counts only if the record is still the one by which the call was sent.

--- a/packages/pepperstair-callers/pepperstair_callers/attempts.py
+++ b/packages/pepperstair-callers/pepperstair_callers/attempts.py
@@ -399,7 +399,7 @@
         elif failure.kind in _BEFORE_TARGET_KINDS:
             self._n_before_target = min(self._n_before_target + 1, N_BEFORE_TARGET_MAX)
         if failure.kind is ErrorKind.NO_TARGET:
-            self._context.on_absent(failed)
+            self._context.on_absent(failed, self._attempt_start_ms)
         self._record_tried(failure.kind, latency_ms)
         self._end(kind, latency_ms, avoid_ms)
         if self._switch_version(failed, failure):
--- a/packages/pepperstair-callers/pepperstair_callers/context.py
+++ b/packages/pepperstair-callers/pepperstair_callers/context.py
@@ -65,8 +65,9 @@
     failed, or None if the request stays with its version; both get the unrestricted
     route. `on_inner_call_refused` is called when a call that the target on this VM made
     was refused as not run, and `on_absent` with a target that the daemon at its address
-    does not know. `version_basis` returns what is known of the version by which
-    requests are routed, None if that is not known.
+    does not know and the time at which the refused call was sent. `version_basis`
+    returns what is known of the version by which requests are routed, None if that is
+    not known.
     """
 
     vm: str
@@ -104,7 +105,7 @@
         [CompiledRoute, Endpoint, Failure], CompiledRoute | None
     ] = lambda compiled, endpoint, failure: None
     on_inner_call_refused: Callable[[], None] = lambda: None
-    on_absent: Callable[[Endpoint], None] = lambda endpoint: None
+    on_absent: Callable[[Endpoint, float], None] = lambda endpoint, sent_ms: None
     version_basis: Callable[[], VersionBasis | None] = lambda: None
 
 
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -228,6 +228,8 @@
         self.endpoint_table = EndpointTable()
         self.leaving_targets = LeavingTargets()
         self.absent_targets = AbsentTargets()
+        # When the next exclusion of a target from the endpoints ends by time.
+        self._exclusion_end_ms = math.inf
         self.registry.on_changed = self.publish_targets
         self.configuration.on_changed = self._on_configuration_changed
         self.configuration.on_converged = self._record_convergence
@@ -273,6 +275,7 @@
         self.configuration.members_changed()
         self._clear_ejections_of_returned()
         self.quotas.members_changed()
+        self.absent_targets.update_members(self.directory.members(), precise_ms())
         self._rebuild_endpoints()
 
     def _on_configuration_changed(self, snapshot: Snapshot) -> None:
@@ -380,8 +383,9 @@
             self.configuration.route_table.policies,
             self.endpoint_table,
             self.leaving_targets.excluded(self.directory.get, monotonic_ms())
-            | self.absent_targets.excluded(self.directory.get),
+            | self.absent_targets.excluded(self.directory.get, precise_ms()),
         )
+        self._exclusion_end_ms = self.absent_targets.next_end_ms(precise_ms())
         if self.rollouts is not None:
             self.rollouts.update_targets()
 
@@ -396,14 +400,17 @@
         if self.leaving_targets.add(endpoint.key, member, monotonic_ms()):
             self._rebuild_endpoints()
 
-    def record_absent(self, endpoint: Endpoint) -> None:
+    def record_absent(self, endpoint: Endpoint, sent_ms: float) -> None:
         """Send no more calls to a target that the daemon at its address doesn't know.
 
         If its VM is lost and another one has its address, the VM's record is outdated
-        for seconds, until the VM is considered gone.
+        for seconds, until the VM is considered gone. `sent_ms` is when the refused call
+        was sent.
         """
         member = self.directory.get(endpoint.vm)
-        if member is None or not self.absent_targets.add(endpoint.key, member):
+        if member is None:
+            return
+        if not self.absent_targets.add(endpoint.key, member, sent_ms, precise_ms()):
             return
         log.info(
             Event.TARGET_ABSENT,
@@ -445,6 +452,8 @@
         while True:
             await asyncio.sleep(_LEASE_CHECK_INTERVAL_S)
             self.registry.expire(monotonic_ms())
+            if precise_ms() >= self._exclusion_end_ms:
+                self._rebuild_endpoints()
 
 
 def _operators_address(settings: Settings) -> str:
--- a/tests/adapter/mesh.py
+++ b/tests/adapter/mesh.py
@@ -51,8 +51,9 @@
     poison_path: str = ""
     restart_s: float = 0.4
     version: str = "v1"
-    # The status of the instance's answers.
+    # The status of the instance's answers, and whether they bear its signature.
     status: int = 200
+    is_signing: bool = True
     n_poison_runs: int = 0
     server: HttpServer | None = None
     crash_task: asyncio.Task | None = None
@@ -185,9 +186,10 @@
             self.crash_task = asyncio.create_task(self.crash())
             return
         await asyncio.sleep(self.work_s)
+        signature = ((b"x-response-signature", b"s"),) if self.is_signing else ()
         answer = (
             (b"x-request-id", header_value(headers, b"x-request-id")),
-            (b"x-response-signature", b"s"),
+            *signature,
             *self.stated_headers,
         )
         await exchange.respond(self.status, answer, self.name.encode())
--- a/tests/call_mesh.py
+++ b/tests/call_mesh.py
@@ -258,7 +258,7 @@
             header_names=self.options.names,
             service=self.service,
             on_leaving=self.leaving.append,
-            on_absent=self.absent.append,
+            on_absent=lambda endpoint, sent_ms: self.absent.append(endpoint),
             accounts=lambda: self.accounts,
             proof_age_ms=lambda: self.proof_age_ms,
             account_limits=lambda: self.account_limits,
--- a/tests/test_absent_targets.py
+++ b/tests/test_absent_targets.py
@@ -5,6 +5,7 @@
 from msgspec.structs import replace
 
 from pepperstair_core.calls import AbsentTargets
+from pepperstair_core.calls.absent_targets import ABSENCE_BASE_MS, ABSENCE_MAX_MS
 from pepperstair_core.members import Member, MemberState, Target, TargetState
 from tests.call_mesh import Mesh
 from tests.test_call_failures import on_loop
@@ -19,22 +20,55 @@
 def test_absent_target_is_left_out_until_the_record_of_its_vm_changes():
     """Guards against calls to a lost VM whose address another VM has taken over."""
     absent = AbsentTargets()
-    assert absent.add(KEY, MEMBER)
-    assert not absent.add(KEY, MEMBER)
+    assert absent.add(KEY, MEMBER, 0.0, 1.0)
+    assert not absent.add(KEY, MEMBER, 0.0, 1.0)
     suspected = replace(MEMBER, state=MemberState.SUSPECT)
-    assert absent.excluded(lambda vm: suspected) == {KEY}
-    assert absent.excluded(lambda vm: MEMBER) == {KEY}
+    assert absent.excluded(lambda vm: suspected, 2.0) == {KEY}
+    assert absent.excluded(lambda vm: MEMBER, 2.0) == {KEY}
     announced = replace(MEMBER, sequence=2)
-    assert absent.excluded(lambda vm: announced) == frozenset()
+    assert absent.excluded(lambda vm: announced, 2.0) == frozenset()
 
 
 def test_restarted_daemon_or_lost_member_ends_the_absence():
     absent = AbsentTargets()
-    absent.add(KEY, MEMBER)
+    absent.add(KEY, MEMBER, 0.0, 1.0)
     restarted = replace(MEMBER, incarnation=6, sequence=0)
-    assert absent.excluded(lambda vm: restarted) == frozenset()
-    absent.add(KEY, MEMBER)
-    assert absent.excluded(lambda vm: None) == frozenset()
+    assert absent.excluded(lambda vm: restarted, 2.0) == frozenset()
+    absent.add(KEY, MEMBER, 0.0, 1.0)
+    assert absent.excluded(lambda vm: None, 2.0) == frozenset()
+
+
+def test_absence_ends_by_time_if_the_record_never_changes():
+    """Guards against a target that is left out for good after one refusal."""
+    absent = AbsentTargets()
+    absent.add(KEY, MEMBER, 0.0, 1.0)
+    assert absent.next_end_ms(1.0) == 1.0 + ABSENCE_BASE_MS
+    assert absent.excluded(lambda vm: MEMBER, 1.0 + ABSENCE_BASE_MS) == frozenset()
+
+
+def test_refusals_after_the_end_of_an_absence_lengthen_it_up_to_a_limit():
+    """Guards against a refused call each second for an address taken over for good."""
+    absent = AbsentTargets()
+    now_ms, periods_ms = 0.0, []
+    for _ in range(8):
+        assert absent.add(KEY, MEMBER, now_ms, now_ms)
+        end_ms = absent.next_end_ms(now_ms)
+        assert not absent.add(KEY, MEMBER, now_ms, end_ms)
+        periods_ms.append(end_ms - now_ms)
+        now_ms = end_ms
+    assert periods_ms[:3] == [ABSENCE_BASE_MS, 2 * ABSENCE_BASE_MS, 4 * ABSENCE_BASE_MS]
+    assert max(periods_ms) == periods_ms[-1] == ABSENCE_MAX_MS
+
+
+def test_refusal_of_a_call_that_was_sent_before_the_record_changed_is_ignored():
+    """Guards against a refusal that arrives after the record that lists the target."""
+    absent = AbsentTargets()
+    absent.update_members([MEMBER], 0.0)
+    returned = replace(MEMBER, sequence=3)
+    absent.update_members([returned], 20.0)
+    assert not absent.add(KEY, returned, 10.0, 30.0)
+    assert absent.excluded(lambda vm: returned, 30.0) == frozenset()
+    assert absent.add(KEY, returned, 21.0, 30.0)
 
 
 @on_loop
