Renew the lease of a target that answers, and run calls that come just after a lapse

With the lapse published, it was out of use until the next heartbeat.

Cause: the daemon beside a target judged it by heartbeats alone, and refused calls of daemons that still knew the target, the moment a lease had run out.

An answer now renews the lease, and for one more lease after a lapse calls that arrive are still sent; an answer registers the target again. Both only where the request names the target that it is for, so that another one at the address refuses it (421). Without such a header nothing proves who has answered, and calls are refused as before. A target that has deregistered is not brought back by a late answer.

tests/test_target_leases.py: test_target_that_answers_keeps_its_lease_while_heartbeats_are_late and test_call_for_a_target_whose_lease_has_just_lapsed_is_run failed before (503).

--- a/packages/pepperstair-targets/pepperstair_targets/registry.py
+++ b/packages/pepperstair-targets/pepperstair_targets/registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Mapping
 
 import structlog
 from msgspec import Struct
@@ -17,7 +17,7 @@
     """A target and the time at which its lease expires."""
 
     target: Target
-    expires_ms: int
+    expires_ms: float
 
 
 class TargetRegistry:
@@ -26,12 +26,16 @@
     A target is registered until `expire` removes it, and only then do calls to it fail.
     Other daemons leave out a target to which a call was refused until they learn of a
     change, so there must be no refusal without one.
+
+    A target whose lease has lapsed is remembered for another lease. Its announcement
+    may only be late, and an answer of the target registers it again.
     """
 
     def __init__(self, lease_ms: int) -> None:
         self.lease_ms = lease_ms
         self.on_changed: Callable[[], None] = lambda: None
         self._leases: dict[str, _Lease] = {}
+        self._lapsed: dict[str, _Lease] = {}
 
     def targets(self) -> tuple[Target, ...]:
         """Return the announced targets."""
@@ -42,8 +46,27 @@
         lease = self._leases.get(name)
         return None if lease is None else lease.target
 
-    def announce(self, target: Target, now_ms: int) -> None:
+    def get_lapsed(self, name: str) -> Target | None:
+        """Return the target with a name whose lease has recently lapsed, or None."""
+        lease = self._lapsed.get(name)
+        return None if lease is None else lease.target
+
+    def renew(self, name: str, now_ms: float) -> None:
+        """Renew the lease of a target that has just answered a call.
+
+        An unknown name is ignored: a target may answer after it has deregistered.
+        """
+        lease = self._leases.get(name)
+        if lease is None:
+            lapsed = self._lapsed.get(name)
+            if lapsed is not None:
+                self.announce(lapsed.target, now_ms)
+        elif lease.expires_ms - now_ms < self.lease_ms / 2:
+            self._leases[name] = _Lease(lease.target, now_ms + self.lease_ms)
+
+    def announce(self, target: Target, now_ms: float) -> None:
         """Add or update a target and renew its lease."""
+        self._lapsed.pop(target.name, None)
         lease = self._leases.get(target.name)
         known = None if lease is None else lease.target
         self._leases[target.name] = _Lease(target, now_ms + self.lease_ms)
@@ -54,8 +77,9 @@
         self.on_changed()
 
     def deregister(self, name: str) -> bool:
-        """Remove a target and return whether it was registered."""
-        if self._leases.pop(name, None) is None:
+        """Remove a target and return whether it was registered or had lapsed."""
+        lapsed = self._lapsed.pop(name, None)
+        if self._leases.pop(name, lapsed) is None:
             return False
         self.on_changed()
         return True
@@ -66,21 +90,26 @@
         A crashed target does not deregister. Without expiry, callers would keep getting
         refused connections for as long as the target stayed registered.
         """
-        lapsed = list(self._iter_lapsed(now_ms))
+        forgotten = _ended(self._lapsed, now_ms - self.lease_ms)
+        for name in forgotten:
+            del self._lapsed[name]
+        lapsed = _ended(self._leases, now_ms)
         for name in lapsed:
             lease = self._leases.pop(name)
+            if now_ms - lease.expires_ms < self.lease_ms:
+                self._lapsed[name] = lease
             log.warning(
                 Event.TARGET_LEASE_LAPSED,
                 target=name,
                 overdue_ms=round(now_ms - lease.expires_ms),
             )
-        if lapsed:
+        if lapsed or forgotten:
             self.on_changed()
 
-    def _iter_lapsed(self, now_ms: float) -> Iterator[str]:
-        for name, lease in self._leases.items():
-            if lease.expires_ms <= now_ms:
-                yield name
+
+def _ended(leases: Mapping[str, _Lease], now_ms: float) -> list[str]:
+    """Return the names of the targets whose lease has ended."""
+    return [name for name, lease in leases.items() if lease.expires_ms <= now_ms]
 
 
 __all__ = ["TargetRegistry"]
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -211,7 +211,7 @@
         the daemons that sent them still have time to retry them on another target.
         """
         for name, local in list(self._local_targets.items()):
-            target = self._registry.get(name)
+            target = self._find_target(name)
             if target is None or target.address != local.target.address:
                 self._retire(name)
             elif target.state is TargetState.DRAINING or self.is_draining:
@@ -316,7 +316,7 @@
         elif failure.kind is ErrorKind.TARGET_CRASHED:
             self.on_run(target, head.route, True, lasted_ms)
         elif failure.kind is ErrorKind.TARGET_FAILED:
-            current = self._registry.get(target.name)
+            current = self._find_target(target.name)
             if current is not None and current.state is not TargetState.DRAINING:
                 self.on_run(target, head.route, True, lasted_ms)
 
@@ -328,7 +328,7 @@
         A draining or deregistered target may exit with unfinished calls; this is
         not a crash.
         """
-        target = self._registry.get(local.target.name)
+        target = self._find_target(local.target.name)
         if target is None or target.state is TargetState.DRAINING:
             return failure
         if not await local.crashes.has_exited(call):
@@ -363,6 +363,7 @@
 
         def record_statement(statement: TargetStatement, is_signed: bool) -> None:
             is_leaving_new = statement.is_leaving and not local.statement.is_leaving
+            self._renew_lease(local)
             self._log_statement(local, statement)
             if is_leaving_new:
                 self.on_leaving(local.target.name)
@@ -370,6 +371,17 @@
 
         return count_sent, record_statement
 
+    def _renew_lease(self, local: LocalTarget) -> None:
+        """Renew the lease of a target that has answered, whatever it answered.
+
+        The answer proves that the target is running only if another target at its
+        address would have refused the request.
+        """
+        name = local.target.name
+        is_current = self._local_targets.get(name) is local
+        if is_current and self._options.names.expected_target:
+            self._registry.renew(name, self._now_ms())
+
     def _apply_limit(
         self,
         local: LocalTarget,
@@ -420,7 +432,7 @@
         if self.is_draining:
             raise _not_run(ErrorKind.DRAINING, head.target)
         self._registry.expire(now_ms)
-        target = self._registry.get(head.target)
+        target = self._find_target(head.target)
         if target is None:
             self._log_not_registered(head.target, now_ms)
             raise _not_run(ErrorKind.NO_TARGET, head.target)
@@ -431,6 +443,18 @@
             raise _not_run(ErrorKind.DEADLINE_BEFORE_RUN, head.target)
         return target
 
+    def _find_target(self, name: str) -> Target | None:
+        """Return the target to which calls for a name may be sent, or None.
+
+        After a lapse, another target may have taken over the address. Calls are still
+        sent there if it refuses those that name another target. The daemons that send
+        them have not learnt of the lapse yet, and an answer shows that it was none.
+        """
+        target = self._registry.get(name)
+        if target is None and self._options.names.expected_target:
+            return self._registry.get_lapsed(name)
+        return target
+
     def _ensure_local_target(self, target: Target) -> LocalTarget:
         local = self._local_targets.get(target.name)
         if local is None:
--- a/tests/test_target_leases.py
+++ b/tests/test_target_leases.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from tests.call_mesh import LEASE_MS, Mesh
+from pepperstair_http import HeaderNames
+from pepperstair_targets import TargetOptions
+from tests.call_mesh import LEASE_MS, Mesh, http_answer
 from tests.test_call_failures import on_loop, status_and_run
 
 
@@ -41,3 +43,78 @@
         mesh.announce("a")
         assert status_and_run(await mesh.call()) == (200, "yes")
         assert published == []
+
+
+# With these headers an answer proves that the target which is meant is running: another
+# one at its address refuses the request.
+PINNED = TargetOptions(
+    names=HeaderNames(expected_target=b"expected", signature=b"signature")
+)
+
+
+async def answer_signed(target, writer, head):
+    """Answer with a signature, as the target itself."""
+    writer.write(b"HTTP/1.1 200 OK\r\nsignature: s\r\ncontent-length: 2\r\n\r\nok")
+
+
+async def answer_misdirected(target, writer, head):
+    """Answer as another target that has taken over the address."""
+    writer.write(http_answer(status="421 Misdirected Request"))
+
+
+@on_loop
+async def test_target_that_answers_keeps_its_lease_while_heartbeats_are_late():
+    """Guards against refused calls for a target that has just answered others."""
+    async with Mesh(options=PINNED) as mesh:
+        await mesh.add("a", answer_signed)
+        published = record_publications(mesh, "a")
+        for _ in range(9):
+            mesh.skew_ms += LEASE_MS / 3
+            assert status_and_run(await mesh.call()) == (200, "yes")
+        assert published == []
+
+
+@on_loop
+async def test_call_for_a_target_whose_lease_has_just_lapsed_is_run():
+    """Guards against a refusal because a heartbeat came a moment late."""
+    async with Mesh(options=PINNED) as mesh:
+        await mesh.add("a", answer_signed)
+        published = record_publications(mesh, "a")
+        mesh.skew_ms += LEASE_MS + 100
+        assert status_and_run(await mesh.call()) == (200, "yes")
+        assert published == [[], ["a"]]
+
+
+@on_loop
+async def test_target_that_was_silent_for_two_leases_gets_no_calls():
+    async with Mesh(options=PINNED) as mesh:
+        raw = await mesh.add("a", answer_signed)
+        mesh.skew_ms += 2 * LEASE_MS
+        assert status_and_run(await mesh.call()) == (503, "no")
+        assert raw.heads == []
+
+
+@on_loop
+async def test_answer_of_another_target_at_the_address_renews_no_lease():
+    async with Mesh(options=PINNED) as mesh:
+        await mesh.add("a", answer_misdirected)
+        published = record_publications(mesh, "a")
+        mesh.skew_ms += LEASE_MS + 100
+        assert status_and_run(await mesh.call()) == (503, "no")
+        assert published == [[]]
+
+
+@on_loop
+async def test_answer_after_the_deregistration_does_not_register_the_target_again():
+    """Guards against requests to a target whose departure was acknowledged."""
+
+    async def answer_late(target, writer, head):
+        mesh.nodes["a"].registry.deregister("a")
+        await answer_signed(target, writer, head)
+
+    async with Mesh(options=PINNED) as mesh:
+        await mesh.add("a", answer_late)
+        published = record_publications(mesh, "a")
+        assert status_and_run(await mesh.call()) == (200, "yes")
+        assert published == [[]]
+        assert status_and_run(await mesh.call()) == (503, "no")
