Look again at exclusions that end by time

A target that had stated that it was leaving, and then did not leave, would have got no calls from the daemons that had relayed the statement, for as long as no member of the fleet changed: on a quiet fleet, for good.

Cause: LeavingTargets forgets a statement after 60 s, but the endpoints were built again only when a member, the configuration or another exclusion changed. The end of an absence had a check of its own.

The exclusions are one class now, which knows when the next one ends; the daemon builds its endpoints again then.

tests/test_exclusions.py::test_exclusion_ends_by_time_while_no_member_changes failed before for the leaving target (still left out after 5 s, with 60 s made 0.3 s) and passes; the case of the absent one passed before.

--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -14,6 +14,7 @@
     Load,
     TargetChooser,
 )
+from .exclusions import TargetExclusions
 from .fair_queue import WaitingCall
 from .fingerprint import fingerprint
 from .fleet_budget import BudgetTerms, FleetRetryBudget
@@ -66,6 +67,7 @@
     "TrustLevel",
     "CrashRecord",
     "TargetChooser",
+    "TargetExclusions",
     "TokenRetryBudget",
     "Verdict",
     "WaitingCall",
--- a/packages/pepperstair-core/pepperstair_core/calls/leaving_targets.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/leaving_targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -70,5 +71,10 @@
             and not statement.is_outdated_by(member)
         )
 
+    def next_end_ms(self) -> float:
+        """Return when the next statement is forgotten, infinity if there is none."""
+        stated_ms = (statement.stated_ms for statement in self._statements.values())
+        return min(stated_ms, default=math.inf) + REMEMBERED_MS
+
 
 __all__ = ["N_REMEMBERED_MAX", "REMEMBERED_MS", "LeavingTargets"]
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -16,11 +16,10 @@
 from pepperstair_core.burn import BurnCounts
 from pepperstair_core.calls import (
     JOINING_MS,
-    AbsentTargets,
-    LeavingTargets,
     LinkPacer,
     Quarantine,
     TargetChooser,
+    TargetExclusions,
 )
 from pepperstair_core.config import Settings, parse_address
 from pepperstair_core.decisions import DecisionKind, DecisionLog
@@ -226,10 +225,7 @@
             *self._iter_metrics_server(),
         )
         self.endpoint_table = EndpointTable()
-        self.leaving_targets = LeavingTargets()
-        self.absent_targets = AbsentTargets()
-        # When the next exclusion of a target from the endpoints ends by time.
-        self._exclusion_end_ms = math.inf
+        self.exclusions = TargetExclusions()
         self.registry.on_changed = self.publish_targets
         self.configuration.on_changed = self._on_configuration_changed
         self.configuration.on_converged = self._record_convergence
@@ -275,7 +271,7 @@
         self.configuration.members_changed()
         self._clear_ejections_of_returned()
         self.quotas.members_changed()
-        self.absent_targets.update_members(self.directory.members(), precise_ms())
+        self.exclusions.absent.update_members(self.directory.members(), precise_ms())
         self._rebuild_endpoints()
 
     def _on_configuration_changed(self, snapshot: Snapshot) -> None:
@@ -382,10 +378,8 @@
             self.configuration.overrides,
             self.configuration.route_table.policies,
             self.endpoint_table,
-            self.leaving_targets.excluded(self.directory.get, monotonic_ms())
-            | self.absent_targets.excluded(self.directory.get, precise_ms()),
+            self.exclusions.excluded(self.directory.get, precise_ms()),
         )
-        self._exclusion_end_ms = self.absent_targets.next_end_ms(precise_ms())
         if self.rollouts is not None:
             self.rollouts.update_targets()
 
@@ -397,7 +391,7 @@
         member = self.directory.get(endpoint.vm)
         if member is None:
             return
-        if self.leaving_targets.add(endpoint.key, member, monotonic_ms()):
+        if self.exclusions.leaving.add(endpoint.key, member, precise_ms()):
             self._rebuild_endpoints()
 
     def record_absent(self, endpoint: Endpoint, sent_ms: float) -> None:
@@ -410,7 +404,8 @@
         member = self.directory.get(endpoint.vm)
         if member is None:
             return
-        if not self.absent_targets.add(endpoint.key, member, sent_ms, precise_ms()):
+        absent = self.exclusions.absent
+        if not absent.add(endpoint.key, member, sent_ms, precise_ms()):
             return
         log.info(
             Event.TARGET_ABSENT,
@@ -452,7 +447,7 @@
         while True:
             await asyncio.sleep(_LEASE_CHECK_INTERVAL_S)
             self.registry.expire(monotonic_ms())
-            if precise_ms() >= self._exclusion_end_ms:
+            if self.exclusions.is_due(precise_ms()):
                 self._rebuild_endpoints()
 
 
