Accept a target that starts after its VM's clock went back

Callers would have got 503 from a service whose target starts again after the time of day of its VM went back: its heartbeats were acknowledged and ignored until the daemon restarted, as an earlier start than the known one never counted as newer. The departure of an earlier start under the same id barred it in the same way.

A start that seems earlier is now accepted once the known target was not heard of, or has departed, for 30 s, the time for which announcements are in transit. A start that is known to have departed is still never accepted again. The age of a departure is the larger one of the monotonic clock and the time of day, as the latter may have gone back.

tests/test_ordered_announcements.py: the two tests that end in '_accepted_in_the_end' failed before.

--- a/packages/pepperstair-targets/pepperstair_targets/ordered_announcements.py
+++ b/packages/pepperstair-targets/pepperstair_targets/ordered_announcements.py
@@ -73,6 +73,11 @@
     restarted sequence is accepted as the announcement of a new target only if no
     announcement of the known target has arrived for `silent_ms`. The name of a
     deregistered target is accepted again after `ANNOUNCEMENT_DELAY_MAX_MS`.
+
+    If the time of day of the VM goes back, a target that starts after that reports an
+    earlier start than the known one. It is accepted once the known target has not been
+    heard of, or has departed, for `ANNOUNCEMENT_DELAY_MAX_MS`: by then no announcement
+    of a target that did start earlier is in transit.
     """
 
     def __init__(
@@ -89,6 +94,8 @@
         self._newest: Announcement | None = None
         self._newest_seen_ms = 0
         self._departures: dict[str, Departure] = {}
+        # When each departure was recorded or restored by this process.
+        self._departed_ms: dict[str, int] = {}
 
     def accept(self, announcement: Announcement) -> bool:
         """Apply an announcement unless it is outdated.
@@ -142,15 +149,21 @@
             known = self._departures.get(departure.name)
             if known is None or known.order_key < departure.order_key:
                 self._departures[departure.name] = departure
+                self._departed_ms[departure.name] = self._now_ms()
 
     def _record_departure(self, name: str, start_ms: int, sequence: int) -> None:
-        known = self._departures.pop(name, None)
         departure = Departure(name, start_ms, sequence, self._wall_ms())
+        known = self._departures.get(name)
         if known is not None and known.order_key > departure.order_key:
-            departure = known
+            is_superseded = known.start_ms != start_ms and self._is_past(known)
+            departure = departure if is_superseded else known
+        self._departures.pop(name, None)
         self._departures[name] = departure
+        if departure is not known:
+            self._departed_ms[name] = self._now_ms()
         if len(self._departures) > N_DEPARTURES_MAX:
-            del self._departures[next(iter(self._departures))]
+            oldest = next(iter(self._departures))
+            del self._departures[oldest], self._departed_ms[oldest]
 
     def _is_newer(self, announcement: Announcement) -> bool:
         name = announcement.target.name
@@ -159,8 +172,11 @@
         newest = self._newest
         if newest is None:
             return True
-        if announcement.start_ms != newest.start_ms:
-            return announcement.start_ms > newest.start_ms
+        if announcement.start_ms > newest.start_ms:
+            return True
+        if announcement.start_ms < newest.start_ms:
+            silence_ms = self._now_ms() - self._newest_seen_ms
+            return silence_ms >= ANNOUNCEMENT_DELAY_MAX_MS
         if name == newest.target.name and announcement.sequence > newest.sequence:
             return True
         is_other = name != newest.target.name or not announcement.start_ms
@@ -169,14 +185,25 @@
     def _has_departed(self, announcement: Announcement) -> bool:
         """Return whether the target sent its departure after this announcement.
 
-        The departure of a target that does not report its start is considered only for
-        `ANNOUNCEMENT_DELAY_MAX_MS`.
+        The departure of a start that is known to be this one counts for good, any other
+        one only until it is past.
         """
         departure = self._departures.get(announcement.target.name)
         if departure is None or announcement.order_key > departure.order_key:
             return False
-        age_ms = self._wall_ms() - departure.recorded_ms
-        return bool(announcement.start_ms) or age_ms < ANNOUNCEMENT_DELAY_MAX_MS
+        start_ms = announcement.start_ms
+        is_same_start = bool(start_ms) and start_ms == departure.start_ms
+        return is_same_start or not self._is_past(departure)
+
+    def _is_past(self, departure: Departure) -> bool:
+        """Return whether announcements from before a departure are not in transit.
+
+        The time of day shows how long ago an earlier process recorded the departure,
+        but it may have gone back since.
+        """
+        wall_age_ms = self._wall_ms() - departure.recorded_ms
+        age_ms = self._now_ms() - self._departed_ms[departure.name]
+        return max(age_ms, wall_age_ms) >= ANNOUNCEMENT_DELAY_MAX_MS
 
     def _is_gone(self, newest: Announcement) -> bool:
         """Return whether the current target has deregistered or presumably crashed.
--- a/tests/test_ordered_announcements.py
+++ b/tests/test_ordered_announcements.py
@@ -182,3 +182,51 @@
     assert not fixture.accept("i-1", 100, 6)
     assert fixture.announcements.deregister("i-1", 200)
     assert fixture.states() == {}
+
+
+def test_target_that_starts_after_a_step_of_the_clock_is_accepted_in_the_end():
+    """Guards against a target that is ignored for good, as its start seems earlier."""
+    fixture = Fixture(silent_ms=3000)
+    fixture.accept("i-1", 1000, 5)
+    fixture.now_ms = ANNOUNCEMENT_DELAY_MAX_MS - 1
+    assert not fixture.accept("i-2", 400, 1)
+    fixture.now_ms += 1
+    assert fixture.accept("i-2", 400, 2)
+    assert fixture.states() == {"i-2": SERVING}
+
+
+def test_running_target_is_not_replaced_by_one_that_seems_to_have_started_earlier():
+    fixture = Fixture(silent_ms=3000)
+    for sequence in range(20):
+        fixture.now_ms += ANNOUNCEMENT_DELAY_MAX_MS // 10
+        assert fixture.accept("i-1", 1000, sequence)
+        assert not fixture.accept("i-2", 400, sequence)
+    assert fixture.states() == {"i-1": SERVING}
+
+
+def test_name_that_starts_again_after_a_step_of_the_clock_is_accepted_in_the_end():
+    """Guards against a departure that bars the later starts of its target for good.
+
+    The time of day has gone back, so that it shows no age of the departure either.
+    """
+    fixture = Fixture(silent_ms=3000)
+    fixture.accept("i-1", 1000, 5)
+    fixture.announcements.deregister("i-1")
+    fixture.wall_ms -= 400
+    assert not fixture.accept("i-1", 400, 1)
+    fixture.now_ms += ANNOUNCEMENT_DELAY_MAX_MS
+    assert fixture.accept("i-1", 400, 2)
+    fixture.announcements.deregister("i-1")
+    for _ in range(3):
+        fixture.now_ms += ANNOUNCEMENT_DELAY_MAX_MS
+        assert not fixture.accept("i-1", 400, 3)
+    assert fixture.states() == {}
+
+
+def test_start_that_has_departed_is_not_accepted_however_late():
+    fixture = Fixture(silent_ms=3000)
+    fixture.accept("i-1", 1000, 5)
+    fixture.announcements.deregister("i-1")
+    fixture.now_ms += 10 * ANNOUNCEMENT_DELAY_MAX_MS
+    fixture.wall_ms += 10 * ANNOUNCEMENT_DELAY_MAX_MS
+    assert not fixture.accept("i-1", 1000, 6)
