Bar only the version that was rejected, and only for a while

A daemon would have gone on routing by an old version while the store was silent: a copy of an older version that it rejected barred the newest announced one, which it had never seen, and a damaged copy barred its version for good. Both were pulled again only after a newer version had been announced.

A rejected document bars the version that it states; one that states none bars the newest announced one. After 30 s it is pulled again.

tests/test_following.py::test_rejected_older_version_does_not_bar_the_newest_one and test_unreadable_version_is_pulled_again_in_the_end failed before (no pull).

--- a/packages/pepperstaird/pepperstaird/document_exchange.py
+++ b/packages/pepperstaird/pepperstaird/document_exchange.py
@@ -39,6 +39,9 @@
 # already has. Without the delay, every daemon that watches the table would receive each
 # version twice.
 _PULL_DELAY_S: Final = 0.25
+# Time after which a version whose document was rejected is pulled again. A document
+# that this release can't parse stays unreadable, a copy that was damaged does not.
+REJECTED_RETRY_S: Final = 30.0
 # Number of versions whose documents are kept as bases of deltas.
 _N_RECENT_DOCUMENTS_MAX: Final = 3
 # Maximum size of a delta as a share of the size of a full copy. If a delta is larger,
@@ -50,7 +53,8 @@
     """Announces, pulls and sends versions of the document among neighbours.
 
     `offer` is called with each document that a neighbour sent and with the neighbour's
-    VM, and `is_watching` returns whether this daemon's own watch delivers new versions.
+    VM, `read_number` returns the version of a document even if the rest of it is
+    invalid, and `is_watching` whether this daemon's own watch delivers new versions.
     `position` is the newest known position in the history of the table. With a
     `schedule`, confirmations that a version was the newest are forwarded too.
     `is_newest_known` is false after this daemon has rejected the newest version in the
@@ -67,6 +71,7 @@
         control: ControlPlane,
         following: FollowedDocumentState,
         offer: Callable[[bytes, str], OfferResult],
+        read_number: Callable[[bytes], int | None],
         is_watching: Callable[[], bool],
         schedule: ReadSchedule | None,
         proofs: ProofExchange,
@@ -80,6 +85,7 @@
         self._control = control
         self._following = following
         self._offer = offer
+        self._read_number = read_number
         self._is_watching = is_watching
         self._schedule = schedule
         self._uploads = DocumentUploads(
@@ -106,9 +112,10 @@
         self._sources: list[str] = []
         self._holders: set[str] = set()
         self._awaiting_since_ms = 0
-        # Versions up to this one are not pulled again, because their document was
-        # rejected.
+        # Versions up to this one are not pulled until the timer runs out, because their
+        # document was rejected.
         self._rejected_version = 0
+        self._rejected_timer: asyncio.TimerHandle | None = None
         self.position: int | None = None
         self.is_newest_known = True
         # The neighbour that sent the newest confirmation, empty if it came from a read.
@@ -125,8 +132,9 @@
     def close(self) -> None:
         """Stop pulling versions."""
         self._uploads.close()
-        if self._pull_timer is not None:
-            self._pull_timer.cancel()
+        for timer in (self._pull_timer, self._rejected_timer):
+            if timer is not None:
+                timer.cancel()
 
     @property
     def is_superseded(self) -> bool:
@@ -371,7 +379,7 @@
     ) -> None:
         result = self._offer(data, vm)
         if result in (OfferResult.REJECTED, OfferResult.REJECTED_BEFORE):
-            self._rejected_version = self._newest_version
+            self._reject_version(data)
         if result is not OfferResult.IN_FORCE:
             return
         # This document is the newest version up to the neighbour's position in the
@@ -386,6 +394,30 @@
         if self._newest_version > self._following.version:
             self._schedule_pull()
 
+    def _reject_version(self, data: bytes) -> None:
+        """Pull a version no more for a while, as its document was rejected.
+
+        A newer version may have been announced since this one was pulled.
+        """
+        number = self._read_number(data)
+        if number is None:
+            number = self._newest_version
+        self._rejected_version = max(self._rejected_version, number)
+        if self._rejected_timer is None:
+            loop = asyncio.get_running_loop()
+            self._rejected_timer = loop.call_later(
+                REJECTED_RETRY_S, self._retry_rejected
+            )
+        if self._is_awaiting:
+            self._schedule_pull()
+
+    def _retry_rejected(self) -> None:
+        self._rejected_timer = None
+        self._rejected_version = 0
+        if self._is_awaiting:
+            self._awaiting_since_ms = boot_ms()
+            self._schedule_pull()
+
     def _on_newer_version(self, vm: str, version: int, is_holder: bool = False) -> None:
         """Pull a newer version that a neighbour has, or is about to receive."""
         if version <= self._rejected_version:
--- a/packages/pepperstaird/pepperstaird/follower.py
+++ b/packages/pepperstaird/pepperstaird/follower.py
@@ -167,6 +167,7 @@
             control,
             self._following,
             self._offer,
+            read_number,
             self._is_watching,
             schedule,
             self.proofs,
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -34,7 +34,7 @@
 )
 from pepperstair_core.wire.compression import DECOMPRESSED_MAX_BYTES
 from pepperstair_platform import WatchedRow, WatchedRows
-from pepperstaird import follower
+from pepperstaird import document_exchange, follower
 from pepperstaird.clock import boot_ms
 from pepperstaird.follower import ConfigurationFollower
 from tests.adapter.documents import document, rule
@@ -468,6 +468,38 @@
     assert [frame for _, frame in control.sent if isinstance(frame, DocumentPull)] == []
 
 
+def test_rejected_older_version_does_not_bar_the_newest_one(monkeypatch):
+    """Guards against a valid version that is never pulled while the store is silent.
+
+    The newest version is announced before the copy of an invalid one arrives.
+    """
+    monkeypatch.setattr(shared_reading, "PULL_RETRY_SHARE", 0.005)
+    control = FakeControl("vm-2", "vm-3")
+    frames = [
+        ("vm-2", DocumentHave(5)),
+        ("vm-3", DocumentHave(6)),
+        ("vm-2", DocumentCopy(compress(b"5 bad"), 3)),
+    ]
+    run_follower(
+        FakeTable(),
+        control,
+        frames,
+        read_number=lambda data: int(data[:1]),
+        **shared_options(),
+    )
+    assert ("vm-3", DocumentPull(0)) in control.sent
+
+
+def test_unreadable_version_is_pulled_again_in_the_end(monkeypatch):
+    """Guards against a damaged copy that bars a version for good."""
+    monkeypatch.setattr(shared_reading, "PULL_RETRY_SHARE", 0.005)
+    monkeypatch.setattr(document_exchange, "REJECTED_RETRY_S", 0.1)
+    control = FakeControl("vm-2")
+    frames = [("vm-2", DocumentHave(5)), ("vm-2", DocumentCopy(compress(b"bad"), 3))]
+    run_follower(FakeTable(), control, frames, 0.3, **shared_options())
+    assert ("vm-2", DocumentPull(0)) in control.sent
+
+
 def test_daemon_that_rejected_the_newest_version_sends_no_confirmation():
     """Guards against an older release that keeps newer releases at an old version."""
     control = FakeControl("vm-2")
