Count the quarantine from the crash, not from when a daemon learns of it

Callers' requests would have been refused for longer than the ten minutes of a quarantine, and without a bound while daemons were restarted at least once in ten minutes: a daemon that started dated every crash that its neighbours or the store told it of to that moment, and sent the records on to the next one.

Cause: records hold no times, as the clocks of VMs differ, so merging one counted its crashes as new.

The id of a crash, which is opaque to other daemons, now ends with how long the daemon had run. With the start id, which is in it already, that dates the crash by the time of day at the starts of both daemons, whatever happens to their clocks while they run. A date in the future and the ids of earlier releases count as new.

tests/test_crash_reports.py::test_quarantine_ends_in_time_at_a_daemon_that_starts_meanwhile failed before for records of a neighbour and of a row.

--- a/packages/pepperstair-core/pepperstair_core/calls/quarantine.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/quarantine.py
@@ -146,12 +146,18 @@
         record.cleared_ids |= record.crash_ids
         return self.get(fingerprint)
 
-    def merge(self, received: CrashRecord, now_ms: float) -> bool:
-        """Merge a record of another daemon and return whether it changed anything."""
+    def merge(
+        self, received: CrashRecord, now_ms: float, crashed_ms: float | None = None
+    ) -> bool:
+        """Merge a record of another daemon and return whether it changed anything.
+
+        `crashed_ms` is the time of the record's last crash, by default `now_ms`.
+        """
+        crashed_ms = now_ms if crashed_ms is None else min(crashed_ms, now_ms)
         record = self._records.get(received.fingerprint)
         if record is None:
             self._evict_if_full(now_ms)
-            record = _Record(set(), set(), now_ms)
+            record = _Record(set(), set(), crashed_ms)
             self._records[received.fingerprint] = record
         elif self._is_expired(record, now_ms):
             record.cleared_ids |= record.crash_ids
@@ -164,7 +170,7 @@
         if n_known < N_CRASH_IDS_MAX:
             record.crash_ids |= set(received.crash_ids)
         if record.n_crashes > n_crashes:
-            record.crashed_ms = now_ms
+            record.crashed_ms = max(record.crashed_ms, crashed_ms)
         return (n_known, n_cleared) != (len(record.crash_ids), len(record.cleared_ids))
 
     def records(self) -> Iterator[CrashRecord]:
--- a/packages/pepperstaird/pepperstaird/crash_reports.py
+++ b/packages/pepperstaird/pepperstaird/crash_reports.py
@@ -24,6 +24,28 @@
 # all requests that were running suspect. When one of them is answered later, it is
 # cleared of suspicion, which yields one more record.
 _BATCH_DELAY_S: Final = 0.05
+# Maximum number of digits of a time in milliseconds or a number in the id of a crash.
+_N_DIGITS_MAX: Final = 15
+
+
+def read_date_ms(crash_id: str) -> int | None:
+    """Return the time of a crash by its id, or None if the id does not state it.
+
+    An id consists of the VM, the start id of its daemon, a number, and how long the
+    daemon had run. The start id is a time of day; the clock of a VM may be set while
+    its daemon runs, which does not change the result.
+
+    >>> read_date_ms("vm-1/1767225600000/1/2500")
+    1767225602500
+    """
+    parts = crash_id.rsplit("/", 3)[1:]
+    is_dated = len(parts) == 3 and all(
+        part.isdecimal() and len(part) <= _N_DIGITS_MAX for part in parts
+    )
+    if not is_dated:
+        return None
+    start_id, _, uptime_ms = map(int, parts)
+    return start_id + uptime_ms
 
 
 class CrashReports:
@@ -50,6 +72,7 @@
         self._rows = rows
         self._decisions = decisions
         self._now_ms = now_ms
+        self._started_ms = now_ms()
         self._crash_numbers = itertools.count(1)
         # The records that wait to be sent: maps the fingerprint of each to the
         # neighbour from which it was received, or to an empty string if it comes from
@@ -74,9 +97,11 @@
 
         `running` holds the fingerprints of the requests that the target was running.
         """
-        identity = self._identity
-        crash_id = f"{identity.vm}/{identity.start_id}/{next(self._crash_numbers)}"
-        charged = self._quarantine.record_crash(running, crash_id, self._now_ms())
+        now_ms = self._now_ms()
+        identity, uptime_ms = self._identity, int(now_ms - self._started_ms)
+        number = next(self._crash_numbers)
+        crash_id = f"{identity.vm}/{identity.start_id}/{number}/{uptime_ms}"
+        charged = self._quarantine.record_crash(running, crash_id, now_ms)
         suspects = [record.fingerprint.hex() for record in charged]
         log.warning(
             Event.TARGET_CRASHED,
@@ -108,12 +133,24 @@
         """Merge records and yield those that were new."""
         for record in reported:
             was_quarantined = self._is_quarantined(record)
-            if not self._quarantine.merge(record, self._now_ms()):
+            crashed_ms = self._crashed_ms(record)
+            if not self._quarantine.merge(record, self._now_ms(), crashed_ms):
                 continue
             if self._is_quarantined(record) and not was_quarantined:
                 self._report_quarantined(record.fingerprint)
             yield record
 
+    def _crashed_ms(self, record: CrashRecord) -> float:
+        """Return when the last crash of a record was, on this daemon's clock.
+
+        A daemon that has just started would otherwise count every crash that it learns
+        of as a new one. Crashes of unknown time do count as new.
+        """
+        dates_ms = [read_date_ms(crash_id) for crash_id in record.crash_ids]
+        if not dates_ms or None in dates_ms:
+            return self._now_ms()
+        return max(dates_ms) - self._identity.start_id + self._started_ms
+
     def _is_quarantined(self, record: CrashRecord) -> bool:
         trust_level = self._quarantine.trust_level(record.fingerprint, self._now_ms())
         return trust_level is TrustLevel.QUARANTINED
@@ -174,4 +211,4 @@
             self._control.send(vm, CrashRecords(batch))
 
 
-__all__ = ["CrashReports"]
+__all__ = ["CrashReports", "read_date_ms"]
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections import defaultdict
 
+import pytest
 from result import Ok
 
 from pepperstair_core.calls import CrashRecord, Quarantine, TrustLevel
+from pepperstair_core.calls.quarantine import QUARANTINE_MS
 from pepperstair_core.decisions import DecisionKind, DecisionLog
 from pepperstair_core.wire import CrashRecords
 from pepperstair_peers import Identity
@@ -54,18 +57,27 @@
 class Daemon:
     """The parts of a daemon that handle crashes."""
 
-    def __init__(self, vm="vm-1", table=None, *, is_first_start=True):
+    def __init__(
+        self,
+        vm="vm-1",
+        table=None,
+        *,
+        is_first_start=True,
+        start_id=7,
+        now_ms=lambda: 0.0,
+    ):
+        self.now_ms = now_ms
         self.control, self.table = FakeControl(), table or FakeTable()
         self.quarantine, self.decisions = Quarantine(), DecisionLog(lambda: 0)
         rows = QuarantineRows(self.table, lambda: NOW_MS, is_first_start)
-        identity = Identity(vm, 7, "127.0.0.1:1", 500)
+        identity = Identity(vm, start_id, "127.0.0.1:1", 500)
         self.reports = CrashReports(
-            identity, self.control, self.quarantine, rows, self.decisions, lambda: 0.0
+            identity, self.control, self.quarantine, rows, self.decisions, now_ms
         )
         self.reports.start()
 
     def trust_level(self, fingerprint):
-        return self.quarantine.trust_level(fingerprint, 0.0)
+        return self.quarantine.trust_level(fingerprint, self.now_ms())
 
 
 async def wait_for_batch():
@@ -76,11 +88,10 @@
 def on_loop(test):
     """Run a test on its own event loop."""
 
-    def run():
-        asyncio.run(asyncio.wait_for(test(), 5))
+    def run(**arguments):
+        asyncio.run(asyncio.wait_for(test(**arguments), 5))
 
-    run.__name__, run.__doc__ = test.__name__, test.__doc__
-    return run
+    return functools.wraps(test)(run)
 
 
 @on_loop
@@ -159,3 +170,60 @@
     daemon = Daemon(table=table, is_first_start=False)
     await wait_for_batch()
     assert list(daemon.quarantine.records()) == []
+
+
+class Clock:
+    """A clock that is set by hand, in milliseconds."""
+
+    def __init__(self, now_ms):
+        self.now_ms = now_ms
+
+    def __call__(self):
+        return self.now_ms
+
+
+@pytest.mark.parametrize("way", ["neighbour", "row"])
+@on_loop
+async def test_quarantine_ends_in_time_at_a_daemon_that_starts_meanwhile(way):
+    """Guards against a quarantine that every restart of a daemon begins anew."""
+    crashed = Daemon()
+    for _ in range(3):
+        crashed.reports.report_crash("ledger-1", (b"poison",))
+    await wait_for_batch()
+    uptime_ms = Clock(5_000.0)
+    started = Daemon(
+        "vm-2",
+        crashed.table if way == "row" else None,
+        is_first_start=way == "neighbour",
+        start_id=7 + QUARANTINE_MS - 1_000,
+        now_ms=uptime_ms,
+    )
+    if way == "neighbour":
+        frame = crashed.control.sent["a"][0]
+        started.control.frame_handlers[CrashRecords]("a", frame)
+    await wait_for_batch()
+    assert started.trust_level(b"poison") is TrustLevel.QUARANTINED
+    uptime_ms.now_ms += 1_000.0
+    assert started.trust_level(b"poison") is TrustLevel.SUSPECT
+
+
+@on_loop
+async def test_crash_that_seems_to_be_in_the_future_counts_as_new():
+    """Guards against a quarantine that is too long as a VM's clock was ahead."""
+    uptime_ms = Clock(0.0)
+    daemon = Daemon(now_ms=uptime_ms)
+    ids = tuple(f"vm-{n}/9999999999999/1/5" for n in range(3))
+    frame = CrashRecords((CrashRecord(b"poison", ids),))
+    daemon.control.frame_handlers[CrashRecords]("a", frame)
+    assert daemon.trust_level(b"poison") is TrustLevel.QUARANTINED
+    uptime_ms.now_ms += QUARANTINE_MS
+    assert daemon.trust_level(b"poison") is TrustLevel.SUSPECT
+
+
+@on_loop
+async def test_crash_id_of_another_release_counts_as_new():
+    daemon = Daemon()
+    ids = ("vm-2/1/1", "vm-3/1/x/y", "vm-4", "vm-5/1/1/" + "9" * 5_000)
+    frame = CrashRecords((CrashRecord(b"poison", ids),))
+    daemon.control.frame_handlers[CrashRecords]("a", frame)
+    assert daemon.trust_level(b"poison") is TrustLevel.QUARANTINED
