Count crashes of a VM whose clock was wrong when its daemon started

The commit before dated every crash by its id. A daemon that starts while the time of day of its VM is behind by more than ten minutes states old dates, and its crashes would not have counted at the others: a poison request would have crashed more targets before its quarantine.

Only the crashes of a record that has enough of them for a quarantine are dated, by the latest one. Fewer count as new, as before.

tests/test_crash_reports.py::test_crash_with_a_wrong_date_counts failed before.

--- a/packages/pepperstaird/pepperstaird/crash_reports.py
+++ b/packages/pepperstaird/pepperstaird/crash_reports.py
@@ -10,6 +10,7 @@
 import structlog
 
 from pepperstair_core.calls import CrashRecord, Quarantine, TrustLevel
+from pepperstair_core.calls.quarantine import N_CRASHES_MAX
 from pepperstair_core.decisions import DecisionKind, DecisionLog
 from pepperstair_core.events import Event
 from pepperstair_core.wire import CrashRecords
@@ -143,11 +144,14 @@
     def _crashed_ms(self, record: CrashRecord) -> float:
         """Return when the last crash of a record was, on this daemon's clock.
 
-        A daemon that has just started would otherwise count every crash that it learns
-        of as a new one. Crashes of unknown time do count as new.
+        A daemon that has just started would otherwise begin each quarantine that it
+        learns of anew. Crashes of unknown time count as new, and so do those that are
+        too few for a quarantine: with a wrong date, as the clock of a VM was wrong when
+        its daemon started, they would not count at all.
         """
-        dates_ms = [read_date_ms(crash_id) for crash_id in record.crash_ids]
-        if not dates_ms or None in dates_ms:
+        crash_ids = set(record.crash_ids) - set(record.cleared_ids)
+        dates_ms = [read_date_ms(crash_id) for crash_id in crash_ids]
+        if len(crash_ids) < N_CRASHES_MAX or None in dates_ms:
             return self._now_ms()
         return max(dates_ms) - self._identity.start_id + self._started_ms
 
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -227,3 +227,16 @@
     frame = CrashRecords((CrashRecord(b"poison", ids),))
     daemon.control.frame_handlers[CrashRecords]("a", frame)
     assert daemon.trust_level(b"poison") is TrustLevel.QUARANTINED
+
+
+@on_loop
+async def test_crash_with_a_wrong_date_counts():
+    """Guards against crashes that don't count as the clock of their VM was wrong.
+
+    The daemon on that VM started while the time of day was an hour behind.
+    """
+    daemon = Daemon(start_id=4_000_000)
+    for crash_id in ("vm-2/400000/1/5", "vm-3/4000000/1/5", "vm-4/4000000/1/5"):
+        frame = CrashRecords((CrashRecord(b"poison", (crash_id,)),))
+        daemon.control.frame_handlers[CrashRecords]("a", frame)
+    assert daemon.trust_level(b"poison") is TrustLevel.QUARANTINED
