--- a/packages/pepperstaird/pepperstaird/crash_reports.py
+++ b/packages/pepperstaird/pepperstaird/crash_reports.py
@@ -10,6 +10,11 @@
 import structlog
 
 from pepperstair_core.calls import CrashRecord, Quarantine, TrustLevel
+from pepperstair_core.calls.crash_ids import (
+    crash_time_ms,
+    is_crash_seen_by,
+    make_crash_id,
+)
 from pepperstair_core.calls.quarantine import N_CRASHES_MAX
 from pepperstair_core.decisions import DecisionKind, DecisionLog
 from pepperstair_core.events import Event
@@ -25,28 +30,6 @@
 # all requests that were running suspect. When one of them is answered later, it is
 # cleared of suspicion, which yields one more record.
 _BATCH_DELAY_S: Final = 0.05
-# Maximum number of digits of a time in milliseconds or a number in the id of a crash.
-_N_DIGITS_MAX: Final = 15
-
-
-def read_date_ms(crash_id: str) -> int | None:
-    """Return the time of a crash by its id, or None if the id does not state it.
-
-    An id consists of the VM, the start id of its daemon, a number, and how long the
-    daemon had run. The start id is a time of day; the clock of a VM may be set while
-    its daemon runs, which does not change the result.
-
-    >>> read_date_ms("vm-1/1767225600000/1/2500")
-    1767225602500
-    """
-    parts = crash_id.rsplit("/", 3)[1:]
-    is_dated = len(parts) == 3 and all(
-        part.isdecimal() and len(part) <= _N_DIGITS_MAX for part in parts
-    )
-    if not is_dated:
-        return None
-    start_id, _, uptime_ms = map(int, parts)
-    return start_id + uptime_ms
 
 
 class CrashReports:
@@ -98,10 +81,13 @@
 
         `running` holds the fingerprints of the requests that the target was running.
         """
-        now_ms = self._now_ms()
-        identity, uptime_ms = self._identity, int(now_ms - self._started_ms)
-        number = next(self._crash_numbers)
-        crash_id = f"{identity.vm}/{identity.start_id}/{number}/{uptime_ms}"
+        now_ms, identity = self._now_ms(), self._identity
+        crash_id = make_crash_id(
+            identity.vm,
+            identity.start_id,
+            next(self._crash_numbers),
+            int(now_ms - self._started_ms),
+        )
         charged = self._quarantine.record_crash(running, crash_id, now_ms)
         suspects = [record.fingerprint.hex() for record in charged]
         log.warning(
@@ -144,16 +130,16 @@
     def _crashed_ms(self, record: CrashRecord) -> float:
         """Return when the last crash of a record was, on this daemon's clock.
 
-        A daemon that has just started would otherwise begin each quarantine that it
-        learns of anew. Crashes of unknown time count as new, and so do those that are
-        too few for a quarantine: with a wrong date, as the clock of a VM was wrong when
-        its daemon started, they would not count at all.
+        If the time of receipt were used, a quarantine would start again in each daemon
+        that starts. It is used only if a time is unknown, or if there are too few
+        crashes for a quarantine: a daemon that started while its VM's clock was behind
+        states times in the past, and its crashes would be ignored as too old.
         """
         crash_ids = set(record.crash_ids) - set(record.cleared_ids)
-        dates_ms = [read_date_ms(crash_id) for crash_id in crash_ids]
-        if len(crash_ids) < N_CRASHES_MAX or None in dates_ms:
+        times_ms = [crash_time_ms(crash_id) for crash_id in crash_ids]
+        if len(crash_ids) < N_CRASHES_MAX or None in times_ms:
             return self._now_ms()
-        return max(dates_ms) - self._identity.start_id + self._started_ms
+        return max(times_ms) - self._identity.start_id + self._started_ms
 
     def _is_quarantined(self, record: CrashRecord) -> bool:
         trust_level = self._quarantine.trust_level(record.fingerprint, self._now_ms())
@@ -167,8 +153,8 @@
         daemon that detected one of the crashes saves the row.
         """
         record = self._quarantine.get(quarantined)
-        own = f"{self._identity.vm}/{self._identity.start_id}/"
-        if any(crash_id.startswith(own) for crash_id in record.crash_ids):
+        own = (self._identity.vm, self._identity.start_id)
+        if any(is_crash_seen_by(crash_id, *own) for crash_id in record.crash_ids):
             self._rows.save(record)
         fingerprint = quarantined.hex()
         n_crashes = len(record.crash_ids)
@@ -215,4 +201,4 @@
             self._control.send(vm, CrashRecords(batch))
 
 
-__all__ = ["CrashReports", "read_date_ms"]
+__all__ = ["CrashReports"]
