State once when an answer proves that a target is running

Two functions asked for the header that names the target, each with the reason in other words. The registry forgets lapsed targets in a function of its own. Behaviour is the same.

--- a/packages/pepperstair-http/pepperstair_http/header_names.py
+++ b/packages/pepperstair-http/pepperstair_http/header_names.py
@@ -44,6 +44,15 @@
     is_id_echoed: bool = False
     has_retry_after_fractions: bool = False
 
+    @property
+    def is_target_named(self) -> bool:
+        """Return whether each request names the only target that may run it.
+
+        Another target that has taken over the address then refuses the request, so
+        every other answer proves that the named target is running.
+        """
+        return bool(self.expected_target)
+
     @property
     def replaced(self) -> frozenset[bytes]:
         """Return the headers that are never forwarded unchanged to a target.
--- a/packages/pepperstair-targets/pepperstair_targets/registry.py
+++ b/packages/pepperstair-targets/pepperstair_targets/registry.py
@@ -23,12 +23,13 @@
 class TargetRegistry:
     """Holds the targets of this VM; `on_changed` is called after each change.
 
-    A target is registered until `expire` removes it, and only then do calls to it fail.
-    Other daemons leave out a target to which a call was refused until they learn of a
-    change, so there must be no refusal without one.
+    A target is registered until it deregisters or `expire` removes it, whatever the
+    time is. Calls are refused only after the removal, so every refusal follows a change
+    that is published. Without one, daemons that were refused a call would not learn
+    that the target is back.
 
-    A target whose lease has lapsed is remembered for another lease. Its announcement
-    may only be late, and an answer of the target registers it again.
+    A target whose lease has lapsed is remembered for the length of another lease, as
+    its announcement may only be late. `renew` registers it again.
     """
 
     def __init__(self, lease_ms: int) -> None:
@@ -90,25 +91,26 @@
         A crashed target does not deregister. Without expiry, callers would keep getting
         refused connections for as long as the target stayed registered.
         """
-        forgotten = _ended(self._lapsed, now_ms - self.lease_ms)
-        for name in forgotten:
-            del self._lapsed[name]
-        lapsed = _ended(self._leases, now_ms)
+        lapsed = _names_of_lapsed(self._leases, now_ms)
         for name in lapsed:
             lease = self._leases.pop(name)
-            if now_ms - lease.expires_ms < self.lease_ms:
-                self._lapsed[name] = lease
-            log.warning(
-                Event.TARGET_LEASE_LAPSED,
-                target=name,
-                overdue_ms=round(now_ms - lease.expires_ms),
-            )
+            self._lapsed[name] = lease
+            overdue_ms = round(now_ms - lease.expires_ms)
+            log.warning(Event.TARGET_LEASE_LAPSED, target=name, overdue_ms=overdue_ms)
+        forgotten = self._forget_lapsed(now_ms)
         if lapsed or forgotten:
             self.on_changed()
 
+    def _forget_lapsed(self, now_ms: float) -> list[str]:
+        """Forget the targets that lapsed long ago and return their names."""
+        forgotten = _names_of_lapsed(self._lapsed, now_ms - self.lease_ms)
+        for name in forgotten:
+            del self._lapsed[name]
+        return forgotten
+
 
-def _ended(leases: Mapping[str, _Lease], now_ms: float) -> list[str]:
-    """Return the names of the targets whose lease has ended."""
+def _names_of_lapsed(leases: Mapping[str, _Lease], now_ms: float) -> list[str]:
+    """Return the names of the targets whose lease has lapsed at a time."""
     return [name for name, lease in leases.items() if lease.expires_ms <= now_ms]
 
 
--- a/packages/pepperstair-targets/pepperstair_targets/runner.py
+++ b/packages/pepperstair-targets/pepperstair_targets/runner.py
@@ -88,7 +88,7 @@
         self._local_targets: dict[str, LocalTarget] = {}
         self._retired: list[LocalTarget] = []
         self._refusals: dict[str, tuple[float, int]] = {}
-        self._not_registered_ms = -math.inf
+        self._not_registered_logged_ms = -math.inf
         self.run_limits = RunLimits()
         # Whether client accounts share the slots of the targets.
         self.is_shared = False
@@ -372,14 +372,10 @@
         return count_sent, record_statement
 
     def _renew_lease(self, local: LocalTarget) -> None:
-        """Renew the lease of a target that has answered, whatever it answered.
-
-        The answer proves that the target is running only if another target at its
-        address would have refused the request.
-        """
+        """Renew the lease of a target whose answer proves that it is running."""
         name = local.target.name
         is_current = self._local_targets.get(name) is local
-        if is_current and self._options.names.expected_target:
+        if is_current and self._options.names.is_target_named:
             self._registry.renew(name, self._now_ms())
 
     def _apply_limit(
@@ -446,12 +442,11 @@
     def _find_target(self, name: str) -> Target | None:
         """Return the target to which calls for a name may be sent, or None.
 
-        After a lapse, another target may have taken over the address. Calls are still
-        sent there if it refuses those that name another target. The daemons that send
-        them have not learnt of the lapse yet, and an answer shows that it was none.
+        Daemons that have not received a lapse yet still send calls. These calls are run
+        if another target that has taken over the address would refuse them.
         """
         target = self._registry.get(name)
-        if target is None and self._options.names.expected_target:
+        if target is None and self._options.names.is_target_named:
             return self._registry.get_lapsed(name)
         return target
 
@@ -480,9 +475,9 @@
 
     def _log_not_registered(self, name: str, now_ms: float) -> None:
         """Log a refusal of a call for an unknown target, at most once a second."""
-        if now_ms - self._not_registered_ms < _REFUSAL_LOG_INTERVAL_MS:
+        if now_ms - self._not_registered_logged_ms < _REFUSAL_LOG_INTERVAL_MS:
             return
-        self._not_registered_ms = now_ms
+        self._not_registered_logged_ms = now_ms
         log.info(Event.TARGET_NOT_REGISTERED, target=name)
 
     def _on_refused(self, name: str, refused: Refused) -> None:
