Separate what excludes a target from when its record was received

AbsentTargets kept two things: the absences, and since when each record is known. The log line and the decision for an absent target have a module of their own.

The test of a late refusal moved to tests/test_exclusions.py with the decision, and checks the set of excluded targets after the accepted refusal too.

--- a/packages/pepperstair-core/pepperstair_core/calls/__init__.py
+++ b/packages/pepperstair-core/pepperstair_core/calls/__init__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from .absent_targets import AbsentTargets
 from .admission import Admission, Admitted, RefusalCause, Refused, Verdict
 from .choice import (
     FULL_AVOIDED_MS,
@@ -18,7 +17,6 @@
 from .fair_queue import WaitingCall
 from .fingerprint import fingerprint
 from .fleet_budget import BudgetTerms, FleetRetryBudget
-from .leaving_targets import LeavingTargets
 from .outcome import CallOutcome
 from .pacing import LinkPacer, n_calls_of_backlog
 from .quarantine import CrashRecord, Quarantine, TrustLevel
@@ -37,7 +35,6 @@
 from .sampling import is_sampled
 
 __all__ = [
-    "AbsentTargets",
     "FULL_AVOIDED_MS",
     "JOINING_MS",
     "AcceptanceRates",
@@ -53,7 +50,6 @@
     "FleetRetryBudget",
     "GiveUp",
     "GiveUpCause",
-    "LeavingTargets",
     "LinkPacer",
     "Load",
     "Quarantine",
--- a/packages/pepperstaird/pepperstaird/daemon.py
+++ b/packages/pepperstaird/pepperstaird/daemon.py
@@ -22,7 +22,7 @@
     TargetExclusions,
 )
 from pepperstair_core.config import Settings, parse_address
-from pepperstair_core.decisions import DecisionKind, DecisionLog
+from pepperstair_core.decisions import DecisionLog
 from pepperstair_core.events import Event
 from pepperstair_core.intent import Policy
 from pepperstair_core.members import (
@@ -62,6 +62,7 @@
 from .counters import read_counters, read_gauges
 from .crash_reports import CrashReports
 from .dependencies import AdditionalServer, DaemonDependencies
+from .exclusion_reports import report_absent
 from .exposition import Exposition
 from .metrics import MetricsSender
 from .proxying import make_proxy_context
@@ -271,7 +272,7 @@
         self.configuration.members_changed()
         self._clear_ejections_of_returned()
         self.quotas.members_changed()
-        self.exclusions.absent.update_members(self.directory.members(), precise_ms())
+        self.exclusions.update_members(self.directory.members(), precise_ms())
         self._rebuild_endpoints()
 
     def _on_configuration_changed(self, snapshot: Snapshot) -> None:
@@ -391,7 +392,7 @@
         member = self.directory.get(endpoint.vm)
         if member is None:
             return
-        if self.exclusions.leaving.add(endpoint.key, member, precise_ms()):
+        if self.exclusions.add_leaving(endpoint.key, member, precise_ms()):
             self._rebuild_endpoints()
 
     def record_absent(self, endpoint: Endpoint, sent_ms: float) -> None:
@@ -404,23 +405,10 @@
         member = self.directory.get(endpoint.vm)
         if member is None:
             return
-        absent = self.exclusions.absent
-        if not absent.add(endpoint.key, member, sent_ms, precise_ms()):
-            return
-        log.info(
-            Event.TARGET_ABSENT,
-            target=endpoint.target.name,
-            member=member.vm,
-            incarnation=member.incarnation,
-            sequence=member.sequence,
-        )
-        self.decisions.record(
-            DecisionKind.ABSENT,
-            endpoint.target.name,
-            f"the daemon at the address of {member.vm} does not know it",
-            (("sequence", float(member.sequence)),),
-        )
-        self._rebuild_endpoints()
+        key = endpoint.key
+        if self.exclusions.add_absent(key, member, sent_ms, precise_ms()):
+            report_absent(endpoint.target, member, self.decisions)
+            self._rebuild_endpoints()
 
     def _policy_of(self, customer: str, target: Target) -> Policy:
         policies = self.configuration.route_table.policies
--- a/tests/exclusion_fleet.py
+++ b/tests/exclusion_fleet.py
@@ -120,7 +120,7 @@
     def rebuild(self) -> None:
         """Build the endpoints from the known members and the exclusions."""
         directory, now_ms = self.membership.directory, self.fleet.now_ms
-        self.exclusions.absent.update_members(directory.members(), now_ms)
+        self.exclusions.update_members(directory.members(), now_ms)
         excluded = self.exclusions.excluded(directory.get, now_ms)
         self.table = EndpointTable(
             directory.members(), previous=self.table, excluded=excluded
@@ -172,8 +172,9 @@
             member = caller.membership.directory.get(endpoint.vm)
             if member is None or caller.exclusions is not process:
                 return
-            absent = caller.exclusions.absent
-            if absent.add(endpoint.key, member, sent_ms, self.fleet.now_ms):
+            if caller.exclusions.add_absent(
+                endpoint.key, member, sent_ms, self.fleet.now_ms
+            ):
                 caller.rebuild()
 
         self.fleet.at(self.fleet.now_ms + self.fleet.delay_ms(self), receive)
--- a/tests/test_absent_targets.py
+++ b/tests/test_absent_targets.py
@@ -4,8 +4,11 @@
 
 from msgspec.structs import replace
 
-from pepperstair_core.calls import AbsentTargets
-from pepperstair_core.calls.absent_targets import ABSENCE_BASE_MS, ABSENCE_MAX_MS
+from pepperstair_core.calls.absent_targets import (
+    ABSENCE_BASE_MS,
+    ABSENCE_MAX_MS,
+    AbsentTargets,
+)
 from pepperstair_core.members import Member, MemberState, Target, TargetState
 from tests.call_mesh import Mesh
 from tests.test_call_failures import on_loop
@@ -42,8 +45,10 @@
     """Guards against a target that is left out for good after one refusal."""
     absent = AbsentTargets()
     absent.add(KEY, MEMBER, 0.0, 1.0)
-    assert absent.next_end_ms(1.0) == 1.0 + ABSENCE_BASE_MS
-    assert absent.excluded(lambda vm: MEMBER, 1.0 + ABSENCE_BASE_MS) == frozenset()
+    end_ms = 1.0 + ABSENCE_BASE_MS
+    assert absent.next_end_ms(1.0) == end_ms
+    assert absent.excluded(lambda vm: MEMBER, end_ms - 0.1) == {KEY}
+    assert absent.excluded(lambda vm: MEMBER, end_ms) == frozenset()
 
 
 def test_refusals_after_the_end_of_an_absence_lengthen_it_up_to_a_limit():
@@ -60,17 +65,6 @@
     assert max(periods_ms) == periods_ms[-1] == ABSENCE_MAX_MS
 
 
-def test_refusal_of_a_call_that_was_sent_before_the_record_changed_is_ignored():
-    """Guards against a refusal that arrives after the record that lists the target."""
-    absent = AbsentTargets()
-    absent.update_members([MEMBER], 0.0)
-    returned = replace(MEMBER, sequence=3)
-    absent.update_members([returned], 20.0)
-    assert not absent.add(KEY, returned, 10.0, 30.0)
-    assert absent.excluded(lambda vm: returned, 30.0) == frozenset()
-    assert absent.add(KEY, returned, 21.0, 30.0)
-
-
 @on_loop
 async def test_refusal_without_a_target_is_reported_and_is_no_attempt():
     """The route allows two targets, and two of three are absent."""
--- a/tests/test_exclusions.py
+++ b/tests/test_exclusions.py
@@ -6,8 +6,9 @@
 from pathlib import Path
 
 import pytest
+from msgspec.structs import replace
 
-from pepperstair_core.calls import absent_targets, leaving_targets
+from pepperstair_core.calls import TargetExclusions, absent_targets, leaving_targets
 from pepperstair_core.config import parse_settings_toml
 from pepperstair_core.labels import parse_selector
 from pepperstair_core.members import Member, MemberState, Target, TargetState
@@ -25,6 +26,18 @@
 EVERY = parse_selector("").unwrap()
 
 
+def test_refusal_of_a_call_that_was_sent_before_the_record_changed_is_ignored():
+    """Guards against a refusal that arrives after the record that lists the target."""
+    exclusions = TargetExclusions()
+    exclusions.update_members([MEMBER], 0.0)
+    returned = replace(MEMBER, sequence=3)
+    exclusions.update_members([returned], 20.0)
+    assert not exclusions.add_absent(ENDPOINT.key, returned, 10.0, 30.0)
+    assert exclusions.excluded(lambda vm: returned, 30.0) == frozenset()
+    assert exclusions.add_absent(ENDPOINT.key, returned, 21.0, 30.0)
+    assert exclusions.excluded(lambda vm: returned, 30.0) == {ENDPOINT.key}
+
+
 def exclude_as_leaving(daemon):
     daemon.record_leaving(ENDPOINT)
 
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -4,8 +4,11 @@
 
 from msgspec.structs import replace
 
-from pepperstair_core.calls import LeavingTargets
-from pepperstair_core.calls.leaving_targets import N_REMEMBERED_MAX, REMEMBERED_MS
+from pepperstair_core.calls.leaving_targets import (
+    N_REMEMBERED_MAX,
+    REMEMBERED_MS,
+    LeavingTargets,
+)
 from pepperstair_core.members import Member, MemberState
 
 KEY = ("vm-1", "ledger-1")
