--- a/packages/pepperstair-targets/pepperstair_targets/ordered_announcements.py
+++ b/packages/pepperstair-targets/pepperstair_targets/ordered_announcements.py
@@ -74,10 +74,10 @@
     announcement of the known target has arrived for `silent_ms`. The name of a
     deregistered target is accepted again after `ANNOUNCEMENT_DELAY_MAX_MS`.
 
-    If the time of day of the VM goes back, a target that starts after that reports an
-    earlier start than the known one. It is accepted once the known target has not been
-    heard of, or has departed, for `ANNOUNCEMENT_DELAY_MAX_MS`: by then no announcement
-    of a target that did start earlier is in transit.
+    If the clock of the VM is set back, the next target reports an earlier start than
+    the known one. Its announcements are accepted once `ANNOUNCEMENT_DELAY_MAX_MS` have
+    passed since the last announcement or the departure of the known target: by then,
+    no announcement of a target that really started earlier is still in transit.
     """
 
     def __init__(
@@ -94,8 +94,8 @@
         self._newest: Announcement | None = None
         self._newest_seen_ms = 0
         self._departures: dict[str, Departure] = {}
-        # When each departure was recorded or restored by this process.
-        self._departed_ms: dict[str, int] = {}
+        # Maps each target to the time at which this process recorded its departure.
+        self._departure_seen_ms: dict[str, int] = {}
 
     def accept(self, announcement: Announcement) -> bool:
         """Apply an announcement unless it is outdated.
@@ -148,22 +148,33 @@
         for departure in departures:
             known = self._departures.get(departure.name)
             if known is None or known.order_key < departure.order_key:
-                self._departures[departure.name] = departure
-                self._departed_ms[departure.name] = self._now_ms()
+                self._put_departure(departure)
 
     def _record_departure(self, name: str, start_ms: int, sequence: int) -> None:
         departure = Departure(name, start_ms, sequence, self._wall_ms())
-        known = self._departures.get(name)
-        if known is not None and known.order_key > departure.order_key:
-            is_superseded = known.start_ms != start_ms and self._is_past(known)
-            departure = departure if is_superseded else known
-        self._departures.pop(name, None)
-        self._departures[name] = departure
-        if departure is not known:
-            self._departed_ms[name] = self._now_ms()
+        known = self._departures.pop(name, None)
+        if known is not None and self._outranks(known, departure):
+            self._departures[name] = known
+        else:
+            self._put_departure(departure)
         if len(self._departures) > N_DEPARTURES_MAX:
             oldest = next(iter(self._departures))
-            del self._departures[oldest], self._departed_ms[oldest]
+            del self._departures[oldest], self._departure_seen_ms[oldest]
+
+    def _put_departure(self, departure: Departure) -> None:
+        self._departures[departure.name] = departure
+        self._departure_seen_ms[departure.name] = self._now_ms()
+
+    def _outranks(self, known: Departure, departure: Departure) -> bool:
+        """Return whether the known departure of a target replaces another one.
+
+        A departure that seems to be earlier is either a delayed message, or that of a
+        target that started after the clock was set back.
+        """
+        if known.order_key <= departure.order_key:
+            return False
+        is_same_start = known.start_ms == departure.start_ms
+        return is_same_start or not self._is_transit_over(known)
 
     def _is_newer(self, announcement: Announcement) -> bool:
         name = announcement.target.name
@@ -185,24 +196,24 @@
     def _has_departed(self, announcement: Announcement) -> bool:
         """Return whether the target sent its departure after this announcement.
 
-        The departure of a start that is known to be this one counts for good, any other
-        one only until it is past.
+        A target that has departed never returns without another start. Announcements
+        with another start are rejected only while delayed ones may be in transit.
         """
         departure = self._departures.get(announcement.target.name)
         if departure is None or announcement.order_key > departure.order_key:
             return False
         start_ms = announcement.start_ms
         is_same_start = bool(start_ms) and start_ms == departure.start_ms
-        return is_same_start or not self._is_past(departure)
+        return is_same_start or not self._is_transit_over(departure)
 
-    def _is_past(self, departure: Departure) -> bool:
-        """Return whether announcements from before a departure are not in transit.
+    def _is_transit_over(self, departure: Departure) -> bool:
+        """Return whether no announcement from before a departure is in transit.
 
-        The time of day shows how long ago an earlier process recorded the departure,
-        but it may have gone back since.
+        The wall clock covers the time before this process started, but it may have been
+        set back since the departure.
         """
         wall_age_ms = self._wall_ms() - departure.recorded_ms
-        age_ms = self._now_ms() - self._departed_ms[departure.name]
+        age_ms = self._now_ms() - self._departure_seen_ms[departure.name]
         return max(age_ms, wall_age_ms) >= ANNOUNCEMENT_DELAY_MAX_MS
 
     def _is_gone(self, newest: Announcement) -> bool:
