--- a/tests/test_target_leases.py
+++ b/tests/test_target_leases.py
@@ -45,9 +45,8 @@
         assert published == []
 
 
-# With these headers an answer proves that the target which is meant is running: another
-# one at its address refuses the request.
-PINNED = TargetOptions(
+# Requests name their target, so that an answer proves that this target is running.
+NAMED_TARGETS = TargetOptions(
     names=HeaderNames(expected_target=b"expected", signature=b"signature")
 )
 
@@ -65,7 +64,7 @@
 @on_loop
 async def test_target_that_answers_keeps_its_lease_while_heartbeats_are_late():
     """Guards against refused calls for a target that has just answered others."""
-    async with Mesh(options=PINNED) as mesh:
+    async with Mesh(options=NAMED_TARGETS) as mesh:
         await mesh.add("a", answer_signed)
         published = record_publications(mesh, "a")
         for _ in range(9):
@@ -77,7 +76,7 @@
 @on_loop
 async def test_call_for_a_target_whose_lease_has_just_lapsed_is_run():
     """Guards against a refusal because a heartbeat came a moment late."""
-    async with Mesh(options=PINNED) as mesh:
+    async with Mesh(options=NAMED_TARGETS) as mesh:
         await mesh.add("a", answer_signed)
         published = record_publications(mesh, "a")
         mesh.skew_ms += LEASE_MS + 100
@@ -87,7 +86,7 @@
 
 @on_loop
 async def test_target_that_was_silent_for_two_leases_gets_no_calls():
-    async with Mesh(options=PINNED) as mesh:
+    async with Mesh(options=NAMED_TARGETS) as mesh:
         raw = await mesh.add("a", answer_signed)
         mesh.skew_ms += 2 * LEASE_MS
         assert status_and_run(await mesh.call()) == (503, "no")
@@ -96,7 +95,7 @@
 
 @on_loop
 async def test_answer_of_another_target_at_the_address_renews_no_lease():
-    async with Mesh(options=PINNED) as mesh:
+    async with Mesh(options=NAMED_TARGETS) as mesh:
         await mesh.add("a", answer_misdirected)
         published = record_publications(mesh, "a")
         mesh.skew_ms += LEASE_MS + 100
@@ -112,7 +111,7 @@
         mesh.nodes["a"].registry.deregister("a")
         await answer_signed(target, writer, head)
 
-    async with Mesh(options=PINNED) as mesh:
+    async with Mesh(options=NAMED_TARGETS) as mesh:
         await mesh.add("a", answer_late)
         published = record_publications(mesh, "a")
         assert status_and_run(await mesh.call()) == (200, "yes")
