Test the ends of exclusions that were only read before

Links that can't be dialled, probes without a result and targets taken for crashed were listed as in order without a test. All three pass on the code as it was.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -135,6 +135,19 @@
     assert counts(chooser, among, now_ms=back_ms)["t1"] > 0
 
 
+@pytest.mark.parametrize("kind", [EndKind.ABANDONED, EndKind.REFUSED])
+def test_probe_without_a_result_is_followed_by_another(kind):
+    """Guards against an ejected target whose only probe was abandoned or refused."""
+    among = [endpoint(1), endpoint(2)]
+    chooser = make_chooser()
+    chooser.choose(among, no_report, 0.0)
+    ejection = fail_until_ejected(chooser, among[0], among)
+    probe_ms = ejection.period_ms + 1
+    for _ in range(3):
+        assert chooser.choose(among, no_report, probe_ms) is among[0]
+        chooser.end(among[0], among, CallEnd(kind, probe_ms), probe_ms)
+
+
 def test_ejection_limit_keeps_half_of_the_targets_in_use():
     """This daemon's own network is broken, so every target appears to fail.
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 
 import pytest
@@ -270,3 +271,25 @@
     rows = [MemberRow("a", "a:1", 0), MemberRow("b", "b:1", 0)]
     stale = [list(sweep.iter_stale_vms(directory, rows)) for _ in range(10)]
     assert stale == [[]] * 9 + [["b"]]
+
+
+def test_neighbour_that_could_not_be_dialled_is_dialled_again():
+    """Guards against a link that is given up, also once the member counts as gone."""
+    membership = membership_of(member("vm-1"), member("vm-2"))
+    dialled_ms = []
+    for now_ms in range(0, 120_000, 250):
+        actions = [
+            *membership.flush(lambda vm: True, now_ms),
+            *membership.tick(now_ms),
+        ]
+        for dial in (item for item in actions if isinstance(item, Dial)):
+            dialled_ms.append(now_ms)
+            list(membership.fail(dial.address, False, now_ms))
+    assert membership.directory.get("vm-2").state is MemberState.GONE
+    # A gone member is dialled by the probes, of which one may come before it is due.
+    probe_max_ms = 1.5 * 5 * MembersSettings().heartbeat_ms
+    limit_ms = BACKOFF_MAX_MS + 2 * probe_max_ms
+    times_ms = [0, *dialled_ms, 120_000]
+    assert all(
+        after - before <= limit_ms for before, after in itertools.pairwise(times_ms)
+    )
--- a/tests/test_target_leases.py
+++ b/tests/test_target_leases.py
@@ -117,3 +117,23 @@
         assert status_and_run(await mesh.call()) == (200, "yes")
         assert published == [[]]
         assert status_and_run(await mesh.call()) == (503, "no")
+
+
+@on_loop
+async def test_target_that_was_taken_for_crashed_is_published_by_its_next_heartbeat():
+    """Guards against a running target that is excluded after a broken connection."""
+
+    async def break_off(target, writer, head):
+        target.is_down = True
+        for each in target.writers:
+            each.transport.abort()
+
+    async with Mesh() as mesh:
+        raw = await mesh.add("a", break_off)
+        published = record_publications(mesh, "a")
+        assert status_and_run(await mesh.call())[0] == 502
+        assert published == [[]]
+        raw.is_down, raw.answer = False, answer_signed
+        mesh.announce("a")
+        assert published == [[], ["a"]]
+        assert status_and_run(await mesh.call()) == (200, "yes")
